--- /dev/null
+++ b/measure/print.go
@@ -0,0 +1,29 @@
+package measure
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+)
+
+// write formats a result as a Markdown table.
+func write(w io.Writer, t Table, r Result, took time.Duration) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "## %s\n\nGoal: %s\n\nSeed %d, took %s.\n\n", t.Name, t.Goal, t.Seed, took.Round(time.Millisecond))
+	b.WriteString(line(r.Header))
+	b.WriteString(strings.Repeat("|---", len(r.Header)) + "|\n")
+	for _, row := range r.Rows {
+		b.WriteString(line(row))
+	}
+	for _, note := range r.Notes {
+		b.WriteString("\n" + note + "\n")
+	}
+	b.WriteString("\n")
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func line(cells []string) string {
+	return "| " + strings.Join(cells, " | ") + " |\n"
+}
