--- a/ledger/kinds.go
+++ b/ledger/kinds.go
@@ -47,6 +47,11 @@
 
 		KindBookingClaim:   body(applyBookingClaim),
 		KindBookingOutcome: body(applyBookingOutcome),
+
+		KindMintJoin:     body(applyMintJoin),
+		KindMintConfirm:  body(applyMintConfirm),
+		KindMintRelease:  body(applyMintRelease),
+		KindMintTakeover: body(applyMintTakeover),
 	}
 }
 
--- /dev/null
+++ b/ledger/mint.go
@@ -0,0 +1,253 @@
+package ledger
+
+import (
+	"encoding/json"
+	"errors"
+	"slices"
+
+	"toucanfall/fault"
+	"toucanfall/fleet"
+)
+
+// The kinds of records about the VMs that mint rate.
+const (
+	KindMintJoin     Kind = "mint_join"
+	KindMintConfirm  Kind = "mint_confirm"
+	KindMintRelease  Kind = "mint_release"
+	KindMintTakeover Kind = "mint_takeover"
+)
+
+// MintJoin asks for a share of the data centre's rate. Its record is based on
+// the revision of the data centre's list, so that a delayed copy cannot list a
+// VM again that has left.
+type MintJoin struct {
+	DataCentre fleet.DataCentre `json:"data_centre"`
+	VM         fleet.VMID       `json:"vm"`
+}
+
+// UnmarshalJSON decodes and checks a join.
+func (j *MintJoin) UnmarshalJSON(b []byte) error {
+	type plain MintJoin
+	if err := json.Unmarshal(b, (*plain)(j)); err != nil {
+		return err
+	}
+	if j.DataCentre == "" {
+		return errors.New("mint join needs a data centre")
+	}
+	return fleet.CheckID("vm", j.VM)
+}
+
+// MintConfirm tells that a minting VM acts on the list as of an offset: it has
+// given up what the list took away from it, and vouches for no VM whose
+// takeover stands at or before that offset.
+type MintConfirm struct {
+	DataCentre fleet.DataCentre `json:"data_centre"`
+	VM         fleet.VMID       `json:"vm"`
+	// Joined identifies the VM's entry, since a VM may leave and join again.
+	Joined fleet.Offset `json:"joined"`
+	// Through is the offset up to which the VM acts on the list.
+	Through fleet.Offset `json:"through"`
+}
+
+// UnmarshalJSON decodes and checks a confirmation.
+func (c *MintConfirm) UnmarshalJSON(b []byte) error {
+	type plain MintConfirm
+	if err := json.Unmarshal(b, (*plain)(c)); err != nil {
+		return err
+	}
+	if c.Joined == 0 || c.Through < c.Joined {
+		return errors.New("mint confirmation must name an offset from its join on")
+	}
+	return fleet.CheckID("vm", c.VM)
+}
+
+// MintTakeover begins to take the share of a VM that is believed dead. The VM
+// stays on the list, and nobody mints its share, until a release.
+type MintTakeover struct {
+	DataCentre fleet.DataCentre `json:"data_centre"`
+	VM         fleet.VMID       `json:"vm"`
+	Joined     fleet.Offset     `json:"joined"`
+	By         fleet.VMID       `json:"by"`
+}
+
+// UnmarshalJSON decodes and checks a takeover.
+func (t *MintTakeover) UnmarshalJSON(b []byte) error {
+	type plain MintTakeover
+	if err := json.Unmarshal(b, (*plain)(t)); err != nil {
+		return err
+	}
+	if t.Joined == 0 || t.By == t.VM {
+		return errors.New("mint takeover must name a join and another VM")
+	}
+	return fleet.CheckID("vm", t.VM)
+}
+
+// MintRelease takes a VM off the list. The VM itself appends it after it
+// stopped minting. The VM that began a takeover appends it after the leases of
+// the dead VM have run out.
+type MintRelease struct {
+	DataCentre fleet.DataCentre `json:"data_centre"`
+	VM         fleet.VMID       `json:"vm"`
+	Joined     fleet.Offset     `json:"joined"`
+	By         fleet.VMID       `json:"by"`
+	// Long is set if the proposer waited for the long lease, which needs no
+	// confirmation of the other minting VMs.
+	Long bool `json:"long,omitempty"`
+}
+
+// UnmarshalJSON decodes and checks a release.
+func (r *MintRelease) UnmarshalJSON(b []byte) error {
+	type plain MintRelease
+	if err := json.Unmarshal(b, (*plain)(r)); err != nil {
+		return err
+	}
+	if r.Joined == 0 || r.By == "" {
+		return errors.New("mint release must name a join and its proposer")
+	}
+	return fleet.CheckID("vm", r.VM)
+}
+
+// Minter is a VM on a data centre's list.
+type Minter struct {
+	VM     fleet.VMID   `json:"vm"`
+	Joined fleet.Offset `json:"joined"`
+	// Confirmed is the offset up to which the VM acts on the list.
+	Confirmed fleet.Offset `json:"confirmed"`
+	// Takeover is the offset of the record that began to take its share, 0 if
+	// there is none, and TakenBy its proposer.
+	Takeover fleet.Offset `json:"takeover,omitempty"`
+	TakenBy  fleet.VMID   `json:"taken_by,omitempty"`
+}
+
+// MintList lists the VMs of a data centre among which its share of every rate
+// is split, by id.
+type MintList struct {
+	DataCentre fleet.DataCentre `json:"data_centre"`
+	Minters    []Minter         `json:"minters"`
+	// Changed is the offset of the last join or takeover, which the others
+	// have to confirm.
+	Changed fleet.Offset `json:"changed"`
+}
+
+// Find returns the entry of a VM.
+func (l MintList) Find(vm fleet.VMID) (Minter, bool) {
+	i := l.index(vm)
+	if i < 0 {
+		return Minter{}, false
+	}
+	return l.Minters[i], true
+}
+
+func (l MintList) index(vm fleet.VMID) int {
+	return slices.IndexFunc(l.Minters, func(m Minter) bool { return m.VM == vm })
+}
+
+// Active reports whether the VM may mint: every other VM of the list has
+// confirmed its join, and no takeover of its share has begun. Once every VM has
+// confirmed, that stays so, because offsets of confirmations only grow.
+func (l MintList) Active(vm fleet.VMID) bool {
+	own, ok := l.Find(vm)
+	return ok && own.Takeover == 0 && l.confirmed(vm, own.Joined)
+}
+
+// Consented reports whether a takeover of the VM needs only the short lease:
+// all others have confirmed it, and one of them is active, so that the VM knows
+// that it is not alone.
+func (l MintList) Consented(vm fleet.VMID) bool {
+	own, ok := l.Find(vm)
+	if !ok || own.Takeover == 0 || !l.confirmed(vm, own.Takeover) {
+		return false
+	}
+	return slices.ContainsFunc(l.Minters, func(m Minter) bool {
+		return m.VM != vm && l.Active(m.VM)
+	})
+}
+
+func (l MintList) confirmed(except fleet.VMID, offset fleet.Offset) bool {
+	for _, m := range l.Minters {
+		if m.VM != except && m.Confirmed < offset {
+			return false
+		}
+	}
+	return true
+}
+
+// mintList returns the list of a data centre with a copy of its entries, since
+// readers hold the old one.
+func (s *State) mintList(dc fleet.DataCentre) (MintList, fleet.Revision) {
+	e, ok := s.Minters.Get(dc)
+	if !ok {
+		return MintList{DataCentre: dc}, 0
+	}
+	l := e.Value
+	l.Minters = slices.Clone(l.Minters)
+	return l, e.Revision
+}
+
+func applyMintJoin(s *State, offset fleet.Offset, r Record, b MintJoin) Verdict {
+	l, _ := s.mintList(b.DataCentre)
+	if _, ok := l.Find(b.VM); ok {
+		return reject(offset, fault.Conflict, "vm %q is on the list of data centre %q", b.VM, b.DataCentre)
+	}
+	l.Minters = append(l.Minters, Minter{VM: b.VM, Joined: offset, Confirmed: offset})
+	slices.SortFunc(l.Minters, func(x, y Minter) int {
+		if x.VM < y.VM {
+			return -1
+		}
+		return 1
+	})
+	l.Changed = offset
+	return s.Minters.put(offset, r, b.DataCentre, l)
+}
+
+func applyMintConfirm(s *State, offset fleet.Offset, r Record, b MintConfirm) Verdict {
+	l, revision := s.mintList(b.DataCentre)
+	i := l.index(b.VM)
+	if i < 0 || l.Minters[i].Joined != b.Joined {
+		return reject(offset, fault.NotFound, "vm %q did not join at offset %d", b.VM, b.Joined)
+	}
+	if b.Through >= offset {
+		return reject(offset, fault.InvalidRequest, "confirmation of offset %d comes before it", b.Through)
+	}
+	l.Minters[i].Confirmed = max(l.Minters[i].Confirmed, b.Through)
+	r.Base = revision
+	return s.Minters.put(offset, r, b.DataCentre, l)
+}
+
+// applyMintTakeover lets the first takeover win.
+func applyMintTakeover(s *State, offset fleet.Offset, r Record, b MintTakeover) Verdict {
+	l, revision := s.mintList(b.DataCentre)
+	i := l.index(b.VM)
+	if i < 0 || l.Minters[i].Joined != b.Joined {
+		return reject(offset, fault.NotFound, "vm %q did not join at offset %d", b.VM, b.Joined)
+	}
+	if by := l.Minters[i].TakenBy; by != "" {
+		return reject(offset, fault.Conflict, "vm %q is being taken over by %q", b.VM, by)
+	}
+	l.Minters[i].Takeover = offset
+	l.Minters[i].TakenBy = b.By
+	l.Changed = offset
+	r.Base = revision
+	return s.Minters.put(offset, r, b.DataCentre, l)
+}
+
+// applyMintRelease takes a VM off the list. A copy that stands later finds no
+// entry with the same join and changes nothing.
+func applyMintRelease(s *State, offset fleet.Offset, r Record, b MintRelease) Verdict {
+	l, revision := s.mintList(b.DataCentre)
+	i := l.index(b.VM)
+	if i < 0 || l.Minters[i].Joined != b.Joined {
+		return reject(offset, fault.NotFound, "vm %q did not join at offset %d", b.VM, b.Joined)
+	}
+	if b.By != b.VM {
+		if l.Minters[i].Takeover == 0 {
+			return reject(offset, fault.Conflict, "vm %q is not being taken over", b.VM)
+		}
+		if !b.Long && !l.Consented(b.VM) {
+			return reject(offset, fault.Conflict, "not all minting VMs confirmed the takeover of %q", b.VM)
+		}
+	}
+	l.Minters = slices.Delete(l.Minters, i, i+1)
+	r.Base = revision
+	return s.Minters.put(offset, r, b.DataCentre, l)
+}
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -20,6 +20,7 @@
 	Operators *Table[fleet.OperatorID, Operator]
 	Withdrawn *Table[fleet.KeyID, Withdrawal]
 	Bookings  *Table[BookingKey, Booking]
+	Minters   *Table[fleet.DataCentre, MintList]
 
 	settings *Table[string, settings.Put]
 	// keyByHash finds a key by the hash of its secret, in hexadecimal.
@@ -40,6 +41,7 @@
 		Operators:      newTable[fleet.OperatorID, Operator]("operator"),
 		Withdrawn:      newTable[fleet.KeyID, Withdrawal]("withdrawal"),
 		Bookings:       newTable[BookingKey, Booking]("booking"),
+		Minters:        newTable[fleet.DataCentre, MintList]("mint list"),
 		settings:       newTable[string, settings.Put]("setting"),
 		keyByHash:      shard.New[string, fleet.KeyID](),
 		operatorByHash: shard.New[string, fleet.OperatorID](),
