Encode, restore and digest all tables of the state

Cause: a VM could get its state only from the first record of the log, and late copies of records were harmless by luck. A copy of a record that was rejected for a missing team was accepted once the team existed, although its proposer had been told that the change did not happen. A secret could be registered under a second key id and so outlive its withdrawal.

Done: State.tables lists every table (one line each; TestTablesAreListed finds a forgotten one).

A hash stands under one key id and one operator id. A booking without an outcome leaves it out of its encoding, because an empty outcome does not decode.

Ruled out: remembering the ids of all records (all accepted kinds are already compare-and-set, grow-only or first claim wins); an expiry by the proposer's clock (one clock that runs ahead would reject everybody else).

Seen to fail without the mechanism, one at a time: refuseCopy (TestCopyOfRejectedRecordStaysRejected), the check of hashes (TestSecretStandsUnderOneID), compare-and-set (TestCopyIsHarmless for team, key, model, adapter and more, TestConflictShowsCurrentValue), omitzero and reindex (TestSnapshotRestoresTheWholeState), the checksum (TestTornSnapshotChangesNothing).

--- a/ledger/booking.go
+++ b/ledger/booking.go
@@ -91,7 +91,7 @@
 type Booking struct {
 	Claim   BookingClaim   `json:"claim"`
 	Status  BookingStatus  `json:"status"`
-	Outcome BookingOutcome `json:"outcome"`
+	Outcome BookingOutcome `json:"outcome,omitzero"`
 }
 
 // applyBookingClaim lets the first claim win for good. The same claim standing
--- a/ledger/config.go
+++ b/ledger/config.go
@@ -70,6 +70,10 @@
 	if _, ok := s.Teams.Get(b.Team); !ok {
 		return reject(offset, fault.NotFound, "team %q does not exist", b.Team)
 	}
+	if id, ok := s.keyByHash.Get(hashKey(b.Hash)); ok && id != b.ID {
+		// Under a second id, a secret would outlive its withdrawal.
+		return reject(offset, fault.Conflict, "key %q has the same hash", id)
+	}
 	r.Base = 0
 	v := s.Keys.put(offset, r, b.ID, b)
 	if v.Accepted() {
@@ -131,6 +135,9 @@
 }
 
 func applyOperator(s *State, offset fleet.Offset, r Record, b Operator) Verdict {
+	if id, ok := s.operatorByHash.Get(hashKey(b.Hash)); ok && id != b.ID {
+		return reject(offset, fault.Conflict, "operator %q has the same hash", id)
+	}
 	old, _ := s.Operators.Get(b.ID)
 	v := s.Operators.put(offset, r, b.ID, b)
 	if v.Accepted() {
@@ -147,6 +154,24 @@
 	return string(h[:])
 }
 
+// reindexHashes rebuilds what is derived from the tables after a snapshot.
+func (s *State) reindexHashes() {
+	for _, id := range s.Keys.Keys() {
+		e, _ := s.Keys.Get(id)
+		s.keyByHash.Put(hashKey(e.Value.Hash), id)
+	}
+	for _, id := range s.Operators.Keys() {
+		e, _ := s.Operators.Get(id)
+		s.operatorByHash.Put(hashKey(e.Value.Hash), id)
+	}
+	for _, h := range s.operatorByHash.Keys() {
+		id, _ := s.operatorByHash.Get(h)
+		if e, ok := s.Operators.Get(id); !ok || hashKey(e.Value.Hash) != h {
+			s.operatorByHash.Delete(h)
+		}
+	}
+}
+
 // KeyByHash finds the key whose secret has the given hash.
 func (s *State) KeyByHash(h fleet.KeyHash) (fleet.Key, bool) {
 	id, ok := s.keyByHash.Get(hashKey(h))
--- a/ledger/doc.go
+++ b/ledger/doc.go
@@ -11,5 +11,19 @@
 // whose answer was lost is tried again with the same record. Every kind of
 // record is therefore harmless when it stands twice: it names the revision that
 // it was based on, or adds to a set that only grows, or the first of several
-// claims wins.
+// claims wins. A copy of a rejected record is rejected too.
+//
+// # Adding a table
+//
+// All of the state stands in tables, because snapshots and digests are made
+// from them. A new [Table] needs:
+//
+//   - a field of State, exported or not, made by newTable in NewState with a
+//     name that never changes;
+//   - one line in State.tables (tables.go), without which TestTablesAreListed
+//     fails;
+//   - if something is derived from the table, such as an index or a sum, a
+//     function that rebuilds it, called in State.reindex (snapshot.go).
+//
+// The key of a table and its values must come out of JSON as they went in.
 package ledger
--- /dev/null
+++ b/ledger/snapshot_test.go
@@ -0,0 +1,180 @@
+package ledger
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"toucanfall/fault"
+	"toucanfall/fleet"
+	"toucanfall/settings"
+	"toucanfall/timeline"
+)
+
+// fold applies records to a state in a test, as a log would order them.
+type fold struct {
+	t     *testing.T
+	state *State
+}
+
+func (f fold) record(kind Kind, base fleet.Revision, body any) Record {
+	r, err := NewRecord(kind, "tester", timeline.Stamp{}, base, body)
+	is.New(f.t).NoErr(err)
+	return r
+}
+
+func (f fold) apply(r Record) Verdict {
+	return f.state.Apply(f.state.Applied()+1, r)
+}
+
+func (f fold) put(kind Kind, base fleet.Revision, body any) Verdict {
+	return f.apply(f.record(kind, base, body))
+}
+
+func number(level settings.Level, n int) settings.Put {
+	path := settings.Path{Level: level, Name: settings.MaxTokens}
+	return settings.Put{Path: path, Value: settings.Value{RawMessage: json.RawMessage(fmt.Sprint(n))}}
+}
+
+func testKey(id fleet.KeyID, team fleet.TeamID, secret string) fleet.Key {
+	return fleet.Key{ID: id, Team: team, Hash: fleet.Secret(secret).Hash()}
+}
+
+// fill puts an entry into every table that operators and bookings write.
+func (f fold) fill() {
+	f.put(KindTeam, 0, fleet.Team{ID: "quotes"})
+	f.put(KindKey, 0, testKey("k1", "quotes", "one"))
+	f.put(KindWithdraw, 0, Withdrawal{Key: "k1"})
+	f.put(KindModel, 0, fleet.Model{ID: "m1", Version: "1", Size: 1})
+	f.put(KindAdapter, 0, fleet.Adapter{ID: "a1", Model: "m1", Size: 1})
+	f.put(KindRoute, 0, fleet.Route{ID: "textdesk", Kind: fleet.RouteDraft, Open: true, Model: "m1"})
+	f.put(KindOperator, 0, Operator{ID: "ada", Hash: fleet.Secret("o").Hash(), Access: AccessRead})
+	f.put(KindSetting, 0, number(settings.LevelFleet, 7))
+	f.put(KindBookingClaim, 0, BookingClaim{Key: "b1", Request: "r1"})
+	f.put(KindBookingClaim, 0, BookingClaim{Key: "b2", Request: "r2"})
+	f.put(KindBookingOutcome, 0, BookingOutcome{Key: "b2", Request: "r2", Status: BookingDone, Body: []byte("ok")})
+	f.put(KindAdapter, 0, fleet.Adapter{ID: "a2", Model: "m2", Size: 1})
+}
+
+func TestSnapshotRestoresTheWholeState(t *testing.T) {
+	is := is.New(t)
+	f := fold{t, NewState()}
+	f.fill()
+	sn, err := f.state.encodeSnapshot()
+	is.NoErr(err)
+
+	other := fold{t, NewState()}
+	// What the snapshot does not have must go.
+	other.put(KindTeam, 0, fleet.Team{ID: "gone"})
+	called := 0
+	other.state.OnRestore(func() { called++ })
+	is.NoErr(other.state.restore(sn))
+	is.Equal(called, 1)
+	is.Equal(other.state.Applied(), f.state.Applied())
+	is.Equal(other.state.Digest(), f.state.Digest())
+	_, ok := other.state.KeyByHash(fleet.Secret("one").Hash())
+	is.True(ok) // the index of hashes was rebuilt
+	_, ok = other.state.OperatorByHash(fleet.Secret("o").Hash())
+	is.True(ok)
+	is.True(errors.Is(other.state.restore(sn), ErrNotNewer)) // the applied offset never falls
+}
+
+func TestTornSnapshotChangesNothing(t *testing.T) {
+	is := is.New(t)
+	f := fold{t, NewState()}
+	f.fill()
+	sn, err := f.state.encodeSnapshot()
+	is.NoErr(err)
+	before := NewState().Digest()
+	for _, i := range []int{0, len(sn.Data) / 2, len(sn.Data) - 2} {
+		torn := sn
+		torn.Data = append([]byte(nil), sn.Data...)
+		torn.Data[i] ^= 1
+		s := NewState()
+		is.True(s.restore(torn) != nil)
+		is.Equal(s.Digest(), before)
+	}
+}
+
+// TestCopyIsHarmless lets a second copy of each kind of record come late, after
+// the thing was changed again.
+func TestCopyIsHarmless(t *testing.T) {
+	f := fold{t, NewState()}
+	f.fill()
+	claim := BookingClaim{Key: "b3", Request: "r3"}
+	tests := []struct{ first, next Record }{
+		{f.record(KindTeam, 0, fleet.Team{ID: "t2"}), Record{Kind: KindTeam, Body: json.RawMessage(`{"id":"t2","name":"new"}`)}},
+		{f.record(KindKey, 0, testKey("k2", "quotes", "two")), f.record(KindWithdraw, 0, Withdrawal{Key: "k2"})},
+		{f.record(KindWithdraw, 0, Withdrawal{Key: "k9"}), f.record(KindKey, 0, testKey("k9", "quotes", "nine"))},
+		{f.record(KindModel, 0, fleet.Model{ID: "m3", Version: "1", Size: 1}), f.record(KindModel, 0, fleet.Model{ID: "m3", Version: "2", Size: 1})},
+		{f.record(KindAdapter, 0, fleet.Adapter{ID: "a3", Model: "m1", Size: 1}), f.record(KindAdapter, 0, fleet.Adapter{ID: "a3", Model: "m1", Size: 2})},
+		{f.record(KindRoute, 0, fleet.Route{ID: "r3", Kind: fleet.RouteService, Open: true, Service: "s"}), f.record(KindRoute, 0, fleet.Route{ID: "r3", Kind: fleet.RouteService, Open: true, Service: "s2"})},
+		{f.record(KindOperator, 0, Operator{ID: "bob", Hash: fleet.Secret("b").Hash(), Access: AccessRead}), f.record(KindOperator, 0, Operator{ID: "bob", Hash: fleet.Secret("c").Hash(), Access: AccessRead})},
+		{f.record(KindSetting, 0, number("team/t2", 1)), f.record(KindSetting, 0, number("team/t2", 2))},
+		{f.record(KindBookingClaim, 0, claim), f.record(KindBookingOutcome, 0, BookingOutcome{Key: "b3", Request: "r3", Status: BookingDone})},
+		{f.record(KindBookingOutcome, 0, BookingOutcome{Key: "b1", Request: "r1", Status: BookingDone}), f.record(KindBookingOutcome, 0, BookingOutcome{Key: "b1", Request: "r1", Status: BookingUnknown})},
+	}
+	for _, tt := range tests {
+		t.Run(string(tt.first.Kind), func(t *testing.T) {
+			is := is.New(t)
+			v := f.apply(tt.first)
+			is.NoErr(v.Err())
+			tt.next.ID = "next" + tt.first.ID
+			tt.next.Base = v.Revision
+			f.apply(tt.next)
+			before := contents(t, f.state)
+			f.apply(tt.first)
+			is.Equal(contents(t, f.state), before)
+		})
+	}
+}
+
+// contents returns all tables without the remembered rejections.
+func contents(t *testing.T, s *State) string {
+	var out []byte
+	for _, table := range s.tables() {
+		if table.name() == s.rejected.name() {
+			continue
+		}
+		is.New(t).NoErr(table.encode(func(r row) error {
+			out = fmt.Appendf(out, "%s %s %s\n", r.Table, r.Key, r.Entry)
+			return nil
+		}))
+	}
+	return string(out)
+}
+
+// TestCopyOfRejectedRecordStaysRejected covers a record that was rejected for
+// something missing, which exists when the late copy arrives.
+func TestCopyOfRejectedRecordStaysRejected(t *testing.T) {
+	is := is.New(t)
+	f := fold{t, NewState()}
+	r := f.record(KindKey, 0, testKey("k1", "quotes", "one"))
+	is.Equal(f.apply(r).Fault, fault.NotFound)
+	is.NoErr(f.put(KindTeam, 0, fleet.Team{ID: "quotes"}).Err())
+	is.Equal(f.apply(r).Fault, fault.NotFound)
+	is.Equal(f.state.Keys.Keys(), nil)
+}
+
+func TestSecretStandsUnderOneID(t *testing.T) {
+	is := is.New(t)
+	f := fold{t, NewState()}
+	f.fill()
+	is.Equal(f.put(KindKey, 0, testKey("k2", "quotes", "one")).Fault, fault.Conflict)
+	is.Equal(f.put(KindOperator, 0, Operator{ID: "eve", Hash: fleet.Secret("o").Hash(), Access: AccessWrite}).Fault, fault.Conflict)
+}
+
+func TestConflictShowsCurrentValue(t *testing.T) {
+	is := is.New(t)
+	f := fold{t, NewState()}
+	first := f.put(KindTeam, 0, fleet.Team{ID: "quotes", Name: "current"})
+	for _, base := range []fleet.Revision{0, 99} {
+		v := f.put(KindTeam, base, fleet.Team{ID: "quotes", Name: "late"})
+		is.Equal(v.Fault, fault.Conflict)
+		is.Equal(v.Revision, first.Revision)
+		is.Equal(string(v.Current), `{"id":"quotes","name":"current"}`)
+	}
+}
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -26,7 +26,12 @@
 	keyByHash      *shard.Map[string, fleet.KeyID]
 	operatorByHash *shard.Map[string, fleet.OperatorID]
 
-	applied atomic.Uint64
+	// rejected and rejectedOrder keep late copies of rejected records out.
+	rejected      *Table[RecordID, Rejection]
+	rejectedOrder []RecordID
+
+	applied   atomic.Uint64
+	onRestore []func()
 }
 
 // NewState returns the state before every record.
@@ -41,6 +46,7 @@
 		Withdrawn:      newTable[fleet.KeyID, Withdrawal]("withdrawal"),
 		Bookings:       newTable[BookingKey, Booking]("booking"),
 		settings:       newTable[string, settings.Put]("setting"),
+		rejected:       newTable[RecordID, Rejection]("rejection"),
 		keyByHash:      shard.New[string, fleet.KeyID](),
 		operatorByHash: shard.New[string, fleet.OperatorID](),
 	}
@@ -63,7 +69,13 @@
 		s.Skip(offset)
 		return reject(offset, fault.InvalidRequest, "unknown kind %q", r.Kind)
 	}
-	v := apply(s, offset, r)
+	v, copied := s.refuseCopy(offset, r)
+	if !copied {
+		v = apply(s, offset, r)
+	}
+	if !copied && !v.Accepted() {
+		s.rememberRejection(offset, r, v)
+	}
 	s.applied.Store(uint64(offset))
 	return v
 }
--- /dev/null
+++ b/ledger/tables_test.go
@@ -0,0 +1,28 @@
+package ledger
+
+import (
+	"reflect"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestTablesAreListed finds tables of the state that snapshots would leave out.
+func TestTablesAreListed(t *testing.T) {
+	is := is.New(t)
+	s := NewState()
+	listed := make(map[any]bool)
+	names := make(map[string]bool)
+	for _, table := range s.tables() {
+		listed[reflect.ValueOf(table).Pointer()] = true
+		is.True(!names[table.name()]) // names are unique
+		names[table.name()] = true
+	}
+	v := reflect.ValueOf(s).Elem()
+	kind := reflect.TypeFor[stateTable]()
+	for i := range v.NumField() {
+		if v.Field(i).Type().Implements(kind) {
+			is.True(listed[v.Field(i).Pointer()]) // every table is in State.tables
+		}
+	}
+}
