--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -109,10 +109,10 @@
 	d.operators = httpx.NewServer(s.Handler())
 }
 
-// ready returns a fault until the log was read once.
+// ready returns a fault until the VM has the whole state.
 func (d *Daemon) ready() error {
-	if d.follower.LastRead().IsZero() {
-		return fault.New(fault.NotReady, "the VM has not read the log yet")
+	if !d.follower.Ready() {
+		return fault.New(fault.NotReady, "the VM has not read the state yet")
 	}
 	return nil
 }
--- a/event/event.go
+++ b/event/event.go
@@ -23,6 +23,7 @@
 var Registry = []Event{
 	ProcessStarted, ProcessReady, StopRequested, ProcessStopped, StopForced,
 	LogUnreachable, LogReachable, RecordSkipped, RecordApplied, RecordRejected,
+	StateIncomplete, SnapshotLoaded, SnapshotWritten, SnapshotFailed, RecordsMissing, RelayFailed,
 	PeerJoined, PeerSilent, PeerLeaving, ListUnreachable,
 	RequestReceived, RequestRefused, AttemptStarted, AttemptFailed, RequestAnswered, CallerCut,
 	KeyHeardWithdrawn, OperatorCommand,
@@ -45,6 +46,13 @@
 	RecordSkipped  = Event{203, "record_skipped", logrus.WarnLevel, "A record of the log cannot be decoded and is skipped on every VM. Find out who else writes to the log."}
 	RecordApplied  = Event{204, "record_applied", logrus.DebugLevel, "A record was accepted and is in force on this VM."}
 	RecordRejected = Event{205, "record_rejected", logrus.DebugLevel, "A record was rejected by the rules of the state; the field reason says why."}
+
+	StateIncomplete = Event{206, "state_incomplete", logrus.ErrorLevel, "Records that this VM needs have expired and the log holds no snapshot for them. The VM keeps the state that it has and tries its peers. If no VM is ready, the configuration must be made anew."}
+	SnapshotLoaded  = Event{207, "snapshot_loaded", logrus.InfoLevel, "The state was replaced by a newer snapshot; the field source is log or the address of a peer."}
+	SnapshotWritten = Event{208, "snapshot_written", logrus.InfoLevel, "A snapshot of the state is complete in the log."}
+	SnapshotFailed  = Event{209, "snapshot_failed", logrus.WarnLevel, "A snapshot could not be written; it is tried again. If this goes on, VMs that start after the retention time cannot get the state from the log."}
+	RecordsMissing  = Event{210, "records_missing", logrus.WarnLevel, "Records that were read do not follow the applied offset. They are not applied; the VM looks for a snapshot."}
+	RelayFailed     = Event{211, "relay_failed", logrus.DebugLevel, "A peer could not give the records or the state that this VM misses."}
 )
 
 // Events of membership.
--- a/ledger/kinds.go
+++ b/ledger/kinds.go
@@ -47,6 +47,8 @@
 
 		KindBookingClaim:   body(applyBookingClaim),
 		KindBookingOutcome: body(applyBookingOutcome),
+
+		KindSnapshotChunk: body(applySnapshotChunk),
 	}
 }
 
--- a/ledger/snapshot.go
+++ b/ledger/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"compress/gzip"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -13,7 +14,8 @@
 	"toucanfall/fleet"
 )
 
-// Snapshot is a whole state at an offset. Data holds one row of a table a line.
+// Snapshot is a whole state at an offset. Data holds one row of a
+// table a line, packed by gzip.
 type Snapshot struct {
 	Covered  fleet.Offset `json:"covered"`
 	Checksum uint64       `json:"checksum"`
@@ -27,12 +29,16 @@
 // applied meanwhile.
 func (s *State) encodeSnapshot() (Snapshot, error) {
 	var buf bytes.Buffer
-	enc := json.NewEncoder(&buf)
+	packed, _ := gzip.NewWriterLevel(&buf, gzip.BestSpeed)
+	enc := json.NewEncoder(packed)
 	for _, t := range s.tables() {
 		if err := t.encode(func(r row) error { return enc.Encode(r) }); err != nil {
 			return Snapshot{}, fmt.Errorf("encode snapshot: %w", err)
 		}
 	}
+	if err := packed.Close(); err != nil {
+		return Snapshot{}, fmt.Errorf("encode snapshot: %w", err)
+	}
 	return Snapshot{Covered: s.Applied(), Checksum: xxhash.Sum64(buf.Bytes()), Data: buf.Bytes()}, nil
 }
 
@@ -96,12 +102,19 @@
 
 func splitRows(data []byte) (map[string][]row, error) {
 	rows := make(map[string][]row)
-	lines := bufio.NewReader(bytes.NewReader(data))
+	unpacked, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, fmt.Errorf("unpack: %w", err)
+	}
+	lines := bufio.NewReader(unpacked)
 	for {
 		line, err := lines.ReadBytes('\n')
 		if errors.Is(err, io.EOF) && len(line) == 0 {
 			return rows, nil
 		}
+		if err != nil {
+			return nil, fmt.Errorf("unpack: %w", err)
+		}
 		var r row
 		if err := json.Unmarshal(line, &r); err != nil {
 			return nil, fmt.Errorf("row: %w", err)
--- a/settings/registry.go
+++ b/settings/registry.go
@@ -22,6 +22,7 @@
 	MaxTokens           Name = "max_tokens"
 	CutOffKeys          Name = "cut_off_keys"
 	Fencing             Name = "fencing"
+	SnapshotInterval    Name = "snapshot_interval"
 )
 
 // Type is the type of a setting's value.
@@ -81,6 +82,11 @@
 		Levels: []LevelKind{KindFleet, KindDataCentre},
 		Text:   "Whether engines refuse an order with an old fencing number. The default takes the worse case.",
 	},
+	{
+		Name: SnapshotInterval, Type: TypeDuration, Default: raw(`"1h"`), Min: 1, Max: 30 * 86400,
+		Levels: []LevelKind{KindFleet},
+		Text:   "Age at which the newest snapshot in the log is replaced. Keep it below a quarter of the time that the platform keeps records.",
+	},
 }
 
 func raw(s string) Value {
--- a/standin/log.go
+++ b/standin/log.go
@@ -73,6 +73,33 @@
 	}
 }
 
+// Peek returns the records from an offset on that are there now.
+func (l *Log) Peek(_ context.Context, from fleet.Offset) (ledger.Page, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	page := ledger.Page{First: l.first}
+	from = max(from, l.first)
+	if from < l.next {
+		tail := l.records[from-l.first:]
+		page.Records = append([]ledger.Raw(nil), tail[:min(len(tail), maxReadRecords)]...)
+	}
+	return page, nil
+}
+
+// Keep drops all records but the newest n.
+func (l *Log) Keep(n int) {
+	l.mu.Lock()
+	below := l.next - min(l.next, fleet.Offset(max(n, 0)))
+	l.mu.Unlock()
+	l.Trim(below)
+}
+
+func (l *Log) oldest() fleet.Offset {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.first
+}
+
 // Trim drops all records below an offset.
 func (l *Log) Trim(below fleet.Offset) {
 	l.mu.Lock()
@@ -127,15 +154,21 @@
 		http.Error(w, err.Error(), http.StatusGone)
 		return
 	}
-	answer(w, http.StatusOK, platform.ReadAnswer{Records: records})
+	answer(w, http.StatusOK, platform.ReadAnswer{Records: records, First: l.oldest()})
 }
 
+// serveTrim drops the records below the offset in the query, or all but the
+// number of records that keep gives.
 func (l *Log) serveTrim(w http.ResponseWriter, r *http.Request) {
-	below, err := strconv.ParseUint(r.URL.Query().Get("below"), 10, 64)
+	name, trim := "below", func(n uint64) { l.Trim(fleet.Offset(n)) }
+	if r.URL.Query().Has("keep") {
+		name, trim = "keep", func(n uint64) { l.Keep(int(n)) }
+	}
+	n, err := strconv.ParseUint(r.URL.Query().Get(name), 10, 32)
 	if err != nil {
-		http.Error(w, fmt.Sprintf("below: %v", err), http.StatusBadRequest)
+		http.Error(w, fmt.Sprintf("%s: %v", name, err), http.StatusBadRequest)
 		return
 	}
-	l.Trim(fleet.Offset(below))
+	trim(n)
 	w.WriteHeader(http.StatusNoContent)
 }
