Relay records and state between peers while the log is down

Cause: a VM that started during an outage of the log, or was cut off from the platform alone, had no way to the state that its peers hold.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -43,13 +43,15 @@
 	incarnation fleet.Incarnation
 	leaving     atomic.Bool
 
-	follower *ledger.Follower
-	keyring  *keyring.Keyring
-	links    *peer.Links
-	peers    *peer.Server
-	members  *membership.Membership
-	pool     *upstream.Pool
-	entry    *entry.Server
+	follower  *ledger.Follower
+	snapshots *ledger.SnapshotWriter
+	relay     *relay
+	keyring   *keyring.Keyring
+	links     *peer.Links
+	peers     *peer.Server
+	members   *membership.Membership
+	pool      *upstream.Pool
+	entry     *entry.Server
 
 	callers   *http.Server
 	operators *http.Server
@@ -68,7 +70,7 @@
 	rt := platform.NewTransport()
 	state := ledger.NewState()
 	d.keyring = keyring.New(state, d.rec)
-	d.follower = ledger.NewFollower(platform.NewLog(cfg.Platform.Log, rt), state, d.rec, d.heedWithdrawal)
+	d.newLog(platform.NewLog(cfg.Platform.Log, rt), state)
 	d.members = membership.New(cfg.VM, platform.NewVMList(cfg.Platform.VMList, rt), d, d.beat, d.rec)
 	engines := platform.NewEngines(rt)
 	d.pool = upstream.NewPool(cfg.DataCentre, d.members, engines)
@@ -77,6 +79,9 @@
 	if err := d.peers.Register("Peer", &peerService{daemon: d}); err != nil {
 		return nil, fmt.Errorf("register the peer service: %w", err)
 	}
+	if err := d.newRelay(); err != nil {
+		return nil, err
+	}
 	return d, nil
 }
 
@@ -225,6 +230,8 @@
 func (d *Daemon) close() {
 	d.pool.Close()
 	d.members.Close()
+	d.relay.Close()
+	d.snapshots.Close()
 	d.follower.Close()
 	d.peers.Close()
 	d.links.Close()
