--- a/ledger/faultlog_test.go
+++ b/ledger/faultlog_test.go
@@ -30,6 +30,11 @@
 	losing int
 	// dropping is how many appends have no effect and lose their answers.
 	dropping int
+	// holding is how many appends lose their answers and take effect later.
+	holding int
+	held    [][][]byte
+	// all keeps what trim drops.
+	all []Raw
 	// delay is how long an append takes.
 	delay time.Duration
 	// fail replaces the error of an append without effect.
@@ -64,18 +69,29 @@
 		l.dropping--
 		return 0, errLost
 	}
+	if l.holding > 0 {
+		l.holding--
+		l.held = append(l.held, records)
+		return 0, errLost
+	}
 	at := l.next
+	l.add(records)
+	if l.losing > 0 {
+		l.losing--
+		return 0, errLost
+	}
+	return at, nil
+}
+
+// add adds records. The caller holds the lock.
+func (l *faultLog) add(records [][]byte) {
 	for _, data := range records {
 		l.records = append(l.records, Raw{Offset: l.next, Data: data})
+		l.all = append(l.all, Raw{Offset: l.next, Data: data})
 		l.next++
 	}
 	close(l.grown)
 	l.grown = make(chan struct{})
-	if l.losing > 0 {
-		l.losing--
-		return 0, errLost
-	}
-	return at, nil
 }
 
 func (l *faultLog) Peek(_ context.Context, from fleet.Offset) (Page, error) {
--- a/ledger/table.go
+++ b/ledger/table.go
@@ -56,6 +56,9 @@
 	if old.Revision != r.Base {
 		return t.conflict(offset, r, k, old)
 	}
+	if fleet.Revision(offset) <= old.Revision {
+		panic(fmt.Sprintf("%s %v at revision %d would go back to %d", t.what, k, old.Revision, offset))
+	}
 	e := Entry[V]{Value: v, Revision: fleet.Revision(offset), Proposer: r.Proposer}
 	t.m.Put(k, e)
 	return Verdict{Offset: offset, Revision: e.Revision}
--- a/ledger/tables.go
+++ b/ledger/tables.go
@@ -107,6 +107,9 @@
 		if err := json.Unmarshal(r.Entry, &e); err != nil {
 			return nil, fmt.Errorf("%s %v: %w", t.what, k, err)
 		}
+		if old, ok := t.m.Get(k); ok && e.Revision < old.Revision {
+			return nil, fmt.Errorf("%s %v would go back from revision %d to %d", t.what, k, old.Revision, e.Revision)
+		}
 		fresh[k] = e
 	}
 	return func() { t.replace(fresh) }, nil
