Count only answers to own heartbeats and spread withdrawals by digest

Cause: a heartbeat that came in counted as proof that its sender answers, whenever it had been sent, so a VM resumed after a pause took heartbeats out of its socket buffers for fresh; an older heartbeat of the same incarnation replaced a newer one; one silent VM held the round up for all others; a list that was down from the start was never reported. A withdrawal was told to each peer once and appended once: a peer that was cut, and a log that was down, missed it for good.

Done: membership counts the moment at which an answered heartbeat was sent; heartbeats are ordered by incarnation and clock; exchanges run per VM; an answer of another VM at the address proves nothing; Check asserts the invariants and a broken one ends the program. Withdrawals are a set with digests in 64 parts; heartbeats carry the digest, VMs whose digests differ exchange only the parts that differ; what the log misses is appended by the VM that took the command after 1 s and by any other after 3 s of a log that answers, in the name of the operator. A VM is ready only when it has its state and has asked each listed peer once. cut_off_keys is in force: a VM that for 5 s heard of the log neither itself nor by a peer that reaches it counts as cut off. withdraw answers 202 with not_logged during an outage.

Seen to fail: without the comparison of At, TestOlderHeartbeatDoesNotReplaceNewer and TestRandomMembership; with the time of the answer, TestAnswerProvesTheMomentItWasAskedFor; with received heartbeats as proof, TestReceivedHeartbeatProvesNothing and TestSilentMemberIsNotAnswering; without incarnations, TestRestartIsANewIncarnation; without the check of the VM id, and with dropped members kept, the program's own check ends TestRandomMembership.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -48,6 +48,8 @@
 	links    *peer.Links
 	peers    *peer.Server
 	members  *membership.Membership
+	contact  *membership.Contact
+	spread   *keyring.Spread
 	pool     *upstream.Pool
 	entry    *entry.Server
 
@@ -67,9 +69,11 @@
 	}
 	rt := platform.NewTransport()
 	state := ledger.NewState()
-	d.keyring = keyring.New(state, d.rec)
+	d.keyring = keyring.New(state, d.rec, d.guardCutOff)
 	d.follower = ledger.NewFollower(platform.NewLog(cfg.Platform.Log, rt), state, d.rec, d.heedWithdrawal)
-	d.members = membership.New(cfg.VM, platform.NewVMList(cfg.Platform.VMList, rt), d, d.beat, d.rec)
+	d.contact = membership.NewContact(d.follower.LastRead, d.rec)
+	d.members = membership.New(cfg.VM, platform.NewVMList(cfg.Platform.VMList, rt), d, d.beat, d.rec, d.contact.Heard)
+	d.spread = keyring.NewSpread(cfg.VM, d.keyring, keyPeers{d}, keyLog{follower: d.follower, loaded: d.stateLoaded}, d.rec)
 	engines := platform.NewEngines(rt)
 	d.pool = upstream.NewPool(cfg.DataCentre, d.members, engines)
 	d.newEntry(state, engines)
@@ -77,6 +81,9 @@
 	if err := d.peers.Register("Peer", &peerService{daemon: d}); err != nil {
 		return nil, fmt.Errorf("register the peer service: %w", err)
 	}
+	if err := d.peers.Register("Keys", &keyService{daemon: d}); err != nil {
+		return nil, fmt.Errorf("register the key service: %w", err)
+	}
 	return d, nil
 }
 
@@ -104,16 +111,28 @@
 		Members:   d.members,
 		Upstreams: d.pool,
 		Timelines: d,
+
+		Withdrawals: d.spread,
+		Withdrawn:   d.keyring.Withdrawn,
 	}
-	s := operator.New(d.cfg.FirstOperator, state, operator.NewCommands(d.follower, d, d.rec), queries)
+	s := operator.New(d.cfg.FirstOperator, state, operator.NewCommands(d.follower, d.spread, d.rec), queries)
 	d.operators = httpx.NewServer(s.Handler())
 }
 
-// ready returns a fault until the log was read once.
+// stateLoaded reports whether the VM has the ordered state.
+func (d *Daemon) stateLoaded() bool {
+	return !d.follower.LastRead().IsZero()
+}
+
+// ready returns a fault until the VM has the ordered state and the withdrawals
+// that are in force.
 func (d *Daemon) ready() error {
-	if d.follower.LastRead().IsZero() {
+	if !d.stateLoaded() {
 		return fault.New(fault.NotReady, "the VM has not read the log yet")
 	}
+	if !d.keyring.Loaded() {
+		return fault.New(fault.NotReady, "the VM has not asked its peers for withdrawn keys yet")
+	}
 	return nil
 }
 
@@ -124,19 +143,13 @@
 		Incarnation:  d.incarnation,
 		Applied:      d.follower.State.Applied(),
 		LogReachable: d.follower.Reachable(),
+		CutOff:       d.contact.CutOff(),
 		Leaving:      d.leaving.Load(),
+		Withdrawals:  d.keyring.Digest(),
 		At:           d.rec.Clock.Now(),
 	}
 }
 
-// heedWithdrawal observes the log for withdrawals that no operator or peer
-// told this VM.
-func (d *Daemon) heedWithdrawal(_ ledger.Raw, r ledger.Record, v ledger.Verdict) {
-	if key, ok := ledger.WithdrawnKey(r); ok && v.Accepted() {
-		d.keyring.Withdraw(key)
-	}
-}
-
 // Run serves until a signal or an error, and stops in order.
 func (d *Daemon) Run(signals <-chan os.Signal) error {
 	listeners, err := d.listen()
@@ -224,6 +237,7 @@
 
 func (d *Daemon) close() {
 	d.pool.Close()
+	d.spread.Close()
 	d.members.Close()
 	d.follower.Close()
 	d.peers.Close()
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -3,16 +3,11 @@
 import (
 	"context"
 	"sync"
-	"time"
 
-	"toucanfall/fleet"
 	"toucanfall/membership"
 	"toucanfall/timeline"
 )
 
-// withdrawTimeout bounds the call that tells a peer of a withdrawal.
-const withdrawTimeout = 2 * time.Second
-
 // Heartbeat exchanges beats with the VM at an address.
 func (d *Daemon) Heartbeat(ctx context.Context, address string, b membership.Beat) (membership.Beat, error) {
 	var reply membership.Beat
@@ -20,19 +15,6 @@
 	return reply, err
 }
 
-// Withdraw refuses a key here and tells all peers.
-func (d *Daemon) Withdraw(key fleet.KeyID) {
-	d.keyring.Withdraw(key)
-	for _, m := range d.members.Members() {
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
-			defer cancel()
-			// A peer that misses the call hears of it from the log.
-			_ = d.links.Call(ctx, m.VM.Address, "Peer.Withdraw", WithdrawArgs{Key: key}, &None{})
-		}()
-	}
-}
-
 // Timeline merges the events of this VM and of all peers that answer.
 func (d *Daemon) Timeline(ctx context.Context, f timeline.Filter) []timeline.Entry {
 	lists := [][]timeline.Entry{d.rec.Entries(f)}
@@ -53,11 +35,6 @@
 	return timeline.Merge(f, lists...)
 }
 
-// WithdrawArgs tells a peer of a withdrawn key.
-type WithdrawArgs struct {
-	Key fleet.KeyID
-}
-
 // None is an empty argument or reply. The field is there because gob refuses
 // types without any.
 type None struct {
@@ -75,12 +52,6 @@
 	return nil
 }
 
-// Withdraw takes a withdrawal that an operator gave to a peer.
-func (p *peerService) Withdraw(args WithdrawArgs, _ *None) error {
-	p.daemon.keyring.Withdraw(args.Key)
-	return nil
-}
-
 // Timeline answers with this VM's events.
 func (p *peerService) Timeline(f timeline.Filter, reply *[]timeline.Entry) error {
 	*reply = p.daemon.rec.Entries(f)
--- a/event/event.go
+++ b/event/event.go
@@ -23,9 +23,9 @@
 var Registry = []Event{
 	ProcessStarted, ProcessReady, StopRequested, ProcessStopped, StopForced,
 	LogUnreachable, LogReachable, RecordSkipped, RecordApplied, RecordRejected,
-	PeerJoined, PeerSilent, PeerLeaving, ListUnreachable,
+	PeerJoined, PeerSilent, PeerLeaving, ListUnreachable, PeerRestarted, VMCutOff, VMReconnected,
 	RequestReceived, RequestRefused, AttemptStarted, AttemptFailed, RequestAnswered, CallerCut,
-	KeyHeardWithdrawn, OperatorCommand,
+	KeyHeardWithdrawn, OperatorCommand, WithdrawalAppended,
 	FakeStarted, FakeServed,
 }
 
@@ -53,6 +53,9 @@
 	PeerSilent      = Event{302, "peer_silent", logrus.WarnLevel, "A VM that answered no longer does. Its connection is dropped and dialled anew."}
 	PeerLeaving     = Event{303, "peer_leaving", logrus.InfoLevel, "A VM announced a planned stop."}
 	ListUnreachable = Event{304, "vm_list_unreachable", logrus.WarnLevel, "The platform's VM list does not answer; the last one stays in use."}
+	PeerRestarted   = Event{305, "peer_restarted", logrus.InfoLevel, "The process of another VM was started anew."}
+	VMCutOff        = Event{306, "vm_cut_off", logrus.WarnLevel, "This VM reaches neither the log nor a VM that does. The setting cut_off_keys says whether it serves known keys."}
+	VMReconnected   = Event{307, "vm_reconnected", logrus.InfoLevel, "This VM reaches the log, or a VM that does, again."}
 )
 
 // Events of requests.
@@ -67,8 +70,9 @@
 
 // Events of operators.
 var (
-	KeyHeardWithdrawn = Event{701, "key_heard_withdrawn", logrus.InfoLevel, "This VM refuses the key from now on."}
-	OperatorCommand   = Event{702, "operator_command", logrus.InfoLevel, "An operator's command ended; the field verdict is its outcome."}
+	KeyHeardWithdrawn  = Event{701, "key_heard_withdrawn", logrus.InfoLevel, "This VM refuses the key from now on."}
+	OperatorCommand    = Event{702, "operator_command", logrus.InfoLevel, "An operator's command ended; the field verdict is its outcome."}
+	WithdrawalAppended = Event{703, "withdrawal_appended", logrus.InfoLevel, "A withdrawal that was in force before it was in the log is in the log now."}
 )
 
 // Events of the stand-ins.
--- a/keyring/keyring.go
+++ b/keyring/keyring.go
@@ -7,7 +7,9 @@
 package keyring
 
 import (
+	"fmt"
 	"sync"
+	"sync/atomic"
 
 	"toucanfall/event"
 	"toucanfall/fault"
@@ -21,26 +23,48 @@
 	KeyByHash(h fleet.KeyHash) (fleet.Key, bool)
 }
 
+// Guard refuses keys for a reason of its own, such as a VM that is cut off.
+type Guard func(fleet.Key) error
+
 // Keyring checks keys. It is safe for concurrent use.
 type Keyring struct {
-	keys  Keys
-	rec   *timeline.Recorder
-	heard *shard.Map[fleet.KeyID, bool]
+	keys   Keys
+	guards []Guard
+	rec    *timeline.Recorder
+	heard  *shard.Map[fleet.KeyID, Withdrawal]
+	loaded atomic.Bool
 
 	mu      sync.Mutex
+	buckets Buckets
+	pending map[fleet.KeyID]Withdrawal
 	watches map[fleet.KeyID]map[*Watch]struct{}
 }
 
-// New returns a keyring over the keys of the ordered state.
-func New(keys Keys, rec *timeline.Recorder) *Keyring {
+// New returns a keyring over the keys of the ordered state. It has not loaded
+// the withdrawals yet; see [Keyring.MarkLoaded].
+func New(keys Keys, rec *timeline.Recorder, guards ...Guard) *Keyring {
 	return &Keyring{
 		keys:    keys,
+		guards:  guards,
 		rec:     rec,
-		heard:   shard.New[fleet.KeyID, bool](),
+		heard:   shard.New[fleet.KeyID, Withdrawal](),
+		pending: make(map[fleet.KeyID]Withdrawal),
 		watches: make(map[fleet.KeyID]map[*Watch]struct{}),
 	}
 }
 
+// MarkLoaded tells that the withdrawals in force were loaded from the log or
+// from peers.
+func (k *Keyring) MarkLoaded() {
+	k.loaded.Store(true)
+}
+
+// Loaded reports whether the withdrawals in force were loaded. A VM must not
+// serve before: it would take a withdrawn key for a good one.
+func (k *Keyring) Loaded() bool {
+	return k.loaded.Load()
+}
+
 // Authenticate returns the key of an Authorization header.
 func (k *Keyring) Authenticate(header string) (fleet.Key, error) {
 	secret, ok := fleet.ParseBearer(header)
@@ -54,37 +78,59 @@
 	if k.Withdrawn(key.ID) {
 		return fleet.Key{}, fault.New(fault.KeyWithdrawn, "key %q was withdrawn", key.ID)
 	}
+	for _, guard := range k.guards {
+		if err := guard(key); err != nil {
+			return fleet.Key{}, err
+		}
+	}
 	return key, nil
 }
 
 // Withdrawn reports whether a withdrawal of the key was heard.
 func (k *Keyring) Withdrawn(id fleet.KeyID) bool {
-	gone, _ := k.heard.Get(id)
+	_, gone := k.heard.Get(id)
 	return gone
 }
 
 // Withdraw refuses the key from now on and cuts off its callers. It reports
 // whether the withdrawal was news.
-func (k *Keyring) Withdraw(id fleet.KeyID) bool {
+func (k *Keyring) Withdraw(w Withdrawal) bool {
 	k.mu.Lock()
-	if k.Withdrawn(id) {
+	if k.Withdrawn(w.Key) {
 		k.mu.Unlock()
 		return false
 	}
-	k.heard.Put(id, true)
-	cut := k.watches[id]
-	delete(k.watches, id)
+	k.heard.Put(w.Key, w)
+	k.buckets.add(w.Key)
+	k.pending[w.Key] = w
+	cut := k.watches[w.Key]
+	delete(k.watches, w.Key)
 	k.mu.Unlock()
-	for w := range cut {
-		close(w.gone)
+	for watch := range cut {
+		close(watch.gone)
 	}
-	k.rec.Record(event.KeyHeardWithdrawn, timeline.Fields{"key": string(id)})
+	k.rec.Record(event.KeyHeardWithdrawn, timeline.Fields{"key": string(w.Key), "by": w.By, "cut": fmt.Sprint(len(cut))})
 	return true
 }
 
-// Heard returns all withdrawn keys, for a peer that may have missed some.
-func (k *Keyring) Heard() []fleet.KeyID {
-	return k.heard.Keys()
+// Check reports a broken invariant: a caller that is still connected with a
+// withdrawn key, or digests that are not those of the set.
+func (k *Keyring) Check() error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for id := range k.watches {
+		if k.Withdrawn(id) {
+			return fmt.Errorf("key %q was withdrawn, but a caller is connected with it", id)
+		}
+	}
+	var want Buckets
+	for _, id := range k.heard.Keys() {
+		want.add(id)
+	}
+	if want != k.buckets {
+		return fmt.Errorf("the digests of %d withdrawals do not match them", k.heard.Len())
+	}
+	return nil
 }
 
 // Watch tells one caller when its key is withdrawn. It must be stopped.
--- /dev/null
+++ b/membership/network_test.go
@@ -0,0 +1,134 @@
+package membership_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"toucanfall/fleet"
+	"toucanfall/membership"
+	"toucanfall/timeline"
+)
+
+var errUnreachable = errors.New("unreachable")
+
+// network connects VMs in memory. It can cut, delay and hold back.
+type network struct {
+	mu     sync.Mutex
+	vms    []fleet.VM
+	listed error
+	at     map[string]*vm
+	silent map[string]bool
+	delay  time.Duration
+}
+
+type vm struct {
+	id          fleet.VMID
+	incarnation fleet.Incarnation
+	leaving     bool
+	applied     fleet.Offset
+	rec         *timeline.Recorder
+	members     *membership.Membership
+}
+
+func newNetwork() *network {
+	return &network{at: make(map[string]*vm), silent: make(map[string]bool)}
+}
+
+// start runs a VM at an address, in place of what ran there.
+func (n *network) start(id fleet.VMID, address string) *vm {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	v := &vm{
+		id:          id,
+		incarnation: fleet.Incarnation(time.Now().UnixMilli()),
+		rec:         timeline.New(string(id), 256, logger),
+	}
+	v.members = membership.New(id, n, n, func() membership.Beat { return n.beat(v) }, v.rec)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.at[address] = v
+	return v
+}
+
+func (n *network) beat(v *vm) membership.Beat {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return membership.Beat{VM: v.id, Incarnation: v.incarnation, Applied: v.applied, Leaving: v.leaving, At: v.rec.Clock.Now()}
+}
+
+func (n *network) stop(address string) {
+	n.mu.Lock()
+	v := n.at[address]
+	delete(n.at, address)
+	n.mu.Unlock()
+	if v != nil {
+		v.members.Close()
+	}
+}
+
+func (n *network) set(f func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	f()
+}
+
+// VMs is the platform's list.
+func (n *network) VMs(context.Context) ([]fleet.VM, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.vms), n.listed
+}
+
+// Heartbeat carries a heartbeat, unless the address is silent.
+func (n *network) Heartbeat(ctx context.Context, address string, b membership.Beat) (membership.Beat, error) {
+	n.mu.Lock()
+	v, silent, delay := n.at[address], n.silent[address], n.delay
+	n.mu.Unlock()
+	if v == nil {
+		return membership.Beat{}, errUnreachable
+	}
+	if silent {
+		<-ctx.Done()
+		return membership.Beat{}, ctx.Err()
+	}
+	reply := v.members.Receive(b)
+	select {
+	case <-time.After(delay):
+		return reply, nil
+	case <-ctx.Done():
+		return membership.Beat{}, ctx.Err()
+	}
+}
+
+func (n *network) list(ids ...fleet.VMID) {
+	n.set(func() {
+		n.vms = nil
+		for _, id := range ids {
+			n.vms = append(n.vms, entryVM(id, "addr-"+string(id)))
+		}
+	})
+}
+
+func entryVM(id fleet.VMID, address string) fleet.VM {
+	return fleet.VM{ID: id, Role: fleet.RoleEntry, Address: address, State: fleet.VMLive}
+}
+
+// seen returns what v knows of another VM, nil if nothing.
+func (v *vm) seen(id fleet.VMID) *membership.Member {
+	for _, m := range v.members.Members() {
+		if m.VM.ID == id {
+			return &m
+		}
+	}
+	return nil
+}
+
+func (v *vm) count(name string) int {
+	return len(v.rec.Entries(timeline.Filter{Name: name}))
+}
--- a/operator/commands.go
+++ b/operator/commands.go
@@ -11,12 +11,18 @@
 	"toucanfall/event"
 	"toucanfall/fault"
 	"toucanfall/fleet"
+	"toucanfall/keyring"
 	"toucanfall/ledger"
 	"toucanfall/timeline"
 )
 
-// commandTimeout bounds a command from the request to its verdict.
-const commandTimeout = 10 * time.Second
+// Bounds of a command from the request to its verdict.
+const (
+	commandTimeout = 10 * time.Second
+	// withdrawTimeout is shorter: a withdrawal is in force before it is in the
+	// log, so the operator need not wait for an outage to end.
+	withdrawTimeout = 4 * time.Second
+)
 
 // Command asks to change one thing.
 type Command struct {
@@ -30,9 +36,32 @@
 	Propose(ctx context.Context, r ledger.Record) (ledger.Verdict, error)
 }
 
-// Withdrawer makes a withdrawal take effect here and at all reachable peers.
+// Withdrawer makes a withdrawal take effect here and at all peers that can be
+// reached now, and goes on to tell the other peers and the log.
 type Withdrawer interface {
-	Withdraw(key fleet.KeyID)
+	Withdraw(ctx context.Context, w keyring.Withdrawal) keyring.Reach
+}
+
+// Outcome is the answer to a command.
+type Outcome struct {
+	ledger.Verdict
+	// NotLogged is set on a withdrawal that is in force on the VMs of Reach but
+	// could not be written to the log yet. The VMs go on trying.
+	NotLogged bool `json:"not_logged,omitempty"`
+	// Reach is set on withdrawals.
+	Reach *keyring.Reach `json:"reach,omitempty"`
+}
+
+// status returns the HTTP status of the outcome.
+func (o Outcome) status() int {
+	switch {
+	case o.NotLogged:
+		return http.StatusAccepted
+	case !o.Accepted():
+		return fault.Lookup(o.Fault).Status
+	default:
+		return http.StatusOK
+	}
 }
 
 // operatorKinds lists the records that operators may propose.
@@ -67,44 +96,51 @@
 		return fault.New(fault.InvalidRequest, "cannot decode the command: %w", err)
 	}
 	op, _ := c.Get(contextOperator).(fleet.OperatorID)
-	v, err := cs.Do(c.Request().Context(), op, kind, cmd)
+	o, err := cs.Do(c.Request().Context(), op, kind, cmd)
 	if err != nil {
 		return err
 	}
-	status := http.StatusOK
-	if !v.Accepted() {
-		status = fault.Lookup(v.Fault).Status
-	}
-	return c.JSON(status, v)
+	return c.JSON(o.status(), o)
 }
 
 // Do proposes a change and returns its verdict once it was read back.
-func (cs *Commands) Do(ctx context.Context, op fleet.OperatorID, kind ledger.Kind, cmd Command) (ledger.Verdict, error) {
+func (cs *Commands) Do(ctx context.Context, op fleet.OperatorID, kind ledger.Kind, cmd Command) (Outcome, error) {
 	if !operatorKinds[kind] {
-		return ledger.Verdict{}, fault.New(fault.InvalidRequest, "unknown command %q", kind)
+		return Outcome{}, fault.New(fault.InvalidRequest, "unknown command %q", kind)
 	}
 	r, err := ledger.NewRecord(kind, string(op), cs.rec.Clock.Now(), cmd.Base, cmd.Body)
 	if err != nil {
-		return ledger.Verdict{}, err
+		return Outcome{}, err
 	}
 	if err := ledger.CheckBody(r); err != nil {
-		return ledger.Verdict{}, err
+		return Outcome{}, err
 	}
-	if kind == ledger.KindWithdraw {
-		cs.withdrawNow(cmd.Body)
+	if id, ok := ledger.WithdrawnKey(r); ok {
+		return cs.withdraw(ctx, id, r)
 	}
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
 	v, err := cs.proposer.Propose(ctx, r)
 	cs.note(op, kind, v, err)
-	return v, err
+	return Outcome{Verdict: v}, err
 }
 
-// withdrawNow makes a withdrawal take effect before it is in the log.
-func (cs *Commands) withdrawNow(body json.RawMessage) {
-	var w ledger.Withdrawal
-	if json.Unmarshal(body, &w) == nil {
-		cs.withdrawer.Withdraw(w.Key)
+// withdraw makes a withdrawal take effect before it is in the log. If the log
+// does not answer, the withdrawal is in force all the same and is appended
+// later, so that is no error.
+func (cs *Commands) withdraw(ctx context.Context, id fleet.KeyID, r ledger.Record) (Outcome, error) {
+	reach := cs.withdrawer.Withdraw(ctx, keyring.Withdrawal{Key: id, By: r.Proposer, At: r.At})
+	ctx, cancel := context.WithTimeout(ctx, withdrawTimeout)
+	defer cancel()
+	v, err := cs.proposer.Propose(ctx, r)
+	cs.note(fleet.OperatorID(r.Proposer), r.Kind, v, err)
+	o := Outcome{Verdict: v, Reach: &reach}
+	switch fault.KindOf(err) {
+	case fault.StoreUnavailable, fault.OutcomeUnknown:
+		o.NotLogged = true
+		return o, nil
+	default:
+		return o, err
 	}
 }
 
--- a/operator/queries.go
+++ b/operator/queries.go
@@ -10,6 +10,7 @@
 
 	"toucanfall/fault"
 	"toucanfall/fleet"
+	"toucanfall/keyring"
 	"toucanfall/ledger"
 	"toucanfall/membership"
 	"toucanfall/settings"
@@ -35,6 +36,11 @@
 	Timeline(ctx context.Context, f timeline.Filter) []timeline.Entry
 }
 
+// Withdrawals tells which withdrawals are in force but not in the log.
+type Withdrawals interface {
+	Pending() []keyring.Withdrawal
+}
+
 // Queries answers operators' questions from the state of this VM.
 type Queries struct {
 	State     *ledger.State
@@ -42,6 +48,10 @@
 	Members   Members
 	Upstreams Upstreams
 	Timelines Timelines
+
+	Withdrawals Withdrawals
+	// Withdrawn reports whether this VM refuses a key.
+	Withdrawn func(id fleet.KeyID) bool
 }
 
 // queries is the table of all queries by name.
@@ -80,7 +90,12 @@
 	Answering    bool             `json:"answering"`
 	Leaving      bool             `json:"leaving"`
 	LogReachable bool             `json:"log_reachable"`
-	Applied      fleet.Offset     `json:"applied"`
+	// CutOff VMs reach neither the log nor a VM that does.
+	CutOff  bool         `json:"cut_off"`
+	Applied fleet.Offset `json:"applied"`
+	// SameWithdrawals tells whether the VM has heard the same withdrawals as
+	// the asked one.
+	SameWithdrawals bool `json:"same_withdrawals"`
 }
 
 // Status tells the applied offset of every VM.
@@ -89,16 +104,28 @@
 	VMs     []VMStatus `json:"vms"`
 	// InForce is the offset that every answering VM has applied.
 	InForce fleet.Offset `json:"in_force"`
+	// Everywhere is set if every listed VM answers, so that InForce holds for
+	// all VMs.
+	Everywhere bool `json:"everywhere"`
+	// NotLogged lists withdrawn keys whose withdrawal is in force but not yet
+	// in the log.
+	NotLogged []fleet.KeyID `json:"not_logged,omitempty"`
 }
 
 func (q *Queries) status(echo.Context) (any, error) {
 	self := q.Self()
-	st := Status{AskedVM: self.VM, InForce: self.Applied}
+	st := Status{AskedVM: self.VM, InForce: self.Applied, Everywhere: true}
 	st.VMs = append(st.VMs, vmStatus(self, true))
+	for _, w := range q.Withdrawals.Pending() {
+		st.NotLogged = append(st.NotLogged, w.Key)
+	}
 	for _, m := range q.Members.Members() {
 		v := vmStatus(m.Beat, m.Answering)
 		v.VM = m.VM.ID
+		v.DataCentre = m.VM.DataCentre
+		v.SameWithdrawals = m.Beat.Withdrawals == self.Withdrawals
 		st.VMs = append(st.VMs, v)
+		st.Everywhere = st.Everywhere && m.Answering
 		if m.Answering {
 			st.InForce = min(st.InForce, m.Beat.Applied)
 		}
@@ -113,23 +140,30 @@
 		Answering:    answering,
 		Leaving:      b.Leaving,
 		LogReachable: b.LogReachable,
+		CutOff:       b.CutOff,
 		Applied:      b.Applied,
+
+		SameWithdrawals: true,
 	}
 }
 
 // KeyStatus is a key without its hash.
 type KeyStatus struct {
-	ID        fleet.KeyID    `json:"id"`
-	Team      fleet.TeamID   `json:"team"`
-	Withdrawn bool           `json:"withdrawn"`
-	Revision  fleet.Revision `json:"revision"`
+	ID        fleet.KeyID  `json:"id"`
+	Team      fleet.TeamID `json:"team"`
+	Withdrawn bool         `json:"withdrawn"`
+	// Logged tells whether the withdrawal is in the log.
+	Logged   bool           `json:"logged"`
+	Revision fleet.Revision `json:"revision"`
+	Proposer string         `json:"proposer"`
 }
 
 func (q *Queries) keys() []KeyStatus {
 	var out []KeyStatus
 	for _, e := range q.State.Keys.Entries() {
-		_, withdrawn := q.State.Withdrawn.Get(e.Value.ID)
-		out = append(out, KeyStatus{ID: e.Value.ID, Team: e.Value.Team, Withdrawn: withdrawn, Revision: e.Revision})
+		k := KeyStatus{ID: e.Value.ID, Team: e.Value.Team, Withdrawn: q.Withdrawn(e.Value.ID), Revision: e.Revision, Proposer: e.Proposer}
+		_, k.Logged = q.State.Withdrawn.Get(k.ID)
+		out = append(out, k)
 	}
 	return out
 }
--- a/settings/registry.go
+++ b/settings/registry.go
@@ -24,6 +24,12 @@
 	Fencing             Name = "fencing"
 )
 
+// The values of CutOffKeys.
+const (
+	CutOffServe  = "serve"
+	CutOffRefuse = "refuse"
+)
+
 // Type is the type of a setting's value.
 type Type string
 
@@ -72,7 +78,7 @@
 		Text:   "Tokens that one answer may have if the caller sets no lower limit.",
 	},
 	{
-		Name: CutOffKeys, Type: TypeWord, Default: raw(`"serve"`), Words: []string{"serve", "refuse"},
+		Name: CutOffKeys, Type: TypeWord, Default: raw(`"serve"`), Words: []string{CutOffServe, CutOffRefuse},
 		Levels: []LevelKind{KindFleet, KindDataCentre, KindTeam},
 		Text:   "What a VM does with known keys while it reaches neither the log nor a VM that does: serve, because a data centre that is cut off goes on serving what it can, or refuse, where a withdrawal that cannot arrive weighs more.",
 	},
