Let a booking that did not run be claimed again, and prove at most one run

Cause: a claim whose proposer gave up waiting was refused as not run, which is true, but the claim could land later and a repeat of the key then got outcome_unknown for good. The deadline of a route turned outcome_unknown into timeout with "come back in 1 s", which invites a second run. Redirects were followed, each of which is another attempt. A key stood open to upstreams in path, query and body.

Done: an outcome not_run may be reported before its claim arrives, and a booking that ended as not_run may be claimed again on the revision of that outcome. Keys expire by wall times that proposers write into the records; the fold reads no clock. GET /v1/bookings/:route/:key looks up. An answer whose end cannot be told is not taken. Ruled out: letting the second caller wait for the first one's outcome, which holds a refusal back.

--- a/booking/booking.go
+++ b/booking/booking.go
@@ -3,32 +3,24 @@
 // A request on a route that may not be repeated is attempted at most once. With
 // an idempotency key, the claim of the key goes to the log before the attempt
 // and the outcome after it: whoever comes second with the same key gets the
-// stored outcome and never a second run.
+// stored outcome and never a second run. A claim that ends without an attempt
+// is reported as not_run, after which the key may be claimed again.
 package booking
 
 import (
-	"bytes"
 	"context"
-	"errors"
-	"fmt"
-	"io"
-	"net/http"
+	"sync"
 	"time"
 
-	"toucanfall/event"
 	"toucanfall/fault"
 	"toucanfall/fleet"
 	"toucanfall/ledger"
-	"toucanfall/platform"
 	"toucanfall/timeline"
 	"toucanfall/upstream"
 )
 
-// maxAnswer bounds the body of a service's answer in bytes.
-const maxAnswer = 1 << 20
-
-// outcomeTimeout bounds the wait until an outcome is stored.
-const outcomeTimeout = 5 * time.Second
+// MaxKeyBytes bounds a caller's idempotency key.
+const MaxKeyBytes = 255
 
 // Call is one admitted request to a plain service.
 type Call struct {
@@ -36,11 +28,13 @@
 	Team    fleet.TeamID
 	Route   fleet.Route
 	Method  string
-	// Path and Query go to the service as they are.
+	// Path and Query go to the service as they are, still escaped.
 	Path, Query    string
 	ContentType    string
 	Body           []byte
 	IdempotencyKey string
+	// Memory is how long the idempotency key is remembered.
+	Memory time.Duration
 }
 
 // Answer is a service's answer.
@@ -51,6 +45,9 @@
 	Upstream    fleet.UpstreamID
 	// Stored answers come from an earlier run of the same booking.
 	Stored bool
+	// BodyOmitted tells that the body of a stored answer was too large to be
+	// kept.
+	BodyOmitted bool
 }
 
 // Pool chooses upstreams of services.
@@ -66,166 +63,138 @@
 // Bookings finds bookings in the ordered state.
 type Bookings interface {
 	Get(k ledger.BookingKey) (ledger.Entry[ledger.Booking], bool)
+	Keys() []ledger.BookingKey
+}
+
+// Services sends one request to one service.
+type Services interface {
+	Send(ctx context.Context, address string, c Call) (Answer, error)
 }
 
 // Booker carries requests to plain services.
 type Booker struct {
 	vm       fleet.VMID
 	pool     Pool
-	hc       *http.Client
+	services Services
 	proposer Proposer
 	bookings Bookings
 	rec      *timeline.Recorder
+
+	cancel  context.CancelFunc
+	ctx     context.Context
+	mu      sync.Mutex
+	pending int
+	// idle is closed while nothing is pending.
+	idle chan struct{}
 }
 
-// New returns a booker whose records are proposed by vm. The transport must not
-// reuse connections, because net/http repeats a request by itself if a reused
-// connection turns out dead.
-func New(vm fleet.VMID, pool Pool, rt http.RoundTripper, proposer Proposer, bookings Bookings, rec *timeline.Recorder) *Booker {
-	return &Booker{vm: vm, pool: pool, hc: &http.Client{Transport: rt}, proposer: proposer, bookings: bookings, rec: rec}
+// New returns a booker whose records are proposed by vm. Close stops it.
+func New(vm fleet.VMID, pool Pool, services Services, proposer Proposer, bookings Bookings, rec *timeline.Recorder) *Booker {
+	ctx, cancel := context.WithCancel(context.Background())
+	b := &Booker{
+		vm:       vm,
+		pool:     pool,
+		services: services,
+		proposer: proposer,
+		bookings: bookings,
+		rec:      rec,
+		cancel:   cancel,
+		ctx:      ctx,
+		idle:     make(chan struct{}),
+	}
+	close(b.idle)
+	go func() { b.expire(ctx) }()
+	return b
 }
 
-// Do carries one request. The error is a fault.
-func (b *Booker) Do(ctx context.Context, c Call) (Answer, error) {
-	if c.IdempotencyKey == "" || c.Route.Repeatable {
-		return b.attempt(ctx, c)
-	}
-	claim := ledger.BookingClaim{
-		Key:      ledger.NewBookingKey(c.Team, c.Route.ID, c.IdempotencyKey),
-		Request:  c.Request,
-		BodyHash: fleet.Secret(c.Method + " " + c.Path + "?" + c.Query + "\n" + string(c.Body)).Hash(),
-	}
-	won, err := b.claim(ctx, claim)
-	if err != nil {
-		return Answer{}, err
+// Drain waits until all outcomes are stored, or until ctx ends.
+func (b *Booker) Drain(ctx context.Context) {
+	b.mu.Lock()
+	idle := b.idle
+	b.mu.Unlock()
+	select {
+	case <-idle:
+	case <-ctx.Done():
 	}
-	if !won {
-		return b.Stored(claim)
-	}
-	a, err := b.attempt(ctx, c)
-	b.store(ctx, claim, a, err)
-	return a, err
 }
 
-// claim reports whether this request holds the only attempt.
-func (b *Booker) claim(ctx context.Context, claim ledger.BookingClaim) (bool, error) {
-	r, err := ledger.NewRecord(ledger.KindBookingClaim, string(b.vm), b.rec.Clock.Now(), 0, claim)
-	if err != nil {
-		return false, err
-	}
-	v, err := b.proposer.Propose(ctx, r)
-	if fault.KindOf(err) == fault.OutcomeUnknown {
-		// The claim may be ours later, but no attempt was made and none will be.
-		return false, fault.New(fault.StoreUnavailable, "the booking could not be claimed in time: %w", err)
-	}
-	if err != nil {
-		return false, err
-	}
-	if v.Fault == fault.Conflict {
-		return false, nil
-	}
-	return true, v.Err()
+// Close gives up on outcomes that are not stored yet.
+func (b *Booker) Close() {
+	b.cancel()
 }
 
-// Stored returns the stored answer of a booking, or how far it got as a fault.
-func (b *Booker) Stored(claim ledger.BookingClaim) (Answer, error) {
-	e, ok := b.bookings.Get(claim.Key)
-	if !ok {
-		return Answer{}, fault.New(fault.NotFound, "no booking with this idempotency key is known")
-	}
-	if e.Value.Claim.BodyHash != claim.BodyHash {
-		return Answer{}, fault.New(fault.Conflict, "the idempotency key was used for another request")
+// begin counts a record that has to be stored.
+func (b *Booker) begin() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.pending == 0 {
+		b.idle = make(chan struct{})
 	}
-	return answerOf(e.Value)
+	b.pending++
 }
 
-func answerOf(bk ledger.Booking) (Answer, error) {
-	o := bk.Outcome
-	switch bk.Status {
-	case ledger.BookingDone:
-		return Answer{Status: o.HTTPStatus, ContentType: o.ContentType, Body: o.Body, Stored: true}, nil
-	case ledger.BookingNotRun:
-		return Answer{}, fault.New(fault.NoUpstream, "the booking did not run; use a new idempotency key")
-	default:
-		return Answer{}, fault.New(fault.OutcomeUnknown, "request %q holds the booking and its outcome is not known", bk.Claim.Request)
+func (b *Booker) end() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.pending--
+	if b.pending == 0 {
+		close(b.idle)
 	}
 }
 
-// store appends the outcome. If that fails, the booking stays claimed, and a
-// repeat gets outcome_unknown.
-func (b *Booker) store(ctx context.Context, claim ledger.BookingClaim, a Answer, err error) {
-	o := ledger.BookingOutcome{Key: claim.Key, Request: claim.Request, Status: ledger.BookingDone, HTTPStatus: a.Status, ContentType: a.ContentType, Body: a.Body}
-	if err != nil {
-		o = ledger.BookingOutcome{Key: claim.Key, Request: claim.Request, Status: ledger.BookingUnknown}
-		if fault.Lookup(fault.KindOf(err)).NotRun {
-			o.Status = ledger.BookingNotRun
-		}
-	}
-	r, err := ledger.NewRecord(ledger.KindBookingOutcome, string(b.vm), b.rec.Clock.Now(), 0, o)
-	if err != nil {
-		return
+func (b *Booker) crowded() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.pending >= maxPending
+}
+
+// Do carries one request. The error is a fault.
+func (b *Booker) Do(ctx context.Context, c Call) (Answer, error) {
+	if len(c.IdempotencyKey) > MaxKeyBytes {
+		return Answer{}, fault.New(fault.InvalidRequest, "the idempotency key has more than %d bytes", MaxKeyBytes)
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), outcomeTimeout)
-	defer cancel()
-	if _, err := b.proposer.Propose(ctx, r); err != nil {
-		b.rec.Record(event.AttemptFailed, timeline.Fields{"request": string(claim.Request), "reason": "outcome not stored: " + err.Error()})
+	if c.IdempotencyKey == "" || c.Route.Repeatable {
+		return b.attempt(ctx, c)
 	}
+	return b.once(ctx, c)
 }
 
-// attempt sends the request to one upstream, once.
-func (b *Booker) attempt(ctx context.Context, c Call) (Answer, error) {
-	lease, err := b.pool.Service(c.Route.Service, nil)
+// once carries a request whose idempotency key was never claimed, or answers
+// with what is known of the booking.
+func (b *Booker) once(ctx context.Context, c Call) (Answer, error) {
+	claim := b.newClaim(c)
+	won, err := b.claim(ctx, claim)
 	if err != nil {
 		return Answer{}, err
 	}
-	defer lease.Release()
-	id := lease.Upstream.ID()
-	b.rec.Record(event.AttemptStarted, timeline.Fields{"request": string(c.Request), "upstream": string(id)})
-	a, err := b.send(ctx, c, lease.Upstream.VM.Address)
-	if err != nil {
-		b.rec.Record(event.AttemptFailed, timeline.Fields{"request": string(c.Request), "upstream": string(id), "reason": err.Error()})
+	if !won {
+		return b.stored(claim)
+	}
+	if err := checkFresh(ctx, claim); err != nil {
+		b.report(outcomeOf(claim, Answer{}, err))
 		return Answer{}, err
 	}
-	a.Upstream = id
-	return a, nil
+	a, err := b.attempt(ctx, c)
+	b.await(ctx, b.report(outcomeOf(claim, a, err)))
+	return a, err
 }
 
-func (b *Booker) send(ctx context.Context, c Call, address string) (Answer, error) {
-	url := "http://" + address + c.Path
-	if c.Query != "" {
-		url += "?" + c.Query
-	}
-	req, err := http.NewRequestWithContext(ctx, c.Method, url, bytes.NewReader(c.Body))
-	if err != nil {
-		return Answer{}, fault.New(fault.InvalidRequest, "cannot make the request: %w", err)
-	}
-	// Without GetBody the transport has nothing to send a second time.
-	req.GetBody = nil
-	req.Header.Set("Content-Type", c.ContentType)
-	req.Header.Set(platform.HeaderRequestID, string(c.Request))
-	req.Header.Set(platform.HeaderPriority, string(c.Route.Priority))
-	resp, err := b.hc.Do(req)
-	if err != nil {
-		return Answer{}, sendFault(err)
+// checkFresh returns a fault if the attempt must not start any more. A VM that
+// was paused may wake long after its claim, and the timer of a context need not
+// have counted the pause.
+func checkFresh(ctx context.Context, claim ledger.BookingClaim) error {
+	late := time.Now().UnixMilli()-claim.ClaimedMS > maxClaimAge.Milliseconds()
+	if ctx.Err() != nil || late {
+		return fault.New(fault.DeadlineUnmeetable, "the booking was claimed too late to be attempted; repeat it with the same idempotency key")
 	}
-	defer resp.Body.Close()
-	if got := resp.Header.Get(platform.HeaderRequestID); got != "" && got != string(c.Request) {
-		return Answer{}, fault.New(fault.OutcomeUnknown, "the service answered request %q", got)
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
-	if err != nil {
-		return Answer{}, fault.New(fault.OutcomeUnknown, "the answer was cut short: %w", err)
-	}
-	if len(body) > maxAnswer {
-		return Answer{}, fault.New(fault.OutcomeUnknown, "the answer has more than %d bytes", maxAnswer)
-	}
-	return Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
+	return nil
 }
 
-// sendFault tells errors before the first byte from those after it.
-func sendFault(err error) error {
-	if errors.Is(platform.MarkNotSent(err), ledger.ErrNotSent) {
-		return fault.New(fault.NoUpstream, "the service cannot be reached: %w", err)
+// Lookup returns the stored answer of a booking, or how far it got as a fault.
+func (b *Booker) Lookup(team fleet.TeamID, route fleet.RouteID, idempotencyKey string) (Answer, error) {
+	e, ok := b.bookings.Get(ledger.NewBookingKey(team, route, idempotencyKey))
+	if !ok {
+		return Answer{}, fault.New(fault.NotFound, "no booking with this idempotency key is known to this VM")
 	}
-	return fault.New(fault.OutcomeUnknown, "%s", fmt.Sprintf("the service did not answer: %v", err))
+	return answerOf(e.Value)
 }
--- /dev/null
+++ b/booking/send.go
@@ -0,0 +1,141 @@
+package booking
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"toucanfall/event"
+	"toucanfall/fault"
+	"toucanfall/fleet"
+	"toucanfall/ledger"
+	"toucanfall/platform"
+	"toucanfall/timeline"
+	"toucanfall/upstream"
+)
+
+const (
+	// maxAnswer bounds the body of a service's answer in bytes.
+	maxAnswer = 4 << 20
+	// maxUpstreams bounds the upstreams that one request is tried on.
+	maxUpstreams = 3
+)
+
+// attempt sends the request to one upstream. Another one is tried only if no
+// connection to the first could be made, so that no byte left, or if the route
+// may be repeated.
+func (b *Booker) attempt(ctx context.Context, c Call) (Answer, error) {
+	var avoid []fleet.UpstreamID
+	var last error
+	for range maxUpstreams {
+		lease, err := b.pool.Service(c.Route.Service, avoid)
+		if err != nil {
+			if last == nil {
+				last = err
+			}
+			break
+		}
+		avoid = append(avoid, lease.Upstream.ID())
+		a, err := b.attemptAt(ctx, c, lease)
+		if err == nil {
+			return a, nil
+		}
+		last = worse(last, err)
+		notSent := fault.Lookup(fault.KindOf(err)).NotRun
+		if ctx.Err() != nil || (!notSent && !c.Route.Repeatable) {
+			break
+		}
+	}
+	return Answer{}, last
+}
+
+// worse returns the error that claims less: a request of which one attempt may
+// have run is not refused as not run because a later one found no upstream.
+func worse(a, b error) error {
+	if a != nil && !fault.Lookup(fault.KindOf(a)).NotRun {
+		return a
+	}
+	return b
+}
+
+func (b *Booker) attemptAt(ctx context.Context, c Call, lease *upstream.Lease) (Answer, error) {
+	defer lease.Release()
+	id := lease.Upstream.ID()
+	b.rec.Record(event.AttemptStarted, timeline.Fields{"request": string(c.Request), "upstream": string(id)})
+	a, err := b.services.Send(ctx, lease.Upstream.VM.Address, c)
+	if err != nil {
+		b.rec.Record(event.AttemptFailed, timeline.Fields{"request": string(c.Request), "upstream": string(id), "reason": err.Error()})
+		return Answer{}, err
+	}
+	a.Upstream = id
+	return a, nil
+}
+
+// Client sends requests to services over HTTP. It implements [Services].
+type Client struct {
+	hc *http.Client
+}
+
+// NewClient returns a client that opens a connection for each request: net/http
+// repeats a request by itself if a reused connection turns out dead. It follows
+// no redirects, each of which would be another attempt.
+func NewClient() *Client {
+	return &Client{hc: &http.Client{
+		Transport:     platform.NewSingleUseTransport(),
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// Send sends the request once. The error is a fault, which says not run only
+// if no connection could be made.
+func (cl *Client) Send(ctx context.Context, address string, c Call) (Answer, error) {
+	url := "http://" + address + c.Path
+	if c.Query != "" {
+		url += "?" + c.Query
+	}
+	req, err := http.NewRequestWithContext(ctx, c.Method, url, bytes.NewReader(c.Body))
+	if err != nil {
+		return Answer{}, fault.New(fault.InvalidRequest, "cannot make the request: %w", err)
+	}
+	// Without GetBody the transport has nothing to send a second time.
+	req.GetBody = nil
+	if c.ContentType != "" {
+		req.Header.Set("Content-Type", c.ContentType)
+	}
+	req.Header.Set(platform.HeaderRequestID, string(c.Request))
+	req.Header.Set(platform.HeaderPriority, string(c.Route.Priority))
+	resp, err := cl.hc.Do(req)
+	if err != nil {
+		return Answer{}, sendFault(err)
+	}
+	defer resp.Body.Close()
+	return readAnswer(c, resp)
+}
+
+// readAnswer takes an answer only if it is whole and belongs to the request.
+func readAnswer(c Call, resp *http.Response) (Answer, error) {
+	if got := resp.Header.Get(platform.HeaderRequestID); got != "" && got != string(c.Request) {
+		return Answer{}, fault.New(fault.OutcomeUnknown, "the service answered request %q", got)
+	}
+	if c.Method != http.MethodHead && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return Answer{}, fault.New(fault.OutcomeUnknown, "the answer has neither a length nor chunks, so that its end cannot be told")
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	if err != nil {
+		return Answer{}, fault.New(fault.OutcomeUnknown, "the answer was cut short: %w", err)
+	}
+	if len(body) > maxAnswer {
+		return Answer{}, fault.New(fault.OutcomeUnknown, "the service answered status %d with more than %d bytes", resp.StatusCode, maxAnswer)
+	}
+	return Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
+}
+
+// sendFault tells errors before the first byte from those after it.
+func sendFault(err error) error {
+	if errors.Is(platform.MarkNotSent(err), ledger.ErrNotSent) {
+		return fault.New(fault.NoUpstream, "the service cannot be reached: %w", err)
+	}
+	return fault.New(fault.OutcomeUnknown, "the service did not answer: %w", err)
+}
--- /dev/null
+++ b/booking/send_test.go
@@ -0,0 +1,132 @@
+package booking
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"toucanfall/fault"
+	"toucanfall/ledger"
+)
+
+// dyingServer answers the first request and then cuts the connection of each
+// request after it has read it. It returns its address and the number of
+// requests that it read.
+func dyingServer(t *testing.T) (string, *atomic.Int64) {
+	var n atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		if n.Add(1) > 1 {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	s.Config.ErrorLog = nil
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String(), &n
+}
+
+// TestTransportRepeatsByItself shows that a default client of net/http sends a
+// request again on its own, and that ours does not.
+func TestTransportRepeatsByItself(t *testing.T) {
+	for _, tt := range []struct{ name, method, idempotencyKey string }{
+		{"idempotency key", http.MethodPost, "k"},
+		{"no body", http.MethodGet, ""},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			address, n := dyingServer(t)
+			hc := &http.Client{Transport: &http.Transport{}}
+			for range 2 {
+				req, err := http.NewRequest(tt.method, "http://"+address, strings.NewReader(""))
+				is.NoErr(err)
+				if tt.idempotencyKey != "" {
+					req.Header.Set("Idempotency-Key", tt.idempotencyKey)
+				}
+				if resp, err := hc.Do(req); err == nil {
+					is.NoErr(resp.Body.Close())
+				}
+			}
+			is.Equal(n.Load(), int64(3)) // the second request was sent twice
+
+			address, n = dyingServer(t)
+			cl := NewClient()
+			c := call("r1", tt.idempotencyKey)
+			c.Method, c.Body = tt.method, nil
+			_, err := cl.Send(context.Background(), address, c)
+			is.NoErr(err)
+			_, err = cl.Send(context.Background(), address, c)
+			is.Equal(fault.KindOf(err), fault.OutcomeUnknown)
+			is.Equal(n.Load(), int64(2))
+		})
+	}
+}
+
+// rawServer reads one request and answers with the given bytes.
+func rawServer(t *testing.T, answer string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = conn.Write([]byte(answer))
+			}
+			_ = conn.Close()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// TestSendTellsWholeAnswers takes only answers that are whole and its own, and
+// says not run only if nothing was sent.
+func TestSendTellsWholeAnswers(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	is.New(t).NoErr(closed.Close())
+	for _, tt := range []struct {
+		name, address string
+		want          fault.Kind
+	}{
+		{"whole", rawServer(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Request-Id: r1\r\n\r\nok"), ""},
+		{"no id", rawServer(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), ""},
+		{"another's", rawServer(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Request-Id: r2\r\n\r\nok"), fault.OutcomeUnknown},
+		{"cut body", rawServer(t, "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nok"), fault.OutcomeUnknown},
+		{"cut chunks", rawServer(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"), fault.OutcomeUnknown},
+		{"no end", rawServer(t, "HTTP/1.1 200 OK\r\n\r\nok"), fault.OutcomeUnknown},
+		{"cut header", rawServer(t, "HTTP/1.1 200 OK\r\nConte"), fault.OutcomeUnknown},
+		{"nothing", rawServer(t, ""), fault.OutcomeUnknown},
+		{"too long", rawServer(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", maxAnswer+1, strings.Repeat("x", maxAnswer+1))), fault.OutcomeUnknown},
+		{"redirect", rawServer(t, "HTTP/1.1 307 Temporary Redirect\r\nLocation: /again\r\nContent-Length: 0\r\n\r\n"), ""},
+		{"refused", closed.Addr().String(), fault.NoUpstream},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			a, err := NewClient().Send(context.Background(), tt.address, call("r1", ""))
+			is.Equal(fault.KindOf(err), tt.want)
+			if tt.name == "redirect" {
+				is.Equal(a.Status, http.StatusTemporaryRedirect)
+			}
+		})
+	}
+}
+
+// TestLargeAnswer keeps no large body, and says so.
+func TestLargeAnswer(t *testing.T) {
+	is := is.New(t)
+	o := outcomeOf(ledger.BookingClaim{}, Answer{Status: 201, Body: make([]byte, maxStoredBody+1)}, nil)
+	is.True(o.BodyOmitted)
+	is.Equal(len(o.Body), 0)
+	is.Equal(o.HTTPStatus, 201)
+}
+
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -49,6 +49,7 @@
 	peers    *peer.Server
 	members  *membership.Membership
 	pool     *upstream.Pool
+	booker   *booking.Booker
 	entry    *entry.Server
 
 	callers   *http.Server
@@ -81,15 +82,13 @@
 }
 
 func (d *Daemon) newEntry(state *ledger.State, engines *platform.Engines) {
-	// Requests that may not be repeated never use a connection twice.
-	once := platform.NewTransport()
-	once.DisableKeepAlives = true
+	d.booker = booking.New(d.cfg.VM, d.pool, booking.NewClient(), d.follower, state.Bookings, d.rec)
 	d.entry = entry.New(entry.Config{
 		DataCentre: d.cfg.DataCentre,
 		State:      state,
 		Keyring:    d.keyring,
 		Drafter:    draft.New(d.pool, engines, d.rec),
-		Booker:     booking.New(d.cfg.VM, d.pool, once, d.follower, state.Bookings, d.rec),
+		Booker:     d.booker,
 		Recorder:   d.rec,
 		Ready:      d.ready,
 		Leaving:    d.leaving.Load,
@@ -223,6 +222,7 @@
 }
 
 func (d *Daemon) close() {
+	d.booker.Close()
 	d.pool.Close()
 	d.members.Close()
 	d.follower.Close()
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -89,6 +89,11 @@
 	if a.route.Kind != fleet.RouteDraft {
 		return fault.New(fault.InvalidRequest, "route %q is not for drafts", a.route.ID)
 	}
+	for _, m := range r.Messages {
+		if err := a.guard(m.Role, m.Content); err != nil {
+			return err
+		}
+	}
 	job := draft.Job{Request: a.request, Team: a.key.Team, Route: a.route, Messages: r.Messages, MaxTokens: s.maxTokens(a, r)}
 	s.provenance(c, a)
 	if r.Stream {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,9 +10,9 @@
 	"context"
 	"errors"
 	"expvar"
-	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 
 	"github.com/google/uuid"
@@ -40,6 +40,8 @@
 	HeaderOffset   = "X-Toucanfall-Config-Offset"
 	HeaderRoute    = "X-Toucanfall-Route"
 	HeaderStored   = "X-Toucanfall-Stored"
+	// HeaderOmitted marks a stored answer whose body was too large to keep.
+	HeaderOmitted = "X-Toucanfall-Body-Omitted"
 )
 
 var (
@@ -55,7 +57,7 @@
 // Booker carries requests to plain services.
 type Booker interface {
 	Do(ctx context.Context, c booking.Call) (booking.Answer, error)
-	Stored(claim ledger.BookingClaim) (booking.Answer, error)
+	Lookup(team fleet.TeamID, route fleet.RouteID, idempotencyKey string) (booking.Answer, error)
 }
 
 // Config holds what an entry server depends on.
@@ -88,6 +90,7 @@
 	s.echo.GET("/readyz", s.ready)
 	s.echo.POST("/v1/chat/completions", s.chat)
 	s.echo.Any("/v1/services/:route/*", s.service)
+	s.echo.GET("/v1/bookings/:route/:key", s.lookup)
 	return s
 }
 
@@ -151,8 +154,10 @@
 	key     fleet.Key
 	route   fleet.Route
 	offset  fleet.Offset
-	ctx     context.Context
-	end     func()
+	// secret is the presented key, which must not go to an upstream.
+	secret string
+	ctx    context.Context
+	end    func()
 }
 
 // errWithdrawn is the cause of a context that ended because the key did.
@@ -194,6 +199,22 @@
 		return fault.New(fault.Forbidden, "team %q may not use route %q", key.Team, a.route.ID)
 	}
 	a.key = key
+	secret, _ := fleet.ParseBearer(header)
+	a.secret = string(secret)
+	return nil
+}
+
+// guard refuses a request that carries the caller's key in a part that goes to
+// the upstream.
+func (a *admission) guard(parts ...string) error {
+	if a.secret == "" {
+		return nil
+	}
+	for _, part := range parts {
+		if strings.Contains(part, a.secret) {
+			return fault.New(fault.InvalidRequest, "the key must stand only in the Authorization header, for it does not go to upstreams")
+		}
+	}
 	return nil
 }
 
@@ -228,9 +249,13 @@
 // explain turns an error of a request whose context ended into the fault that
 // caused it.
 func (a *admission) explain(err error) error {
+	kind := fault.KindOf(err)
 	switch {
 	case err == nil:
 		return nil
+	case kind == fault.OutcomeUnknown || fault.Lookup(kind).NotRun:
+		// These say more about a repeat than why the context ended.
+		return err
 	case errors.Is(context.Cause(a.ctx), errWithdrawn):
 		return fault.New(fault.KeyWithdrawn, "key %q was withdrawn", a.key.ID)
 	case errors.Is(a.ctx.Err(), context.DeadlineExceeded):
@@ -246,42 +271,6 @@
 	h.Set(HeaderOffset, strconv.FormatUint(uint64(a.offset), 10))
 }
 
-// service carries a request to a plain service.
-func (s *Server) service(c echo.Context) error {
-	a, err := s.admit(c, fleet.RouteID(c.Param("route")))
-	if err != nil {
-		return err
-	}
-	defer a.end()
-	if a.route.Kind != fleet.RouteService {
-		return fault.New(fault.InvalidRequest, "route %q is for drafts", a.route.ID)
-	}
-	body, err := io.ReadAll(c.Request().Body)
-	if err != nil {
-		return bodyFault(err)
-	}
-	r := c.Request()
-	answer, err := s.Booker.Do(a.ctx, booking.Call{
-		Request:        a.request,
-		Team:           a.key.Team,
-		Route:          a.route,
-		Method:         r.Method,
-		Path:           "/" + c.Param("*"),
-		Query:          r.URL.RawQuery,
-		ContentType:    r.Header.Get(echo.HeaderContentType),
-		Body:           body,
-		IdempotencyKey: r.Header.Get("Idempotency-Key"),
-	})
-	if err != nil {
-		return a.explain(err)
-	}
-	s.provenance(c, a)
-	c.Response().Header().Set(HeaderUpstream, string(answer.Upstream))
-	c.Response().Header().Set(HeaderStored, strconv.FormatBool(answer.Stored))
-	s.Recorder.Record(event.RequestAnswered, timeline.Fields{"request": string(a.request), "upstream": string(answer.Upstream)})
-	return c.Blob(answer.Status, answer.ContentType, answer.Body)
-}
-
 func bodyFault(err error) error {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- a/ledger/booking.go
+++ b/ledger/booking.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 
 	"toucanfall/fault"
 	"toucanfall/fleet"
@@ -13,6 +14,7 @@
 const (
 	KindBookingClaim   Kind = "booking_claim"
 	KindBookingOutcome Kind = "booking_outcome"
+	KindBookingExpire  Kind = "booking_expire"
 )
 
 // BookingKey identifies a booking: team, route and the caller's idempotency
@@ -45,6 +47,11 @@
 	Request fleet.RequestID `json:"request"`
 	// BodyHash tells whether a repeat asks for the same thing.
 	BodyHash fleet.KeyHash `json:"body_hash"`
+	// ClaimedMS and ExpiresMS are readings of the proposer's wall clock, in
+	// milliseconds since the Unix epoch. The key is remembered until the later
+	// one; 0 means for good.
+	ClaimedMS int64 `json:"claimed_ms,omitempty"`
+	ExpiresMS int64 `json:"expires_ms,omitempty"`
 }
 
 // UnmarshalJSON decodes and checks a claim.
@@ -68,6 +75,10 @@
 	HTTPStatus  int    `json:"http_status,omitempty"`
 	ContentType string `json:"content_type,omitempty"`
 	Body        []byte `json:"body,omitempty"`
+	// BodyOmitted tells that the body was too large to be stored.
+	BodyOmitted bool `json:"body_omitted,omitempty"`
+	// ExpiresMS is that of the claim, for an outcome that comes before it.
+	ExpiresMS int64 `json:"expires_ms,omitempty"`
 }
 
 // UnmarshalJSON decodes and checks an outcome.
@@ -94,22 +105,64 @@
 	Outcome BookingOutcome `json:"outcome"`
 }
 
-// applyBookingClaim lets the first claim win for good. The same claim standing
-// twice is accepted twice, since it belongs to one request.
+// BookingExpire drops the bookings that have expired.
+type BookingExpire struct {
+	// BeforeMS is a reading of the proposer's wall clock.
+	BeforeMS int64 `json:"before_ms"`
+}
+
+// UnmarshalJSON decodes and checks an expiry.
+func (e *BookingExpire) UnmarshalJSON(b []byte) error {
+	type plain BookingExpire
+	if err := json.Unmarshal(b, (*plain)(e)); err != nil {
+		return err
+	}
+	if e.BeforeMS <= 0 {
+		return errors.New("booking expiry needs before_ms above 0")
+	}
+	return nil
+}
+
+// Expired reports whether the key is no longer remembered at a time in
+// milliseconds since the Unix epoch.
+func (b Booking) Expired(atMS int64) bool {
+	return b.Claim.ExpiresMS != 0 && b.Claim.ExpiresMS <= atMS
+}
+
+// applyBookingClaim lets the first claim win. A claim may replace one that
+// ended as not_run, for nothing ran under it; such a claim is based on the
+// revision of that outcome, so that a delayed copy of an older claim cannot
+// take the booking. The claim of the holder standing twice is accepted twice,
+// as long as the booking has not ended.
 func applyBookingClaim(s *State, offset fleet.Offset, r Record, b BookingClaim) Verdict {
 	old, ok := s.Bookings.Get(b.Key)
-	if ok && old.Value.Claim.Request == b.Request {
+	if ok && old.Value.Expired(b.ClaimedMS) && old.Value.Claim.Request != b.Request {
+		s.Bookings.m.Delete(b.Key)
+		ok = false
+	}
+	switch {
+	case !ok:
+		r.Base = 0
+	case old.Value.Claim.Request == b.Request && old.Value.Status == BookingClaimed:
 		return Verdict{Offset: offset, Revision: old.Revision}
+	case old.Value.Status != BookingNotRun:
+		return reject(offset, fault.Conflict, "booking is held by request %q and stands as %s", old.Value.Claim.Request, old.Value.Status)
 	}
-	r.Base = 0
-	return s.Bookings.put(offset, r, b.Key, Booking{Claim: b, Status: BookingClaimed})
+	return putBooking(s, offset, r, Booking{Claim: b, Status: BookingClaimed})
 }
 
-// applyBookingOutcome takes the first outcome from the holder of the claim.
+// applyBookingOutcome takes the first outcome from the holder of the claim. A
+// proposer that gave up waiting for its claim may report not_run before the
+// claim arrives; the claim then finds the booking ended.
 func applyBookingOutcome(s *State, offset fleet.Offset, r Record, b BookingOutcome) Verdict {
 	old, ok := s.Bookings.Get(b.Key)
+	r.Base = old.Revision
 	if !ok {
-		return reject(offset, fault.NotFound, "booking was never claimed")
+		if b.Status != BookingNotRun {
+			return reject(offset, fault.NotFound, "booking was never claimed")
+		}
+		claim := BookingClaim{Key: b.Key, Request: b.Request, ExpiresMS: b.ExpiresMS}
+		return putBooking(s, offset, r, Booking{Claim: claim, Status: b.Status, Outcome: b})
 	}
 	if old.Value.Claim.Request != b.Request {
 		return reject(offset, fault.Conflict, "booking is claimed by request %q", old.Value.Claim.Request)
@@ -120,6 +173,33 @@
 	next := old.Value
 	next.Status = b.Status
 	next.Outcome = b
-	r.Base = old.Revision
-	return s.Bookings.put(offset, r, b.Key, next)
+	return putBooking(s, offset, r, next)
+}
+
+// successors lists the states that a booking may pass into. A booking that ran
+// or may have run never becomes claimed again.
+var successors = map[BookingStatus][]BookingStatus{
+	"":             {BookingClaimed, BookingNotRun},
+	BookingClaimed: {BookingDone, BookingNotRun, BookingUnknown},
+	BookingNotRun:  {BookingClaimed},
+}
+
+// putBooking asserts that the booking passes into a legal state.
+func putBooking(s *State, offset fleet.Offset, r Record, next Booking) Verdict {
+	old, _ := s.Bookings.Get(next.Claim.Key)
+	if !slices.Contains(successors[old.Value.Status], next.Status) {
+		return reject(offset, fault.Internal, "booking must not pass from %q into %q", old.Value.Status, next.Status)
+	}
+	return s.Bookings.put(offset, r, next.Claim.Key, next)
+}
+
+// applyBookingExpire drops what had expired by the proposer's clock. A second
+// copy finds nothing more to drop.
+func applyBookingExpire(s *State, offset fleet.Offset, _ Record, b BookingExpire) Verdict {
+	for _, k := range s.Bookings.Keys() {
+		if e, ok := s.Bookings.Get(k); ok && e.Value.Expired(b.BeforeMS) {
+			s.Bookings.m.Delete(k)
+		}
+	}
+	return Verdict{Offset: offset}
 }
--- /dev/null
+++ b/ledger/booking_test.go
@@ -0,0 +1,71 @@
+package ledger
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"toucanfall/fault"
+	"toucanfall/fleet"
+	"toucanfall/timeline"
+)
+
+// TestDelayedClaim folds a copy of a claim that arrives after a later claim
+// ended as not_run. It must not take the booking, since nobody would end it.
+func TestDelayedClaim(t *testing.T) {
+	is := is.New(t)
+	s := NewState()
+	offset := fleet.Offset(0)
+	apply := func(kind Kind, base fleet.Revision, body any) Verdict {
+		r, err := NewRecord(kind, "vm", timeline.Stamp{}, base, body)
+		is.NoErr(err)
+		offset++
+		return s.Apply(offset, r)
+	}
+	key := NewBookingKey("quotes", "orderdesk", "k")
+	first := BookingClaim{Key: key, Request: "r1"}
+	is.NoErr(apply(KindBookingClaim, 0, first).Err())
+	is.NoErr(apply(KindBookingOutcome, 0, BookingOutcome{Key: key, Request: "r1", Status: BookingNotRun}).Err())
+	is.NoErr(apply(KindBookingClaim, 2, BookingClaim{Key: key, Request: "r2"}).Err())
+	is.NoErr(apply(KindBookingOutcome, 0, BookingOutcome{Key: key, Request: "r2", Status: BookingNotRun}).Err())
+	is.Equal(apply(KindBookingClaim, 0, first).Fault, fault.Conflict)
+	e, _ := s.Bookings.Get(key)
+	is.Equal(e.Value.Claim.Request, fleet.RequestID("r2"))
+	is.Equal(e.Value.Status, BookingNotRun)
+}
+
+// TestRandomBookingRecords folds records in any order, as copies and delays
+// bring them, and counts the claims that may lead to a run.
+func TestRandomBookingRecords(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := NewState()
+		key := NewBookingKey("quotes", "orderdesk", "k")
+		// ran is the request that may have run; one that reported not_run did
+		// not.
+		var ran fleet.RequestID
+		for offset := fleet.Offset(1); offset < 30; offset++ {
+			id := fleet.RequestID(rapid.SampledFrom([]string{"r1", "r2", "r3"}).Draw(t, "request"))
+			kind := rapid.SampledFrom([]Kind{KindBookingClaim, KindBookingOutcome}).Draw(t, "kind")
+			var body any = BookingClaim{Key: key, Request: id}
+			status := rapid.SampledFrom([]BookingStatus{BookingDone, BookingNotRun, BookingUnknown}).Draw(t, "status")
+			if kind == KindBookingOutcome {
+				body = BookingOutcome{Key: key, Request: id, Status: status}
+			}
+			e, _ := s.Bookings.Get(key)
+			r, err := NewRecord(kind, "vm", timeline.Stamp{}, e.Revision, body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !s.Apply(offset, r).Accepted() {
+				continue
+			}
+			if ran != "" && id != ran {
+				t.Fatalf("%s of request %s accepted after %s may have run", kind, id, ran)
+			}
+			if kind == KindBookingOutcome && status != BookingNotRun {
+				ran = id
+			}
+		}
+	})
+}
--- a/ledger/kinds.go
+++ b/ledger/kinds.go
@@ -47,6 +47,7 @@
 
 		KindBookingClaim:   body(applyBookingClaim),
 		KindBookingOutcome: body(applyBookingOutcome),
+		KindBookingExpire:  body(applyBookingExpire),
 	}
 }
 
--- a/settings/registry.go
+++ b/settings/registry.go
@@ -22,6 +22,7 @@
 	MaxTokens           Name = "max_tokens"
 	CutOffKeys          Name = "cut_off_keys"
 	Fencing             Name = "fencing"
+	BookingMemory       Name = "booking_memory"
 )
 
 // Type is the type of a setting's value.
@@ -81,6 +82,11 @@
 		Levels: []LevelKind{KindFleet, KindDataCentre},
 		Text:   "Whether engines refuse an order with an old fencing number. The default takes the worse case.",
 	},
+	{
+		Name: BookingMemory, Type: TypeDuration, Default: raw(`"72h"`), Min: 48 * 3600, Max: 90 * 24 * 3600,
+		Levels: []LevelKind{KindFleet, KindTeam, KindRoute},
+		Text:   "Time for which the idempotency key of a booking is remembered, from its claim on. Afterwards the key is new again and a repeat would run. It is always longer than the longest deadline.",
+	},
 }
 
 func raw(s string) Value {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -173,9 +173,17 @@
 	once     sync.Once
 }
 
+// NewLease returns a lease of a VM that no pool counts.
+func NewLease(vm fleet.VM) *Lease {
+	return &Lease{Upstream: Upstream{VM: vm}}
+}
+
 // Release ends the request in flight.
 func (l *Lease) Release() {
 	l.once.Do(func() {
+		if l.pool == nil {
+			return
+		}
 		l.pool.mu.Lock()
 		defer l.pool.mu.Unlock()
 		if u, ok := l.pool.ups[l.Upstream.ID()]; ok {
