Find silent engines and connections, bound retries, and charge drafts

Cause: a draft on a connection that had gone silent waited until its deadline; every failure was retried three times without a budget; an abandoned request's connection could be used again if its body was closed before the context ended; one round of reports waited for the slowest engine; a slow reader held an engine without bound.

Done: a guard ends an attempt whose engine stops to report or whose tokens stay away, and the answer resumes elsewhere from the position reached. The retry budget is a tenth of the requests of the VM. Closing a stream before its last chunk cancels its connection; a whole one is drained and kept only if nothing else came. Upstreams have state of their own under locks of their own, an index by model, passive health with a slow return, the prefix cache by events with gaps, and load reports of plain services too. A failed last model falls back to the same engine. Callers' bodies and writes have time bounds. The limiter and the queue are interfaces in package entry; package daemon passes ones without limits until the real ones are wired.

--- a/booking/send_test.go
+++ b/booking/send_test.go
@@ -129,4 +129,3 @@
 	is.Equal(len(o.Body), 0)
 	is.Equal(o.HTTPStatus, 201)
 }
-
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"strings"
 
 	"toucanfall/entry"
@@ -147,7 +148,16 @@
 // Service sends a request to a plain service. An empty idempotency key sends
 // none.
 func (c *Client) Service(ctx context.Context, route fleet.RouteID, method, path, idempotencyKey string, body []byte) (ServiceAnswer, error) {
-	resp, err := c.send(ctx, method, "/v1/services/"+string(route)+path, idempotencyKey, body)
+	return c.service(ctx, method, "/v1/services/"+string(route)+path, idempotencyKey, body)
+}
+
+// Booking looks a booking up by its idempotency key, without running anything.
+func (c *Client) Booking(ctx context.Context, route fleet.RouteID, idempotencyKey string) (ServiceAnswer, error) {
+	return c.service(ctx, http.MethodGet, "/v1/bookings/"+string(route)+"/"+url.PathEscape(idempotencyKey), "", nil)
+}
+
+func (c *Client) service(ctx context.Context, method, path, idempotencyKey string, body []byte) (ServiceAnswer, error) {
+	resp, err := c.send(ctx, method, path, idempotencyKey, body)
 	if err != nil {
 		return ServiceAnswer{}, err
 	}
--- a/caller/main.go
+++ b/caller/main.go
@@ -60,6 +60,7 @@
 	}{
 		{"draft", "ask for one draft", &draftCommand{session: s}},
 		{"service", "send one request to a plain service", &serviceCommand{session: s}},
+		{"booking", "look a booking up by its idempotency key", &bookingCommand{session: s}},
 		{"load", "ask for many drafts at once and print the times", &loadCommand{session: s}},
 	} {
 		if err == nil {
@@ -135,6 +136,29 @@
 	return err
 }
 
+type bookingCommand struct {
+	session *session
+	Args    struct {
+		IdempotencyKey string `positional-arg-name:"KEY"`
+	} `positional-args:"true" required:"true"`
+}
+
+// Execute prints the stored answer.
+func (c *bookingCommand) Execute([]string) error {
+	cl, err := c.session.client(0)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.session.opts.Timeout)
+	defer cancel()
+	a, err := cl.Booking(ctx, fleet.RouteID(c.session.opts.Route), c.Args.IdempotencyKey)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(c.session.stdout, "status %d, stored %t: %s\n", a.Status, a.Stored, a.Body)
+	return err
+}
+
 type loadCommand struct {
 	session  *session
 	Callers  int           `long:"callers" default:"8" description:"callers at once"`
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -72,7 +72,9 @@
 	d.follower = ledger.NewFollower(platform.NewLog(cfg.Platform.Log, rt), state, d.rec, d.heedWithdrawal)
 	d.members = membership.New(cfg.VM, platform.NewVMList(cfg.Platform.VMList, rt), d, d.beat, d.rec)
 	engines := platform.NewEngines(rt)
-	d.pool = upstream.NewPool(cfg.DataCentre, d.members, engines)
+	// Reports come over connections of their own, so that a lost connection of
+	// a draft does not hide that its engine is alive.
+	d.pool = upstream.NewPool(cfg.DataCentre, d.members, platform.NewEngines(platform.NewTransport()))
 	d.newEntry(state, engines)
 	d.newOperators(state)
 	if err := d.peers.Register("Peer", &peerService{daemon: d}); err != nil {
@@ -89,6 +91,8 @@
 		Keyring:    d.keyring,
 		Drafter:    draft.New(d.pool, engines, d.rec),
 		Booker:     d.booker,
+		Limiter:    unlimited{},
+		Queue:      unlimited{},
 		Recorder:   d.rec,
 		Ready:      d.ready,
 		Leaving:    d.leaving.Load,
--- a/draft/draft.go
+++ b/draft/draft.go
@@ -4,7 +4,7 @@
 // A draft may be repeated. If an engine fails, the answer is resumed on another
 // one from the exact position, so that the sink sees each token once and in
 // order. A chunk with another request's id or an unexpected position fails the
-// attempt.
+// attempt. Retries end at the deadline and have a budget.
 package draft
 
 import (
@@ -12,6 +12,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
+	"strconv"
 	"strings"
 
 	"toucanfall/event"
@@ -25,6 +27,12 @@
 // maxAttempts bounds the engines that one request is sent to.
 const maxAttempts = 3
 
+// The ends of a whole answer.
+const (
+	finishStop   = "stop"
+	finishLength = "length"
+)
+
 // Job is one admitted draft.
 type Job struct {
 	Request   fleet.RequestID
@@ -38,9 +46,13 @@
 // caller is gone.
 type Sink interface {
 	Token(c platform.Chunk) error
+	// Flush sends on what Token may have kept back. It is called before the
+	// draft waits for the engine.
+	Flush() error
 }
 
-// Result describes a whole answer.
+// Result describes an answer. After an error, Tokens counts what the sink took;
+// PromptTokens is 0 if no engine finished.
 type Result struct {
 	Upstream     fleet.UpstreamID
 	Version      string
@@ -55,7 +67,7 @@
 
 // Pool chooses engines.
 type Pool interface {
-	Engine(model fleet.ModelID, avoid []fleet.UpstreamID) (*upstream.Lease, error)
+	Engine(w upstream.Want) (*upstream.Lease, error)
 }
 
 // Drafter carries drafts.
@@ -63,11 +75,12 @@
 	pool    Pool
 	engines Engines
 	rec     *timeline.Recorder
+	retries *budget
 }
 
 // New returns a drafter.
 func New(pool Pool, engines Engines, rec *timeline.Recorder) *Drafter {
-	return &Drafter{pool: pool, engines: engines, rec: rec}
+	return &Drafter{pool: pool, engines: engines, rec: rec, retries: newBudget()}
 }
 
 // errCaller marks errors of the sink.
@@ -84,28 +97,58 @@
 // Run carries a draft to its end. The error is a fault.
 func (d *Drafter) Run(ctx context.Context, job Job, sink Sink) (Result, error) {
 	a := &answer{job: job, sink: sink}
-	var avoid []fleet.UpstreamID
-	var last error
-	for range maxAttempts {
-		lease, err := d.pool.Engine(job.Route.Model, avoid)
-		if err != nil {
-			if last != nil {
-				break
-			}
-			return a.result, err
-		}
-		avoid = append(avoid, lease.Upstream.ID())
-		last = d.attempt(ctx, a, lease)
+	d.retries.earn()
+	want := upstream.Want{Model: job.Route.Model, Adapter: job.Route.Adapter, Prefix: platform.PrefixKeys(a.request())}
+	lease, err := d.pool.Engine(want)
+	if err != nil {
+		return a.result, err
+	}
+	for n := 1; ; n++ {
+		err = d.attempt(ctx, a, lease)
 		lease.Release()
-		if last == nil {
+		switch {
+		case err == nil:
+			lease.Note(true)
 			return a.result, nil
+		case ctx.Err() != nil || errors.Is(err, errCaller):
+			return a.result, err
+		}
+		if blames(err) {
+			lease.Note(false)
 		}
-		if ctx.Err() != nil || errors.Is(last, errCaller) {
-			return a.result, last
+		d.noteFailure(job, lease, err)
+		want.Avoid = append(want.Avoid, lease.Upstream.ID())
+		next := d.next(want, n)
+		if next == nil {
+			return a.result, fault.New(fault.UpstreamFailed, "no engine finished the answer: %w", err)
 		}
-		d.noteFailure(job, lease, last)
+		lease = next
 	}
-	return a.result, fault.New(fault.UpstreamFailed, "no engine finished the answer: %w", last)
+}
+
+// blames reports whether an error speaks against the engine's health. A refusal
+// of the one request, such as of a model that was just unloaded, does not.
+func blames(err error) bool {
+	var status *platform.StatusError
+	return !errors.As(err, &status) || status.Status >= http.StatusInternalServerError
+}
+
+// next returns the engine for another attempt after n, nil if there is none or
+// the budget is spent. An engine that failed is tried again if no other holds
+// the model, since its connection may have failed alone.
+func (d *Drafter) next(want upstream.Want, n int) *upstream.Lease {
+	if n >= maxAttempts || !d.retries.spend() {
+		return nil
+	}
+	lease, err := d.pool.Engine(want)
+	if err != nil {
+		want.Avoid = nil
+		lease, err = d.pool.Engine(want)
+	}
+	if err != nil {
+		return nil
+	}
+	return lease
 }
 
 func (d *Drafter) noteFailure(job Job, lease *upstream.Lease, err error) {
@@ -118,19 +161,29 @@
 
 // attempt takes the answer from one engine, from the position reached so far.
 func (d *Drafter) attempt(ctx context.Context, a *answer, lease *upstream.Lease) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	d.rec.Record(event.AttemptStarted, timeline.Fields{
 		"request":  string(a.job.Request),
 		"upstream": string(lease.Upstream.ID()),
-		"position": fmt.Sprint(a.result.Tokens),
+		"position": strconv.Itoa(a.result.Tokens),
 	})
+	g := newGuard(cancel, lease)
+	defer g.stop()
 	stream, err := d.engines.Generate(ctx, lease.Upstream.VM.Address, a.job.Request, a.job.Route.Priority, a.request())
-	if err != nil {
-		return err
+	if err == nil {
+		a.result.Upstream = lease.Upstream.ID()
+		err = a.read(stream, g)
 	}
+	if err != nil && errors.Is(context.Cause(ctx), errSilent) {
+		return errSilent
+	}
+	return err
+}
+
+// read takes chunks until the answer is whole.
+func (a *answer) read(stream *platform.Stream, g *guard) error {
 	defer stream.Close()
-	a.result.Upstream = lease.Upstream.ID()
 	for {
 		c, err := stream.Next()
 		if errors.Is(err, io.EOF) {
@@ -139,9 +192,16 @@
 		if err != nil {
 			return err
 		}
+		g.token()
 		if err := a.take(c); err != nil {
 			return err
 		}
+		if stream.More() {
+			continue
+		}
+		if err := a.sink.Flush(); err != nil {
+			return fmt.Errorf("%w: %w", errCaller, err)
+		}
 	}
 }
 
@@ -167,6 +227,9 @@
 		return fmt.Errorf("chunk has position %d, want %d", c.Position, a.result.Tokens)
 	}
 	if c.Finish != "" {
+		if c.Finish != finishStop && c.Finish != finishLength {
+			return fmt.Errorf("the engine ended the answer by %q", c.Finish)
+		}
 		a.result.Version = c.Version
 		a.result.PromptTokens = c.PromptTokens
 		return nil
--- /dev/null
+++ b/draft/draft_test.go
@@ -0,0 +1,266 @@
+package draft
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
+
+	"toucanfall/fault"
+	"toucanfall/fleet"
+	"toucanfall/platform"
+	"toucanfall/standin"
+	"toucanfall/timeline"
+	"toucanfall/upstream"
+)
+
+// defect is what an engine does at one place of its answer.
+type defect string
+
+const (
+	defectNone      defect = "none"
+	defectCut       defect = "cut"
+	defectTwice     defect = "twice"
+	defectSkip      defect = "skip"
+	defectCrossed   defect = "crossed"
+	defectGarbage   defect = "garbage"
+	defectLongLine  defect = "long_line"
+	defectSilent    defect = "silent"
+	defectRefused   defect = "refused"
+	defectAborted   defect = "aborted"
+	defectEarlyStop defect = "early_stop"
+)
+
+var defects = []defect{defectNone, defectCut, defectTwice, defectSkip, defectCrossed, defectGarbage, defectLongLine, defectSilent, defectRefused, defectAborted, defectEarlyStop}
+
+// plan is the defect of one attempt and its position.
+type plan struct {
+	defect defect
+	at     int
+}
+
+// scripted is a set of engines that follow a plan for each attempt.
+type scripted struct {
+	plans    []plan
+	requests []platform.GenerateRequest
+	closed   atomic.Int64
+}
+
+func (s *scripted) Generate(ctx context.Context, _ string, id fleet.RequestID, _ fleet.Priority, g platform.GenerateRequest) (*platform.Stream, error) {
+	p := plan{defect: defectNone}
+	if len(s.plans) > 0 {
+		p, s.plans = s.plans[0], s.plans[1:]
+	}
+	s.requests = append(s.requests, g)
+	if p.defect == defectRefused {
+		return nil, &platform.StatusError{Status: 503}
+	}
+	r, w := io.Pipe()
+	ctx, cancel := context.WithCancel(ctx)
+	context.AfterFunc(ctx, func() { _ = r.CloseWithError(ctx.Err()) })
+	go write(ctx, w, id, g, p)
+	return platform.NewStream(&counted{ReadCloser: r, s: s}, cancel), nil
+}
+
+type counted struct {
+	io.ReadCloser
+	s *scripted
+}
+
+func (c *counted) Close() error {
+	c.s.closed.Add(1)
+	return c.ReadCloser.Close()
+}
+
+func write(ctx context.Context, w *io.PipeWriter, id fleet.RequestID, g platform.GenerateRequest, p plan) {
+	defer func() { _ = w.Close() }()
+	tokens := standin.AnswerTokens(g)
+	for i := g.ResumeFrom; i < len(tokens); i++ {
+		c := platform.Chunk{ID: id, Position: i, Text: tokens[i]}
+		if i != p.at {
+			send(w, c)
+			continue
+		}
+		switch p.defect {
+		case defectCut:
+			_, _ = io.WriteString(w, `data: {"id":"`)
+			return
+		case defectTwice:
+			send(w, c)
+		case defectSkip:
+			continue
+		case defectCrossed:
+			c.ID, c.Text = "another", "not yours "
+		case defectGarbage:
+			_, _ = io.WriteString(w, "data: {]\n\n")
+		case defectLongLine:
+			_, _ = io.WriteString(w, "data: "+strings.Repeat("x", 70<<10)+"\n")
+		case defectSilent:
+			<-ctx.Done()
+			return
+		case defectAborted:
+			c.Finish = "abort"
+		case defectEarlyStop:
+			c = platform.Chunk{ID: id, Position: i + 1, Finish: "stop"}
+		}
+		send(w, c)
+	}
+	send(w, platform.Chunk{ID: id, Position: len(tokens), Finish: "stop", Version: "v1", PromptTokens: 3})
+}
+
+func send(w io.Writer, c platform.Chunk) {
+	b, _ := json.Marshal(c)
+	_, _ = fmt.Fprintf(w, "data: %s\n\n", b)
+}
+
+// engines is a pool of three engines.
+type engines struct{}
+
+func (engines) Engine(w upstream.Want) (*upstream.Lease, error) {
+	for _, id := range []fleet.VMID{"e1", "e2", "e3"} {
+		if !slices.Contains(w.Avoid, fleet.UpstreamID(id)) {
+			return upstream.NewLease(fleet.VM{ID: id}), nil
+		}
+	}
+	return nil, fault.New(fault.NoUpstream, "none left")
+}
+
+// callerSink is a caller that goes after a number of tokens; 0 means never.
+type callerSink struct {
+	text    strings.Builder
+	n, goes int
+	shown   int
+}
+
+func (s *callerSink) Token(c platform.Chunk) error {
+	s.n++
+	if s.n == s.goes {
+		return errors.New("gone")
+	}
+	s.text.WriteString(c.Text)
+	return nil
+}
+
+func (s *callerSink) Flush() error {
+	s.shown = s.text.Len()
+	return nil
+}
+
+func newDrafter(s *scripted) *Drafter {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return New(engines{}, s, timeline.New("test", 16, logger))
+}
+
+func job(n int) Job {
+	return Job{
+		Request:   "r1",
+		Team:      "quotes",
+		Route:     fleet.Route{ID: "textdesk", Model: "m", Priority: fleet.PriorityBatch},
+		Messages:  []platform.Message{{Role: "user", Content: "ten fine sieves"}},
+		MaxTokens: n,
+	}
+}
+
+// TestRandomDefects holds what the caller saw against the whole answer.
+func TestRandomDefects(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 20).Draw(rt, "tokens")
+		s := &scripted{plans: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) plan {
+			return plan{rapid.SampledFrom(defects).Draw(t, "defect"), rapid.IntRange(0, n).Draw(t, "at")}
+		}), 0, 4).Draw(rt, "plans")}
+		var failed string
+		synctest.Test(t, func(*testing.T) {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			sink := &callerSink{}
+			result, err := newDrafter(s).Run(ctx, job(n), sink)
+			whole := strings.Join(standin.AnswerTokens((&answer{job: job(n)}).request()), "")
+			got := sink.text.String()
+			switch {
+			case err == nil && got != whole:
+				failed = fmt.Sprintf("answer %q is not whole", got)
+			case !strings.HasPrefix(whole, got):
+				failed = fmt.Sprintf("answer %q is not the own one", got)
+			case result.Tokens != sink.n:
+				failed = fmt.Sprintf("result counts %d tokens, caller got %d", result.Tokens, sink.n)
+			}
+			synctest.Wait()
+		})
+		if failed != "" {
+			rt.Fatal(failed)
+		}
+	})
+}
+
+// TestResume continues on another engine at the exact position.
+func TestResume(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &scripted{plans: []plan{{defectSilent, 5}, {defectCut, 9}}}
+		sink := &callerSink{}
+		result, err := newDrafter(s).Run(context.Background(), job(12), sink)
+		is.NoErr(err)
+		is.Equal(result.Upstream, fleet.UpstreamID("e3"))
+		is.Equal(s.requests[1].ResumeFrom, 5)
+		is.Equal(s.requests[2].ResumeFrom, 9)
+		is.True(strings.HasPrefix(sink.text.String(), s.requests[2].ResumeText))
+		is.Equal(s.requests[0].CacheSalt, "quotes")
+	})
+}
+
+// TestCallerGone closes the stream of a caller that went, and tries no other
+// engine.
+func TestCallerGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &scripted{}
+		result, err := newDrafter(s).Run(context.Background(), job(12), &callerSink{goes: 4})
+		is.True(errors.Is(err, errCaller))
+		is.Equal(result.Tokens, 3)
+		is.Equal(len(s.requests), 1)
+		is.Equal(s.closed.Load(), int64(1))
+	})
+}
+
+// TestRetryBudget stops retries when too many requests fail.
+func TestRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &scripted{}
+		d := newDrafter(s)
+		const n = 1000
+		for range n {
+			s.plans = []plan{{defectRefused, 0}, {defectRefused, 0}, {defectRefused, 0}}
+			_, err := d.Run(context.Background(), job(1), &callerSink{})
+			is.Equal(fault.KindOf(err), fault.UpstreamFailed)
+		}
+		is.True(len(s.requests) <= n+maxSavedRetries+n/10)
+	})
+}
+
+// TestDeadlineEndsRetries makes no attempt after the deadline.
+func TestDeadlineEndsRetries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &scripted{plans: []plan{{defectSilent, 0}, {defectSilent, 0}}}
+		ctx, cancel := context.WithTimeout(context.Background(), firstBound+time.Second)
+		defer cancel()
+		begin := time.Now()
+		_, err := newDrafter(s).Run(ctx, job(1), &callerSink{})
+		is.True(err != nil)
+		is.Equal(len(s.requests), 2)
+		is.Equal(time.Since(begin), firstBound+time.Second)
+	})
+}
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -77,8 +77,12 @@
 
 // chat serves POST /v1/chat/completions.
 func (s *Server) chat(c echo.Context) error {
+	body, err := readBody(c)
+	if err != nil {
+		return err
+	}
 	var r chatRequest
-	if err := json.NewDecoder(c.Request().Body).Decode(&r); err != nil {
+	if err := json.Unmarshal(body, &r); err != nil {
 		return bodyFault(err)
 	}
 	a, err := s.admit(c, r.Model)
@@ -96,10 +100,12 @@
 	}
 	job := draft.Job{Request: a.request, Team: a.key.Team, Route: a.route, Messages: r.Messages, MaxTokens: s.maxTokens(a, r)}
 	s.provenance(c, a)
-	if r.Stream {
-		return s.chatStream(c, a, job)
-	}
-	return s.chatWhole(c, a, job)
+	return s.charged(a, job, func() (draft.Result, error) {
+		if r.Stream {
+			return s.chatStream(c, a, job)
+		}
+		return s.chatWhole(c, a, job)
+	})
 }
 
 // maxTokens returns the limit of the settings, or the caller's if it is lower.
@@ -122,11 +128,16 @@
 	return nil
 }
 
-func (s *Server) chatWhole(c echo.Context, a *admission, job draft.Job) error {
+// Flush keeps the answer back until it is whole.
+func (w *wholeSink) Flush() error {
+	return nil
+}
+
+func (s *Server) chatWhole(c echo.Context, a *admission, job draft.Job) (draft.Result, error) {
 	var sink wholeSink
 	result, err := s.Drafter.Run(a.ctx, job, &sink)
 	if err != nil {
-		return a.explain(err)
+		return result, a.explain(err)
 	}
 	c.Response().Header().Set(HeaderUpstream, string(result.Upstream))
 	c.Response().Header().Set(HeaderVersion, result.Version)
@@ -135,7 +146,10 @@
 	answer.Choices[0].Delta = nil
 	answer.Choices[0].Message = &platform.Message{Role: "assistant", Content: sink.text.String()}
 	s.noteAnswered(a, result)
-	return c.JSON(http.StatusOK, answer)
+	if err := boundWrite(c); err != nil {
+		return result, err
+	}
+	return result, c.JSON(http.StatusOK, answer)
 }
 
 func (s *Server) noteAnswered(a *admission, result draft.Result) {
@@ -170,71 +184,3 @@
 		},
 	}
 }
-
-// streamSink writes an answer as server-sent events.
-type streamSink struct {
-	c     echo.Context
-	a     *admission
-	begun bool
-}
-
-// Token sends a chunk at once.
-func (w *streamSink) Token(c platform.Chunk) error {
-	return w.send(chatAnswer{
-		ID:      w.a.request,
-		Object:  "chat.completion.chunk",
-		Model:   w.a.route.ID,
-		Choices: []chatChoice{{Delta: &platform.Message{Role: "assistant", Content: c.Text}}},
-	})
-}
-
-func (w *streamSink) send(v any) error {
-	b, err := json.Marshal(v)
-	if err != nil {
-		return err
-	}
-	return w.write("data: " + string(b) + "\n\n")
-}
-
-func (w *streamSink) write(text string) error {
-	r := w.c.Response()
-	if !w.begun {
-		w.begun = true
-		r.Header().Set(echo.HeaderContentType, "text/event-stream")
-		r.WriteHeader(http.StatusOK)
-	}
-	if _, err := r.Write([]byte(text)); err != nil {
-		return err
-	}
-	return http.NewResponseController(r.Writer).Flush()
-}
-
-// chatStream ends a whole answer by "[DONE]". An answer that failed after its
-// first byte ends by an error event instead, so that a caller can tell them
-// apart.
-func (s *Server) chatStream(c echo.Context, a *admission, job draft.Job) error {
-	sink := &streamSink{c: c, a: a}
-	result, err := s.Drafter.Run(a.ctx, job, sink)
-	if err != nil {
-		return s.endByError(sink, a.explain(err))
-	}
-	if err := sink.send(a.lastChunk(result)); err != nil {
-		return err
-	}
-	s.noteAnswered(a, result)
-	return sink.write("data: [DONE]\n\n")
-}
-
-func (s *Server) endByError(sink *streamSink, err error) error {
-	if !sink.begun {
-		return err
-	}
-	_, _, body := fault.Describe(err, string(sink.a.request))
-	b, encodeErr := json.Marshal(body)
-	if encodeErr == nil {
-		// If the caller is gone, nobody is left to tell.
-		_ = sink.write("event: error\ndata: " + string(b) + "\n\n")
-	}
-	s.Recorder.Record(event.CallerCut, timeline.Fields{"request": string(sink.a.request), "reason": err.Error()})
-	return err
-}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -30,9 +30,6 @@
 	"toucanfall/timeline"
 )
 
-// maxBody bounds a caller's body in bytes.
-const maxBody = 4 << 20
-
 // Headers of answers.
 const (
 	HeaderUpstream = "X-Toucanfall-Upstream"
@@ -67,6 +64,8 @@
 	Keyring    *keyring.Keyring
 	Drafter    Drafter
 	Booker     Booker
+	Limiter    Limiter
+	Queue      Queue
 	Recorder   *timeline.Recorder
 	// Ready returns a fault while the VM cannot serve.
 	Ready func() error
@@ -270,11 +269,3 @@
 	h.Set(HeaderRoute, string(a.route.ID))
 	h.Set(HeaderOffset, strconv.FormatUint(uint64(a.offset), 10))
 }
-
-func bodyFault(err error) error {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return fault.New(fault.TooLarge, "the body has more than %d bytes", tooLarge.Limit)
-	}
-	return fault.New(fault.InvalidRequest, "cannot read the body: %w", err)
-}
--- a/entry/service.go
+++ b/entry/service.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -31,9 +30,9 @@
 	if a.route.Kind != fleet.RouteService {
 		return fault.New(fault.InvalidRequest, "route %q is for drafts", a.route.ID)
 	}
-	body, err := io.ReadAll(c.Request().Body)
+	body, err := readBody(c)
 	if err != nil {
-		return bodyFault(err)
+		return err
 	}
 	call := s.call(c, a, body)
 	if err := a.guardCall(call); err != nil {
@@ -82,6 +81,9 @@
 		h.Set(HeaderOmitted, "true")
 	}
 	s.Recorder.Record(event.RequestAnswered, timeline.Fields{"request": string(a.request), "upstream": string(answer.Upstream)})
+	if err := boundWrite(c); err != nil {
+		return err
+	}
 	return c.Blob(answer.Status, answer.ContentType, answer.Body)
 }
 
--- /dev/null
+++ b/entry/stream.go
@@ -0,0 +1,114 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"toucanfall/draft"
+	"toucanfall/event"
+	"toucanfall/fault"
+	"toucanfall/platform"
+	"toucanfall/timeline"
+)
+
+// streamSink writes an answer as server-sent events.
+type streamSink struct {
+	c     echo.Context
+	a     *admission
+	rc    *http.ResponseController
+	begun bool
+	// head is what stands before the text in the event of a token.
+	head []byte
+	// line is the event in the making.
+	line []byte
+}
+
+// tail is what stands after the text in the event of a token.
+const tail = `},"finish_reason":null}]}` + "\n\n"
+
+func newStreamSink(c echo.Context, a *admission) *streamSink {
+	return &streamSink{c: c, a: a, rc: http.NewResponseController(c.Response().Writer), head: tokenHead(a)}
+}
+
+// tokenHead encodes what all tokens of an answer share. Ids need no escapes.
+func tokenHead(a *admission) []byte {
+	return []byte(`data: {"id":"` + string(a.request) + `","object":"chat.completion.chunk","model":"` + string(a.route.ID) +
+		`","choices":[{"index":0,"delta":{"role":"assistant","content":`)
+}
+
+// Token writes a chunk to the buffer of the connection.
+func (w *streamSink) Token(c platform.Chunk) error {
+	text, err := json.Marshal(c.Text)
+	if err != nil {
+		return err
+	}
+	w.line = append(w.line[:0], w.head...)
+	w.line = append(w.line, text...)
+	w.line = append(w.line, tail...)
+	return w.write(w.line)
+}
+
+func (w *streamSink) send(v any) error {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	return w.write([]byte("data: " + string(b) + "\n\n"))
+}
+
+func (w *streamSink) write(b []byte) error {
+	r := w.c.Response()
+	if !w.begun {
+		w.begun = true
+		r.Header().Set(echo.HeaderContentType, "text/event-stream")
+		r.WriteHeader(http.StatusOK)
+	}
+	if err := boundWrite(w.c); err != nil {
+		return err
+	}
+	_, err := r.Write(b)
+	return err
+}
+
+// Flush sends what was written.
+func (w *streamSink) Flush() error {
+	if err := boundWrite(w.c); err != nil {
+		return err
+	}
+	return w.rc.Flush()
+}
+
+// chatStream ends a whole answer by "[DONE]". An answer that failed after its
+// first byte ends by an error event instead, so that a caller can tell them
+// apart.
+func (s *Server) chatStream(c echo.Context, a *admission, job draft.Job) (draft.Result, error) {
+	sink := newStreamSink(c, a)
+	result, err := s.Drafter.Run(a.ctx, job, sink)
+	if err != nil {
+		return result, s.endByError(sink, a.explain(err))
+	}
+	if err := sink.send(a.lastChunk(result)); err != nil {
+		return result, err
+	}
+	s.noteAnswered(a, result)
+	if err := sink.write([]byte("data: [DONE]\n\n")); err != nil {
+		return result, err
+	}
+	return result, sink.Flush()
+}
+
+func (s *Server) endByError(sink *streamSink, err error) error {
+	if !sink.begun {
+		return err
+	}
+	_, _, body := fault.Describe(err, string(sink.a.request))
+	b, encodeErr := json.Marshal(body)
+	if encodeErr == nil && sink.write([]byte("event: error\ndata: "+string(b)+"\n\n")) == nil {
+		// If the caller is gone, nobody is left to tell.
+		_ = sink.Flush()
+	}
+	s.Recorder.Record(event.CallerCut, timeline.Fields{"request": string(sink.a.request), "reason": err.Error()})
+	return err
+}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -35,8 +35,10 @@
 
 	mu       sync.Mutex
 	running  int
+	leaving  bool
 	epoch    fleet.Epoch
 	resident map[fleet.ModelID]*platform.ResidentModel
+	prefixes prefixCache
 }
 
 // NewEngine returns an engine with nothing resident.
@@ -56,6 +58,8 @@
 		e.serveGenerate(w, r)
 	case "/v1/report":
 		answer(w, http.StatusOK, e.Report())
+	case "/v1/cache_events":
+		e.serveCacheEvents(w, r)
 	case "/v1/orders":
 		e.serveOrder(w, r)
 	default:
@@ -75,6 +79,7 @@
 		return
 	}
 	defer e.end()
+	e.prefixes.touch(platform.PrefixKeys(g))
 	id := fleet.RequestID(r.Header.Get(platform.HeaderRequestID))
 	e.rec.Record(event.FakeServed, timeline.Fields{"request": string(id), "model": string(g.Model)})
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -132,6 +137,13 @@
 	return n
 }
 
+// Leave makes the engine's reports say that it is leaving.
+func (e *Engine) Leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = true
+}
+
 func (e *Engine) begin(model fleet.ModelID) (version string, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -160,6 +172,7 @@
 		Capacity:  e.cfg.Capacity,
 		Used:      e.used(),
 		StartedMS: e.started.UnixMilli(),
+		Leaving:   e.leaving,
 	}
 	for _, m := range e.resident {
 		r.Resident = append(r.Resident, *m)
--- a/standin/service.go
+++ b/standin/service.go
@@ -19,6 +19,8 @@
 	mu       sync.Mutex
 	bookings []Reservation
 	headers  []http.Header
+	running  int
+	leaving  bool
 }
 
 // Reservation is one booking that ran.
@@ -49,9 +51,10 @@
 
 // ServeHTTP serves the service's protocol.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	s.headers = append(s.headers, r.Header.Clone())
-	s.mu.Unlock()
+	if r.URL.Path != "/report" {
+		s.begin(r)
+		defer s.end()
+	}
 	id := r.Header.Get(platform.HeaderRequestID)
 	s.rec.Record(event.FakeServed, timeline.Fields{"request": id, "path": r.URL.Path})
 	w.Header().Set(platform.HeaderRequestID, id)
@@ -63,12 +66,38 @@
 	case "/prices":
 		answer(w, http.StatusOK, map[string]string{"sieve-40": "19.90"})
 	case "/report":
-		w.WriteHeader(http.StatusNoContent)
+		answer(w, http.StatusOK, s.report())
 	default:
 		http.NotFound(w, r)
 	}
 }
 
+func (s *Service) begin(r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.headers = append(s.headers, r.Header.Clone())
+	s.running++
+}
+
+func (s *Service) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+}
+
+// Leave makes the service's reports say that it is leaving.
+func (s *Service) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+}
+
+func (s *Service) report() platform.ServiceReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return platform.ServiceReport{Running: s.running, Leaving: s.leaving}
+}
+
 func (s *Service) serveBook(w http.ResponseWriter, r *http.Request, id string) {
 	var in struct {
 		Item string `json:"item"`
--- /dev/null
+++ b/upstream/node.go
@@ -0,0 +1,211 @@
+package upstream
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"toucanfall/fleet"
+	"toucanfall/platform"
+)
+
+// node is the state of one upstream under a lock of its own.
+type node struct {
+	id     fleet.UpstreamID
+	cancel context.CancelFunc
+	cache  cache
+
+	mu         sync.Mutex
+	vm         fleet.VM
+	gone       bool
+	report     platform.EngineReport
+	reportedAt time.Time
+	ready      map[fleet.ModelID][]fleet.AdapterID
+	// inFlight counts own requests.
+	inFlight int
+	// others estimates the requests of other VMs: what was reported less the
+	// own requests that were in flight then.
+	others int
+	health health
+}
+
+func newNode(vm fleet.VM, cancel context.CancelFunc) *node {
+	return &node{id: fleet.UpstreamID(vm.ID), vm: vm, cancel: cancel}
+}
+
+// list takes over the entry of the platform's list.
+func (n *node) list(vm fleet.VM) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.vm = vm
+}
+
+// asking returns what a poll needs: where to ask, the own requests that the
+// answer may include, and the next cache event.
+func (n *node) asking() (vm fleet.VM, own int, from uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.vm, n.inFlight, n.cache.next()
+}
+
+func (n *node) snapshot() Upstream {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return Upstream{
+		VM:         n.vm,
+		Report:     n.report,
+		ReportedAt: n.reportedAt,
+		InFlight:   n.inFlight,
+		Ejected:    n.health.ejected(time.Now()),
+	}
+}
+
+// usable reports whether the upstream may get new work. The caller holds the
+// lock.
+func (n *node) usable(now time.Time) bool {
+	leaving := n.vm.State == fleet.VMLeaving || n.report.Leaving
+	silent := n.reportedAt.IsZero() || now.Sub(n.reportedAt) > SilentAfter
+	return !n.gone && !leaving && !silent && n.health.admits(now, n.inFlight)
+}
+
+// Weights of a cost, in requests ahead in the queue.
+const (
+	// prefixWeight is what a prompt that stands in the cache is worth.
+	prefixWeight = 2.0
+	// adapterWeight is what an adapter costs that has to be loaded first.
+	adapterWeight = 0.5
+)
+
+// cost orders the candidates of a choice.
+type cost struct {
+	// tier is 0 in the own data centre and above elsewhere and for saturated
+	// engines, see tierOf.
+	tier int
+	// work is the estimated load with the affinities.
+	work float64
+}
+
+// compare returns -1 if c is lower than other.
+func (c cost) compare(other cost) int {
+	switch {
+	case c.tier != other.tier && c.tier < other.tier, c.tier == other.tier && c.work < other.work:
+		return -1
+	case c == other:
+		return 0
+	default:
+		return 1
+	}
+}
+
+// tierOf prefers the own data centre until its engines are saturated.
+func tierOf(near, saturated bool) int {
+	switch {
+	case near && !saturated:
+		return 0
+	case !saturated:
+		return 1
+	case near:
+		return 2
+	default:
+		return 3
+	}
+}
+
+// cost returns what it costs to send the attempt here, and whether that is
+// possible.
+func (n *node) cost(now time.Time, dc fleet.DataCentre, w Want) (cost, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.usable(now) {
+		return cost{}, false
+	}
+	load := n.load(now)
+	c := cost{
+		tier: tierOf(n.vm.DataCentre == dc, n.report.Slots > 0 && load >= float64(n.report.Slots)),
+		work: load - prefixWeight*n.cache.share(w.Prefix),
+	}
+	if w.Adapter != "" && !slices.Contains(n.ready[w.Model], w.Adapter) {
+		c.work += adapterWeight
+	}
+	return c, true
+}
+
+// load estimates the requests at the upstream. What a report says of others
+// loses weight until the upstream counts as silent. The caller holds the lock.
+func (n *node) load(now time.Time) float64 {
+	age := now.Sub(n.reportedAt)
+	weight := 1 - float64(age)/float64(2*SilentAfter)
+	return float64(n.inFlight) + float64(n.others)*max(weight, 0)
+}
+
+// lease counts a request in flight.
+func (n *node) lease(w Want) *Lease {
+	n.cache.expect(w.Prefix)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.inFlight++
+	return &Lease{
+		Upstream: Upstream{VM: n.vm, Report: n.report, ReportedAt: n.reportedAt, InFlight: n.inFlight},
+		node:     n,
+	}
+}
+
+// Lease is a request in flight at an upstream. It must be released.
+type Lease struct {
+	Upstream Upstream
+	node     *node
+	once     sync.Once
+}
+
+// NewLease returns a lease of a VM that no pool counts.
+func NewLease(vm fleet.VM) *Lease {
+	return &Lease{Upstream: Upstream{VM: vm}}
+}
+
+// Release ends the request in flight.
+func (l *Lease) Release() {
+	l.once.Do(func() {
+		if l.node == nil {
+			return
+		}
+		l.node.mu.Lock()
+		defer l.node.mu.Unlock()
+		l.node.inFlight--
+		if l.node.inFlight < 0 {
+			panic("upstream: more requests ended than began")
+		}
+	})
+}
+
+// Note tells whether the upstream served the attempt. Failures in a row take
+// it out of use for a while.
+func (l *Lease) Note(ok bool) {
+	if l.node == nil {
+		return
+	}
+	l.node.mu.Lock()
+	defer l.node.mu.Unlock()
+	l.node.health.note(time.Now(), ok)
+}
+
+// Silent reports whether the upstream has stopped to report.
+func (l *Lease) Silent() bool {
+	if l.node == nil {
+		return false
+	}
+	l.node.mu.Lock()
+	defer l.node.mu.Unlock()
+	return time.Since(l.node.reportedAt) > SilentAfter
+}
+
+// Queueing reports whether the upstream's newest report shows requests that
+// wait for their turn.
+func (l *Lease) Queueing() bool {
+	if l.node == nil {
+		return false
+	}
+	l.node.mu.Lock()
+	defer l.node.mu.Unlock()
+	return l.node.report.Waiting > 0
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -2,12 +2,16 @@
 //
 // A [Pool] knows the upstreams from the platform's list, their own reports of
 // load and resident models, which lag, and its own requests in flight, which
-// are exact. A leaving or silent upstream gets nothing new.
+// are exact. A leaving or silent upstream gets nothing new. Each upstream has
+// state of its own; an index finds those that hold a model, so that a choice
+// looks at no others.
 package upstream
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -20,7 +24,8 @@
 const (
 	ReportInterval = 500 * time.Millisecond
 	reportTimeout  = time.Second
-	// SilentAfter is how long an engine may miss reports before it gets no
+	syncInterval   = 250 * time.Millisecond
+	// SilentAfter is how long an upstream may miss reports before it gets no
 	// new work.
 	SilentAfter = 2 * time.Second
 )
@@ -30,9 +35,11 @@
 	VMs() []fleet.VM
 }
 
-// Reporter asks an engine for its report.
+// Reporter asks upstreams for their reports.
 type Reporter interface {
 	Report(ctx context.Context, address string) (platform.EngineReport, error)
+	ServiceReport(ctx context.Context, address string) (platform.ServiceReport, error)
+	CacheEvents(ctx context.Context, address string, from uint64) (platform.CacheEvents, error)
 }
 
 // Upstream is what a VM knows of one upstream.
@@ -41,6 +48,8 @@
 	Report     platform.EngineReport `json:"report"`
 	ReportedAt time.Time             `json:"reported_at"`
 	InFlight   int                   `json:"in_flight"`
+	// Ejected is set while the upstream gets nothing new because it failed.
+	Ejected bool `json:"ejected,omitempty"`
 }
 
 // ID returns the upstream's id.
@@ -48,16 +57,32 @@
 	return fleet.UpstreamID(u.VM.ID)
 }
 
+// Want says what an attempt needs of an engine.
+type Want struct {
+	Model   fleet.ModelID
+	Adapter fleet.AdapterID
+	// Prefix holds the keys of the beginnings of the prompt, the shortest
+	// first.
+	Prefix []platform.PrefixKey
+	// Avoid lists engines that failed the request.
+	Avoid []fleet.UpstreamID
+}
+
 // Pool is the set of upstreams. It is safe for concurrent use.
 type Pool struct {
 	dc       fleet.DataCentre
 	list     List
 	reporter Reporter
+	ctx      context.Context
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
 
-	mu  sync.Mutex
-	ups map[fleet.UpstreamID]*Upstream
+	models   *index[fleet.ModelID]
+	services *index[string]
+
+	// mu guards nodes. Choices do not take it.
+	mu    sync.Mutex
+	nodes map[fleet.UpstreamID]*node
 }
 
 // NewPool starts to observe the upstreams of list. Close stops it.
@@ -67,10 +92,13 @@
 		dc:       dc,
 		list:     list,
 		reporter: reporter,
+		ctx:      ctx,
 		cancel:   cancel,
-		ups:      make(map[fleet.UpstreamID]*Upstream),
+		models:   newIndex[fleet.ModelID](),
+		services: newIndex[string](),
+		nodes:    make(map[fleet.UpstreamID]*node),
 	}
-	p.wg.Go(func() { p.observe(ctx) })
+	p.wg.Go(func() { every(ctx, syncInterval, func() { p.sync(ctx) }) })
 	return p
 }
 
@@ -80,12 +108,11 @@
 	p.wg.Wait()
 }
 
-func (p *Pool) observe(ctx context.Context) {
-	t := time.NewTicker(ReportInterval)
+func every(ctx context.Context, d time.Duration, f func()) {
+	t := time.NewTicker(d)
 	defer t.Stop()
 	for {
-		p.sync()
-		p.readReports(ctx)
+		f()
 		select {
 		case <-ctx.Done():
 			return
@@ -95,7 +122,7 @@
 }
 
 // sync takes over the upstreams of the list and drops those that left it.
-func (p *Pool) sync() {
+func (p *Pool) sync(ctx context.Context) {
 	vms := p.list.VMs()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -106,157 +133,157 @@
 		}
 		id := fleet.UpstreamID(vm.ID)
 		listed[id] = true
-		if p.ups[id] == nil {
-			p.ups[id] = &Upstream{}
+		if n, ok := p.nodes[id]; ok {
+			n.list(vm)
+			continue
 		}
-		p.ups[id].VM = vm
+		p.add(ctx, vm)
 	}
-	for id := range p.ups {
+	for id, n := range p.nodes {
 		if !listed[id] {
-			delete(p.ups, id)
+			n.cancel()
+			p.unlink(n)
+			delete(p.nodes, id)
 		}
 	}
 }
 
-func (p *Pool) readReports(ctx context.Context) {
+// add starts to observe an upstream. The caller holds the lock.
+func (p *Pool) add(ctx context.Context, vm fleet.VM) *node {
+	ctx, cancel := context.WithCancel(ctx)
+	n := newNode(vm, cancel)
+	p.nodes[n.id] = n
+	if vm.Role == fleet.RoleService {
+		p.services.add(vm.Service, n)
+	}
+	p.wg.Go(func() { every(ctx, ReportInterval, func() { p.poll(ctx, n) }) })
+	return n
+}
+
+// unlink removes an upstream from the indexes. A report that is on its way
+// links nothing any more.
+func (p *Pool) unlink(n *node) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.gone = true
+	for m := range n.ready {
+		p.models.remove(m, n)
+	}
+	n.ready = nil
+	if n.vm.Role == fleet.RoleService {
+		p.services.remove(n.vm.Service, n)
+	}
+}
+
+// poll asks one upstream for its report. A call that fails closes its
+// connection, so that the next one is on a new connection.
+func (p *Pool) poll(ctx context.Context, n *node) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	var wg sync.WaitGroup
-	for _, u := range p.Upstreams() {
-		if u.VM.Role == fleet.RoleModelEngine {
-			wg.Go(func() { p.readReport(ctx, u) })
+	vm, own, from := n.asking()
+	if vm.Role == fleet.RoleService {
+		if r, err := p.reporter.ServiceReport(ctx, vm.Address); err == nil {
+			p.take(n, platform.EngineReport{Running: r.Running, Waiting: r.Waiting, Leaving: r.Leaving}, own)
 		}
+		return
+	}
+	r, err := p.reporter.Report(ctx, vm.Address)
+	if err != nil {
+		return
+	}
+	p.take(n, r, own)
+	if c, err := p.reporter.CacheEvents(ctx, vm.Address, from); err == nil {
+		n.cache.apply(from, c)
 	}
-	wg.Wait()
 }
 
-func (p *Pool) readReport(ctx context.Context, u Upstream) {
-	r, err := p.reporter.Report(ctx, u.VM.Address)
-	if err != nil {
+// take stores a report that was asked for while own requests were in flight.
+func (p *Pool) take(n *node, r platform.EngineReport, own int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.gone {
 		return
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if now, ok := p.ups[u.ID()]; ok {
-		now.Report = r
-		now.ReportedAt = time.Now()
+	n.report = r
+	n.reportedAt = time.Now()
+	n.others = max(0, r.Running+r.Waiting-own)
+	ready := make(map[fleet.ModelID][]fleet.AdapterID, len(r.Resident))
+	for _, m := range r.Resident {
+		if m.Ready {
+			ready[m.Model] = m.Adapters
+		}
+	}
+	for m := range ready {
+		if _, ok := n.ready[m]; !ok {
+			p.models.add(m, n)
+		}
 	}
+	for m := range n.ready {
+		if _, ok := ready[m]; !ok {
+			p.models.remove(m, n)
+		}
+	}
+	n.ready = ready
 }
 
 // Upstreams returns all upstreams by id.
 func (p *Pool) Upstreams() []Upstream {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := make([]Upstream, 0, len(p.ups))
-	for _, u := range p.ups {
-		out = append(out, *u)
+	out := make([]Upstream, 0, len(p.nodes))
+	for _, n := range p.nodes {
+		out = append(out, n.snapshot())
 	}
-	slices.SortFunc(out, func(a, b Upstream) int { return compareIDs(a.ID(), b.ID()) })
+	slices.SortFunc(out, func(a, b Upstream) int { return strings.Compare(string(a.ID()), string(b.ID())) })
 	return out
 }
 
-func compareIDs(a, b fleet.UpstreamID) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
-
-// Lease is a request in flight at an upstream. It must be released.
-type Lease struct {
-	Upstream Upstream
-	pool     *Pool
-	once     sync.Once
-}
-
-// NewLease returns a lease of a VM that no pool counts.
-func NewLease(vm fleet.VM) *Lease {
-	return &Lease{Upstream: Upstream{VM: vm}}
-}
-
-// Release ends the request in flight.
-func (l *Lease) Release() {
-	l.once.Do(func() {
-		if l.pool == nil {
-			return
-		}
-		l.pool.mu.Lock()
-		defer l.pool.mu.Unlock()
-		if u, ok := l.pool.ups[l.Upstream.ID()]; ok {
-			u.InFlight--
-		}
-	})
-}
-
-// Engine picks a model engine on which model is ready, other than those in
+// Engine picks an engine on which the model is ready, other than those to
 // avoid.
-func (p *Pool) Engine(model fleet.ModelID, avoid []fleet.UpstreamID) (*Lease, error) {
-	l := p.pick(func(u *Upstream) bool {
-		return u.VM.Role == fleet.RoleModelEngine && u.holds(model) && !slices.Contains(avoid, u.ID())
-	})
-	if l == nil {
-		return nil, fault.New(fault.NoUpstream, "no engine with model %q answers", model)
+func (p *Pool) Engine(w Want) (*Lease, error) {
+	if l := p.choose(p.models.get(w.Model), w); l != nil {
+		return l, nil
 	}
-	return l, nil
+	return nil, fault.New(fault.NoUpstream, "no engine with model %q answers", w.Model)
 }
 
-// Service picks an upstream of the named plain service.
+// Service picks an upstream of the named plain service, other than those in
+// avoid.
 func (p *Pool) Service(name string, avoid []fleet.UpstreamID) (*Lease, error) {
-	l := p.pick(func(u *Upstream) bool {
-		return u.VM.Role == fleet.RoleService && u.VM.Service == name && !slices.Contains(avoid, u.ID())
-	})
-	if l == nil {
-		return nil, fault.New(fault.NoUpstream, "no upstream of service %q is listed", name)
+	if l := p.choose(p.services.get(name), Want{Avoid: avoid}); l != nil {
+		return l, nil
 	}
-	return l, nil
+	return nil, fault.New(fault.NoUpstream, "no upstream of service %q answers", name)
 }
 
-// pick returns the least loaded usable upstream, one in the own data centre if
-// there is any.
-func (p *Pool) pick(fits func(*Upstream) bool) *Lease {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var best *Upstream
-	for _, u := range p.ups {
-		if u.VM.State == fleet.VMLeaving || u.Report.Leaving || !fits(u) {
+// choose returns the candidate with the lowest cost. Equal costs are decided at
+// random, for VMs that decided alike would all load the same upstream until
+// the next report.
+func (p *Pool) choose(candidates []*node, w Want) *Lease {
+	var best *node
+	var lowest cost
+	ties := 0
+	now := time.Now()
+	for _, n := range candidates {
+		if slices.Contains(w.Avoid, n.id) {
+			continue
+		}
+		c, ok := n.cost(now, p.dc, w)
+		if !ok {
 			continue
 		}
-		if best == nil || p.better(u, best) {
-			best = u
+		switch order := c.compare(lowest); {
+		case best == nil || order < 0:
+			best, lowest, ties = n, c, 1
+		case order == 0:
+			ties++
+			if rand.IntN(ties) == 0 {
+				best = n
+			}
 		}
 	}
 	if best == nil {
 		return nil
 	}
-	best.InFlight++
-	return &Lease{Upstream: *best, pool: p}
-}
-
-func (p *Pool) better(a, b *Upstream) bool {
-	if near := a.VM.DataCentre == p.dc; near != (b.VM.DataCentre == p.dc) {
-		return near
-	}
-	if a.load() != b.load() {
-		return a.load() < b.load()
-	}
-	return a.VM.ID < b.VM.ID
-}
-
-// load estimates the requests at the upstream. The report may include our own
-// requests, so the larger number counts.
-func (u *Upstream) load() int {
-	return max(u.InFlight, u.Report.Running+u.Report.Waiting)
-}
-
-func (u *Upstream) holds(model fleet.ModelID) bool {
-	if time.Since(u.ReportedAt) > SilentAfter {
-		return false
-	}
-	return slices.ContainsFunc(u.Report.Resident, func(m platform.ResidentModel) bool {
-		return m.Model == model && m.Ready
-	})
+	return best.lease(w)
 }
