--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -51,6 +51,7 @@
 	contact  *membership.Contact
 	spread   *keyring.Spread
 	pool     *upstream.Pool
+	booker   *booking.Booker
 	entry    *entry.Server
 
 	callers   *http.Server
@@ -75,7 +76,9 @@
 	d.members = membership.New(cfg.VM, platform.NewVMList(cfg.Platform.VMList, rt), d, d.beat, d.rec, d.contact.Heard)
 	d.spread = keyring.NewSpread(cfg.VM, d.keyring, keyPeers{d}, keyLog{follower: d.follower, loaded: d.stateLoaded}, d.rec)
 	engines := platform.NewEngines(rt)
-	d.pool = upstream.NewPool(cfg.DataCentre, d.members, engines)
+	// Reports come over connections of their own, so that a lost connection of
+	// a draft does not hide that its engine is alive.
+	d.pool = upstream.NewPool(cfg.DataCentre, d.members, platform.NewEngines(platform.NewTransport()))
 	d.newEntry(state, engines)
 	d.newOperators(state)
 	if err := d.peers.Register("Peer", &peerService{daemon: d}); err != nil {
@@ -88,15 +91,15 @@
 }
 
 func (d *Daemon) newEntry(state *ledger.State, engines *platform.Engines) {
-	// Requests that may not be repeated never use a connection twice.
-	once := platform.NewTransport()
-	once.DisableKeepAlives = true
+	d.booker = booking.New(d.cfg.VM, d.pool, booking.NewClient(), d.follower, state.Bookings, d.rec)
 	d.entry = entry.New(entry.Config{
 		DataCentre: d.cfg.DataCentre,
 		State:      state,
 		Keyring:    d.keyring,
 		Drafter:    draft.New(d.pool, engines, d.rec),
-		Booker:     booking.New(d.cfg.VM, d.pool, once, d.follower, state.Bookings, d.rec),
+		Booker:     d.booker,
+		Limiter:    unlimited{},
+		Queue:      unlimited{},
 		Recorder:   d.rec,
 		Ready:      d.ready,
 		Leaving:    d.leaving.Load,
@@ -236,6 +239,7 @@
 }
 
 func (d *Daemon) close() {
+	d.booker.Close()
 	d.pool.Close()
 	d.spread.Close()
 	d.members.Close()
--- a/ledger/kinds.go
+++ b/ledger/kinds.go
@@ -49,6 +49,7 @@
 		KindBookingOutcome: body(applyBookingOutcome),
 
 		KindSnapshotChunk: body(applySnapshotChunk),
+		KindBookingExpire:  body(applyBookingExpire),
 	}
 }
 
--- a/settings/registry.go
+++ b/settings/registry.go
@@ -23,6 +23,7 @@
 	CutOffKeys          Name = "cut_off_keys"
 	Fencing             Name = "fencing"
 	SnapshotInterval    Name = "snapshot_interval"
+	BookingMemory       Name = "booking_memory"
 )
 
 // The values of CutOffKeys.
@@ -93,6 +94,11 @@
 		Levels: []LevelKind{KindFleet},
 		Text:   "Age at which the newest snapshot in the log is replaced. Keep it below a quarter of the time that the platform keeps records.",
 	},
+	{
+		Name: BookingMemory, Type: TypeDuration, Default: raw(`"72h"`), Min: 48 * 3600, Max: 90 * 24 * 3600,
+		Levels: []LevelKind{KindFleet, KindTeam, KindRoute},
+		Text:   "Time for which the idempotency key of a booking is remembered, from its claim on. Afterwards the key is new again and a repeat would run. It is always longer than the longest deadline.",
+	},
 }
 
 func raw(s string) Value {
