Fold placer claims, intents and engine reports

Cause: nothing kept accelerator memory from being overcommitted by two placers or by a late order.

Done: an account per engine in the ordered state. A claim is compare-and-set on the epoch. An intent is compare-and-set on the engine, must carry the current epoch, reserves memory at once, and may not unload the last ready copy of a model. Weights leave the account only when they are to be unloaded and one report both shows the number of that intent as seen and the weights as gone: an older load can then not come back. Memory kept for KV cache is a setting of the data centre.

Change against the first design: the fencing number in orders is the offset of the engine's newest intent, not of the claim. With the claim's offset a repeated load of the same epoch could arrive after the unload of that model, when its room was given away.

Engines that ignore fencing are never ordered to unload: any load ever sent may arrive again, so only an operator's clearance releases memory. An engine that reports a lower number than before is treated so from then on.

The stand-in engine takes time to unload, holds adapters in its account and can carry out loads above capacity and count them.

--- a/ledger/kinds.go
+++ b/ledger/kinds.go
@@ -47,6 +47,11 @@
 
 		KindBookingClaim:   body(applyBookingClaim),
 		KindBookingOutcome: body(applyBookingOutcome),
+
+		KindPlacerClaim:      body(applyPlacerClaim),
+		KindPlacementIntent:  body(applyPlacementIntent),
+		KindPlacementOutcome: body(applyPlacementOutcome),
+		KindPlacementClear:   body(applyPlacementClear),
 	}
 }
 
@@ -77,6 +82,8 @@
 	KindRoute:    func() any { return new(fleet.Route) },
 	KindWithdraw: func() any { return new(Withdrawal) },
 	KindOperator: func() any { return new(Operator) },
+
+	KindPlacementClear: func() any { return new(PlacementClear) },
 }
 
 // CheckBody decodes the body of an operator's record strictly: unknown fields
--- /dev/null
+++ b/ledger/placement.go
@@ -0,0 +1,223 @@
+package ledger
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"toucanfall/fault"
+	"toucanfall/fleet"
+)
+
+// The kinds of records about placement.
+const (
+	KindPlacerClaim      Kind = "placer_claim"
+	KindPlacementIntent  Kind = "placement_intent"
+	KindPlacementOutcome Kind = "placement_outcome"
+	KindPlacementClear   Kind = "placement_clear"
+)
+
+// PlacerClaim makes a VM the placer of a data centre. The record is based on
+// the current epoch; its own offset is the next one.
+type PlacerClaim struct {
+	DataCentre fleet.DataCentre `json:"data_centre"`
+	VM         fleet.VMID       `json:"vm"`
+}
+
+// UnmarshalJSON decodes and checks a claim.
+func (c *PlacerClaim) UnmarshalJSON(b []byte) error {
+	type plain PlacerClaim
+	if err := json.Unmarshal(b, (*plain)(c)); err != nil {
+		return err
+	}
+	if err := fleet.CheckID("data centre", c.DataCentre); err != nil {
+		return err
+	}
+	return fleet.CheckID("vm", c.VM)
+}
+
+// IntentKind is what an intent changes on an engine.
+type IntentKind string
+
+// The kinds of intents. Each applies to a model, or to an adapter if one is
+// named.
+const (
+	IntentLoad   IntentKind = "load"
+	IntentUnload IntentKind = "unload"
+)
+
+// Weights names weights that an engine can hold: a version of a model, or an
+// adapter beside it.
+type Weights struct {
+	Model   fleet.ModelID   `json:"model"`
+	Version string          `json:"version"`
+	Adapter fleet.AdapterID `json:"adapter,omitempty"`
+}
+
+// String returns the weights as operators read them.
+func (w Weights) String() string {
+	if w.Adapter == "" {
+		return fmt.Sprintf("%s@%s", w.Model, w.Version)
+	}
+	return fmt.Sprintf("%s@%s+%s", w.Model, w.Version, w.Adapter)
+}
+
+// PlacementIntent announces an order before it is sent. Its record is based on
+// the revision of the engine, so that of two intents made from one view the
+// second is rejected.
+type PlacementIntent struct {
+	Epoch   fleet.Epoch      `json:"epoch"`
+	Engine  fleet.UpstreamID `json:"engine"`
+	Kind    IntentKind       `json:"kind"`
+	Weights Weights          `json:"weights"`
+	Size    fleet.Bytes      `json:"size_bytes"`
+}
+
+// UnmarshalJSON decodes and checks an intent.
+func (p *PlacementIntent) UnmarshalJSON(b []byte) error {
+	type plain PlacementIntent
+	if err := json.Unmarshal(b, (*plain)(p)); err != nil {
+		return err
+	}
+	switch p.Kind {
+	case IntentLoad:
+		if p.Size <= 0 {
+			return fmt.Errorf("a load needs a size_bytes above 0, not %d", p.Size)
+		}
+	case IntentUnload:
+	default:
+		return fmt.Errorf("unknown kind of intent %q", p.Kind)
+	}
+	if p.Engine == "" || p.Weights.Model == "" || p.Weights.Version == "" {
+		return errors.New("an intent needs engine, model and version")
+	}
+	return nil
+}
+
+// PlacementOutcome tells what an engine reported, or that it is silent or gone.
+// Its record is based on the revision of the engine.
+type PlacementOutcome struct {
+	DataCentre fleet.DataCentre `json:"data_centre"`
+	Epoch      fleet.Epoch      `json:"epoch"`
+	Engine     fleet.UpstreamID `json:"engine"`
+	// Silent engines miss reports; what they hold is not ready, but stays
+	// reserved.
+	Silent bool `json:"silent,omitempty"`
+	// Gone engines have left the platform's list for good.
+	Gone bool `json:"gone,omitempty"`
+	// StartedMS and TakenMS are readings of the engine's own clock: its start
+	// and the time of the report. Reports that are not newer are rejected.
+	StartedMS int64          `json:"started_ms,omitempty"`
+	TakenMS   int64          `json:"taken_ms,omitempty"`
+	Capacity  fleet.Bytes    `json:"capacity_bytes,omitempty"`
+	Fence     fleet.Offset   `json:"fence,omitempty"`
+	Shown     []ShownWeights `json:"shown,omitempty"`
+}
+
+// ShownWeights are weights that an engine reported as in its memory.
+type ShownWeights struct {
+	Weights Weights     `json:"weights"`
+	Size    fleet.Bytes `json:"size_bytes"`
+	Ready   bool        `json:"ready"`
+}
+
+// UnmarshalJSON decodes and checks an outcome.
+func (o *PlacementOutcome) UnmarshalJSON(b []byte) error {
+	type plain PlacementOutcome
+	if err := json.Unmarshal(b, (*plain)(o)); err != nil {
+		return err
+	}
+	if o.Engine == "" || o.DataCentre == "" {
+		return errors.New("an outcome needs engine and data centre")
+	}
+	return nil
+}
+
+// PlacementClear is an operator's word that no order about weights can reach an
+// engine any more. It releases their memory.
+type PlacementClear struct {
+	Engine  fleet.UpstreamID `json:"engine"`
+	Weights Weights          `json:"weights"`
+}
+
+// UnmarshalJSON decodes and checks a clearance.
+func (c *PlacementClear) UnmarshalJSON(b []byte) error {
+	type plain PlacementClear
+	if err := json.Unmarshal(b, (*plain)(c)); err != nil {
+		return err
+	}
+	if c.Engine == "" || c.Weights.Model == "" {
+		return errors.New("a clearance needs engine and model")
+	}
+	return nil
+}
+
+// applyPlacerClaim takes a claim that is based on the current epoch.
+func applyPlacerClaim(s *State, offset fleet.Offset, r Record, b PlacerClaim) Verdict {
+	return s.Placers.put(offset, r, b.DataCentre, b)
+}
+
+// Epoch returns the current epoch of a data centre; 0 if it has no placer.
+func (s *State) Epoch(dc fleet.DataCentre) fleet.Epoch {
+	e, _ := s.Placers.Get(dc)
+	return fleet.Epoch(e.Revision)
+}
+
+func applyPlacementIntent(s *State, offset fleet.Offset, r Record, b PlacementIntent) Verdict {
+	old, ok := s.Engines.Get(b.Engine)
+	if !ok || old.Value.Gone {
+		return reject(offset, fault.NotFound, "engine %q is not known", b.Engine)
+	}
+	if now := s.Epoch(old.Value.DataCentre); b.Epoch != now {
+		return reject(offset, fault.Conflict, "epoch %d is not the current epoch %d", b.Epoch, now)
+	}
+	next := old.Value.clone()
+	next.Number = offset
+	var err error
+	if b.Kind == IntentLoad {
+		err = next.load(s, offset, b)
+	} else {
+		err = next.unload(s, offset, b)
+	}
+	if err != nil {
+		return reject(offset, fault.Conflict, "engine %q: %v", b.Engine, err)
+	}
+	return s.Engines.put(offset, r, b.Engine, next)
+}
+
+func applyPlacementOutcome(s *State, offset fleet.Offset, r Record, b PlacementOutcome) Verdict {
+	if now := s.Epoch(b.DataCentre); b.Epoch != now {
+		return reject(offset, fault.Conflict, "epoch %d is not the current epoch %d", b.Epoch, now)
+	}
+	old, ok := s.Engines.Get(b.Engine)
+	if ok && old.Value.Gone {
+		return reject(offset, fault.Conflict, "engine %q is gone", b.Engine)
+	}
+	next := old.Value.clone()
+	if !ok {
+		next = PlacedEngine{ID: b.Engine, DataCentre: b.DataCentre}
+	}
+	if !b.Silent && !b.Gone && !next.newer(b) {
+		return reject(offset, fault.Conflict, "the report of engine %q is not newer than the last one", b.Engine)
+	}
+	next.observe(s.fenced(next.DataCentre), b)
+	return s.Engines.put(offset, r, b.Engine, next)
+}
+
+func applyPlacementClear(s *State, offset fleet.Offset, r Record, b PlacementClear) Verdict {
+	old, ok := s.Engines.Get(b.Engine)
+	if !ok {
+		return reject(offset, fault.NotFound, "engine %q is not known", b.Engine)
+	}
+	next := old.Value.clone()
+	i := next.index(b.Weights)
+	if i < 0 {
+		return reject(offset, fault.NotFound, "engine %q has no memory reserved for %s", b.Engine, b.Weights)
+	}
+	if next.Held[i].Shown {
+		return reject(offset, fault.Conflict, "engine %q still reports %s; only what it does not report can be cleared", b.Engine, b.Weights)
+	}
+	next.Held = append(next.Held[:i], next.Held[i+1:]...)
+	next.Number = offset
+	return s.Engines.put(offset, r, b.Engine, next)
+}
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -20,6 +20,8 @@
 	Operators *Table[fleet.OperatorID, Operator]
 	Withdrawn *Table[fleet.KeyID, Withdrawal]
 	Bookings  *Table[BookingKey, Booking]
+	Placers   *Table[fleet.DataCentre, PlacerClaim]
+	Engines   *Table[fleet.UpstreamID, PlacedEngine]
 
 	settings *Table[string, settings.Put]
 	// keyByHash finds a key by the hash of its secret, in hexadecimal.
@@ -40,6 +42,8 @@
 		Operators:      newTable[fleet.OperatorID, Operator]("operator"),
 		Withdrawn:      newTable[fleet.KeyID, Withdrawal]("withdrawal"),
 		Bookings:       newTable[BookingKey, Booking]("booking"),
+		Placers:        newTable[fleet.DataCentre, PlacerClaim]("placer"),
+		Engines:        newTable[fleet.UpstreamID, PlacedEngine]("engine"),
 		settings:       newTable[string, settings.Put]("setting"),
 		keyByHash:      shard.New[string, fleet.KeyID](),
 		operatorByHash: shard.New[string, fleet.OperatorID](),
--- a/settings/registry.go
+++ b/settings/registry.go
@@ -22,6 +22,7 @@
 	MaxTokens           Name = "max_tokens"
 	CutOffKeys          Name = "cut_off_keys"
 	Fencing             Name = "fencing"
+	KVRoomPercent       Name = "kv_room_percent"
 )
 
 // Type is the type of a setting's value.
@@ -79,7 +80,12 @@
 	{
 		Name: Fencing, Type: TypeWord, Default: raw(`"ignored"`), Words: []string{"checked", "ignored"},
 		Levels: []LevelKind{KindFleet, KindDataCentre},
-		Text:   "Whether engines refuse an order with an old fencing number. The default takes the worse case.",
+		Text:   "Whether engines refuse an order with an old fencing number. The default takes the worse case. Engines that lose the highest number they have seen in a restart count as ignored.",
+	},
+	{
+		Name: KVRoomPercent, Type: TypeNumber, Default: raw(`20`), Min: 0, Max: 95,
+		Levels: []LevelKind{KindFleet, KindDataCentre},
+		Text:   "Part of an engine's memory that is kept for KV cache and never given to weights.",
 	},
 }
 
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -22,8 +22,13 @@
 	TokenTime time.Duration
 	// LoadTime is the time from an order to load until the model is ready.
 	LoadTime time.Duration
-	// Fenced engines refuse orders with an old epoch.
+	// UnloadTime is the time from an order to unload until the memory is free.
+	UnloadTime time.Duration
+	// Fenced engines refuse orders with an old fencing number.
 	Fenced bool
+	// Unguarded engines carry out loads above their capacity, where a real
+	// engine would run out of memory, and count them as violations.
+	Unguarded bool
 }
 
 // Engine is a stand-in for a model engine. Its answers are a fixed function of
@@ -35,7 +40,7 @@
 
 	mu       sync.Mutex
 	running  int
-	epoch    fleet.Epoch
+	memory   memory
 	resident map[fleet.ModelID]*platform.ResidentModel
 }
 
@@ -156,13 +161,14 @@
 	r := platform.EngineReport{
 		Running:   e.running,
 		Slots:     e.cfg.Slots,
-		Epoch:     e.epoch,
+		Fence:     e.memory.fence,
 		Capacity:  e.cfg.Capacity,
 		Used:      e.used(),
 		StartedMS: e.started.UnixMilli(),
+		TakenMS:   e.memory.take(),
 	}
 	for _, m := range e.resident {
-		r.Resident = append(r.Resident, *m)
+		r.Resident = append(r.Resident, e.memory.report(m))
 	}
 	return r
 }
--- a/standin/orders.go
+++ b/standin/orders.go
@@ -3,13 +3,42 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"toucanfall/fleet"
 	"toucanfall/platform"
 )
 
+// memory is what an engine keeps about orders and the memory that they take.
+type memory struct {
+	// fence is the highest fencing number that was seen.
+	fence fleet.Offset
+	// taken is the time of the last report in milliseconds.
+	taken int64
+	// unloading holds the models whose memory is not free yet.
+	unloading map[*platform.ResidentModel]bool
+	adapters  map[*platform.ResidentModel]map[fleet.AdapterID]fleet.Bytes
+	// violations counts loads that took the memory above its capacity.
+	violations int
+}
+
+// take returns the time of a report, which is later than that of every one
+// before.
+func (m *memory) take() int64 {
+	m.taken = max(m.taken+1, time.Now().UnixMilli())
+	return m.taken
+}
+
+// report returns a copy of a resident model with its adapters.
+func (m *memory) report(r *platform.ResidentModel) platform.ResidentModel {
+	c := *r
+	c.Adapters = slices.Sorted(maps.Keys(m.adapters[r]))
+	return c
+}
+
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
 	var o platform.Order
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
@@ -23,52 +52,118 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// Order carries out an order. Loading a resident model and unloading an absent
-// one have no effect.
+// Order carries out an order. Loading what is resident and unloading what is
+// absent have no effect.
 func (e *Engine) Order(o platform.Order) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.cfg.Fenced && o.Epoch < e.epoch {
-		return fmt.Errorf("epoch %d is older than %d", o.Epoch, e.epoch)
+	if e.cfg.Fenced && o.Fence < e.memory.fence {
+		return fmt.Errorf("fencing number %d is older than %d", o.Fence, e.memory.fence)
 	}
-	e.epoch = max(e.epoch, o.Epoch)
+	e.memory.fence = max(e.memory.fence, o.Fence)
 	switch o.Kind {
 	case platform.OrderLoadModel:
 		return e.load(o)
 	case platform.OrderUnloadModel:
-		delete(e.resident, o.Model)
+		e.unload(o)
 		return nil
 	case platform.OrderLoadAdapter:
 		return e.loadAdapter(o)
+	case platform.OrderUnloadAdapter:
+		delete(e.memory.adapters[e.resident[o.Model]], o.Adapter)
+		return nil
 	default:
 		return fmt.Errorf("order of kind %q is not supported", o.Kind)
 	}
 }
 
-// load reserves memory at once and makes the model ready after the load time.
+// load takes memory at once and makes the model ready after the load time.
 func (e *Engine) load(o platform.Order) error {
-	if m, ok := e.resident[o.Model]; ok && m.Version == o.Version {
+	if m, ok := e.resident[o.Model]; ok {
+		if m.Version != o.Version || e.memory.unloading[m] {
+			return fmt.Errorf("model %q is still there", o.Model)
+		}
 		return nil
 	}
-	if e.used()+o.Size > e.cfg.Capacity {
-		return fmt.Errorf("model %q needs %d bytes, but %d of %d are used", o.Model, o.Size, e.used(), e.cfg.Capacity)
+	if err := e.admit(o); err != nil {
+		return err
 	}
 	m := &platform.ResidentModel{Model: o.Model, Version: o.Version, Size: o.Size}
 	e.resident[o.Model] = m
 	time.AfterFunc(e.cfg.LoadTime, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		m.Ready = true
+		m.Ready = !e.memory.unloading[m]
 	})
 	return nil
 }
 
+// admit refuses a load above the capacity, or counts it if the engine is
+// unguarded.
+func (e *Engine) admit(o platform.Order) error {
+	if e.used()+o.Size <= e.cfg.Capacity {
+		return nil
+	}
+	if !e.cfg.Unguarded {
+		return fmt.Errorf("model %q needs %d bytes, but %d of %d are used", o.Model, o.Size, e.used(), e.cfg.Capacity)
+	}
+	e.memory.violations++
+	return nil
+}
+
+// unload takes a model out of service at once and frees its memory after the
+// unload time.
+func (e *Engine) unload(o platform.Order) {
+	m, ok := e.resident[o.Model]
+	if !ok || o.Version != "" && m.Version != o.Version {
+		return
+	}
+	m.Ready = false
+	free := func() {
+		delete(e.resident, o.Model)
+		delete(e.memory.unloading, m)
+		delete(e.memory.adapters, m)
+	}
+	if e.cfg.UnloadTime == 0 {
+		free()
+		return
+	}
+	if e.memory.unloading[m] {
+		return
+	}
+	if e.memory.unloading == nil {
+		e.memory.unloading = make(map[*platform.ResidentModel]bool)
+	}
+	e.memory.unloading[m] = true
+	time.AfterFunc(e.cfg.UnloadTime, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.resident[o.Model] == m {
+			free()
+		}
+	})
+}
+
 func (e *Engine) loadAdapter(o platform.Order) error {
 	m, ok := e.resident[o.Model]
-	if !ok {
+	if !ok || e.memory.unloading[m] {
 		return fmt.Errorf("base model %q is not resident", o.Model)
 	}
-	m.Adapters = append(m.Adapters, o.Adapter)
+	held := e.memory.adapters[m]
+	if _, ok := held[o.Adapter]; ok {
+		return nil
+	}
+	if err := e.admit(o); err != nil {
+		return err
+	}
+	if held == nil {
+		held = make(map[fleet.AdapterID]fleet.Bytes)
+	}
+	held[o.Adapter] = o.Size
+	if e.memory.adapters == nil {
+		e.memory.adapters = make(map[*platform.ResidentModel]map[fleet.AdapterID]fleet.Bytes)
+	}
+	e.memory.adapters[m] = held
 	return nil
 }
 
@@ -77,6 +172,29 @@
 	var n fleet.Bytes
 	for _, m := range e.resident {
 		n += m.Size
+		for _, size := range e.memory.adapters[m] {
+			n += size
+		}
 	}
 	return n
 }
+
+// Violations counts the loads that took the memory above its capacity.
+func (e *Engine) Violations() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.memory.violations
+}
+
+// Restart empties the engine as a restart of its process does. Engines that
+// check fencing keep the highest number that they have seen.
+func (e *Engine) Restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	clear(e.resident)
+	e.started = time.UnixMilli(max(time.Now().UnixMilli(), e.started.UnixMilli()+1))
+	e.memory = memory{fence: e.memory.fence, taken: e.memory.taken, violations: e.memory.violations}
+	if !e.cfg.Fenced {
+		e.memory.fence = 0
+	}
+}
