--- a/ledger/kinds.go
+++ b/ledger/kinds.go
@@ -48,8 +48,12 @@
 		KindBookingClaim:   body(applyBookingClaim),
 		KindBookingOutcome: body(applyBookingOutcome),
 
-		KindSnapshotChunk: body(applySnapshotChunk),
-		KindBookingExpire:  body(applyBookingExpire),
+		KindSnapshotChunk:    body(applySnapshotChunk),
+		KindBookingExpire:    body(applyBookingExpire),
+		KindPlacerClaim:      body(applyPlacerClaim),
+		KindPlacementIntent:  body(applyPlacementIntent),
+		KindPlacementOutcome: body(applyPlacementOutcome),
+		KindPlacementClear:   body(applyPlacementClear),
 	}
 }
 
@@ -80,6 +84,8 @@
 	KindRoute:    func() any { return new(fleet.Route) },
 	KindWithdraw: func() any { return new(Withdrawal) },
 	KindOperator: func() any { return new(Operator) },
+
+	KindPlacementClear: func() any { return new(PlacementClear) },
 }
 
 // CheckBody decodes the body of an operator's record strictly: unknown fields
