--- a/daemon/log.go
+++ b/daemon/log.go
@@ -10,6 +10,7 @@
 	"toucanfall/event"
 	"toucanfall/fault"
 	"toucanfall/fleet"
+	"toucanfall/keyring"
 	"toucanfall/ledger"
 	"toucanfall/membership"
 	"toucanfall/settings"
@@ -180,7 +181,8 @@
 // heedRestored refuses the withdrawn keys of a snapshot, whose records the
 // observers of the log do not see.
 func (d *Daemon) heedRestored(state *ledger.State) {
-	for _, key := range state.Withdrawn.Keys() {
-		d.keyring.Withdraw(key)
+	for _, e := range state.Withdrawn.Entries() {
+		d.keyring.Withdraw(keyring.Withdrawal{Key: e.Value.Key, By: e.Proposer})
+		d.keyring.Settle(e.Value.Key)
 	}
 }
--- a/ledger/follower.go
+++ b/ledger/follower.go
@@ -44,6 +44,7 @@
 	waiters   map[RecordID]*proposal
 	queued    chan struct{}
 	reachable bool
+	readError error // of the last read
 	ready     bool
 	// incomplete is set once the missing state was reported.
 	incomplete bool
@@ -185,6 +186,7 @@
 	f.mu.Lock()
 	was, first := f.reachable, f.lastRead.IsZero()
 	f.reachable = err == nil
+	f.readError = err
 	if err == nil {
 		f.lastRead = time.Now()
 	}
--- a/ledger/propose.go
+++ b/ledger/propose.go
@@ -56,13 +56,14 @@
 	}
 }
 
-// enqueue refuses the proposal at once while the log cannot be read, because
-// its verdict could not be read back either.
+// enqueue refuses the proposal at once after a failed read of the log, because
+// its verdict could not be read back either. Before the first read ended, it
+// takes the proposal, which is refused if that read fails.
 func (f *Follower) enqueue(p *proposal) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.reachable {
-		return fault.New(fault.StoreUnavailable, "the log cannot be read; the change was not sent")
+	if f.readError != nil {
+		return unavailable(f.readError)
 	}
 	if _, ok := f.waiters[p.id]; ok {
 		return fault.New(fault.Conflict, "record %q is being proposed already", p.id)
--- a/ledger/random_test.go
+++ b/ledger/random_test.go
@@ -70,12 +70,12 @@
 	vm.ring = keyring.New(state, rec)
 	state.OnRestore(func() {
 		for _, id := range state.Withdrawn.Keys() {
-			vm.ring.Withdraw(id)
+			vm.ring.Withdraw(keyring.Withdrawal{Key: id})
 		}
 	})
 	vm.follower = NewFollower(vm.log, state, rec, func(_ Raw, r Record, v Verdict) {
 		if id, ok := WithdrawnKey(r); ok && v.Accepted() {
-			vm.ring.Withdraw(id)
+			vm.ring.Withdraw(keyring.Withdrawal{Key: id})
 		}
 	})
 	return vm
@@ -174,7 +174,7 @@
 	if known := m.truth.Keys.Keys(); len(known) > 0 {
 		id = rapid.SampledFrom(known).Draw(rt, "known")
 	}
-	vm.ring.Withdraw(id)
+	vm.ring.Withdraw(keyring.Withdrawal{Key: id})
 	m.send(vm, fold{m.t, nil}.record(KindWithdraw, 0, Withdrawal{Key: id}), outcome{})
 }
 
@@ -302,8 +302,8 @@
 			vm.heard[e.Value.Key] = true
 		}
 	}
-	for _, id := range vm.ring.Heard() {
-		vm.heard[id] = true
+	for _, w := range vm.ring.Difference(keyring.Buckets{}).Withdrawals {
+		vm.heard[w.Key] = true
 	}
 	for id := range vm.heard {
 		_, err := vm.ring.Authenticate("Bearer " + string(id))
--- a/ledger/tables.go
+++ b/ledger/tables.go
@@ -35,6 +35,8 @@
 		s.settings,
 		s.rejected,
 		s.Bookings,
+		s.Placers,
+		s.Engines,
 	}
 }
 
