--- a/ledger/snapshot_test.go
+++ b/ledger/snapshot_test.go
@@ -56,7 +56,9 @@
 	f.put(KindBookingClaim, 0, BookingClaim{Key: "b1", Request: "r1"})
 	f.put(KindBookingClaim, 0, BookingClaim{Key: "b2", Request: "r2"})
 	f.put(KindBookingOutcome, 0, BookingOutcome{Key: "b2", Request: "r2", Status: BookingDone, Body: []byte("ok")})
-	f.put(KindAdapter, 0, fleet.Adapter{ID: "a2", Model: "m2", Size: 1})
+	f.put(KindPlacerClaim, 0, PlacerClaim{DataCentre: "at-1", VM: "vm-1"})
+	f.state.Engines.put(f.state.Applied()+1, Record{}, "e1", PlacedEngine{ID: "e1", Held: []HeldWeights{{Size: 1, Ready: true}}})
+	f.put(KindAdapter, 0, fleet.Adapter{ID: "a2", Model: "m2", Size: 1}) // rejected
 }
 
 func TestSnapshotRestoresTheWholeState(t *testing.T) {
@@ -65,6 +67,11 @@
 	f.fill()
 	sn, err := f.state.encodeSnapshot()
 	is.NoErr(err)
+	for _, table := range f.state.tables() {
+		rows := 0
+		is.NoErr(table.encode(func(row) error { rows++; return nil }))
+		is.True(rows > 0) // the test fills every table
+	}
 
 	other := fold{t, NewState()}
 	// What the snapshot does not have must go.
