--- /dev/null
+++ b/measure/ledger.go
@@ -0,0 +1,300 @@
+package measure
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"runtime"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"toucanfall/fleet"
+	"toucanfall/ledger"
+	"toucanfall/settings"
+	"toucanfall/timeline"
+)
+
+// Sizes of the fold tables: the fleet of the target.
+const (
+	targetModels   = 1900
+	targetAdapters = 7600
+	targetVMs      = 400
+	targetEngines  = 1400
+	targetTeams    = 200
+	targetRecords  = 100_000
+	// fullReport is the timeline that a daemon keeps.
+	fullReport = 8192
+)
+
+// LedgerFold measures how fast one core folds the log.
+var LedgerFold = Table{
+	Name: "ledger_fold",
+	Goal: "100,000 records a second on one core.",
+	Seed: 1,
+	Run:  measureFold,
+}
+
+// LedgerState measures the ordered state at the size of the target.
+var LedgerState = Table{
+	Name: "ledger_state",
+	Goal: "within 64 MB beside all else, at 1,900 models, 400 VMs and 1,400 engines.",
+	Seed: 1,
+	Run:  measureState,
+}
+
+// recordMaker makes records of a fleet with a fixed seed.
+type recordMaker struct {
+	rng     *rand.Rand
+	records []ledger.Raw
+}
+
+func (m *recordMaker) add(kind ledger.Kind, base fleet.Revision, body any) error {
+	r, err := ledger.NewRecord(kind, "operator", timeline.Stamp{WallMS: int64(len(m.records))}, base, body)
+	if err != nil {
+		return err
+	}
+	data, err := json.Marshal(r)
+	if err != nil {
+		return err
+	}
+	m.records = append(m.records, ledger.Raw{Offset: fleet.Offset(len(m.records) + 1), Data: data})
+	return nil
+}
+
+// fleetRecords makes the whole configuration of the target.
+func fleetRecords(seed uint64) (*recordMaker, error) {
+	m := &recordMaker{rng: rand.New(rand.NewPCG(seed, 0))}
+	for _, part := range []func(*recordMaker) error{addTeams, addModels, addEngines, addVMSettings} {
+		if err := part(m); err != nil {
+			return nil, err
+		}
+	}
+	return m, nil
+}
+
+func addTeams(m *recordMaker) error {
+	for i := range targetTeams {
+		team := fleet.TeamID(fmt.Sprintf("team-%d", i))
+		if err := m.add(ledger.KindTeam, 0, fleet.Team{ID: team, Name: "a team"}); err != nil {
+			return err
+		}
+		for n := range 5 {
+			id := fleet.KeyID(fmt.Sprintf("key-%d-%d", i, n))
+			key := fleet.Key{ID: id, Team: team, Hash: fleet.Secret(id).Hash()}
+			if err := m.add(ledger.KindKey, 0, key); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func addModels(m *recordMaker) error {
+	for i := range targetModels {
+		model := fleet.ModelID(fmt.Sprintf("model-%d", i))
+		if err := m.add(ledger.KindModel, 0, fleet.Model{ID: model, Version: "1", Size: 1 << 30}); err != nil {
+			return err
+		}
+		route := fleet.Route{
+			ID: fleet.RouteID(model), Kind: fleet.RouteDraft, Model: model,
+			Teams: []fleet.TeamID{fleet.TeamID(fmt.Sprintf("team-%d", i%targetTeams))},
+		}
+		if err := m.add(ledger.KindRoute, 0, route); err != nil {
+			return err
+		}
+		for n := range targetAdapters / targetModels {
+			id := fleet.AdapterID(fmt.Sprintf("adapter-%d-%d", i, n))
+			if err := m.add(ledger.KindAdapter, 0, fleet.Adapter{ID: id, Model: model, Size: 1 << 20}); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// addEngines adds an entry for each model that engines hold, of the size that
+// placement has, as a stored booking.
+func addEngines(m *recordMaker) error {
+	for i := range targetEngines {
+		id := fleet.RequestID(fmt.Sprintf("engine-%d", i))
+		key := ledger.NewBookingKey("team-0", "placement", string(id))
+		if err := m.add(ledger.KindBookingClaim, 0, ledger.BookingClaim{Key: key, Request: id}); err != nil {
+			return err
+		}
+		body := make([]byte, 1024)
+		for n := range body {
+			body[n] = byte(m.rng.UintN(256))
+		}
+		o := ledger.BookingOutcome{Key: key, Request: id, Status: ledger.BookingDone, HTTPStatus: 200, Body: body}
+		if err := m.add(ledger.KindBookingOutcome, 0, o); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func settingAt(level settings.Level, value int) settings.Put {
+	path := settings.Path{Level: level, Name: settings.MaxTokens}
+	return settings.Put{Path: path, Value: settings.Value{RawMessage: json.RawMessage(fmt.Sprint(value))}}
+}
+
+// addVMSettings adds ten values a VM, at levels of models.
+func addVMSettings(m *recordMaker) error {
+	for i := range targetVMs * 10 {
+		level := settings.Level(fmt.Sprintf("model/model-%d-%d", i%targetModels, i/targetModels))
+		if err := m.add(ledger.KindSetting, 0, settingAt(level, 1+m.rng.IntN(1000))); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// settingRecords makes n accepted changes of settings after the records of m.
+func settingRecords(m *recordMaker, n int) error {
+	last := make(map[int]fleet.Revision)
+	for range n {
+		model := m.rng.IntN(targetModels)
+		level := settings.Level(fmt.Sprintf("model/extra-%d", model))
+		if err := m.add(ledger.KindSetting, last[model], settingAt(level, 1+m.rng.IntN(1000))); err != nil {
+			return err
+		}
+		last[model] = fleet.Revision(len(m.records))
+	}
+	return nil
+}
+
+// silentLog is a log that is never read: the tables fold records directly.
+type silentLog struct{}
+
+func (silentLog) Append(context.Context, [][]byte) (fleet.Offset, error) {
+	return 0, ledger.ErrNotSent
+}
+
+func (silentLog) Read(ctx context.Context, _ fleet.Offset) ([]ledger.Raw, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func (silentLog) Peek(ctx context.Context, _ fleet.Offset) (ledger.Page, error) {
+	<-ctx.Done()
+	return ledger.Page{}, ctx.Err()
+}
+
+func newFold() *ledger.Follower {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return ledger.NewFollower(silentLog{}, ledger.NewState(), timeline.New("measure", fullReport, logger))
+}
+
+// foldTime folds records as a follower does, on one core.
+func foldTime(records []ledger.Raw) (time.Duration, error) {
+	f := newFold()
+	defer f.Close()
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	begin := time.Now()
+	err := f.Relay(records)
+	return time.Since(begin), err
+}
+
+// decodeTime only decodes the records, which no fold can do without.
+func decodeTime(records []ledger.Raw) (time.Duration, error) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	begin := time.Now()
+	for _, raw := range records {
+		var v any
+		if err := json.Unmarshal(raw.Data, &v); err != nil {
+			return 0, err
+		}
+	}
+	return time.Since(begin), nil
+}
+
+func measureFold(seed uint64) (Result, error) {
+	res := Result{Header: []string{"records", "number", "fold, records/s", "baseline: JSON into any, records/s"}}
+	whole, err := fleetRecords(seed)
+	if err != nil {
+		return res, err
+	}
+	changes := &recordMaker{rng: rand.New(rand.NewPCG(seed, 1))}
+	if err := settingRecords(changes, targetRecords); err != nil {
+		return res, err
+	}
+	for _, set := range []struct {
+		name    string
+		records []ledger.Raw
+	}{{"configuration of the target", whole.records}, {"changes of settings", changes.records}} {
+		fold, err := foldTime(set.records)
+		if err != nil {
+			return res, err
+		}
+		decode, err := decodeTime(set.records)
+		if err != nil {
+			return res, err
+		}
+		res.Rows = append(res.Rows, []string{set.name, fmt.Sprint(len(set.records)), perSecond(len(set.records), fold), perSecond(len(set.records), decode)})
+	}
+	res.Notes = []string{"The fold includes decoding, the check of each body, events and the records that are kept for peers."}
+	return res, nil
+}
+
+func perSecond(n int, d time.Duration) string {
+	return fmt.Sprintf("%.0f", float64(n)/d.Seconds())
+}
+
+// heapInUse returns the bytes that live after a collection.
+func heapInUse() uint64 {
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return s.HeapAlloc
+}
+
+func measureState(seed uint64) (Result, error) {
+	res := Result{Header: []string{"quantity", "value"}}
+	m, err := fleetRecords(seed)
+	if err != nil {
+		return res, err
+	}
+	before := heapInUse()
+	f := newFold()
+	defer f.Close()
+	if err := f.Relay(m.records); err != nil {
+		return res, err
+	}
+	used := heapInUse() - before
+	begin := time.Now()
+	sn, err := f.Snapshot()
+	if err != nil {
+		return res, err
+	}
+	encode := time.Since(begin)
+	late := newFold()
+	defer late.Close()
+	begin = time.Now()
+	if err := late.Load(sn, "measure"); err != nil {
+		return res, err
+	}
+	load := time.Since(begin)
+	begin = time.Now()
+	if late.State.Digest() != f.State.Digest() {
+		return res, fmt.Errorf("the snapshot gives another state")
+	}
+	digest := time.Since(begin) / 2
+	res.Rows = [][]string{
+		{"records folded", fmt.Sprint(len(m.records))},
+		{"memory of the state, the records kept for peers and the time line", fmt.Sprintf("%.1f MB", float64(used)/1e6)},
+		{"snapshot", fmt.Sprintf("%.2f MB", float64(len(sn.Data))/1e6)},
+		{"to make a snapshot (no record is applied meanwhile)", encode.Round(time.Millisecond).String()},
+		{"to load a snapshot", load.Round(time.Millisecond).String()},
+		{"to make a digest", digest.Round(time.Millisecond).String()},
+	}
+	res.Notes = []string{
+		"Engines stand as 1,400 entries with 1 KB of random bytes each; their real entries pack better.",
+		fmt.Sprintf("The time line has %d entries.", fullReport),
+	}
+	runtime.KeepAlive(m)
+	return res, nil
+}
