Bound every peer link and call, and use mutual TLS where it is set

Cause: tls in the settings file was checked but never used; a call without a deadline could wait for ever; a server kept an idle peer for good; a caller that gave up a call dropped the link for all others. Calls end after 5 s at the latest, idle connections after 15 s, stuck writes after 5 s; a call without an answer drops the link, a given up one does not. Proved by TestSilentLinkIsDialledAnew (a TCP black hole that keeps open connections silent), TestCutLinkFailsUntilHealed, TestServerDropsIdlePeer, TestCallWithoutDeadlineEnds, TestGivenUpCallKeepsTheLink, TestMutualTLS, TestClientRefusesServerOfAnotherAuthority. Each seen to fail with its mechanism taken out: no drop on timeout, drop on cancel, no read deadline, no call deadline, no client certificate asked, not verified, server not verified.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -64,9 +64,13 @@
 		cfg:         cfg,
 		rec:         timeline.New(string(cfg.VM), timelineSize, logger),
 		incarnation: fleet.Incarnation(time.Now().UnixMilli()),
-		links:       peer.NewLinks(nil),
 		peers:       peer.NewServer(),
 	}
+	links, err := newLinks(cfg)
+	if err != nil {
+		return nil, err
+	}
+	d.links = links
 	rt := platform.NewTransport()
 	state := ledger.NewState()
 	cutOff := func() bool { return d.contact.CutOff() }
@@ -182,16 +186,16 @@
 func (d *Daemon) listen() (listeners, error) {
 	var ls listeners
 	for _, l := range []struct {
-		into    *net.Listener
-		address string
+		into *net.Listener
+		cfg  settings.Listener
 	}{
-		{&ls.callers, d.cfg.Callers.Address},
-		{&ls.operators, d.cfg.Operators.Address},
-		{&ls.peers, d.cfg.Peers.Address},
+		{&ls.callers, d.cfg.Callers},
+		{&ls.operators, d.cfg.Operators},
+		{&ls.peers, d.cfg.Peers},
 	} {
-		opened, err := net.Listen("tcp", l.address)
+		opened, err := openListener(l.cfg)
 		if err != nil {
-			return ls, fmt.Errorf("open listener: %w", err)
+			return ls, err
 		}
 		*l.into = opened
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -17,8 +17,17 @@
 	"time"
 )
 
-// dialTimeout bounds the time to connect to a peer.
-const dialTimeout = time.Second
+// Bounds of links.
+const (
+	dialTimeout = time.Second
+	// callTimeout bounds a call whose context has no earlier deadline.
+	callTimeout = 5 * time.Second
+	// idleTimeout is how long a server keeps a connection on which nothing
+	// comes in. Heartbeats come every half a second on one that is alive.
+	idleTimeout = 15 * time.Second
+	// writeTimeout bounds a write to a peer that does not read.
+	writeTimeout = 5 * time.Second
+)
 
 // Server offers services to peers.
 type Server struct {
@@ -52,7 +61,7 @@
 		if s.track(conn) {
 			go func() {
 				defer s.untrack(conn)
-				s.rpc.ServeConn(conn)
+				s.rpc.ServeConn(bounded{conn})
 			}()
 		}
 	}
@@ -85,22 +94,62 @@
 	delete(s.conns, conn)
 }
 
+// bounded is a connection on which neither a read nor a write lasts for ever.
+type bounded struct{ net.Conn }
+
+// Read reads within the idle timeout.
+func (c bounded) Read(b []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(b)
+}
+
+// Write writes within the write timeout.
+func (c bounded) Write(b []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
+
+// Dial connects to an address.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
 // Links calls peers by address.
 type Links struct {
-	tls *tls.Config
+	dial Dial
 
 	mu    sync.Mutex
 	links map[string]*rpc.Client
 }
 
-// NewLinks returns links without connections. A nil config means plain TCP.
+// NewLinks returns links over TCP without connections. With a config they use
+// mutual TLS: the peer's certificate must be valid for its IP number.
 func NewLinks(config *tls.Config) *Links {
-	return &Links{tls: config, links: make(map[string]*rpc.Client)}
+	if config != nil {
+		d := &tls.Dialer{Config: config}
+		return NewLinksOver(func(ctx context.Context, address string) (net.Conn, error) {
+			return d.DialContext(ctx, "tcp", address)
+		})
+	}
+	d := &net.Dialer{}
+	return NewLinksOver(func(ctx context.Context, address string) (net.Conn, error) {
+		return d.DialContext(ctx, "tcp", address)
+	})
+}
+
+// NewLinksOver returns links over the connections that dial makes.
+func NewLinksOver(dial Dial) *Links {
+	return &Links{dial: dial, links: make(map[string]*rpc.Client)}
 }
 
 // Call calls a method of the peer at address. An error does not mean that the
-// call had no effect, unless it is an rpc.ServerError.
+// call had no effect, unless it is an rpc.ServerError. A call without an answer
+// drops the connection; one that the caller gave up does not.
 func (l *Links) Call(ctx context.Context, address, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	c, err := l.link(ctx, address)
 	if err != nil {
 		return err
@@ -113,7 +162,7 @@
 		err = fmt.Errorf("%s at %s: %w", method, address, ctx.Err())
 	}
 	var refused rpc.ServerError
-	if err != nil && !errors.As(err, &refused) {
+	if err != nil && !errors.As(err, &refused) && !errors.Is(err, context.Canceled) {
 		l.drop(address, c)
 	}
 	return err
@@ -136,22 +185,13 @@
 	if ok {
 		return c, nil
 	}
-	conn, err := l.dial(ctx, address)
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := l.dial(dialCtx, address)
 	if err != nil {
 		return nil, fmt.Errorf("dial peer %s: %w", address, err)
 	}
-	return l.keep(address, rpc.NewClient(conn)), nil
-}
-
-func (l *Links) dial(ctx context.Context, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	if l.tls == nil {
-		var d net.Dialer
-		return d.DialContext(ctx, "tcp", address)
-	}
-	d := tls.Dialer{Config: l.tls}
-	return d.DialContext(ctx, "tcp", address)
+	return l.keep(address, rpc.NewClient(bounded{conn})), nil
 }
 
 // keep stores a new connection, or closes it if another call was faster.
--- a/settings/process.go
+++ b/settings/process.go
@@ -48,7 +48,9 @@
 type TLS struct {
 	Certificate string `json:"certificate"`
 	Key         string `json:"key"`
-	// Authority signs the certificates of the other side.
+	// Authority signs the certificates of the other side. Operators and peers
+	// should have authorities of their own: whoever holds a certificate of the
+	// peers' authority can speak as a VM.
 	Authority string `json:"authority"`
 }
 
@@ -91,7 +93,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("cannot read the settings file: %w", err)
 	}
-	return DecodeProcess(file, b)
+	p, err := DecodeProcess(file, b)
+	if err != nil {
+		return nil, err
+	}
+	if fe := p.checkFiles(); fe != nil {
+		fe.File = file
+		return nil, fe
+	}
+	return p, nil
 }
 
 // DecodeProcess decodes and checks the content of a settings file.
@@ -152,7 +162,7 @@
 		return &FieldError{Path: path + ".address", Value: l.Address, Reason: "the host must be an IP number"}
 	}
 	if l.TLS != nil {
-		return l.TLS.check(path + ".tls")
+		return l.TLS.check(path+".tls", guarded)
 	}
 	if guarded && !ip.IsLoopback() && !l.Insecure {
 		return &FieldError{Path: path, Value: l.Address, Reason: "a listener outside loopback needs tls, or insecure to be set"}
@@ -160,11 +170,16 @@
 	return nil
 }
 
-func (t *TLS) check(path string) *FieldError {
-	for _, f := range []struct{ name, value string }{
-		{"certificate", t.Certificate}, {"key", t.Key}, {"authority", t.Authority},
+// check reports the first missing file. Callers show keys, so their listener
+// needs no authority.
+func (t *TLS) check(path string, mutual bool) *FieldError {
+	for _, f := range []struct {
+		name, value string
+		needed      bool
+	}{
+		{"certificate", t.Certificate, true}, {"key", t.Key, true}, {"authority", t.Authority, mutual},
 	} {
-		if f.value == "" {
+		if f.needed && f.value == "" {
 			return &FieldError{Path: path + "." + f.name, Reason: "missing"}
 		}
 	}
