Group toucanctl by nouns and tell operators where a change is in force

Cause: commands stood in one flat list; status did not say whether an offset was in force on all listed VMs; nobody could see who had changed what; bad input and an outage had the same exit code. Ruled out: exit code 0 for a withdrawal that is not in the log yet; a script must be able to see that it may have to look again.

--- a/control/client.go
+++ b/control/client.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -28,22 +29,24 @@
 	hc         *http.Client
 }
 
-// NewClient returns a client of the listener at a base URL.
-func NewClient(base string, credential fleet.Secret) *Client {
-	return &Client{base: base, credential: credential, hc: &http.Client{Timeout: clientTimeout}}
+// NewClient returns a client of the listener at a base URL. A nil config means
+// plain HTTP, or HTTPS with the system's authorities.
+func NewClient(base string, credential fleet.Secret, config *tls.Config) *Client {
+	rt := &http.Transport{TLSClientConfig: config}
+	return &Client{base: base, credential: credential, hc: &http.Client{Timeout: clientTimeout, Transport: rt}}
 }
 
 // Command proposes a change. A rejection is an error that holds the verdict.
-func (c *Client) Command(ctx context.Context, kind ledger.Kind, base fleet.Revision, body any) (ledger.Verdict, error) {
+func (c *Client) Command(ctx context.Context, kind ledger.Kind, base fleet.Revision, body any) (operator.Outcome, error) {
 	b, err := json.Marshal(body)
 	if err != nil {
-		return ledger.Verdict{}, fmt.Errorf("cannot encode the command: %w", err)
+		return operator.Outcome{}, fmt.Errorf("cannot encode the command: %w", err)
 	}
 	cmd, err := json.Marshal(operator.Command{Base: base, Body: b})
 	if err != nil {
-		return ledger.Verdict{}, fmt.Errorf("cannot encode the command: %w", err)
+		return operator.Outcome{}, fmt.Errorf("cannot encode the command: %w", err)
 	}
-	var v ledger.Verdict
+	var v operator.Outcome
 	answer, err := c.do(ctx, http.MethodPost, "/v1/commands/"+string(kind), cmd)
 	if err != nil {
 		return v, err
@@ -52,7 +55,7 @@
 		return v, fmt.Errorf("cannot decode the verdict: %w", err)
 	}
 	if !v.Accepted() {
-		return v, &RejectedError{Verdict: v}
+		return v, &RejectedError{Verdict: v.Verdict}
 	}
 	return v, nil
 }
@@ -90,7 +93,7 @@
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := c.hc.Do(req)
 	if err != nil {
-		return nil, fmt.Errorf("cannot reach the VM: %w", err)
+		return nil, fault.New(fault.StoreUnavailable, "cannot reach the VM: %w", err)
 	}
 	defer resp.Body.Close()
 	b, err := io.ReadAll(resp.Body)
--- a/control/commands.go
+++ b/control/commands.go
@@ -3,34 +3,29 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 
+	"toucanfall/fault"
 	"toucanfall/fleet"
+	"toucanfall/keyring"
 	"toucanfall/ledger"
+	"toucanfall/operator"
 	"toucanfall/settings"
 )
 
-// commands lists the commands that change something.
-func commands(s *session) []entry {
-	return []entry{
-		{"secret", "make a random credential and its hash", &secretCommand{session: s}},
-		{"put-team", "make or change a team", &putTeam{session: s}},
-		{"create-key", "make a key of a team and show it once", &createKey{session: s}},
-		{"withdraw-key", "withdraw a key for good", &withdrawKey{session: s}},
-		{"put-model", "make or change a model", &putModel{session: s}},
-		{"put-adapter", "make or change an adapter", &putAdapter{session: s}},
-		{"put-route", "make or change a route", &putRoute{session: s}},
-		{"put-setting", "change a value of the settings tree", &putSetting{session: s}},
-		{"put-operator", "make or change an operator and show a new credential once", &putOperator{session: s}},
-	}
-}
-
 // based is the revision that a change is based on.
 type based struct {
 	Base uint64 `long:"base" value-name:"REVISION" description:"revision that the change is based on; 0 makes a new thing"`
 }
 
-// propose sends a change and prints its verdict.
-func (s *session) propose(kind ledger.Kind, base uint64, body any) error {
+// checked is a value that can tell what is wrong with it.
+type checked interface{ Check() error }
+
+// propose checks a change, sends it and prints its verdict.
+func (s *session) propose(kind ledger.Kind, base uint64, body checked) error {
+	if err := body.Check(); err != nil {
+		return usage(err)
+	}
 	c, err := s.client()
 	if err != nil {
 		return err
@@ -89,6 +84,9 @@
 func (c *createKey) Execute([]string) error {
 	secret := fleet.NewSecret()
 	key := &fleet.Key{ID: fleet.KeyID(c.Args.Key), Team: fleet.TeamID(c.Args.Team), Hash: secret.Hash()}
+	if err := key.Check(); err != nil {
+		return usage(err)
+	}
 	cl, err := c.session.client()
 	if err != nil {
 		return err
@@ -107,10 +105,52 @@
 	} `positional-args:"true" required:"true"`
 }
 
-// Execute proposes the withdrawal. It is in force on reachable VMs even if the
-// log does not answer.
+// Execute withdraws the key and shows where that is in force. An outage of the
+// log does not stop it, but ends in the exit code for unavailable.
 func (c *withdrawKey) Execute([]string) error {
-	return c.session.propose(ledger.KindWithdraw, 0, &ledger.Withdrawal{Key: fleet.KeyID(c.Args.Key)})
+	if err := fleet.CheckID("key", c.Args.Key); err != nil {
+		return usage(err)
+	}
+	cl, err := c.session.client()
+	if err != nil {
+		return err
+	}
+	o, err := cl.Command(background(), ledger.KindWithdraw, 0, &ledger.Withdrawal{Key: fleet.KeyID(c.Args.Key)})
+	if err != nil {
+		return err
+	}
+	if err := c.show(o); err != nil {
+		return err
+	}
+	if o.NotLogged {
+		return fault.New(fault.StoreUnavailable, "the log cannot be reached: key %q is refused on the VMs above, but its withdrawal is not yet in the log; the VMs go on trying to write it and to tell the others", c.Args.Key)
+	}
+	return nil
+}
+
+func (c *withdrawKey) show(o operator.Outcome) error {
+	offset := fmt.Sprint(o.Offset)
+	if o.NotLogged {
+		offset = "not yet in the log"
+	}
+	reach := keyring.Reach{}
+	if o.Reach != nil {
+		reach = *o.Reach
+	}
+	rows := []string{row(c.Args.Key, offset, join(reach.Told), join(reach.Missed))}
+	return c.session.table(o, "KEY\tOFFSET\tREFUSED ON\tNOT REACHED YET", rows)
+}
+
+// join lists ids, or a hyphen if there are none.
+func join(ids []fleet.VMID) string {
+	if len(ids) == 0 {
+		return "-"
+	}
+	texts := make([]string, len(ids))
+	for i, id := range ids {
+		texts[i] = string(id)
+	}
+	return strings.Join(texts, ", ")
 }
 
 type putModel struct {
@@ -177,7 +217,7 @@
 	return c.session.propose(ledger.KindRoute, c.Base, r)
 }
 
-type putSetting struct {
+type setSetting struct {
 	session *session
 	based
 	Args struct {
@@ -186,17 +226,13 @@
 	} `positional-args:"true" required:"true"`
 }
 
-// Execute checks the change here, for a clear error, and proposes it.
-func (c *putSetting) Execute([]string) error {
+// Execute proposes the value.
+func (c *setSetting) Execute([]string) error {
 	path, err := settings.ParsePath(c.Args.Path)
 	if err != nil {
-		return err
+		return usage(err)
 	}
-	put := &settings.Put{Path: path, Value: jsonValue(c.Args.Value)}
-	if err := put.Check(); err != nil {
-		return err
-	}
-	return c.session.propose(ledger.KindSetting, c.Base, put)
+	return c.session.propose(ledger.KindSetting, c.Base, &settings.Put{Path: path, Value: jsonValue(c.Args.Value)})
 }
 
 // jsonValue takes a number as it is and anything else as a string.
@@ -205,7 +241,9 @@
 	if json.Unmarshal([]byte(s), &n) == nil {
 		return settings.Value{RawMessage: json.RawMessage(s)}
 	}
-	return settings.Value{RawMessage: json.RawMessage(fmt.Sprintf("%q", s))}
+	// A string can always be encoded.
+	b, _ := json.Marshal(s)
+	return settings.Value{RawMessage: b}
 }
 
 type putOperator struct {
@@ -222,6 +260,9 @@
 func (c *putOperator) Execute([]string) error {
 	secret := fleet.NewSecret()
 	op := &ledger.Operator{ID: fleet.OperatorID(c.Args.Operator), Hash: secret.Hash(), Access: ledger.Access(c.Access), Disabled: c.Disabled}
+	if err := fleet.CheckID("operator", op.ID); err != nil {
+		return usage(err)
+	}
 	cl, err := c.session.client()
 	if err != nil {
 		return err
--- a/control/main.go
+++ b/control/main.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -15,16 +16,38 @@
 	"toucanfall/fault"
 	"toucanfall/fleet"
 	"toucanfall/internal/cli"
+	"toucanfall/settings"
 )
 
-// ExitConflict tells that another change came first.
-const ExitConflict = 3
+// Exit codes of toucanctl beside those of package cli.
+const (
+	// ExitConflict tells that another change came first.
+	ExitConflict = 3
+	// ExitUnavailable tells that the VM or the log cannot be reached now.
+	ExitUnavailable = 4
+)
+
+// description is shown by --help.
+const description = `Carries out operators' commands and queries at any VM.
+
+Exit codes:
+0  done
+1  refused or failed; the message says why
+2  the arguments or the proposed value are wrong
+3  another change came first; the current value and its revision are shown
+4  the VM or the platform's log cannot be reached; try again. After
+   "key withdraw" the key is refused on the VMs that are listed, and the VMs
+   write the withdrawal to the log when they can.`
 
 // Options are the arguments that all commands share.
 type Options struct {
 	VM             string `long:"vm" env:"TOUCAN_VM" value-name:"URL" default:"http://127.0.0.1:7001" description:"operators' listener of any VM"`
 	CredentialFile string `long:"credential-file" env:"TOUCAN_CREDENTIAL_FILE" value-name:"FILE" description:"file that holds the operator's credential"`
 	JSON           bool   `long:"json" description:"print JSON instead of a table"`
+
+	Certificate string `long:"certificate" env:"TOUCAN_CERTIFICATE" value-name:"FILE" description:"own certificate, for a listener with mutual TLS"`
+	Key         string `long:"key" env:"TOUCAN_KEY" value-name:"FILE" description:"key of the own certificate"`
+	Authority   string `long:"authority" env:"TOUCAN_AUTHORITY" value-name:"FILE" description:"authority that signs the VM's certificate"`
 }
 
 // session is what a command works with.
@@ -35,13 +58,29 @@
 
 func (s *session) client() (*Client, error) {
 	if s.opts.CredentialFile == "" {
-		return nil, errors.New("no credential: set --credential-file or TOUCAN_CREDENTIAL_FILE")
+		return nil, usage(errors.New("no credential: set --credential-file or TOUCAN_CREDENTIAL_FILE"))
 	}
 	b, err := os.ReadFile(s.opts.CredentialFile)
 	if err != nil {
-		return nil, fmt.Errorf("cannot read the credential: %w", err)
+		return nil, usage(fmt.Errorf("cannot read the credential: %w", err))
 	}
-	return NewClient(strings.TrimSuffix(s.opts.VM, "/"), fleet.Secret(strings.TrimSpace(string(b)))), nil
+	config, err := s.tls()
+	if err != nil {
+		return nil, usage(err)
+	}
+	return NewClient(strings.TrimSuffix(s.opts.VM, "/"), fleet.Secret(strings.TrimSpace(string(b))), config), nil
+}
+
+// tls returns the config for a listener with mutual TLS, nil if none is wanted.
+func (s *session) tls() (*tls.Config, error) {
+	files := settings.TLS{Certificate: s.opts.Certificate, Key: s.opts.Key, Authority: s.opts.Authority}
+	if files == (settings.TLS{}) {
+		return nil, nil
+	}
+	if files.Certificate == "" || files.Key == "" || files.Authority == "" {
+		return nil, errors.New("--certificate, --key and --authority belong together")
+	}
+	return files.Load()
 }
 
 // table prints rows for people, or v as JSON.
@@ -76,28 +115,43 @@
 	if _, err := parser.AddGroup("General", "", opts); err != nil {
 		return exit(err, stderr)
 	}
-	for _, c := range append(commands(s), queries(s)...) {
-		if _, err := parser.AddCommand(c.name, c.text, c.text, c.run); err != nil {
-			return exit(err, stderr)
-		}
+	parser.LongDescription = description
+	if err := addCommands(parser, s); err != nil {
+		return exit(err, stderr)
 	}
 	_, err := parser.ParseArgs(args)
 	return exit(err, stderr)
 }
 
+// usage marks an error of the arguments.
+func usage(err error) error {
+	return &flags.Error{Type: flags.ErrMarshal, Message: err.Error()}
+}
+
+// exit reports err and returns the exit code that it leads to.
 func exit(err error, stderr io.Writer) int {
-	code, _ := cli.Exit(err, stderr)
+	code, failed := cli.Exit(err, stderr)
+	if failed || code != cli.ExitFailure {
+		return code
+	}
 	var rejected *RejectedError
-	if errors.As(err, &rejected) && rejected.Verdict.Fault == fault.Conflict {
-		return ExitConflict
+	if errors.As(err, &rejected) {
+		return exitOf(rejected.Verdict.Fault)
 	}
-	return code
+	return exitOf(fault.KindOf(err))
 }
 
-// entry is a command of the command line.
-type entry struct {
-	name, text string
-	run        any
+func exitOf(kind fault.Kind) int {
+	switch kind {
+	case fault.Conflict:
+		return ExitConflict
+	case fault.InvalidRequest:
+		return cli.ExitUsage
+	case fault.StoreUnavailable, fault.NotReady, fault.Stopping, fault.Overloaded:
+		return ExitUnavailable
+	default:
+		return cli.ExitFailure
+	}
 }
 
 // background is the context of a command; the client bounds each call.
--- /dev/null
+++ b/control/nouns.go
@@ -0,0 +1,90 @@
+package control
+
+import (
+	"fmt"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// noun groups the commands about one kind of thing.
+type noun struct {
+	name, text string
+	verbs      []entry
+}
+
+// entry is a command of the command line.
+type entry struct {
+	name, text string
+	run        any
+}
+
+// nouns lists the commands and queries about things.
+func nouns(s *session) []noun {
+	return []noun{
+		{"settings", "the settings tree", []entry{
+			{"show", "show what is set, or the effective values of a scope and where they come from", &showSettings{session: s}},
+			{"set", "change one value", &setSetting{session: s}},
+		}},
+		{"team", "teams", []entry{
+			{"put", "make or change a team", &putTeam{session: s}},
+			{"list", "list teams", &listTeams{session: s}},
+		}},
+		{"key", "callers' keys", []entry{
+			{"create", "make a key of a team and show its secret once", &createKey{session: s}},
+			{"withdraw", "withdraw a key for good", &withdrawKey{session: s}},
+			{"list", "list keys without their secrets", &listKeys{session: s}},
+		}},
+		{"model", "models", []entry{
+			{"put", "make or change a model", &putModel{session: s}},
+			{"list", "list models", &listModels{session: s}},
+		}},
+		{"adapter", "adapters", []entry{
+			{"put", "make or change an adapter", &putAdapter{session: s}},
+			{"list", "list adapters", &listAdapters{session: s}},
+		}},
+		{"route", "routes", []entry{
+			{"put", "make or change a route", &putRoute{session: s}},
+			{"list", "list routes", &listRoutes{session: s}},
+		}},
+		{"operator", "operators", []entry{
+			{"put", "make or change an operator and show a new credential once", &putOperator{session: s}},
+			{"list", "list operators", &listOperators{session: s}},
+		}},
+		{"upstream", "upstreams", []entry{
+			{"list", "list upstreams with load and resident models", &listUpstreams{session: s}},
+		}},
+	}
+}
+
+// plain lists the commands that stand for themselves.
+func plain(s *session) []entry {
+	return []entry{
+		{"status", "show the applied offset of every VM", &status{session: s}},
+		{"history", "show who changed a setting or a thing", &showHistory{session: s}},
+		{"timeline", "show events of all processes in order", &showTimeline{session: s}},
+		{"secret", "make a random credential and its hash", &secretCommand{session: s}},
+	}
+}
+
+// addCommands makes the command line of all commands.
+func addCommands(parser *flags.Parser, s *session) error {
+	for _, n := range nouns(s) {
+		group, err := parser.AddCommand(n.name, n.text, n.text, &struct{}{})
+		if err != nil {
+			return fmt.Errorf("command %s: %w", n.name, err)
+		}
+		if err := addEntries(group, n.verbs); err != nil {
+			return err
+		}
+	}
+	return addEntries(parser.Command, plain(s))
+}
+
+func addEntries(into *flags.Command, entries []entry) error {
+	for _, e := range entries {
+		if _, err := into.AddCommand(e.name, e.text, e.text, e.run); err != nil {
+			return fmt.Errorf("command %s: %w", e.name, err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/control/timeline.go
@@ -0,0 +1,81 @@
+package control
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"sort"
+	"strings"
+
+	"toucanfall/timeline"
+)
+
+type showTimeline struct {
+	session *session
+	Request string   `long:"request" description:"only events of this request"`
+	Team    string   `long:"team" description:"only events of this team"`
+	Name    string   `long:"name" description:"only events of this name"`
+	Newest  int      `long:"newest" default:"200" description:"at most this many events"`
+	Also    []string `long:"also" value-name:"URL" description:"time line of a further process, such as a stand-in; may be repeated"`
+}
+
+// Execute shows the merged time line.
+func (c *showTimeline) Execute([]string) error {
+	f := c.filter()
+	params := url.Values{"name": {f.Name}, "field": {f.Field}, "value": {f.Value}}
+	var list []timeline.Entry
+	if err := c.session.ask("timeline", params, &list); err != nil {
+		return err
+	}
+	lists := [][]timeline.Entry{list}
+	for _, also := range c.Also {
+		more, err := fetchTimeline(also, params)
+		if err != nil {
+			return fmt.Errorf("time line of %s: %w", also, err)
+		}
+		lists = append(lists, more)
+	}
+	f.Newest = c.Newest
+	merged := timeline.Merge(f, lists...)
+	var rows []string
+	for _, e := range merged {
+		rows = append(rows, row(e.At, e.Process, e.Number, e.Name, fieldText(e.Fields)))
+	}
+	return c.session.table(merged, "AT\tPROCESS\tEVENT\tNAME\tFIELDS", rows)
+}
+
+func (c *showTimeline) filter() timeline.Filter {
+	f := timeline.Filter{Name: c.Name}
+	switch {
+	case c.Request != "":
+		f.Field, f.Value = "request", c.Request
+	case c.Team != "":
+		f.Field, f.Value = "team", c.Team
+	}
+	return f
+}
+
+func fetchTimeline(base string, params url.Values) ([]timeline.Entry, error) {
+	hc := &http.Client{Timeout: clientTimeout}
+	resp, err := hc.Get(strings.TrimSuffix(base, "/") + "/timeline?" + params.Encode())
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	var list []timeline.Entry
+	err = json.NewDecoder(resp.Body).Decode(&list)
+	return list, err
+}
+
+func fieldText(f timeline.Fields) string {
+	names := make([]string, 0, len(f))
+	for name := range f {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for i, name := range names {
+		names[i] = name + "=" + f[name]
+	}
+	return strings.Join(names, " ")
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -49,6 +49,7 @@
 	peers    *peer.Server
 	members  *membership.Membership
 	contact  *membership.Contact
+	history  operator.History
 	spread   *keyring.Spread
 	pool     *upstream.Pool
 	entry    *entry.Server
@@ -75,7 +76,7 @@
 	state := ledger.NewState()
 	cutOff := func() bool { return d.contact.CutOff() }
 	d.keyring = keyring.New(state, d.rec, keyring.GuardCutOff(cfg.DataCentre, cutOff, state.Setting))
-	d.follower = ledger.NewFollower(platform.NewLog(cfg.Platform.Log, rt), state, d.rec, d.heedWithdrawal)
+	d.follower = ledger.NewFollower(platform.NewLog(cfg.Platform.Log, rt), state, d.rec, d.heedWithdrawal, d.history.Observe)
 	d.contact = membership.NewContact(d.follower.LastRead, d.rec)
 	d.members = membership.New(cfg.VM, platform.NewVMList(cfg.Platform.VMList, rt), d, d.beat, d.rec, d.contact.Heard)
 	d.spread = keyring.NewSpread(cfg.VM, d.keyring, keyPeers{d}, keyLog{follower: d.follower, loaded: d.stateLoaded}, d.rec)
@@ -119,6 +120,7 @@
 
 		Withdrawals: d.spread,
 		Withdrawn:   d.keyring.Withdrawn,
+		History:     &d.history,
 	}
 	s := operator.New(d.cfg.FirstOperator, state, operator.NewCommands(d.follower, d.spread, d.rec), queries)
 	d.operators = httpx.NewServer(s.Handler())
--- a/operator/queries.go
+++ b/operator/queries.go
@@ -52,6 +52,7 @@
 	Withdrawals Withdrawals
 	// Withdrawn reports whether this VM refuses a key.
 	Withdrawn func(id fleet.KeyID) bool
+	History   *History
 }
 
 // queries is the table of all queries by name.
@@ -67,6 +68,7 @@
 	"settings":  (*Queries).settings,
 	"effective": (*Queries).effective,
 	"timeline":  (*Queries).timeline,
+	"history":   (*Queries).history,
 }
 
 // serve answers GET /v1/queries/NAME.
--- a/script/demo.sh
+++ b/script/demo.sh
@@ -124,14 +124,16 @@
 ctl status
 
 step "make a team, a key, a model, an adapter and two routes"
-ctl put-team quotes --name "Quote letters"
-ctl --json create-key quotes quotes-key-1 | sed -n 's/.*"secret": "\(.*\)".*/\1/p' >"$dir/key"
-ctl put-model quotes-7b --size 14000000000
-ctl put-adapter quotes-tone --model quotes-7b --size 50000000
-ctl put-route textdesk --kind draft --team quotes --model quotes-7b --adapter quotes-tone --priority interactive
-ctl put-route orderdesk --kind service --team quotes --service orderdesk
-ctl put-setting team/quotes:burst_tokens 200000
-ctl settings --effective --team quotes --route textdesk
+ctl team put quotes --name "Quote letters"
+ctl --json key create quotes quotes-key-1 | sed -n 's/.*"secret": "\(.*\)".*/\1/p' >"$dir/key"
+ctl model put quotes-7b --size 14000000000
+ctl adapter put quotes-tone --model quotes-7b --size 50000000
+ctl route put textdesk --kind draft --team quotes --model quotes-7b --adapter quotes-tone --priority interactive
+ctl route put orderdesk --kind service --team quotes --service orderdesk
+ctl settings set team/quotes:burst_tokens 200000
+ctl settings show --effective --team quotes --route textdesk
+ctl settings show --explain burst_tokens --team quotes
+ctl history team/quotes:burst_tokens
 
 draft() { "$bin/toucanload" --vm "$(vm "$1")" --key-file "$dir/key" --route textdesk draft --tokens 8 "${@:2}"; }
 book() { "$bin/toucanload" --vm "$(vm "$1")" --key-file "$dir/key" --route orderdesk service --idempotency-key "$2" /reservations '{"item":"sieve-40"}'; }
@@ -159,7 +161,7 @@
 grep -q "failed 0," "$dir/load.out"
 
 step "withdraw the key: it is refused on every VM that runs"
-ctl withdraw-key quotes-key-1
+ctl key withdraw quotes-key-1
 for i in 0 1 2 4 5; do
 	refused() {
 		code=0
