--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -52,6 +52,7 @@
 	history  operator.History
 	spread   *keyring.Spread
 	pool     *upstream.Pool
+	booker   *booking.Booker
 	entry    *entry.Server
 
 	callers   *http.Server
@@ -81,7 +82,9 @@
 	d.members = membership.New(cfg.VM, platform.NewVMList(cfg.Platform.VMList, rt), d, d.beat, d.rec, d.contact.Heard)
 	d.spread = keyring.NewSpread(cfg.VM, d.keyring, keyPeers{d}, keyLog{follower: d.follower, loaded: d.stateLoaded}, d.rec)
 	engines := platform.NewEngines(rt)
-	d.pool = upstream.NewPool(cfg.DataCentre, d.members, engines)
+	// Reports come over connections of their own, so that a lost connection of
+	// a draft does not hide that its engine is alive.
+	d.pool = upstream.NewPool(cfg.DataCentre, d.members, platform.NewEngines(platform.NewTransport()))
 	d.newEntry(state, engines)
 	d.newOperators(state)
 	if err := d.peers.Register("Peer", &peerService{daemon: d}); err != nil {
@@ -94,15 +97,15 @@
 }
 
 func (d *Daemon) newEntry(state *ledger.State, engines *platform.Engines) {
-	// Requests that may not be repeated never use a connection twice.
-	once := platform.NewTransport()
-	once.DisableKeepAlives = true
+	d.booker = booking.New(d.cfg.VM, d.pool, booking.NewClient(), d.follower, state.Bookings, d.rec)
 	d.entry = entry.New(entry.Config{
 		DataCentre: d.cfg.DataCentre,
 		State:      state,
 		Keyring:    d.keyring,
 		Drafter:    draft.New(d.pool, engines, d.rec),
-		Booker:     booking.New(d.cfg.VM, d.pool, once, d.follower, state.Bookings, d.rec),
+		Booker:     d.booker,
+		Limiter:    unlimited{},
+		Queue:      unlimited{},
 		Recorder:   d.rec,
 		Ready:      d.ready,
 		Leaving:    d.leaving.Load,
@@ -128,14 +131,14 @@
 
 // stateLoaded reports whether the VM has the ordered state.
 func (d *Daemon) stateLoaded() bool {
-	return !d.follower.LastRead().IsZero()
+	return d.follower.Ready()
 }
 
 // ready returns a fault until the VM has the ordered state and the withdrawals
 // that are in force.
 func (d *Daemon) ready() error {
 	if !d.stateLoaded() {
-		return fault.New(fault.NotReady, "the VM has not read the log yet")
+		return fault.New(fault.NotReady, "the VM has not read the state yet")
 	}
 	if !d.keyring.Loaded() {
 		return fault.New(fault.NotReady, "the VM has not asked its peers for withdrawn keys yet")
@@ -243,6 +246,7 @@
 }
 
 func (d *Daemon) close() {
+	d.booker.Close()
 	d.pool.Close()
 	d.spread.Close()
 	d.members.Close()
--- a/settings/registry.go
+++ b/settings/registry.go
@@ -22,6 +22,9 @@
 	MaxTokens           Name = "max_tokens"
 	CutOffKeys          Name = "cut_off_keys"
 	Fencing             Name = "fencing"
+	KVRoomPercent       Name = "kv_room_percent"
+	SnapshotInterval    Name = "snapshot_interval"
+	BookingMemory       Name = "booking_memory"
 )
 
 // The values of CutOffKeys.
@@ -85,7 +88,22 @@
 	{
 		Name: Fencing, Type: TypeWord, Default: raw(`"ignored"`), Words: []string{"checked", "ignored"},
 		Levels: []LevelKind{KindFleet, KindDataCentre},
-		Text:   "Whether engines refuse an order with an old fencing number. The default takes the worse case.",
+		Text:   "Whether engines refuse an order with an old fencing number. The default takes the worse case. Engines that lose the highest number they have seen in a restart count as ignored.",
+	},
+	{
+		Name: KVRoomPercent, Type: TypeNumber, Default: raw(`20`), Min: 0, Max: 95,
+		Levels: []LevelKind{KindFleet, KindDataCentre},
+		Text:   "Part of an engine's memory that is kept for KV cache and never given to weights.",
+	},
+	{
+		Name: SnapshotInterval, Type: TypeDuration, Default: raw(`"1h"`), Min: 1, Max: 30 * 86400,
+		Levels: []LevelKind{KindFleet},
+		Text:   "Age at which the newest snapshot in the log is replaced. Keep it below a quarter of the time that the platform keeps records.",
+	},
+	{
+		Name: BookingMemory, Type: TypeDuration, Default: raw(`"72h"`), Min: 48 * 3600, Max: 90 * 24 * 3600,
+		Levels: []LevelKind{KindFleet, KindTeam, KindRoute},
+		Text:   "Time for which the idempotency key of a booking is remembered, from its claim on. Afterwards the key is new again and a repeat would run. It is always longer than the longest deadline.",
 	},
 }
 
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -22,8 +22,13 @@
 	TokenTime time.Duration
 	// LoadTime is the time from an order to load until the model is ready.
 	LoadTime time.Duration
-	// Fenced engines refuse orders with an old epoch.
+	// UnloadTime is the time from an order to unload until the memory is free.
+	UnloadTime time.Duration
+	// Fenced engines refuse orders with an old fencing number.
 	Fenced bool
+	// Unguarded engines carry out loads above their capacity, where a real
+	// engine would run out of memory, and count them as violations.
+	Unguarded bool
 }
 
 // Engine is a stand-in for a model engine. Its answers are a fixed function of
@@ -35,8 +40,10 @@
 
 	mu       sync.Mutex
 	running  int
-	epoch    fleet.Epoch
+	leaving  bool
+	memory   memory
 	resident map[fleet.ModelID]*platform.ResidentModel
+	prefixes prefixCache
 }
 
 // NewEngine returns an engine with nothing resident.
@@ -56,6 +63,8 @@
 		e.serveGenerate(w, r)
 	case "/v1/report":
 		answer(w, http.StatusOK, e.Report())
+	case "/v1/cache_events":
+		e.serveCacheEvents(w, r)
 	case "/v1/orders":
 		e.serveOrder(w, r)
 	default:
@@ -75,6 +84,7 @@
 		return
 	}
 	defer e.end()
+	e.prefixes.touch(platform.PrefixKeys(g))
 	id := fleet.RequestID(r.Header.Get(platform.HeaderRequestID))
 	e.rec.Record(event.FakeServed, timeline.Fields{"request": string(id), "model": string(g.Model)})
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -132,6 +142,13 @@
 	return n
 }
 
+// Leave makes the engine's reports say that it is leaving.
+func (e *Engine) Leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = true
+}
+
 func (e *Engine) begin(model fleet.ModelID) (version string, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -156,13 +173,15 @@
 	r := platform.EngineReport{
 		Running:   e.running,
 		Slots:     e.cfg.Slots,
-		Epoch:     e.epoch,
+		Fence:     e.memory.fence,
 		Capacity:  e.cfg.Capacity,
 		Used:      e.used(),
 		StartedMS: e.started.UnixMilli(),
+		Leaving:   e.leaving,
+		TakenMS:   e.memory.take(),
 	}
 	for _, m := range e.resident {
-		r.Resident = append(r.Resident, *m)
+		r.Resident = append(r.Resident, e.memory.report(m))
 	}
 	return r
 }
