Follow the changed interfaces of log and entry in the tests of keys

Done: the fakes have them; readiness in the tests is Follower.Ready, as in the daemon. The tests of keyring, entry, membership and control pass with -race.

--- a/entry/team_test.go
+++ b/entry/team_test.go
@@ -53,7 +53,7 @@
 	return booking.Answer{Status: http.StatusOK}, nil
 }
 
-func (u *upstreams) Stored(ledger.BookingClaim) (booking.Answer, error) {
+func (u *upstreams) Lookup(fleet.TeamID, fleet.RouteID, string) (booking.Answer, error) {
 	return booking.Answer{}, nil
 }
 
@@ -198,6 +198,8 @@
 		Keyring:  ring,
 		Drafter:  up,
 		Booker:   up,
+		Limiter:  &limits{},
+		Queue:    &limits{},
 		Recorder: rec,
 		Ready:    func() error { return nil },
 		Leaving:  func() bool { return false },
--- a/keyring/fleet_test.go
+++ b/keyring/fleet_test.go
@@ -124,6 +124,8 @@
 		State:    state,
 		Keyring:  v.ring,
 		Drafter:  endless{},
+		Limiter:  endless{},
+		Queue:    endless{},
 		Recorder: v.rec,
 		Ready:    v.ready,
 		Leaving:  func() bool { return false },
@@ -218,7 +220,7 @@
 
 func (v *vm) Reachable() bool { return v.follower.Reachable() }
 
-func (v *vm) Loaded() bool { return !v.follower.LastRead().IsZero() }
+func (v *vm) Loaded() bool { return v.follower.Ready() }
 
 func (v *vm) Logged() []keyring.Withdrawal {
 	var out []keyring.Withdrawal
@@ -266,9 +268,29 @@
 	return records, err
 }
 
-// endless is an engine that generates until its caller is gone.
+// Peek reads what is there.
+func (v *vm) Peek(ctx context.Context, from fleet.Offset) (ledger.Page, error) {
+	if _, err := v.w.reach(v.name, "log"); err != nil {
+		return ledger.Page{}, err
+	}
+	return v.w.log.Peek(ctx, from)
+}
+
+// endless is an engine that generates until its caller is gone, before which
+// nothing is limited.
 type endless struct{}
 
+// Take admits everything.
+func (e endless) Take(context.Context, fleet.TeamID, fleet.Tokens) (entry.Grant, error) {
+	return e, nil
+}
+
+// Settle ignores what was used.
+func (endless) Settle(fleet.Tokens) {}
+
+// Enter admits at once.
+func (endless) Enter(context.Context, entry.Place) (func(), error) { return func() {}, nil }
+
 func (endless) Run(ctx context.Context, _ draft.Job, sink draft.Sink) (draft.Result, error) {
 	for {
 		if err := sink.Token(platform.Chunk{Text: "x"}); err != nil {
