Let clock stamps travel in headers and bound them

Cause: stamps travelled only in heartbeats and log records; a full counter would have wrapped round; process_ready was in the registry but never recorded. Done: Stamp has a text form, "MILLISECONDS.COUNTER", for JSON and for the header X-Clock; Recorder.Header and Recorder.Observe write and take it, and refuse a stamp more than a minute ahead; a full counter carries over; the daemon records process_ready. RelayFailed (log) is the one event that nothing records yet; it belongs to the relay between VMs, which is not wired. Proved by TestRandomClock (what happened before is stamped before, no stamp is ahead of all wall clocks, under clocks that are wrong and jump), TestObserve, TestFullCounterCarriesOver, TestRandomStampText and FuzzStamp; the first three seen to fail without the counter, the observation, its comparison, the carry and the bound. FuzzStamp was run only on its seeds.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -174,6 +174,7 @@
 		func() error { return d.peers.Serve(listeners.peers) },
 		func(error) { _ = listeners.peers.Close() },
 	)
+	d.addReadyEvent(&g)
 	stop := make(chan struct{})
 	g.Add(
 		func() error { return d.awaitStop(signals, stop) },
--- a/timeline/clock.go
+++ b/timeline/clock.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"math"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -10,8 +13,8 @@
 // since the Unix epoch, then a counter that orders events within one
 // millisecond and across processes whose wall clocks differ.
 type Stamp struct {
-	WallMS  int64  `json:"wall_ms"`
-	Counter uint32 `json:"counter"`
+	WallMS  int64
+	Counter uint32
 }
 
 // Before reports whether s is ordered before other.
@@ -22,6 +25,30 @@
 	return s.Counter < other.Counter
 }
 
+// MarshalText encodes the stamp for JSON and for headers as milliseconds, a
+// full stop and the counter.
+func (s Stamp) MarshalText() ([]byte, error) {
+	return fmt.Appendf(nil, "%d.%d", s.WallMS, s.Counter), nil
+}
+
+// UnmarshalText decodes what MarshalText encodes, and nothing else.
+func (s *Stamp) UnmarshalText(b []byte) error {
+	wall, counter, ok := strings.Cut(string(b), ".")
+	if !ok {
+		return fmt.Errorf("stamp %q must be MILLISECONDS.COUNTER", b)
+	}
+	ms, err := strconv.ParseInt(wall, 10, 64)
+	if err != nil || ms < 0 {
+		return fmt.Errorf("stamp %q: the milliseconds must be a number from 0 on", b)
+	}
+	n, err := strconv.ParseUint(counter, 10, 32)
+	if err != nil {
+		return fmt.Errorf("stamp %q: the counter must be a number from 0 to %d", b, uint32(math.MaxUint32))
+	}
+	*s = Stamp{WallMS: ms, Counter: uint32(n)}
+	return nil
+}
+
 // String formats the stamp as UTC time with milliseconds and the counter.
 func (s Stamp) String() string {
 	return fmt.Sprintf("%s+%d", time.UnixMilli(s.WallMS).UTC().Format("15:04:05.000"), s.Counter)
@@ -55,5 +82,14 @@
 		c.last = Stamp{WallMS: wallMS}
 		return
 	}
-	c.last.Counter++
+	c.last = c.last.next()
+}
+
+// next returns the least stamp above s. A full counter carries over into the
+// milliseconds, which run ahead of the wall clock until it catches up.
+func (s Stamp) next() Stamp {
+	if s.Counter == math.MaxUint32 {
+		return Stamp{WallMS: s.WallMS + 1}
+	}
+	return Stamp{WallMS: s.WallMS, Counter: s.Counter + 1}
 }
--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -3,15 +3,24 @@
 package timeline
 
 import (
+	"fmt"
 	"maps"
 	"sort"
 	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"toucanfall/event"
 )
 
+// HeaderClock carries a stamp on requests and answers between processes.
+const HeaderClock = "X-Clock"
+
+// maxAhead is how far the stamp of a process outside the system may be ahead of
+// the own wall clock. One wrong clock must not put all later events off.
+const maxAhead = time.Minute
+
 // Fields are the values of an event, such as "request" or "team".
 type Fields map[string]string
 
@@ -79,6 +88,31 @@
 	}
 }
 
+// Observe moves the clock past the stamp of a header that came with a message of
+// another process, so that what is recorded next is ordered after what that
+// process recorded before. An empty header is no error: not every hop sends one.
+func (r *Recorder) Observe(header string) error {
+	if header == "" {
+		return nil
+	}
+	var s Stamp
+	if err := s.UnmarshalText([]byte(header)); err != nil {
+		return err
+	}
+	if ahead := time.Until(time.UnixMilli(s.WallMS)); ahead > maxAhead {
+		return fmt.Errorf("stamp %q is %v ahead of the clock of this process", header, ahead.Round(time.Second))
+	}
+	r.Clock.Observe(s)
+	return nil
+}
+
+// Header returns a stamp for a message to another process.
+func (r *Recorder) Header() string {
+	// A stamp can always be encoded.
+	b, _ := r.Clock.Now().MarshalText()
+	return string(b)
+}
+
 func (r *Recorder) log(ev event.Event, e Entry) {
 	lf := make(logrus.Fields, len(e.Fields)+2)
 	for k, v := range e.Fields {
