--- /dev/null
+++ b/measure/vms.go
@@ -0,0 +1,281 @@
+package measure
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"toucanfall/fleet"
+	"toucanfall/keyring"
+	"toucanfall/ledger"
+	"toucanfall/membership"
+	"toucanfall/peer"
+	"toucanfall/standin"
+	"toucanfall/timeline"
+)
+
+// vms are the parts of several VMs that tell each other of changes, with
+// net/rpc over loopback between them and one log in memory.
+type vms struct {
+	log  *standin.Log
+	list []fleet.VM
+	all  []*measuredVM
+	wg   sync.WaitGroup
+}
+
+// measuredVM is one of them.
+type measuredVM struct {
+	vms      *vms
+	id       fleet.VMID
+	listener net.Listener
+	server   *peer.Server
+	links    *peer.Links
+	born     fleet.Incarnation
+	rec      *timeline.Recorder
+	follower *ledger.Follower
+	ring     *keyring.Keyring
+	members  *membership.Membership
+	spread   *keyring.Spread
+
+	// cut stops all that the VM sends and what it reads from the log.
+	cut, logCut atomic.Bool
+	// sent and received count bytes of the calls that the VM makes, and calls
+	// counts the heartbeats among them.
+	sent, received, calls atomic.Int64
+}
+
+// startVMs starts n VMs. They must be closed.
+func startVMs(n int) (*vms, error) {
+	f := &vms{log: standin.NewLog()}
+	for i := range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			f.close()
+			return nil, fmt.Errorf("open a peer listener: %w", err)
+		}
+		id := fleet.VMID(fmt.Sprintf("entry-at-%d-%d", i%3+1, i))
+		f.list = append(f.list, fleet.VM{ID: id, Role: fleet.RoleEntry, DataCentre: "at-1", Address: l.Addr().String(), State: fleet.VMLive})
+		f.all = append(f.all, &measuredVM{vms: f, id: id, listener: l})
+	}
+	for _, v := range f.all {
+		if err := v.start(); err != nil {
+			f.close()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func (f *vms) close() {
+	for _, v := range f.all {
+		_ = v.listener.Close()
+		if v.server == nil {
+			continue
+		}
+		v.spread.Close()
+		v.members.Close()
+		v.follower.Close()
+		v.links.Close()
+		v.server.Close()
+	}
+	f.wg.Wait()
+}
+
+func (v *measuredVM) start() error {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	v.rec = timeline.New(string(v.id), 1024, logger)
+	v.born = fleet.Incarnation(time.Now().UnixMilli())
+	v.links = peer.NewLinksOver(v.dial)
+	state := ledger.NewState()
+	v.ring = keyring.New(state, v.rec)
+	v.follower = ledger.NewFollower(cutLog{v}, state, v.rec, v.heed)
+	v.members = membership.New(v.id, v, v, v.beat, v.rec)
+	v.spread = keyring.NewSpread(v.id, v.ring, v, noLog{}, v.rec)
+	v.server = peer.NewServer()
+	if err := v.server.Register("VM", &vmService{v}); err != nil {
+		return fmt.Errorf("register the service: %w", err)
+	}
+	v.vms.wg.Go(func() {
+		// The listener ends when the measurement does.
+		_ = v.server.Serve(v.listener)
+	})
+	return nil
+}
+
+func (v *measuredVM) heed(_ ledger.Raw, r ledger.Record, verdict ledger.Verdict) {
+	if key, ok := ledger.WithdrawnKey(r); ok && verdict.Accepted() {
+		v.ring.Withdraw(keyring.Withdrawal{Key: key, By: r.Proposer, At: r.At})
+	}
+}
+
+func (v *measuredVM) beat() membership.Beat {
+	return membership.Beat{
+		VM:           v.id,
+		DataCentre:   "at-1",
+		Incarnation:  v.born,
+		Applied:      v.follower.State.Applied(),
+		LogReachable: v.follower.Reachable(),
+		Withdrawals:  v.ring.Digest(),
+		At:           v.rec.Clock.Now(),
+	}
+}
+
+var errCut = errors.New("the VM is cut off")
+
+func (v *measuredVM) call(ctx context.Context, address, method string, args, reply any) error {
+	if v.cut.Load() {
+		return errCut
+	}
+	return v.links.Call(ctx, address, "VM."+method, args, reply)
+}
+
+// VMs is the platform's list.
+func (v *measuredVM) VMs(context.Context) ([]fleet.VM, error) { return v.vms.list, nil }
+
+// Heartbeat calls another VM.
+func (v *measuredVM) Heartbeat(ctx context.Context, address string, b membership.Beat) (membership.Beat, error) {
+	var reply membership.Beat
+	v.calls.Add(1)
+	err := v.call(ctx, address, "Heartbeat", b, &reply)
+	return reply, err
+}
+
+// Peers returns the other VMs.
+func (v *measuredVM) Peers() ([]keyring.Peer, bool) {
+	var out []keyring.Peer
+	for _, m := range v.members.Members() {
+		out = append(out, keyring.Peer{VM: m.VM.ID, Address: m.VM.Address, Digest: m.Beat.Withdrawals, Answering: m.Answering})
+	}
+	return out, v.members.Known()
+}
+
+// Tell calls another VM.
+func (v *measuredVM) Tell(ctx context.Context, address string, ws []keyring.Withdrawal) error {
+	return v.call(ctx, address, "Tell", ws, new(bool))
+}
+
+// Compare calls another VM.
+func (v *measuredVM) Compare(ctx context.Context, address string, b keyring.Buckets) (keyring.Difference, error) {
+	var d keyring.Difference
+	err := v.call(ctx, address, "Compare", b, &d)
+	return d, err
+}
+
+// dial connects and counts what goes over the connection.
+func (v *measuredVM) dial(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: conn, vm: v}, nil
+}
+
+// countedConn counts bytes.
+type countedConn struct {
+	net.Conn
+	vm *measuredVM
+}
+
+// Read counts what was received.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.vm.received.Add(int64(n))
+	return n, err
+}
+
+// Write counts what was sent.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.vm.sent.Add(int64(n))
+	return n, err
+}
+
+// vmService is what a VM offers the others.
+type vmService struct{ vm *measuredVM }
+
+// Heartbeat takes a heartbeat and answers with the own one.
+func (s *vmService) Heartbeat(b membership.Beat, reply *membership.Beat) error {
+	if s.vm.cut.Load() {
+		return errCut
+	}
+	*reply = s.vm.members.Receive(b)
+	return nil
+}
+
+// Tell takes withdrawals.
+func (s *vmService) Tell(ws []keyring.Withdrawal, _ *bool) error {
+	if s.vm.cut.Load() {
+		return errCut
+	}
+	s.vm.spread.Hear(ws)
+	return nil
+}
+
+// Compare answers with the withdrawals that differ.
+func (s *vmService) Compare(b keyring.Buckets, reply *keyring.Difference) error {
+	if s.vm.cut.Load() {
+		return errCut
+	}
+	*reply = s.vm.ring.Difference(b)
+	return nil
+}
+
+// noLog is the log of withdrawals in an outage that does not end.
+type noLog struct{}
+
+// Reachable reports that the log does not answer.
+func (noLog) Reachable() bool { return false }
+
+// Loaded reports that the state was loaded before the outage.
+func (noLog) Loaded() bool { return true }
+
+// Logged returns nothing.
+func (noLog) Logged() []keyring.Withdrawal { return nil }
+
+// Has reports false.
+func (noLog) Has(fleet.KeyID) bool { return false }
+
+// Append fails.
+func (noLog) Append(context.Context, keyring.Withdrawal) error { return errCut }
+
+// cutLog is the log as the follower of one VM reaches it.
+type cutLog struct{ *measuredVM }
+
+// readWait is how long a read waits for a record, as that of the platform does.
+const readWait = 2 * time.Second
+
+// Append adds records.
+func (l cutLog) Append(ctx context.Context, records [][]byte) (fleet.Offset, error) {
+	if l.logCut.Load() {
+		return 0, fmt.Errorf("%w: %w", ledger.ErrNotSent, errCut)
+	}
+	return l.vms.log.Append(ctx, records)
+}
+
+// Read waits for records.
+func (l cutLog) Read(ctx context.Context, from fleet.Offset) ([]ledger.Raw, error) {
+	ctx, cancel := context.WithTimeout(ctx, readWait)
+	defer cancel()
+	records, err := l.vms.log.Read(ctx, from)
+	if l.logCut.Load() {
+		return nil, errCut
+	}
+	return records, err
+}
+
+// Peek returns the records that are there.
+func (l cutLog) Peek(ctx context.Context, from fleet.Offset) (ledger.Page, error) {
+	if l.logCut.Load() {
+		return ledger.Page{}, errCut
+	}
+	return l.vms.log.Peek(ctx, from)
+}
