--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -51,6 +51,7 @@
 	peers     *peer.Server
 	members   *membership.Membership
 	contact   *membership.Contact
+	history   operator.History
 	spread    *keyring.Spread
 	pool      *upstream.Pool
 	booker    *booking.Booker
@@ -67,12 +68,17 @@
 		cfg:         cfg,
 		rec:         timeline.New(string(cfg.VM), timelineSize, logger),
 		incarnation: fleet.Incarnation(time.Now().UnixMilli()),
-		links:       peer.NewLinks(nil),
 		peers:       peer.NewServer(),
 	}
+	links, err := newLinks(cfg)
+	if err != nil {
+		return nil, err
+	}
+	d.links = links
 	rt := platform.NewTransport()
 	state := ledger.NewState()
-	d.keyring = keyring.New(state, d.rec, d.guardCutOff)
+	cutOff := func() bool { return d.contact.CutOff() }
+	d.keyring = keyring.New(state, d.rec, keyring.GuardCutOff(cfg.DataCentre, cutOff, state.Setting))
 	d.newLog(platform.NewLog(cfg.Platform.Log, rt), state)
 	d.contact = membership.NewContact(d.follower.LastRead, d.rec)
 	d.members = membership.New(cfg.VM, platform.NewVMList(cfg.Platform.VMList, rt), d, d.beat, d.rec, d.contact.Heard)
@@ -122,6 +128,7 @@
 
 		Withdrawals: d.spread,
 		Withdrawn:   d.keyring.Withdrawn,
+		History:     &d.history,
 	}
 	s := operator.New(d.cfg.FirstOperator, state, operator.NewCommands(d.follower, d.spread, d.rec), queries)
 	d.operators = httpx.NewServer(s.Handler())
@@ -172,6 +179,7 @@
 		func() error { return d.peers.Serve(listeners.peers) },
 		func(error) { _ = listeners.peers.Close() },
 	)
+	d.addReadyEvent(&g)
 	stop := make(chan struct{})
 	g.Add(
 		func() error { return d.awaitStop(signals, stop) },
@@ -189,16 +197,16 @@
 func (d *Daemon) listen() (listeners, error) {
 	var ls listeners
 	for _, l := range []struct {
-		into    *net.Listener
-		address string
+		into *net.Listener
+		cfg  settings.Listener
 	}{
-		{&ls.callers, d.cfg.Callers.Address},
-		{&ls.operators, d.cfg.Operators.Address},
-		{&ls.peers, d.cfg.Peers.Address},
+		{&ls.callers, d.cfg.Callers},
+		{&ls.operators, d.cfg.Operators},
+		{&ls.peers, d.cfg.Peers},
 	} {
-		opened, err := net.Listen("tcp", l.address)
+		opened, err := openListener(l.cfg)
 		if err != nil {
-			return ls, fmt.Errorf("open listener: %w", err)
+			return ls, err
 		}
 		*l.into = opened
 	}
--- a/daemon/log.go
+++ b/daemon/log.go
@@ -162,7 +162,7 @@
 // what the log does not give.
 func (d *Daemon) newLog(log ledger.Log, state *ledger.State) {
 	state.OnRestore(func() { d.heedRestored(state) })
-	d.follower = ledger.NewFollower(log, state, d.rec, d.heedWithdrawal)
+	d.follower = ledger.NewFollower(log, state, d.rec, d.heedWithdrawal, d.history.Observe)
 	interval := func() time.Duration {
 		return settings.Duration(state.Setting, settings.Scope{}, settings.SnapshotInterval)
 	}
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -31,6 +31,8 @@
 var Registry = []Table{
 	LedgerFold,
 	LedgerState,
+	Heartbeats,
+	InForce,
 }
 
 // Print runs the tables that names selects, all if it is empty, and writes
