--- a/upstream/cache.go
+++ b/upstream/cache.go
@@ -1,35 +1,27 @@
 package upstream
 
-import (
-	"sync"
-
-	"toucanfall/platform"
-)
+import "toucanfall/platform"
 
 // maxCacheKeys bounds what is remembered of one engine's prefix cache.
 const maxCacheKeys = 4096
 
 // cache is what is known of an engine's prefix cache: what its events say,
 // which come late and with gaps, and what own requests are about to put there.
-// It only guides choices, so that it may be wrong.
+// It only guides choices, so that it may be wrong. The lock of its node guards
+// it.
 type cache struct {
-	mu   sync.Mutex
 	keys map[platform.PrefixKey]struct{}
 	want uint64
 }
 
 // next returns the number of the next event.
 func (c *cache) next() uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	return c.want
 }
 
 // apply takes the events that were asked for from a number on. After a gap, or
 // a restart of the engine, all that was known may be wrong and is dropped.
 func (c *cache) apply(from uint64, e platform.CacheEvents) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if e.First != from {
 		c.keys = nil
 	}
@@ -59,8 +51,6 @@
 
 // expect adds the keys of a request that is about to be sent.
 func (c *cache) expect(keys []platform.PrefixKey) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	for _, k := range keys {
 		c.put(k)
 	}
@@ -71,8 +61,6 @@
 	if len(keys) == 0 {
 		return 0
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	for i := len(keys); i > 0; i-- {
 		if _, ok := c.keys[keys[i-1]]; ok {
 			return float64(i) / float64(len(keys))
--- a/upstream/node.go
+++ b/upstream/node.go
@@ -14,7 +14,6 @@
 type node struct {
 	id     fleet.UpstreamID
 	cancel context.CancelFunc
-	cache  cache
 
 	mu         sync.Mutex
 	vm         fleet.VM
@@ -28,6 +27,7 @@
 	// own requests that were in flight then.
 	others int
 	health health
+	cache  cache
 }
 
 func newNode(vm fleet.VM, cancel context.CancelFunc) *node {
@@ -49,6 +49,13 @@
 	return n.vm, n.inFlight, n.cache.next()
 }
 
+// learn takes events of the prefix cache.
+func (n *node) learn(from uint64, c platform.CacheEvents) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cache.apply(from, c)
+}
+
 func (n *node) snapshot() Upstream {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -141,9 +148,9 @@
 
 // lease counts a request in flight.
 func (n *node) lease(w Want) *Lease {
-	n.cache.expect(w.Prefix)
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.cache.expect(w.Prefix)
 	n.inFlight++
 	return &Lease{
 		Upstream: Upstream{VM: n.vm, Report: n.report, ReportedAt: n.reportedAt, InFlight: n.inFlight},
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -193,7 +193,7 @@
 	}
 	p.take(n, r, own)
 	if c, err := p.reporter.CacheEvents(ctx, vm.Address, from); err == nil {
-		n.cache.apply(from, c)
+		n.learn(from, c)
 	}
 }
 
