--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -3,13 +3,11 @@
 package daemon
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/oklog/run"
@@ -187,44 +185,26 @@
 	return ls, nil
 }
 
+// addHTTP adds a server to the group. Serve returns as soon as a shutdown
+// begins, while requests are still open; the actor stays until the group ends,
+// since its return would end all others.
 func (d *Daemon) addHTTP(g *run.Group, s *http.Server, l net.Listener) {
+	ended := make(chan struct{})
 	g.Add(
 		func() error {
 			if err := s.Serve(l); err != http.ErrServerClosed {
 				return err
 			}
+			<-ended
 			return nil
 		},
-		func(error) { _ = s.Close() },
+		func(error) {
+			close(ended)
+			_ = s.Close()
+		},
 	)
 }
 
-// awaitStop waits for a signal and then lets open requests end. New requests
-// are served until the balancer has had time to notice. A second signal ends
-// the process at once.
-func (d *Daemon) awaitStop(signals <-chan os.Signal, stop <-chan struct{}) error {
-	select {
-	case <-signals:
-	case <-stop:
-		return nil
-	}
-	d.leaving.Store(true)
-	d.rec.Record(event.StopRequested, nil)
-	drained := make(chan error, 1)
-	go func() {
-		time.Sleep(time.Duration(d.cfg.StopAfter))
-		drained <- d.callers.Shutdown(context.Background())
-	}()
-	select {
-	case err := <-drained:
-		d.rec.Record(event.ProcessStopped, timeline.Fields{"cut": "0"})
-		return err
-	case <-signals:
-		d.rec.Record(event.StopForced, timeline.Fields{"cut": fmt.Sprint(d.entry.InFlight())})
-		return nil
-	}
-}
-
 func (d *Daemon) close() {
 	d.booker.Close()
 	d.pool.Close()
@@ -233,6 +213,3 @@
 	d.peers.Close()
 	d.links.Close()
 }
-
-// Signals are the signals that ask for a planned stop.
-var Signals = []os.Signal{syscall.SIGTERM, syscall.SIGINT}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -109,6 +109,11 @@
 		s.inFlight.Add(1)
 		defer s.inFlight.Add(-1)
 		requestsTotal.Add(1)
+		if s.Leaving() {
+			// The caller takes a new connection for its next request, by way of
+			// the balancer, before this VM closes its connections.
+			c.Response().Header().Set(echo.HeaderConnection, "close")
+		}
 		c.Response().Header().Set(httpx.HeaderRequestID, uuid.NewString())
 		c.Request().Body = http.MaxBytesReader(c.Response(), c.Request().Body, maxBody)
 		err := next(c)
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -107,7 +107,9 @@
 	}{
 		{"list says leaving", func(p *plant) { p.vms[0].State = fleet.VMLeaving }, 2 * time.Second},
 		{"list drops it", func(p *plant) { p.vms = p.vms[1:] }, 2 * time.Second},
-		{"report says leaving", func(p *plant) { p.reports["e1"] = platform.EngineReport{Leaving: true, Resident: p.reports["e1"].Resident} }, 2 * time.Second},
+		{"report says leaving", func(p *plant) {
+			p.reports["e1"] = platform.EngineReport{Leaving: true, Resident: p.reports["e1"].Resident}
+		}, 2 * time.Second},
 		{"model is gone", func(p *plant) { p.reports["e1"] = platform.EngineReport{} }, 2 * time.Second},
 		{"silent", func(p *plant) { p.silent["e1"] = true }, SilentAfter + ReportInterval},
 	} {
