--- a/daemon/process_test.go
+++ b/daemon/process_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"io/fs"
 	"net"
 	"net/http"
 	"os"
@@ -21,9 +22,6 @@
 	"github.com/matryer/is"
 
 	"toucanfall/caller"
-	// The binaries are built from this package, so that a change of it must
-	// not leave a cached result.
-	_ "toucanfall/daemon"
 	"toucanfall/fault"
 	"toucanfall/fleet"
 	"toucanfall/ledger"
@@ -58,6 +56,18 @@
 	return m.Run()
 }
 
+// noteSources lists the directories of the module. The go command sees that
+// these tests depend on them and takes no cached result after a change, though
+// the binaries under test are built here.
+func noteSources() error {
+	return filepath.WalkDir("..", func(_ string, d fs.DirEntry, err error) error {
+		if err == nil && d.IsDir() && (d.Name() == ".git" || d.Name() == "bin") {
+			return filepath.SkipDir
+		}
+		return err
+	})
+}
+
 const secret = fleet.Secret("sk-quotes-0123456789")
 
 // process is a started command.
@@ -150,6 +160,7 @@
 // newPlant starts stand-ins and VMs. The stop of a VM goes on serving for
 // stopAfter.
 func newPlant(t *testing.T, stopAfter string) *plant {
+	is.New(t).NoErr(noteSources())
 	p := &plant{stopFor: stopAfter}
 	log, list := freeAddress(t), freeAddress(t)
 	var vms []fleet.VM
@@ -330,28 +341,33 @@
 			is := is.New(t)
 			p := newPlant(t, "100ms")
 			for i := range p.engines {
-				// Either engine may have the stream; lose both in turn.
-				const n = 60
-				tokens := 0
-				d, err := p.caller(0).Draft(t.Context(), "textdesk", "ten fine sieves", n, func(string) {
-					tokens++
-					if tokens == 20 {
-						tt.lose(t, p, i)
-					}
-				})
+				// The stream may be on either engine; lose both in turn.
+				d, err := draftAndLose(t, p, func() { tt.lose(t, p, i) })
 				is.NoErr(err)
-				is.Equal(d.Text, whole("ten fine sieves", n))
-				if tt.name == "frozen" {
-					p.engines[i].signal(t, syscall.SIGCONT)
-				}
+				is.Equal(d.Text, whole("ten fine sieves", streamTokens))
 				if tt.name == "killed" {
 					break
 				}
+				p.engines[i].signal(t, syscall.SIGCONT)
 			}
 		})
 	}
 }
 
+// streamTokens is the length of a stream that loses its engine.
+const streamTokens = 60
+
+// draftAndLose streams a draft and calls lose in the middle of it.
+func draftAndLose(t *testing.T, p *plant, lose func()) (caller.Draft, error) {
+	n := 0
+	return p.caller(0).Draft(t.Context(), "textdesk", "ten fine sieves", streamTokens, func(string) {
+		n++
+		if n == streamTokens/3 {
+			lose()
+		}
+	})
+}
+
 // TestVMKilledInBooking kills a VM while the service works on its booking. A
 // repeat on the other VM never runs it again and says so.
 func TestVMKilledInBooking(t *testing.T) {
