--- a/ledger/booking.go
+++ b/ledger/booking.go
@@ -102,7 +102,7 @@
 type Booking struct {
 	Claim   BookingClaim   `json:"claim"`
 	Status  BookingStatus  `json:"status"`
-	Outcome BookingOutcome `json:"outcome"`
+	Outcome BookingOutcome `json:"outcome,omitzero"`
 }
 
 // BookingExpire drops the bookings that have expired.
