--- a/event/event.go
+++ b/event/event.go
@@ -25,6 +25,7 @@
 	LogUnreachable, LogReachable, RecordSkipped, RecordApplied, RecordRejected,
 	PeerJoined, PeerSilent, PeerLeaving, ListUnreachable,
 	RequestReceived, RequestRefused, AttemptStarted, AttemptFailed, RequestAnswered, CallerCut,
+	PlacerClaimed, PlacerReplaced, PlacementIntended, PlacementRejected, OrderFailed, PlacementBroken,
 	KeyHeardWithdrawn, OperatorCommand,
 	FakeStarted, FakeServed,
 }
@@ -65,6 +66,16 @@
 	CallerCut       = Event{406, "caller_cut", logrus.InfoLevel, "A connected caller was cut off; the field reason says why."}
 )
 
+// Events of placement.
+var (
+	PlacerClaimed     = Event{601, "placer_claimed", logrus.InfoLevel, "This VM is the placer of its data centre; the field epoch is its number."}
+	PlacerReplaced    = Event{602, "placer_replaced", logrus.InfoLevel, "Another VM has become the placer of this data centre."}
+	PlacementIntended = Event{603, "placement_intended", logrus.InfoLevel, "A change of what an engine holds was accepted and will be ordered; the field reason says why."}
+	PlacementRejected = Event{604, "placement_rejected", logrus.InfoLevel, "A wanted change was rejected, because another came first or a promise would break; it is planned anew."}
+	OrderFailed       = Event{605, "engine_order_failed", logrus.WarnLevel, "An engine refused an order or did not answer. The order is sent again; its memory stays reserved."}
+	PlacementBroken   = Event{606, "placement_rule_broken", logrus.ErrorLevel, "The account of an engine's memory breaks a rule. This is a fault of the program; report it."}
+)
+
 // Events of operators.
 var (
 	KeyHeardWithdrawn = Event{701, "key_heard_withdrawn", logrus.InfoLevel, "This VM refuses the key from now on."}
--- a/ledger/engine.go
+++ b/ledger/engine.go
@@ -46,6 +46,9 @@
 	Load fleet.Offset `json:"load"`
 	// Unload is the offset of the intent to unload; 0 if there is none.
 	Unload fleet.Offset `json:"unload,omitempty"`
+	// Revived is the offset of the intent that took an unloading back. Until the
+	// engine has seen it, a late order can still unload the weights.
+	Revived fleet.Offset `json:"revived,omitempty"`
 	// Shown and Ready are taken from the last report.
 	Shown bool `json:"shown,omitempty"`
 	Ready bool `json:"ready,omitempty"`
@@ -74,7 +77,7 @@
 // Serves reports whether held weights are ready and no late order can unload
 // them.
 func (e *PlacedEngine) Serves(h HeldWeights) bool {
-	return !e.Silent && !e.Gone && h.Ready && h.Unload == 0 && e.Fence >= h.Load
+	return !e.Silent && !e.Gone && h.Ready && h.Unload == 0 && e.Fence >= h.Revived
 }
 
 // fenced reports whether engines of a data centre refuse old numbers.
@@ -105,7 +108,7 @@
 			return fmt.Errorf("%s is placed already", b.Weights)
 		}
 		e.Held[i].Unload = 0
-		e.Held[i].Load = offset
+		e.Held[i].Load, e.Held[i].Revived = offset, offset
 		return nil
 	}
 	room := s.Room(*e)
--- a/ledger/placement.go
+++ b/ledger/placement.go
@@ -200,10 +200,21 @@
 	if !b.Silent && !b.Gone && !next.newer(b) {
 		return reject(offset, fault.Conflict, "the report of engine %q is not newer than the last one", b.Engine)
 	}
+	s.fillSizes(b.Shown)
 	next.observe(s.fenced(next.DataCentre), b)
 	return s.Engines.put(offset, r, b.Engine, next)
 }
 
+// fillSizes gives adapters, whose sizes engines do not report, the size that
+// operators gave them.
+func (s *State) fillSizes(shown []ShownWeights) {
+	for i, w := range shown {
+		if a, ok := s.Adapters.Get(w.Weights.Adapter); ok && w.Size == 0 {
+			shown[i].Size = a.Value.Size
+		}
+	}
+}
+
 func applyPlacementClear(s *State, offset fleet.Offset, r Record, b PlacementClear) Verdict {
 	old, ok := s.Engines.Get(b.Engine)
 	if !ok {
--- a/settings/registry.go
+++ b/settings/registry.go
@@ -16,13 +16,14 @@
 
 // The settings of the tree.
 const (
-	RateTokensPerSecond Name = "rate_tokens_per_second"
-	BurstTokens         Name = "burst_tokens"
-	Deadline            Name = "deadline"
-	MaxTokens           Name = "max_tokens"
-	CutOffKeys          Name = "cut_off_keys"
-	Fencing             Name = "fencing"
-	KVRoomPercent       Name = "kv_room_percent"
+	RateTokensPerSecond   Name = "rate_tokens_per_second"
+	BurstTokens           Name = "burst_tokens"
+	Deadline              Name = "deadline"
+	MaxTokens             Name = "max_tokens"
+	CutOffKeys            Name = "cut_off_keys"
+	Fencing               Name = "fencing"
+	KVRoomPercent         Name = "kv_room_percent"
+	EngineTokensPerSecond Name = "engine_tokens_per_second"
 )
 
 // Type is the type of a setting's value.
@@ -87,6 +88,11 @@
 		Levels: []LevelKind{KindFleet, KindDataCentre},
 		Text:   "Part of an engine's memory that is kept for KV cache and never given to weights.",
 	},
+	{
+		Name: EngineTokensPerSecond, Type: TypeNumber, Default: raw(`2000`), Min: 1, Max: 1e9,
+		Levels: []LevelKind{KindFleet, KindDataCentre},
+		Text:   "Tokens a second that one engine generates at full load. Models of engines that come near it gain copies elsewhere.",
+	},
 }
 
 func raw(s string) Value {
