--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -48,7 +48,10 @@
 	links    *peer.Links
 	peers    *peer.Server
 	members  *membership.Membership
+	contact  *membership.Contact
+	spread   *keyring.Spread
 	pool     *upstream.Pool
+	booker   *booking.Booker
 	entry    *entry.Server
 
 	callers   *http.Server
@@ -67,29 +70,36 @@
 	}
 	rt := platform.NewTransport()
 	state := ledger.NewState()
-	d.keyring = keyring.New(state, d.rec)
+	d.keyring = keyring.New(state, d.rec, d.guardCutOff)
 	d.follower = ledger.NewFollower(platform.NewLog(cfg.Platform.Log, rt), state, d.rec, d.heedWithdrawal)
-	d.members = membership.New(cfg.VM, platform.NewVMList(cfg.Platform.VMList, rt), d, d.beat, d.rec)
+	d.contact = membership.NewContact(d.follower.LastRead, d.rec)
+	d.members = membership.New(cfg.VM, platform.NewVMList(cfg.Platform.VMList, rt), d, d.beat, d.rec, d.contact.Heard)
+	d.spread = keyring.NewSpread(cfg.VM, d.keyring, keyPeers{d}, keyLog{follower: d.follower, loaded: d.stateLoaded}, d.rec)
 	engines := platform.NewEngines(rt)
-	d.pool = upstream.NewPool(cfg.DataCentre, d.members, engines)
+	// Reports come over connections of their own, so that a lost connection of
+	// a draft does not hide that its engine is alive.
+	d.pool = upstream.NewPool(cfg.DataCentre, d.members, platform.NewEngines(platform.NewTransport()))
 	d.newEntry(state, engines)
 	d.newOperators(state)
 	if err := d.peers.Register("Peer", &peerService{daemon: d}); err != nil {
 		return nil, fmt.Errorf("register the peer service: %w", err)
 	}
+	if err := d.peers.Register("Keys", &keyService{daemon: d}); err != nil {
+		return nil, fmt.Errorf("register the key service: %w", err)
+	}
 	return d, nil
 }
 
 func (d *Daemon) newEntry(state *ledger.State, engines *platform.Engines) {
-	// Requests that may not be repeated never use a connection twice.
-	once := platform.NewTransport()
-	once.DisableKeepAlives = true
+	d.booker = booking.New(d.cfg.VM, d.pool, booking.NewClient(), d.follower, state.Bookings, d.rec)
 	d.entry = entry.New(entry.Config{
 		DataCentre: d.cfg.DataCentre,
 		State:      state,
 		Keyring:    d.keyring,
 		Drafter:    draft.New(d.pool, engines, d.rec),
-		Booker:     booking.New(d.cfg.VM, d.pool, once, d.follower, state.Bookings, d.rec),
+		Booker:     d.booker,
+		Limiter:    unlimited{},
+		Queue:      unlimited{},
 		Recorder:   d.rec,
 		Ready:      d.ready,
 		Leaving:    d.leaving.Load,
@@ -104,15 +114,27 @@
 		Members:   d.members,
 		Upstreams: d.pool,
 		Timelines: d,
+
+		Withdrawals: d.spread,
+		Withdrawn:   d.keyring.Withdrawn,
 	}
-	s := operator.New(d.cfg.FirstOperator, state, operator.NewCommands(d.follower, d, d.rec), queries)
+	s := operator.New(d.cfg.FirstOperator, state, operator.NewCommands(d.follower, d.spread, d.rec), queries)
 	d.operators = httpx.NewServer(s.Handler())
 }
 
-// ready returns a fault until the log was read once.
+// stateLoaded reports whether the VM has the ordered state.
+func (d *Daemon) stateLoaded() bool {
+	return d.follower.Ready()
+}
+
+// ready returns a fault until the VM has the ordered state and the withdrawals
+// that are in force.
 func (d *Daemon) ready() error {
-	if d.follower.LastRead().IsZero() {
-		return fault.New(fault.NotReady, "the VM has not read the log yet")
+	if !d.stateLoaded() {
+		return fault.New(fault.NotReady, "the VM has not read the state yet")
+	}
+	if !d.keyring.Loaded() {
+		return fault.New(fault.NotReady, "the VM has not asked its peers for withdrawn keys yet")
 	}
 	return nil
 }
@@ -124,19 +146,13 @@
 		Incarnation:  d.incarnation,
 		Applied:      d.follower.State.Applied(),
 		LogReachable: d.follower.Reachable(),
+		CutOff:       d.contact.CutOff(),
 		Leaving:      d.leaving.Load(),
+		Withdrawals:  d.keyring.Digest(),
 		At:           d.rec.Clock.Now(),
 	}
 }
 
-// heedWithdrawal observes the log for withdrawals that no operator or peer
-// told this VM.
-func (d *Daemon) heedWithdrawal(_ ledger.Raw, r ledger.Record, v ledger.Verdict) {
-	if key, ok := ledger.WithdrawnKey(r); ok && v.Accepted() {
-		d.keyring.Withdraw(key)
-	}
-}
-
 // Run serves until a signal or an error, and stops in order.
 func (d *Daemon) Run(signals <-chan os.Signal) error {
 	listeners, err := d.listen()
@@ -223,7 +239,9 @@
 }
 
 func (d *Daemon) close() {
+	d.booker.Close()
 	d.pool.Close()
+	d.spread.Close()
 	d.members.Close()
 	d.follower.Close()
 	d.peers.Close()
--- a/ledger/kinds.go
+++ b/ledger/kinds.go
@@ -48,6 +48,8 @@
 		KindBookingClaim:   body(applyBookingClaim),
 		KindBookingOutcome: body(applyBookingOutcome),
 
+		KindSnapshotChunk:    body(applySnapshotChunk),
+		KindBookingExpire:    body(applyBookingExpire),
 		KindPlacerClaim:      body(applyPlacerClaim),
 		KindPlacementIntent:  body(applyPlacementIntent),
 		KindPlacementOutcome: body(applyPlacementOutcome),
--- a/settings/registry.go
+++ b/settings/registry.go
@@ -24,6 +24,14 @@
 	Fencing               Name = "fencing"
 	KVRoomPercent         Name = "kv_room_percent"
 	EngineTokensPerSecond Name = "engine_tokens_per_second"
+	SnapshotInterval      Name = "snapshot_interval"
+	BookingMemory         Name = "booking_memory"
+)
+
+// The values of CutOffKeys.
+const (
+	CutOffServe  = "serve"
+	CutOffRefuse = "refuse"
 )
 
 // Type is the type of a setting's value.
@@ -74,7 +82,7 @@
 		Text:   "Tokens that one answer may have if the caller sets no lower limit.",
 	},
 	{
-		Name: CutOffKeys, Type: TypeWord, Default: raw(`"serve"`), Words: []string{"serve", "refuse"},
+		Name: CutOffKeys, Type: TypeWord, Default: raw(`"serve"`), Words: []string{CutOffServe, CutOffRefuse},
 		Levels: []LevelKind{KindFleet, KindDataCentre, KindTeam},
 		Text:   "What a VM does with known keys while it reaches neither the log nor a VM that does: serve, because a data centre that is cut off goes on serving what it can, or refuse, where a withdrawal that cannot arrive weighs more.",
 	},
@@ -93,6 +101,16 @@
 		Levels: []LevelKind{KindFleet, KindDataCentre},
 		Text:   "Tokens a second that one engine generates at full load. Models of engines that come near it gain copies elsewhere.",
 	},
+	{
+		Name: SnapshotInterval, Type: TypeDuration, Default: raw(`"1h"`), Min: 1, Max: 30 * 86400,
+		Levels: []LevelKind{KindFleet},
+		Text:   "Age at which the newest snapshot in the log is replaced. Keep it below a quarter of the time that the platform keeps records.",
+	},
+	{
+		Name: BookingMemory, Type: TypeDuration, Default: raw(`"72h"`), Min: 48 * 3600, Max: 90 * 24 * 3600,
+		Levels: []LevelKind{KindFleet, KindTeam, KindRoute},
+		Text:   "Time for which the idempotency key of a booking is remembered, from its claim on. Afterwards the key is new again and a repeat would run. It is always longer than the longest deadline.",
+	},
 }
 
 func raw(s string) Value {
