Let the daemon take its sockets from outside

Cause: a run of several whole daemons under a paused clock needs connections in memory; the daemon opened sockets of the operating system by itself. Done: daemon.Sockets with a TCP implementation; transports, peer links and listeners go through it. TLS for peers wraps any dial function.

--- a/booking/send.go
+++ b/booking/send.go
@@ -78,12 +78,13 @@
 	hc *http.Client
 }
 
-// NewClient returns a client that opens a connection for each request: net/http
-// repeats a request by itself if a reused connection turns out dead. It follows
-// no redirects, each of which would be another attempt.
-func NewClient() *Client {
+// NewClient returns a client over rt, which it makes open a connection for each
+// request: net/http repeats a request by itself if a reused connection turns
+// out dead. It follows no redirects, each of which would be another attempt.
+func NewClient(rt *http.Transport) *Client {
+	rt.DisableKeepAlives = true
 	return &Client{hc: &http.Client{
-		Transport:     platform.NewSingleUseTransport(),
+		Transport:     rt,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -40,6 +40,8 @@
 	rec         *timeline.Recorder
 	incarnation fleet.Incarnation
 	leaving     atomic.Bool
+	sockets     Sockets
+	transports  []*http.Transport
 
 	follower  *ledger.Follower
 	snapshots *ledger.SnapshotWriter
@@ -61,19 +63,20 @@
 
 // New makes the parts of a VM and starts to follow the log, the VM list and
 // the upstreams. Run opens the listeners.
-func New(cfg *settings.Process, logger *logrus.Logger) (*Daemon, error) {
+func New(cfg *settings.Process, sockets Sockets, logger *logrus.Logger) (*Daemon, error) {
 	d := &Daemon{
 		cfg:         cfg,
 		rec:         timeline.New(string(cfg.VM), timelineSize, logger),
 		incarnation: fleet.Incarnation(time.Now().UnixMilli()),
 		peers:       peer.NewServer(),
+		sockets:     sockets,
 	}
-	links, err := newLinks(cfg)
+	links, err := d.newLinks()
 	if err != nil {
 		return nil, err
 	}
 	d.links = links
-	rt := platform.NewTransport()
+	rt := d.newTransport()
 	state := ledger.NewState()
 	cutOff := func() bool { return d.contact.CutOff() }
 	d.keyring = keyring.New(state, d.rec, keyring.GuardCutOff(cfg.DataCentre, cutOff, state.Setting))
@@ -84,7 +87,7 @@
 	engines := platform.NewEngines(rt)
 	// Reports come over connections of their own, so that a lost connection of
 	// a draft does not hide that its engine is alive.
-	d.pool = upstream.NewPool(cfg.DataCentre, d.members, platform.NewEngines(platform.NewTransport()))
+	d.pool = upstream.NewPool(cfg.DataCentre, d.members, platform.NewEngines(d.newTransport()))
 	d.newEntry(state, engines)
 	d.newOperators(state)
 	if err := d.peers.Register("Peer", &peerService{daemon: d}); err != nil {
@@ -100,7 +103,7 @@
 }
 
 func (d *Daemon) newEntry(state *ledger.State, engines *platform.Engines) {
-	d.booker = booking.New(d.cfg.VM, d.pool, booking.NewClient(), d.follower, state.Bookings, d.rec)
+	d.booker = booking.New(d.cfg.VM, d.pool, booking.NewClient(d.newTransport()), d.follower, state.Bookings, d.rec)
 	d.entry = entry.New(entry.Config{
 		DataCentre: d.cfg.DataCentre,
 		State:      state,
@@ -202,7 +205,7 @@
 		{&ls.operators, d.cfg.Operators},
 		{&ls.peers, d.cfg.Peers},
 	} {
-		opened, err := openListener(l.cfg)
+		opened, err := d.openListener(l.cfg)
 		if err != nil {
 			return ls, err
 		}
@@ -241,4 +244,7 @@
 	d.follower.Close()
 	d.peers.Close()
 	d.links.Close()
+	for _, t := range d.transports {
+		t.CloseIdleConnections()
+	}
 }
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -37,7 +37,7 @@
 
 func serve(cfg *settings.Process, stderr io.Writer) int {
 	logger := newLogger(cfg, stderr)
-	d, err := New(cfg, logger)
+	d, err := New(cfg, NewTCP(), logger)
 	if err != nil {
 		logger.WithError(err).Error("cannot start")
 		return cli.ExitFailure
--- /dev/null
+++ b/daemon/sockets.go
@@ -0,0 +1,85 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"net/http"
+
+	"toucanfall/peer"
+	"toucanfall/platform"
+	"toucanfall/settings"
+)
+
+// Sockets opens listeners and connections. Tests run whole daemons over
+// connections in memory.
+type Sockets interface {
+	Listen(address string) (net.Listener, error)
+	Dial(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// TCP opens sockets of the operating system.
+type TCP struct {
+	dialer net.Dialer
+}
+
+// NewTCP returns sockets whose connections notice a peer that takes no packets
+// any more.
+func NewTCP() *TCP {
+	return &TCP{dialer: platform.NewDialer()}
+}
+
+// Listen opens a listener.
+func (t *TCP) Listen(address string) (net.Listener, error) {
+	return net.Listen("tcp", address)
+}
+
+// Dial opens a connection.
+func (t *TCP) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	return t.dialer.DialContext(ctx, network, address)
+}
+
+// newTransport returns a transport over the daemon's sockets.
+func (d *Daemon) newTransport() *http.Transport {
+	t := platform.NewTransport()
+	t.DialContext = d.sockets.Dial
+	d.transports = append(d.transports, t)
+	return t
+}
+
+// newLinks returns links to the peers, over mutual TLS if the settings have
+// certificates for it.
+func (d *Daemon) newLinks() (*peer.Links, error) {
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
+		return d.sockets.Dial(ctx, "tcp", address)
+	}
+	if d.cfg.Peers.TLS == nil {
+		return peer.NewLinksOver(dial), nil
+	}
+	config, err := d.cfg.Peers.TLS.Load()
+	if err != nil {
+		return nil, fmt.Errorf("links to peers: %w", err)
+	}
+	return peer.NewLinksOver(peer.DialTLS(dial, config)), nil
+}
+
+// openListener opens a listener, over TLS if the settings have certificates for
+// it. The certificates are checked before the port is opened.
+func (d *Daemon) openListener(cfg settings.Listener) (net.Listener, error) {
+	var config *tls.Config
+	if cfg.TLS != nil {
+		var err error
+		if config, err = cfg.TLS.Load(); err != nil {
+			return nil, fmt.Errorf("open listener %s: %w", cfg.Address, err)
+		}
+	}
+	l, err := d.sockets.Listen(cfg.Address)
+	if err != nil {
+		return nil, fmt.Errorf("open listener: %w", err)
+	}
+	if config == nil {
+		return l, nil
+	}
+	return tls.NewListener(l, config), nil
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -125,18 +125,42 @@
 }
 
 // NewLinks returns links over TCP without connections. With a config they use
-// mutual TLS: the peer's certificate must be valid for its IP number.
+// mutual TLS.
 func NewLinks(config *tls.Config) *Links {
-	if config != nil {
-		d := &tls.Dialer{Config: config}
-		return NewLinksOver(func(ctx context.Context, address string) (net.Conn, error) {
-			return d.DialContext(ctx, "tcp", address)
-		})
-	}
 	d := &net.Dialer{}
-	return NewLinksOver(func(ctx context.Context, address string) (net.Conn, error) {
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
 		return d.DialContext(ctx, "tcp", address)
-	})
+	}
+	if config == nil {
+		return NewLinksOver(dial)
+	}
+	return NewLinksOver(DialTLS(dial, config))
+}
+
+// DialTLS returns a dial function that makes the connections of dial secure.
+// The peer must prove that it is the host that was dialled.
+func DialTLS(dial Dial, config *tls.Config) Dial {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		raw, err := dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			_ = raw.Close()
+			return nil, err
+		}
+		own := config.Clone()
+		if own.ServerName == "" {
+			own.ServerName = host
+		}
+		conn := tls.Client(raw, own)
+		if err := conn.HandshakeContext(ctx); err != nil {
+			_ = raw.Close()
+			return nil, err
+		}
+		return conn, nil
+	}
 }
 
 // NewLinksOver returns links over the connections that dial makes.
