--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -3,13 +3,11 @@
 package daemon
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/oklog/run"
@@ -42,14 +40,22 @@
 	rec         *timeline.Recorder
 	incarnation fleet.Incarnation
 	leaving     atomic.Bool
-
-	follower *ledger.Follower
-	keyring  *keyring.Keyring
-	links    *peer.Links
-	peers    *peer.Server
-	members  *membership.Membership
-	pool     *upstream.Pool
-	entry    *entry.Server
+	sockets     Sockets
+	transports  []*http.Transport
+
+	follower  *ledger.Follower
+	snapshots *ledger.SnapshotWriter
+	relay     *relay
+	keyring   *keyring.Keyring
+	links     *peer.Links
+	peers     *peer.Server
+	members   *membership.Membership
+	contact   *membership.Contact
+	history   operator.History
+	spread    *keyring.Spread
+	pool      *upstream.Pool
+	booker    *booking.Booker
+	entry     *entry.Server
 
 	callers   *http.Server
 	operators *http.Server
@@ -57,39 +63,55 @@
 
 // New makes the parts of a VM and starts to follow the log, the VM list and
 // the upstreams. Run opens the listeners.
-func New(cfg *settings.Process, logger *logrus.Logger) (*Daemon, error) {
+func New(cfg *settings.Process, sockets Sockets, logger *logrus.Logger) (*Daemon, error) {
 	d := &Daemon{
 		cfg:         cfg,
 		rec:         timeline.New(string(cfg.VM), timelineSize, logger),
 		incarnation: fleet.Incarnation(time.Now().UnixMilli()),
-		links:       peer.NewLinks(nil),
 		peers:       peer.NewServer(),
+		sockets:     sockets,
+	}
+	links, err := d.newLinks()
+	if err != nil {
+		return nil, err
 	}
-	rt := platform.NewTransport()
+	d.links = links
+	rt := d.newTransport()
 	state := ledger.NewState()
-	d.keyring = keyring.New(state, d.rec)
-	d.follower = ledger.NewFollower(platform.NewLog(cfg.Platform.Log, rt), state, d.rec, d.heedWithdrawal)
-	d.members = membership.New(cfg.VM, platform.NewVMList(cfg.Platform.VMList, rt), d, d.beat, d.rec)
+	cutOff := func() bool { return d.contact.CutOff() }
+	d.keyring = keyring.New(state, d.rec, keyring.GuardCutOff(cfg.DataCentre, cutOff, state.Setting))
+	d.newLog(platform.NewLog(cfg.Platform.Log, rt), state)
+	d.contact = membership.NewContact(d.follower.LastRead, d.rec)
+	d.members = membership.New(cfg.VM, platform.NewVMList(cfg.Platform.VMList, rt), d, d.beat, d.rec, d.contact.Heard)
+	d.spread = keyring.NewSpread(cfg.VM, d.keyring, keyPeers{d}, keyLog{follower: d.follower, loaded: d.stateLoaded}, d.rec)
 	engines := platform.NewEngines(rt)
-	d.pool = upstream.NewPool(cfg.DataCentre, d.members, engines)
+	// Reports come over connections of their own, so that a lost connection of
+	// a draft does not hide that its engine is alive.
+	d.pool = upstream.NewPool(cfg.DataCentre, d.members, platform.NewEngines(d.newTransport()))
 	d.newEntry(state, engines)
 	d.newOperators(state)
 	if err := d.peers.Register("Peer", &peerService{daemon: d}); err != nil {
 		return nil, fmt.Errorf("register the peer service: %w", err)
 	}
+	if err := d.newRelay(); err != nil {
+		return nil, err
+	}
+	if err := d.peers.Register("Keys", &keyService{daemon: d}); err != nil {
+		return nil, fmt.Errorf("register the key service: %w", err)
+	}
 	return d, nil
 }
 
 func (d *Daemon) newEntry(state *ledger.State, engines *platform.Engines) {
-	// Requests that may not be repeated never use a connection twice.
-	once := platform.NewTransport()
-	once.DisableKeepAlives = true
+	d.booker = booking.New(d.cfg.VM, d.pool, booking.NewClient(d.newTransport()), d.follower, state.Bookings, d.rec)
 	d.entry = entry.New(entry.Config{
 		DataCentre: d.cfg.DataCentre,
 		State:      state,
 		Keyring:    d.keyring,
 		Drafter:    draft.New(d.pool, engines, d.rec),
-		Booker:     booking.New(d.cfg.VM, d.pool, once, d.follower, state.Bookings, d.rec),
+		Booker:     d.booker,
+		Limiter:    unlimited{},
+		Queue:      unlimited{},
 		Recorder:   d.rec,
 		Ready:      d.ready,
 		Leaving:    d.leaving.Load,
@@ -104,15 +126,28 @@
 		Members:   d.members,
 		Upstreams: d.pool,
 		Timelines: d,
+
+		Withdrawals: d.spread,
+		Withdrawn:   d.keyring.Withdrawn,
+		History:     &d.history,
 	}
-	s := operator.New(d.cfg.FirstOperator, state, operator.NewCommands(d.follower, d, d.rec), queries)
+	s := operator.New(d.cfg.FirstOperator, state, operator.NewCommands(d.follower, d.spread, d.rec), queries)
 	d.operators = httpx.NewServer(s.Handler())
 }
 
-// ready returns a fault until the log was read once.
+// stateLoaded reports whether the VM has the ordered state.
+func (d *Daemon) stateLoaded() bool {
+	return d.follower.Ready()
+}
+
+// ready returns a fault until the VM has the ordered state and the withdrawals
+// that are in force.
 func (d *Daemon) ready() error {
-	if d.follower.LastRead().IsZero() {
-		return fault.New(fault.NotReady, "the VM has not read the log yet")
+	if !d.stateLoaded() {
+		return fault.New(fault.NotReady, "the VM has not read the state yet")
+	}
+	if !d.keyring.Loaded() {
+		return fault.New(fault.NotReady, "the VM has not asked its peers for withdrawn keys yet")
 	}
 	return nil
 }
@@ -124,19 +159,13 @@
 		Incarnation:  d.incarnation,
 		Applied:      d.follower.State.Applied(),
 		LogReachable: d.follower.Reachable(),
+		CutOff:       d.contact.CutOff(),
 		Leaving:      d.leaving.Load(),
+		Withdrawals:  d.keyring.Digest(),
 		At:           d.rec.Clock.Now(),
 	}
 }
 
-// heedWithdrawal observes the log for withdrawals that no operator or peer
-// told this VM.
-func (d *Daemon) heedWithdrawal(_ ledger.Raw, r ledger.Record, v ledger.Verdict) {
-	if key, ok := ledger.WithdrawnKey(r); ok && v.Accepted() {
-		d.keyring.Withdraw(key)
-	}
-}
-
 // Run serves until a signal or an error, and stops in order.
 func (d *Daemon) Run(signals <-chan os.Signal) error {
 	listeners, err := d.listen()
@@ -151,6 +180,7 @@
 		func() error { return d.peers.Serve(listeners.peers) },
 		func(error) { _ = listeners.peers.Close() },
 	)
+	d.addReadyEvent(&g)
 	stop := make(chan struct{})
 	g.Add(
 		func() error { return d.awaitStop(signals, stop) },
@@ -168,67 +198,53 @@
 func (d *Daemon) listen() (listeners, error) {
 	var ls listeners
 	for _, l := range []struct {
-		into    *net.Listener
-		address string
+		into *net.Listener
+		cfg  settings.Listener
 	}{
-		{&ls.callers, d.cfg.Callers.Address},
-		{&ls.operators, d.cfg.Operators.Address},
-		{&ls.peers, d.cfg.Peers.Address},
+		{&ls.callers, d.cfg.Callers},
+		{&ls.operators, d.cfg.Operators},
+		{&ls.peers, d.cfg.Peers},
 	} {
-		opened, err := net.Listen("tcp", l.address)
+		opened, err := d.openListener(l.cfg)
 		if err != nil {
-			return ls, fmt.Errorf("open listener: %w", err)
+			return ls, err
 		}
 		*l.into = opened
 	}
 	return ls, nil
 }
 
+// addHTTP adds a server to the group. Serve returns as soon as a shutdown
+// begins, while requests are still open; the actor stays until the group ends,
+// since its return would end all others.
 func (d *Daemon) addHTTP(g *run.Group, s *http.Server, l net.Listener) {
+	ended := make(chan struct{})
 	g.Add(
 		func() error {
 			if err := s.Serve(l); err != http.ErrServerClosed {
 				return err
 			}
+			<-ended
 			return nil
 		},
-		func(error) { _ = s.Close() },
+		func(error) {
+			close(ended)
+			_ = s.Close()
+		},
 	)
 }
 
-// awaitStop waits for a signal and then lets open requests end. New requests
-// are served until the balancer has had time to notice. A second signal ends
-// the process at once.
-func (d *Daemon) awaitStop(signals <-chan os.Signal, stop <-chan struct{}) error {
-	select {
-	case <-signals:
-	case <-stop:
-		return nil
-	}
-	d.leaving.Store(true)
-	d.rec.Record(event.StopRequested, nil)
-	drained := make(chan error, 1)
-	go func() {
-		time.Sleep(time.Duration(d.cfg.StopAfter))
-		drained <- d.callers.Shutdown(context.Background())
-	}()
-	select {
-	case err := <-drained:
-		d.rec.Record(event.ProcessStopped, timeline.Fields{"cut": "0"})
-		return err
-	case <-signals:
-		d.rec.Record(event.StopForced, timeline.Fields{"cut": fmt.Sprint(d.entry.InFlight())})
-		return nil
-	}
-}
-
 func (d *Daemon) close() {
+	d.booker.Close()
 	d.pool.Close()
+	d.spread.Close()
 	d.members.Close()
+	d.relay.Close()
+	d.snapshots.Close()
 	d.follower.Close()
 	d.peers.Close()
 	d.links.Close()
+	for _, t := range d.transports {
+		t.CloseIdleConnections()
+	}
 }
-
-// Signals are the signals that ask for a planned stop.
-var Signals = []os.Signal{syscall.SIGTERM, syscall.SIGINT}
--- a/event/event.go
+++ b/event/event.go
@@ -23,9 +23,11 @@
 var Registry = []Event{
 	ProcessStarted, ProcessReady, StopRequested, ProcessStopped, StopForced,
 	LogUnreachable, LogReachable, RecordSkipped, RecordApplied, RecordRejected,
-	PeerJoined, PeerSilent, PeerLeaving, ListUnreachable,
+	StateIncomplete, SnapshotLoaded, SnapshotWritten, SnapshotFailed, RecordsMissing, RelayFailed,
+	PeerJoined, PeerSilent, PeerLeaving, ListUnreachable, PeerRestarted, VMCutOff, VMReconnected,
 	RequestReceived, RequestRefused, AttemptStarted, AttemptFailed, RequestAnswered, CallerCut,
-	KeyHeardWithdrawn, OperatorCommand,
+	PlacerClaimed, PlacerReplaced, PlacementIntended, PlacementRejected, OrderFailed, PlacementBroken,
+	KeyHeardWithdrawn, OperatorCommand, WithdrawalAppended,
 	FakeStarted, FakeServed,
 }
 
@@ -45,6 +47,13 @@
 	RecordSkipped  = Event{203, "record_skipped", logrus.WarnLevel, "A record of the log cannot be decoded and is skipped on every VM. Find out who else writes to the log."}
 	RecordApplied  = Event{204, "record_applied", logrus.DebugLevel, "A record was accepted and is in force on this VM."}
 	RecordRejected = Event{205, "record_rejected", logrus.DebugLevel, "A record was rejected by the rules of the state; the field reason says why."}
+
+	StateIncomplete = Event{206, "state_incomplete", logrus.ErrorLevel, "Records that this VM needs have expired and the log holds no snapshot for them. The VM keeps the state that it has and tries its peers. If no VM is ready, the configuration must be made anew."}
+	SnapshotLoaded  = Event{207, "snapshot_loaded", logrus.InfoLevel, "The state was replaced by a newer snapshot; the field source is log or the address of a peer."}
+	SnapshotWritten = Event{208, "snapshot_written", logrus.InfoLevel, "A snapshot of the state is complete in the log."}
+	SnapshotFailed  = Event{209, "snapshot_failed", logrus.WarnLevel, "A snapshot could not be written; it is tried again. If this goes on, VMs that start after the retention time cannot get the state from the log."}
+	RecordsMissing  = Event{210, "records_missing", logrus.WarnLevel, "Records that were read do not follow the applied offset. They are not applied; the VM looks for a snapshot."}
+	RelayFailed     = Event{211, "relay_failed", logrus.DebugLevel, "A peer could not give the records or the state that this VM misses."}
 )
 
 // Events of membership.
@@ -53,6 +62,9 @@
 	PeerSilent      = Event{302, "peer_silent", logrus.WarnLevel, "A VM that answered no longer does. Its connection is dropped and dialled anew."}
 	PeerLeaving     = Event{303, "peer_leaving", logrus.InfoLevel, "A VM announced a planned stop."}
 	ListUnreachable = Event{304, "vm_list_unreachable", logrus.WarnLevel, "The platform's VM list does not answer; the last one stays in use."}
+	PeerRestarted   = Event{305, "peer_restarted", logrus.InfoLevel, "The process of another VM was started anew."}
+	VMCutOff        = Event{306, "vm_cut_off", logrus.WarnLevel, "This VM reaches neither the log nor a VM that does. The setting cut_off_keys says whether it serves known keys."}
+	VMReconnected   = Event{307, "vm_reconnected", logrus.InfoLevel, "This VM reaches the log, or a VM that does, again."}
 )
 
 // Events of requests.
@@ -65,10 +77,21 @@
 	CallerCut       = Event{406, "caller_cut", logrus.InfoLevel, "A connected caller was cut off; the field reason says why."}
 )
 
+// Events of placement.
+var (
+	PlacerClaimed     = Event{601, "placer_claimed", logrus.InfoLevel, "This VM is the placer of its data centre; the field epoch is its number."}
+	PlacerReplaced    = Event{602, "placer_replaced", logrus.InfoLevel, "Another VM has become the placer of this data centre."}
+	PlacementIntended = Event{603, "placement_intended", logrus.InfoLevel, "A change of what an engine holds was accepted and will be ordered; the field reason says why."}
+	PlacementRejected = Event{604, "placement_rejected", logrus.InfoLevel, "A wanted change was rejected, because another came first or a promise would break; it is planned anew."}
+	OrderFailed       = Event{605, "engine_order_failed", logrus.WarnLevel, "An engine refused an order or did not answer. The order is sent again; its memory stays reserved."}
+	PlacementBroken   = Event{606, "placement_rule_broken", logrus.ErrorLevel, "The account of an engine's memory breaks a rule. This is a fault of the program; report it."}
+)
+
 // Events of operators.
 var (
-	KeyHeardWithdrawn = Event{701, "key_heard_withdrawn", logrus.InfoLevel, "This VM refuses the key from now on."}
-	OperatorCommand   = Event{702, "operator_command", logrus.InfoLevel, "An operator's command ended; the field verdict is its outcome."}
+	KeyHeardWithdrawn  = Event{701, "key_heard_withdrawn", logrus.InfoLevel, "This VM refuses the key from now on."}
+	OperatorCommand    = Event{702, "operator_command", logrus.InfoLevel, "An operator's command ended; the field verdict is its outcome."}
+	WithdrawalAppended = Event{703, "withdrawal_appended", logrus.InfoLevel, "A withdrawal that was in force before it was in the log is in the log now."}
 )
 
 // Events of the stand-ins.
--- a/ledger/kinds.go
+++ b/ledger/kinds.go
@@ -48,10 +48,16 @@
 		KindBookingClaim:   body(applyBookingClaim),
 		KindBookingOutcome: body(applyBookingOutcome),
 
-		KindMintJoin:     body(applyMintJoin),
-		KindMintConfirm:  body(applyMintConfirm),
-		KindMintRelease:  body(applyMintRelease),
-		KindMintTakeover: body(applyMintTakeover),
+		KindMintJoin:         body(applyMintJoin),
+		KindMintConfirm:      body(applyMintConfirm),
+		KindMintRelease:      body(applyMintRelease),
+		KindMintTakeover:     body(applyMintTakeover),
+		KindSnapshotChunk:    body(applySnapshotChunk),
+		KindBookingExpire:    body(applyBookingExpire),
+		KindPlacerClaim:      body(applyPlacerClaim),
+		KindPlacementIntent:  body(applyPlacementIntent),
+		KindPlacementOutcome: body(applyPlacementOutcome),
+		KindPlacementClear:   body(applyPlacementClear),
 	}
 }
 
@@ -82,6 +88,8 @@
 	KindRoute:    func() any { return new(fleet.Route) },
 	KindWithdraw: func() any { return new(Withdrawal) },
 	KindOperator: func() any { return new(Operator) },
+
+	KindPlacementClear: func() any { return new(PlacementClear) },
 }
 
 // CheckBody decodes the body of an operator's record strictly: unknown fields
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -21,13 +21,20 @@
 	Withdrawn *Table[fleet.KeyID, Withdrawal]
 	Bookings  *Table[BookingKey, Booking]
 	Minters   *Table[fleet.DataCentre, MintList]
+	Placers   *Table[fleet.DataCentre, PlacerClaim]
+	Engines   *Table[fleet.UpstreamID, PlacedEngine]
 
 	settings *Table[string, settings.Put]
 	// keyByHash finds a key by the hash of its secret, in hexadecimal.
 	keyByHash      *shard.Map[string, fleet.KeyID]
 	operatorByHash *shard.Map[string, fleet.OperatorID]
 
-	applied atomic.Uint64
+	// rejected and rejectedOrder keep late copies of rejected records out.
+	rejected      *Table[RecordID, Rejection]
+	rejectedOrder []RecordID
+
+	applied   atomic.Uint64
+	onRestore []func()
 }
 
 // NewState returns the state before every record.
@@ -42,7 +49,10 @@
 		Withdrawn:      newTable[fleet.KeyID, Withdrawal]("withdrawal"),
 		Bookings:       newTable[BookingKey, Booking]("booking"),
 		Minters:        newTable[fleet.DataCentre, MintList]("mint list"),
+		Placers:        newTable[fleet.DataCentre, PlacerClaim]("placer"),
+		Engines:        newTable[fleet.UpstreamID, PlacedEngine]("engine"),
 		settings:       newTable[string, settings.Put]("setting"),
+		rejected:       newTable[RecordID, Rejection]("rejection"),
 		keyByHash:      shard.New[string, fleet.KeyID](),
 		operatorByHash: shard.New[string, fleet.OperatorID](),
 	}
@@ -65,7 +75,13 @@
 		s.Skip(offset)
 		return reject(offset, fault.InvalidRequest, "unknown kind %q", r.Kind)
 	}
-	v := apply(s, offset, r)
+	v, copied := s.refuseCopy(offset, r)
+	if !copied {
+		v = apply(s, offset, r)
+	}
+	if !copied && !v.Accepted() {
+		s.rememberRejection(offset, r, v)
+	}
 	s.applied.Store(uint64(offset))
 	return v
 }
--- a/settings/registry.go
+++ b/settings/registry.go
@@ -16,12 +16,22 @@
 
 // The settings of the tree.
 const (
-	RateTokensPerSecond Name = "rate_tokens_per_second"
-	BurstTokens         Name = "burst_tokens"
-	Deadline            Name = "deadline"
-	MaxTokens           Name = "max_tokens"
-	CutOffKeys          Name = "cut_off_keys"
-	Fencing             Name = "fencing"
+	RateTokensPerSecond   Name = "rate_tokens_per_second"
+	BurstTokens           Name = "burst_tokens"
+	Deadline              Name = "deadline"
+	MaxTokens             Name = "max_tokens"
+	CutOffKeys            Name = "cut_off_keys"
+	Fencing               Name = "fencing"
+	KVRoomPercent         Name = "kv_room_percent"
+	EngineTokensPerSecond Name = "engine_tokens_per_second"
+	SnapshotInterval      Name = "snapshot_interval"
+	BookingMemory         Name = "booking_memory"
+)
+
+// The values of CutOffKeys.
+const (
+	CutOffServe  = "serve"
+	CutOffRefuse = "refuse"
 )
 
 // Type is the type of a setting's value.
@@ -72,14 +82,34 @@
 		Text:   "Tokens that one answer may have if the caller sets no lower limit.",
 	},
 	{
-		Name: CutOffKeys, Type: TypeWord, Default: raw(`"serve"`), Words: []string{"serve", "refuse"},
+		Name: CutOffKeys, Type: TypeWord, Default: raw(`"serve"`), Words: []string{CutOffServe, CutOffRefuse},
 		Levels: []LevelKind{KindFleet, KindDataCentre, KindTeam},
 		Text:   "What a VM does with known keys while it reaches neither the log nor a VM that does: serve, because a data centre that is cut off goes on serving what it can, or refuse, where a withdrawal that cannot arrive weighs more.",
 	},
 	{
 		Name: Fencing, Type: TypeWord, Default: raw(`"ignored"`), Words: []string{"checked", "ignored"},
 		Levels: []LevelKind{KindFleet, KindDataCentre},
-		Text:   "Whether engines refuse an order with an old fencing number. The default takes the worse case.",
+		Text:   "Whether engines refuse an order with an old fencing number. The default takes the worse case. Engines that lose the highest number they have seen in a restart count as ignored.",
+	},
+	{
+		Name: KVRoomPercent, Type: TypeNumber, Default: raw(`20`), Min: 0, Max: 95,
+		Levels: []LevelKind{KindFleet, KindDataCentre},
+		Text:   "Part of an engine's memory that is kept for KV cache and never given to weights.",
+	},
+	{
+		Name: EngineTokensPerSecond, Type: TypeNumber, Default: raw(`2000`), Min: 1, Max: 1e9,
+		Levels: []LevelKind{KindFleet, KindDataCentre},
+		Text:   "Tokens a second that one engine generates at full load. Models of engines that come near it gain copies elsewhere.",
+	},
+	{
+		Name: SnapshotInterval, Type: TypeDuration, Default: raw(`"1h"`), Min: 1, Max: 30 * 86400,
+		Levels: []LevelKind{KindFleet},
+		Text:   "Age at which the newest snapshot in the log is replaced. Keep it below a quarter of the time that the platform keeps records.",
+	},
+	{
+		Name: BookingMemory, Type: TypeDuration, Default: raw(`"72h"`), Min: 48 * 3600, Max: 90 * 24 * 3600,
+		Levels: []LevelKind{KindFleet, KindTeam, KindRoute},
+		Text:   "Time for which the idempotency key of a booking is remembered, from its claim on. Afterwards the key is new again and a repeat would run. It is always longer than the longest deadline.",
 	},
 }
 
