--- a/ledger/snapshot_test.go
+++ b/ledger/snapshot_test.go
@@ -57,6 +57,7 @@
 	f.put(KindBookingClaim, 0, BookingClaim{Key: "b2", Request: "r2"})
 	f.put(KindBookingOutcome, 0, BookingOutcome{Key: "b2", Request: "r2", Status: BookingDone, Body: []byte("ok")})
 	f.put(KindPlacerClaim, 0, PlacerClaim{DataCentre: "at-1", VM: "vm-1"})
+	f.put(KindMintJoin, 0, MintJoin{DataCentre: "at-1", VM: "vm-1"})
 	f.state.Engines.put(f.state.Applied()+1, Record{}, "e1", PlacedEngine{ID: "e1", Held: []HeldWeights{{Size: 1, Ready: true}}})
 	f.put(KindAdapter, 0, fleet.Adapter{ID: "a2", Model: "m2", Size: 1}) // rejected
 }
