Wire the rate limiter into the daemon

Each VM keeps its place on the mint list and its lease in a round every 250 ms, lends and borrows over net/rpc, and tells its levels in heartbeats. Drafts are charged through it. A VM is ready once it mints, or after 5 s.

The lease counts from a look at the log's head that the state then reached, not from the follower's last read: after a pause that read brings pages of old records.

A key that is new to a VM starts with a full bucket if nobody can have spent from its share: otherwise a new team's first requests would be refused. A confirmation waits for loans only if some were given; waiting always kept a new fleet from minting for more than a second, and the test of the planned stop met refusals.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -56,6 +56,7 @@
 	pool      *upstream.Pool
 	booker    *booking.Booker
 	entry     *entry.Server
+	rates     *rates
 
 	callers   *http.Server
 	operators *http.Server
@@ -80,9 +81,14 @@
 	state := ledger.NewState()
 	cutOff := func() bool { return d.contact.CutOff() }
 	d.keyring = keyring.New(state, d.rec, keyring.GuardCutOff(cfg.DataCentre, cutOff, state.Setting))
-	d.newLog(platform.NewLog(cfg.Platform.Log, rt), state)
+	log := platform.NewLog(cfg.Platform.Log, rt)
+	d.newLog(log, state)
 	d.contact = membership.NewContact(d.follower.LastRead, d.rec)
-	d.members = membership.New(cfg.VM, platform.NewVMList(cfg.Platform.VMList, rt), d, d.beat, d.rec, d.contact.Heard)
+	if d.rates, err = d.newRates(log); err != nil {
+		return nil, err
+	}
+	d.members = membership.New(cfg.VM, platform.NewVMList(cfg.Platform.VMList, rt), d, d.beat, d.rec, d.contact.Heard, d.rates.heard)
+	d.rates.start()
 	d.spread = keyring.NewSpread(cfg.VM, d.keyring, keyPeers{d}, keyLog{follower: d.follower, loaded: d.stateLoaded}, d.rec)
 	engines := platform.NewEngines(rt)
 	// Reports come over connections of their own, so that a lost connection of
@@ -110,7 +116,7 @@
 		Keyring:    d.keyring,
 		Drafter:    draft.New(d.pool, engines, d.rec),
 		Booker:     d.booker,
-		Limiter:    unlimited{},
+		Limiter:    d.rates,
 		Queue:      unlimited{},
 		Recorder:   d.rec,
 		Ready:      d.ready,
@@ -149,6 +155,9 @@
 	if !d.keyring.Loaded() {
 		return fault.New(fault.NotReady, "the VM has not asked its peers for withdrawn keys yet")
 	}
+	if !d.rates.settled() {
+		return fault.New(fault.NotReady, "the VM does not mint rate yet")
+	}
 	return nil
 }
 
@@ -162,6 +171,7 @@
 		CutOff:       d.contact.CutOff(),
 		Leaving:      d.leaving.Load(),
 		Withdrawals:  d.keyring.Digest(),
+		Levels:       d.rates.minter.Digest(time.Now()),
 		At:           d.rec.Clock.Now(),
 	}
 }
@@ -235,6 +245,7 @@
 }
 
 func (d *Daemon) close() {
+	d.rates.close()
 	d.booker.Close()
 	d.pool.Close()
 	d.spread.Close()
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -52,5 +52,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	d.booker.Drain(ctx)
+	d.rates.leave(ctx)
 	return d.operators.Shutdown(ctx)
 }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -23,6 +23,7 @@
 	"toucanfall/fleet"
 	"toucanfall/internal/loop"
 	"toucanfall/keyring"
+	"toucanfall/rate"
 	"toucanfall/timeline"
 )
 
@@ -49,7 +50,9 @@
 	Leaving bool `json:"leaving"`
 	// Withdrawals is the digest of the withdrawn keys that the VM heard.
 	Withdrawals keyring.Digest `json:"withdrawals"`
-	At          timeline.Stamp `json:"at"`
+	// Levels are the largest amounts of tokens that the VM could lend.
+	Levels rate.Digest    `json:"levels,omitempty"`
+	At     timeline.Stamp `json:"at"`
 }
 
 // Newer reports whether b was made after other. A later incarnation is newer
--- a/rate/gather.go
+++ b/rate/gather.go
@@ -34,6 +34,7 @@
 		b.mu.Lock()
 		b.touch(now, m.lease.Load())
 		g.own = b.takeHeld(need, id, g.until)
+		m.loaned.Store(&now)
 		b.check()
 		b.mu.Unlock()
 	}
--- a/rate/keeper.go
+++ b/rate/keeper.go
@@ -18,6 +18,9 @@
 type Named struct {
 	Key   Key
 	Limit Limit
+	// Born is the offset of the record that made or last changed the key, 0 if
+	// it is not known.
+	Born fleet.Offset
 }
 
 // Facts are what a keeper decides on in one round.
@@ -45,8 +48,11 @@
 	read    time.Time
 	vouched time.Time
 	left    bool
-	// changed is the last join or takeover that this VM acts on. It acts on it
-	// since settled, or since it left.
+	// acted is the offset of the facts that this process acted on last while it
+	// held a lease, 0 before.
+	acted fleet.Offset
+	// changed is the last join or takeover that this VM acts on, and settled
+	// the last loan that it gave before.
 	changed fleet.Offset
 	settled time.Time
 	// absent tells since when a VM has been missing on the platform's list.
@@ -91,7 +97,7 @@
 // NeedsVoucher reports whether the log has not been read for so long that other
 // VMs have to be asked.
 func (k *Keeper) NeedsVoucher(now time.Time) bool {
-	return !k.read.IsZero() && now.Sub(k.read) > ShortLease/3
+	return !k.read.IsZero() && now.Sub(k.read) > ShortLease/3 && now.Sub(k.vouched) > ShortLease/3
 }
 
 // Vouch reports whether this VM vouches for another one: it holds a lease
@@ -113,16 +119,28 @@
 	if k.left {
 		return
 	}
+	k.minter.Renew(now, k.leaseEnd(f.List))
+	for _, n := range f.Limits {
+		own := Terms(f.List, k.vm, k.dataCentres, n.Key, n.Limit)
+		k.minter.SetTerms(now, n.Key, own, k.unspent(f, n))
+	}
 	if k.changed != f.List.Changed {
+		// Loans that were given before the new terms are known by now.
 		k.changed = f.List.Changed
-		k.settled = now
+		k.settled = k.minter.lastLoan(now)
 	}
-	k.minter.Renew(now, k.leaseEnd(f.List))
-	for _, n := range f.Limits {
-		k.minter.SetTerms(now, n.Key, Terms(f.List, k.vm, k.dataCentres, n.Key, n.Limit))
+	if k.minter.Leased(now) {
+		k.acted = f.Applied
 	}
 }
 
+// unspent reports whether nobody can have used tokens of a key that is new to
+// this VM out of what is now its share: the key did not exist when this VM acted
+// last, and the list has not changed since.
+func (k *Keeper) unspent(f Facts, n Named) bool {
+	return k.acted != 0 && n.Born > k.acted && fleet.Offset(f.Revision) <= k.acted
+}
+
 // leaseEnd returns the end of the lease. A VM that is alone on its list can ask
 // nobody to vouch for it; its takeover therefore waits for the long lease.
 func (k *Keeper) leaseEnd(list ledger.MintList) time.Time {
@@ -146,8 +164,8 @@
 // Leave stops minting for good. Plan then proposes the release.
 func (k *Keeper) Leave(now time.Time) {
 	k.left = true
-	k.settled = now
 	k.minter.Stop(now)
+	k.settled = k.minter.lastLoan(now)
 }
 
 // Plan returns the records that this VM should propose now. The facts must have
--- a/rate/loan.go
+++ b/rate/loan.go
@@ -109,6 +109,7 @@
 	// The borrower counts the life of the loan from its ask, which was earlier.
 	answer.Given = b.takeHeld(ask.Want, ask.ID, now.Add(LoanLife+LoanLife/marginFraction))
 	answer.Level = b.level
+	m.loaned.Store(&now)
 	b.check()
 	b.mu.Unlock()
 	if answer.Given > 0 {
--- a/rate/minter.go
+++ b/rate/minter.go
@@ -17,6 +17,8 @@
 	lease   atomic.Pointer[lease]
 	loans   *loans
 	audit   Audit
+	// loaned is when tokens last left a bucket without being admitted.
+	loaned atomic.Pointer[time.Time]
 }
 
 // Audit is told of every charge, and of every refund that was credited as a
@@ -37,8 +39,9 @@
 }
 
 // SetTerms sets the VM's own share of a key, which is zero where it does not
-// mint. Only one goroutine may set terms.
-func (m *Minter) SetTerms(now time.Time, key Key, own Limit) {
+// mint. A new key starts full if unspent is set, and empty otherwise. Only one
+// goroutine may set terms.
+func (m *Minter) SetTerms(now time.Time, key Key, own Limit, unspent bool) {
 	b, ok := m.buckets.Get(key)
 	if !ok {
 		b = &bucket{at: now}
@@ -46,6 +49,9 @@
 	b.mu.Lock()
 	b.touch(now, m.lease.Load())
 	b.change(now, own)
+	if !ok && unspent && m.Leased(now) {
+		b.level = own.Burst
+	}
 	b.check()
 	b.mu.Unlock()
 	if !ok {
@@ -73,6 +79,20 @@
 	m.lease.Store(next)
 }
 
+// lastLoan returns the time of the last loan, zero if there was none. A loan that
+// another goroutine gives at this moment counts as given now.
+func (m *Minter) lastLoan(now time.Time) time.Time {
+	last := m.loaned.Load()
+	switch {
+	case last == nil:
+		return time.Time{}
+	case last.After(now):
+		return now
+	default:
+		return *last
+	}
+}
+
 // Stop ends the lease and empties all buckets.
 func (m *Minter) Stop(now time.Time) {
 	old := m.lease.Load()
--- a/rate/promise_test.go
+++ b/rate/promise_test.go
@@ -90,6 +90,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			w := newWorld(t, 3, promiseLimit)
+			w.run(10)
+			w.makeTeam()
 			w.run(60)
 			c.play(w)
 			w.run(30)
@@ -102,6 +104,7 @@
 // minting on one another's word.
 func TestCutDataCentreKeepsItsShare(t *testing.T) {
 	w := newWorld(t, 3, promiseLimit)
+	w.makeTeam()
 	w.run(60)
 	w.cut("dc-1", true)
 	w.run(600)
@@ -116,6 +119,7 @@
 // within a short time, on the VMs of its data centre.
 func TestTakeoverGivesTheShareOn(t *testing.T) {
 	w := newWorld(t, 3, promiseLimit)
+	w.makeTeam()
 	w.run(60)
 	w.kill(w.nodes[0])
 	delete(w.listed, w.nodes[0].vm)
--- a/rate/random_test.go
+++ b/rate/random_test.go
@@ -37,6 +37,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t, rapid.IntRange(1, 3).Draw(t, "VMs"), Limit{Rate: 100 * One, Burst: 1000 * One})
 		w.run(rapid.SampledFrom([]int{0, 3, 10, 40}).Draw(t, "warm up"))
+		if rapid.Bool().Draw(t, "team early") {
+			w.makeTeam()
+			w.run(2)
+		}
 		t.Repeat(actions(w))
 		for _, n := range w.nodes {
 			n.paused = false
@@ -62,6 +66,7 @@
 		"end read":   func(t *rapid.T) { n := w.pick(t); w.endRead(n); w.act(n) },
 		"fault":      w.randomFault,
 		"copy":       w.randomCopy,
+		"team":       func(*rapid.T) { w.makeTeam() },
 		"limit": func(t *rapid.T) {
 			tokens := rapid.SampledFrom([]Amount{100, 400, 1000}).Draw(t, "burst")
 			w.setLimit(Limit{Rate: tokens / 10 * One, Burst: tokens * One})
--- a/rate/world_test.go
+++ b/rate/world_test.go
@@ -110,6 +110,11 @@
 	w.log = append(w.log, ledger.Record{ID: ledger.RecordID(fmt.Sprint(len(w.log))), Kind: kind, Base: base, Body: b})
 }
 
+// makeTeam appends the record of the team.
+func (w *world) makeTeam() {
+	w.append(ledger.KindTeam, 0, fleet.Team{ID: "quotes", Name: "Quotes"})
+}
+
 // setLimit appends records that change rate and burst of the team.
 func (w *world) setLimit(l Limit) {
 	for _, s := range []struct {
@@ -194,7 +199,10 @@
 		return nil
 	}
 	list, revision := n.list()
-	f := Facts{Applied: n.state.Applied(), List: list, Revision: revision, Limits: []Named{{testKey, n.limit()}}}
+	f := Facts{Applied: n.state.Applied(), List: list, Revision: revision}
+	if team, ok := n.state.Teams.Get("quotes"); ok {
+		f.Limits = []Named{{testKey, n.limit(), fleet.Offset(team.Revision)}}
+	}
 	if !n.cut && !n.alone {
 		f.Listed = w.listed
 	}
--- a/script/demo.sh
+++ b/script/demo.sh
@@ -130,6 +130,7 @@
 ctl adapter put quotes-tone --model quotes-7b --size 50000000
 ctl route put textdesk --kind draft --team quotes --model quotes-7b --adapter quotes-tone --priority interactive
 ctl route put orderdesk --kind service --team quotes --service orderdesk
+ctl settings set team/quotes:rate_tokens_per_second 100000
 ctl settings set team/quotes:burst_tokens 200000
 ctl settings show --effective --team quotes --route textdesk
 ctl settings show --explain burst_tokens --team quotes
