Order waiting drafts by class and least-served team

Done: package queue, one queue for each model on a VM, wired in place of the one that admitted everything. Urgent classes first; within a class the team with the least virtual time, which grows by the tokens served; a batch request gets a turn after 20 of the others. A full queue and a deadline that cannot be met are refused at once, with the time after which the same request would fit. The bounds are settings (queue_slots, queue_waiting).

Ruled out: deficit round robin, whose quantum would have to fit the longest request; a strict order of classes, under which batch starves for good.

Seen to fail with one mechanism removed at a time: no virtual time (b waits for all of a), no batch turn (batch last of 31), batch as urgent as others, no deadline check (450 ms instead of at once), no bound, a slot that comes with the deadline lost, a Retry-After of 1 ms (refused again), a caller that left still counted.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -117,7 +117,7 @@
 		Drafter:    draft.New(d.pool, engines, d.rec),
 		Booker:     d.booker,
 		Limiter:    d.rates,
-		Queue:      unlimited{},
+		Queue:      newQueues(d.cfg.DataCentre, state.Setting),
 		Recorder:   d.rec,
 		Ready:      d.ready,
 		Leaving:    d.leaving.Load,
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -53,6 +53,19 @@
 	p.m[k] = v
 }
 
+// GetOrPut returns the value of k, which it makes by create if there is none.
+func (m *Map[K, V]) GetOrPut(k K, create func() V) V {
+	p := m.part(k)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v, ok := p.m[k]
+	if !ok {
+		v = create()
+		p.m[k] = v
+	}
+	return v
+}
+
 // Delete removes k.
 func (m *Map[K, V]) Delete(k K) {
 	p := m.part(k)
--- /dev/null
+++ b/queue/queue_test.go
@@ -0,0 +1,183 @@
+package queue_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"toucanfall/fault"
+	"toucanfall/fleet"
+	"toucanfall/queue"
+)
+
+const service = 100 * time.Millisecond
+
+func item(team string, p fleet.Priority, deadline time.Duration) queue.Item {
+	return queue.Item{Team: fleet.TeamID(team), Priority: p, Tokens: 100, Deadline: time.Now().Add(deadline)}
+}
+
+// serve enters requests in their order and returns the order in which they were
+// served, each for the service time.
+func serve(q *queue.Queue, items []queue.Item) []string {
+	hold, _ := q.Enter(context.Background(), item("first", fleet.PriorityInteractive, time.Hour))
+	served := make(chan string, len(items))
+	for i, it := range items {
+		go func() {
+			release, err := q.Enter(context.Background(), it)
+			if err != nil {
+				served <- fmt.Sprintf("%s%d:%s", it.Team, i, fault.KindOf(err))
+				return
+			}
+			served <- fmt.Sprintf("%s%d", it.Team, i)
+			time.Sleep(service)
+			release(it.Tokens)
+		}()
+		synctest.Wait()
+	}
+	hold(100)
+	var out []string
+	for range items {
+		out = append(out, <-served)
+	}
+	time.Sleep(service)
+	return out
+}
+
+func TestLeastServedTeamGoesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := queue.New(queue.Config{Slots: 1, MaxWaiting: 100})
+		var items []queue.Item
+		for range 3 {
+			items = append(items, item("a", fleet.PriorityNormal, time.Hour))
+		}
+		items = append(items, item("b", fleet.PriorityNormal, time.Hour), item("c", fleet.PriorityInteractive, time.Hour))
+		is.Equal(serve(q, items), []string{"c4", "a0", "b3", "a1", "a2"})
+	})
+}
+
+// TestPromiseBatchGivesWayButDoesNotStarve keeps interactive work waiting all
+// the time and counts the turns of a batch request.
+func TestPromiseBatchGivesWayButDoesNotStarve(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := queue.New(queue.Config{Slots: 1, MaxWaiting: 100})
+		items := []queue.Item{item("batch", fleet.PriorityBatch, time.Hour)}
+		for range 30 {
+			items = append(items, item("shop", fleet.PriorityInteractive, time.Hour))
+		}
+		order := serve(q, items)
+		at := 0
+		for i, s := range order {
+			if s == "batch0" {
+				at = i
+			}
+		}
+		is.Equal(at, 19) // the request before these is the first of 20
+	})
+}
+
+func TestFullQueueRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := queue.New(queue.Config{Slots: 1, MaxWaiting: 2})
+		begun := time.Now()
+		order := serve(q, []queue.Item{
+			item("a", fleet.PriorityNormal, time.Hour), item("a", fleet.PriorityNormal, time.Hour), item("a", fleet.PriorityNormal, time.Hour),
+		})
+		is.Equal(order[0], "a2:overloaded")
+		is.Equal(time.Since(begun), 2*service) // the refused one had no slot
+	})
+}
+
+// TestPromiseUnmeetableDeadlineIsRefusedAtOnce also checks that the time to come
+// back is true: after it the same request is served in time.
+func TestPromiseUnmeetableDeadlineIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := queue.New(queue.Config{Slots: 1, MaxWaiting: 100})
+		serve(q, []queue.Item{item("a", fleet.PriorityNormal, time.Hour)})
+		for range 5 {
+			go func() {
+				release, err := q.Enter(context.Background(), item("a", fleet.PriorityNormal, time.Hour))
+				if err == nil {
+					time.Sleep(service)
+					release(100)
+				}
+			}()
+			synctest.Wait()
+		}
+		const deadline = 450 * time.Millisecond
+		begun := time.Now()
+		_, err := q.Enter(context.Background(), item("a", fleet.PriorityNormal, deadline))
+		is.Equal(fault.KindOf(err), fault.DeadlineUnmeetable)
+		is.Equal(time.Since(begun), time.Duration(0))
+		time.Sleep(fault.From(err).RetryAfter + time.Millisecond)
+		begun = time.Now()
+		release, err := q.Enter(context.Background(), item("a", fleet.PriorityNormal, deadline))
+		is.NoErr(err)
+		is.True(time.Since(begun)+service <= deadline)
+		release(100)
+		time.Sleep(time.Second)
+	})
+}
+
+// TestRandomQueue checks in random histories that no slot is given twice or
+// lost, that the queue stays bounded, and that nobody waits past the deadline.
+func TestRandomQueue(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		slots := rapid.IntRange(1, 3).Draw(rt, "slots")
+		seeds := rapid.SliceOfN(rapid.IntRange(0, 999), 1, 60).Draw(rt, "requests")
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			r := &randomQueue{t: t, q: queue.New(queue.Config{Slots: slots, MaxWaiting: 10}), busy: make(chan struct{}, slots)}
+			for _, s := range seeds {
+				go r.request(s)
+				time.Sleep(time.Duration(s%20) * time.Millisecond)
+				is.True(r.q.Waiting() <= 10)
+			}
+			time.Sleep(10 * time.Second)
+			is.Equal(r.q.Waiting(), 0)
+			for range slots {
+				// Every slot has come back.
+				_, err := r.q.Enter(context.Background(), item("last", fleet.PriorityNormal, time.Hour))
+				is.NoErr(err)
+			}
+		})
+	})
+}
+
+type randomQueue struct {
+	t    *testing.T
+	q    *queue.Queue
+	busy chan struct{}
+}
+
+// request makes one request whose caller, deadline and service time follow from
+// a number.
+func (r *randomQueue) request(s int) {
+	p := []fleet.Priority{fleet.PriorityInteractive, fleet.PriorityNormal, fleet.PriorityBatch}[s%3]
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(1+s%700)*time.Millisecond)
+	defer cancel()
+	it := item(fmt.Sprint("t", s%5), p, time.Duration(s)*time.Millisecond)
+	release, err := r.q.Enter(ctx, it)
+	if time.Now().After(it.Deadline) {
+		r.t.Errorf("waited past the deadline")
+	}
+	if err != nil {
+		return
+	}
+	select {
+	case r.busy <- struct{}{}:
+	default:
+		r.t.Errorf("more requests are served at once than there are slots")
+	}
+	time.Sleep(time.Duration(s%90) * time.Millisecond)
+	<-r.busy
+	release(fleet.Tokens(s % 100))
+}
--- a/settings/registry.go
+++ b/settings/registry.go
@@ -20,6 +20,8 @@
 	BurstTokens           Name = "burst_tokens"
 	Deadline              Name = "deadline"
 	MaxTokens             Name = "max_tokens"
+	QueueSlots            Name = "queue_slots"
+	QueueWaiting          Name = "queue_waiting"
 	CutOffKeys            Name = "cut_off_keys"
 	Fencing               Name = "fencing"
 	KVRoomPercent         Name = "kv_room_percent"
@@ -81,6 +83,16 @@
 		Levels: []LevelKind{KindFleet, KindTeam, KindModel, KindRoute},
 		Text:   "Tokens that one answer may have if the caller sets no lower limit.",
 	},
+	{
+		Name: QueueSlots, Type: TypeNumber, Default: raw(`64`), Min: 1, Max: 1e5,
+		Levels: []LevelKind{KindFleet, KindDataCentre, KindModel},
+		Text:   "Drafts of one model that a VM sends to engines at once. The others wait for their turn.",
+	},
+	{
+		Name: QueueWaiting, Type: TypeNumber, Default: raw(`256`), Min: 0, Max: 1e5,
+		Levels: []LevelKind{KindFleet, KindDataCentre, KindModel},
+		Text:   "Drafts of one model that may wait for their turn on a VM. More are refused as overloaded.",
+	},
 	{
 		Name: CutOffKeys, Type: TypeWord, Default: raw(`"serve"`), Words: []string{CutOffServe, CutOffRefuse},
 		Levels: []LevelKind{KindFleet, KindDataCentre, KindTeam},
