--- a/queue/flows.go
+++ b/queue/flows.go
@@ -23,19 +23,19 @@
 type flow struct {
 	team    fleet.TeamID
 	served  fleet.Tokens
-	tickets []*ticket
+	tickets []*Ticket
 }
 
 func newFlows() flows {
 	return flows{teams: make(map[fleet.TeamID]*flow)}
 }
 
-func (f *flows) push(t *ticket) {
-	w, ok := f.teams[t.item.Team]
+func (f *flows) push(t *Ticket) {
+	w, ok := f.teams[t.Item.Team]
 	if !ok {
 		f.forget()
-		w = &flow{team: t.item.Team}
-		f.teams[t.item.Team] = w
+		w = &flow{team: t.Item.Team}
+		f.teams[t.Item.Team] = w
 	}
 	if len(w.tickets) == 0 {
 		w.served = max(w.served, f.clock)
@@ -70,18 +70,18 @@
 	return first
 }
 
-func (f *flows) pop() *ticket {
+func (f *flows) pop() *Ticket {
 	w := f.first()
 	t := w.tickets[0]
 	w.tickets = w.tickets[1:]
 	f.length--
 	f.clock = max(f.clock, w.served)
-	w.served += t.item.Tokens
+	w.served += t.Item.Tokens
 	return t
 }
 
-func (f *flows) remove(t *ticket) {
-	w := f.teams[t.item.Team]
+func (f *flows) remove(t *Ticket) {
+	w := f.teams[t.Item.Team]
 	if i := slices.Index(w.tickets, t); i >= 0 {
 		w.tickets = slices.Delete(w.tickets, i, i+1)
 		f.length--
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -17,13 +17,6 @@
 	"toucanfall/fleet"
 )
 
-// batchEvery is after how many requests of the other classes a waiting batch
-// request gets a turn.
-const batchEvery = 20
-
-// classes is the number of priority classes.
-const classes = 3
-
 var (
 	waiting      = expvar.NewInt("queue_waiting")
 	refusedTotal = expvar.NewMap("queue_refused_total")
@@ -49,33 +42,13 @@
 
 // Queue orders the requests of one model. It is safe for concurrent use.
 type Queue struct {
-	cfg Config
-
-	mu     sync.Mutex
-	busy   int
-	length int
-	flows  [classes]flows
-	// turns counts served requests of other classes since the last batch turn.
-	turns int
-	// service is the decayed mean time that a request holds a slot.
-	service time.Duration
-}
-
-// ticket is a request that waits.
-type ticket struct {
-	item Item
-	turn chan struct{}
-	// done is set once the ticket has a slot or its caller has gone.
-	done bool
+	mu   sync.Mutex
+	line *Line
 }
 
 // New returns an empty queue.
 func New(cfg Config) *Queue {
-	q := &Queue{cfg: cfg}
-	for i := range q.flows {
-		q.flows[i] = newFlows()
-	}
-	return q
+	return &Queue{line: NewLine(cfg)}
 }
 
 // Enter waits for a slot and returns the function that gives it back, which must
@@ -83,8 +56,9 @@
 // queue is full, deadline_unmeetable if the deadline cannot be met, or the error
 // of ctx.
 func (q *Queue) Enter(ctx context.Context, item Item) (func(used fleet.Tokens), error) {
-	t, err := q.enqueue(item)
+	t, err := q.push(item)
 	if err != nil {
+		refusedTotal.Add(string(fault.KindOf(err)), 1)
 		return nil, err
 	}
 	timer := time.NewTimer(time.Until(item.Deadline))
@@ -93,7 +67,8 @@
 	case <-t.turn:
 		return q.releaser(item), nil
 	case <-timer.C:
-		err = q.refuse(fault.DeadlineUnmeetable, "the deadline passed while the request waited")
+		refusedTotal.Add(string(fault.DeadlineUnmeetable), 1)
+		err = fault.New(fault.DeadlineUnmeetable, "the deadline passed while the request waited")
 	case <-ctx.Done():
 		err = ctx.Err()
 	}
@@ -108,8 +83,8 @@
 func (q *Queue) Configure(cfg Config) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.cfg != cfg {
-		q.cfg = cfg
+	if q.line.cfg != cfg {
+		q.line.cfg = cfg
 		q.dispatch()
 	}
 }
@@ -118,138 +93,53 @@
 func (q *Queue) Waiting() int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.length
+	return q.line.length
 }
 
-func (q *Queue) enqueue(item Item) (*ticket, error) {
+func (q *Queue) push(item Item) (*Ticket, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now := time.Now()
-	if q.length >= q.cfg.MaxWaiting {
-		return nil, q.refuse(fault.Overloaded, "%d requests wait already", q.length).After(q.slotIn(1))
-	}
-	wait := q.waitOf(item)
-	if need := now.Add(wait + q.service); need.After(item.Deadline) {
-		return nil, q.refuse(fault.DeadlineUnmeetable, "the request would wait for %s", wait.Round(time.Millisecond)).After(q.shrinkIn(need.Sub(item.Deadline)))
+	t, err := q.line.Push(time.Now(), item)
+	if err != nil {
+		return nil, err
 	}
-	t := &ticket{item: item, turn: make(chan struct{})}
-	q.flows[item.Priority.Rank()].push(t)
-	q.length++
 	waiting.Add(1)
 	q.dispatch()
 	return t, nil
 }
 
-func (q *Queue) refuse(kind fault.Kind, format string, args ...any) *fault.Error {
-	refusedTotal.Add(string(kind), 1)
-	return fault.New(kind, format, args...)
-}
-
-// slotIn returns the expected time until n slots have become free.
-func (q *Queue) slotIn(n int) time.Duration {
-	if q.cfg.Slots <= 0 {
-		return q.service
-	}
-	return q.service * time.Duration(n) / time.Duration(q.cfg.Slots)
-}
-
-// shrinkIn returns when the wait will be shorter by excess, if nobody else comes:
-// it shrinks by whole requests.
-func (q *Queue) shrinkIn(excess time.Duration) time.Duration {
-	each := q.slotIn(1)
-	if each <= 0 {
-		return excess
-	}
-	return (excess + each - 1) / each * each
-}
-
-// waitOf estimates the wait of a new request from those that go before it: all
-// of more urgent classes, and within its class what the least-served order puts
-// first.
-func (q *Queue) waitOf(item Item) time.Duration {
-	if q.busy < q.cfg.Slots && q.length == 0 {
-		return 0
-	}
-	rank := item.Priority.Rank()
-	before := q.flows[rank].before(item.Team)
-	for _, f := range q.flows[:rank] {
-		before += f.length
-	}
-	return q.slotIn(before + 1)
-}
-
 // abandon takes a ticket out. It reports false if the ticket has a slot.
-func (q *Queue) abandon(t *ticket) bool {
+func (q *Queue) abandon(t *Ticket) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if t.done {
+	if !q.line.Abandon(t) {
 		return false
 	}
-	q.flows[t.item.Priority.Rank()].remove(t)
-	q.left(t)
-	return true
-}
-
-func (q *Queue) left(t *ticket) {
-	t.done = true
-	q.length--
 	waiting.Add(-1)
+	return true
 }
 
 // dispatch hands out free slots.
 func (q *Queue) dispatch() {
-	for q.busy < q.cfg.Slots {
-		f := q.next()
-		if f == nil {
+	for {
+		t := q.line.Next()
+		if t == nil {
 			return
 		}
-		t := f.pop()
-		q.left(t)
-		q.busy++
+		waiting.Add(-1)
 		close(t.turn)
 	}
 }
 
-// next selects the class that has the next turn.
-func (q *Queue) next() *flows {
-	batch := &q.flows[classes-1]
-	if batch.length > 0 && q.turns >= batchEvery {
-		q.turns = 0
-		return batch
-	}
-	for i := range q.flows[:classes-1] {
-		if q.flows[i].length > 0 {
-			q.turns++
-			return &q.flows[i]
-		}
-	}
-	if batch.length > 0 {
-		q.turns = 0
-		return batch
-	}
-	return nil
-}
-
 func (q *Queue) releaser(item Item) func(used fleet.Tokens) {
 	begun := time.Now()
 	var once sync.Once
 	return func(used fleet.Tokens) {
-		once.Do(func() { q.release(item, used, time.Since(begun)) })
+		once.Do(func() {
+			q.mu.Lock()
+			defer q.mu.Unlock()
+			q.line.Done(item, used, time.Since(begun))
+			q.dispatch()
+		})
 	}
 }
-
-// serviceWeight is the part of a new sample in the mean service time, as a
-// divisor.
-const serviceWeight = 8
-
-func (q *Queue) release(item Item, used fleet.Tokens, took time.Duration) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.busy--
-	if q.service == 0 {
-		q.service = took
-	}
-	q.service += (took - q.service) / serviceWeight
-	q.flows[item.Priority.Rank()].settle(item.Team, item.Tokens-used)
-	q.dispatch()
-}
