Say when the fleet has the tokens, and shorten the life of loans

Cause: a lender that lent its whole share kept no room to mint for the life of a loan, 1 s and a tenth, and a Retry-After did not know of it: after 100 ms the same request was refused with 75 ms more. The life is now 300 ms, answers say for how long a lender mints nothing, and what a refused request had collected counts as back. Coming back after the time given is admitted (TestPromiseRetryAfterIsTrue, which failed before).

--- a/rate/book.go
+++ b/rate/book.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"sort"
 	"sync"
 	"time"
 
@@ -45,6 +46,13 @@
 	Own Limit
 	// Level is the estimate of its tokens.
 	Level Amount
+	// Blocked is for how long it will mint nothing.
+	Blocked time.Duration
+}
+
+// after returns what the lender will have after d.
+func (l Lender) after(d time.Duration) Amount {
+	return min(l.Own.Burst, l.Level+l.Own.Minted(d-l.Blocked))
 }
 
 // Book remembers the levels of other VMs.
@@ -55,15 +63,15 @@
 }
 
 type sighting struct {
-	level Amount
-	at    time.Time
+	level   Amount
+	blocked time.Duration
+	at      time.Time
 }
 
-// refusal remembers that the reachable VMs together had too little.
+// refusal remembers what the reachable VMs had together.
 type refusal struct {
-	at    time.Time
-	total Amount
-	rate  Limit
+	at      time.Time
+	lenders []Lender
 }
 
 // NewBook returns an empty book.
@@ -83,14 +91,14 @@
 	b.seen[vm] = levels
 }
 
-// Saw takes the level of one key from a lender's answer.
-func (b *Book) Saw(now time.Time, vm fleet.VMID, key Key, level Amount) {
+// Saw takes what a lender's answer tells of its level.
+func (b *Book) Saw(now time.Time, vm fleet.VMID, key Key, a Answer) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.seen[vm] == nil {
 		b.seen[vm] = make(map[Key]sighting)
 	}
-	b.seen[vm][key] = sighting{level: level, at: now}
+	b.seen[vm][key] = sighting{level: a.Level, blocked: a.Blocked, at: now}
 }
 
 // Estimate fills in the levels of lenders and sorts them, the fullest first.
@@ -99,7 +107,9 @@
 	for i := range lenders {
 		l := &lenders[i]
 		if s, ok := b.seen[l.VM][key]; ok {
-			l.Level = min(l.Own.Burst, s.level+l.Own.Minted(now.Sub(s.at)))
+			l.Level, l.Blocked = s.level, s.blocked
+			l.Level = l.after(now.Sub(s.at))
+			l.Blocked = max(0, s.blocked-now.Sub(s.at))
 		}
 	}
 	b.mu.Unlock()
@@ -114,16 +124,16 @@
 // quietTime is for how long a refusal is repeated without asking again.
 const quietTime = 50 * time.Millisecond
 
-// Refused remembers what all lenders had together when they were asked in vain.
-func (b *Book) Refused(now time.Time, key Key, total Amount, rate Limit) {
+// Refused remembers what all lenders had when they were asked in vain.
+func (b *Book) Refused(now time.Time, key Key, lenders []Lender) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.quiet[key] = refusal{at: now, total: total, rate: rate}
+	b.quiet[key] = refusal{at: now, lenders: lenders}
 }
 
 // Hopeless reports whether the lenders were asked so recently that they cannot
-// have minted enough since. A team far over its rate is thus refused at the
-// cost of one round of asks in each quietTime.
+// have minted enough since, and when they will have. A team far over its rate is
+// thus refused at the cost of one round of asks in each quietTime.
 func (b *Book) Hopeless(now time.Time, key Key, need Amount) (time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -132,44 +142,41 @@
 		return 0, false
 	}
 	since := now.Sub(r.at)
-	short := need - r.total - r.rate.Minted(since)
-	if since > quietTime || short <= 0 {
+	if since > quietTime || total(r.lenders, since) >= need {
 		delete(b.quiet, key)
 		return 0, false
 	}
-	return r.rate.TimeFor(short), true
+	return waitFor(r.lenders, need, since), true
 }
 
+// cutOffRetry is when to come back if the VMs that are reachable could never
+// have enough.
+const cutOffRetry = 5 * time.Second
+
+// maxRetry bounds the search for the time to come back.
+const maxRetry = time.Hour
+
 // waitFor returns when the lenders together will have the amount, if nobody
-// else takes from them. The result is false if their bursts never reach it.
-func waitFor(lenders []Lender, need Amount) (time.Duration, bool) {
+// else takes from them, counted from some time after they had their levels.
+func waitFor(lenders []Lender, need Amount, since time.Duration) time.Duration {
 	var bursts Amount
 	for _, l := range lenders {
 		bursts += l.Own.Burst
 	}
 	if bursts < need {
-		return 0, false
+		return cutOffRetry
 	}
-	low, high := time.Duration(0), time.Hour
-	if total(lenders, high) < need {
-		return high, true
-	}
-	for high-low > time.Millisecond {
-		mid := low + (high-low)/2
-		if total(lenders, mid) >= need {
-			high = mid
-		} else {
-			low = mid
-		}
-	}
-	return high, true
+	n := sort.Search(int(maxRetry/time.Millisecond), func(ms int) bool {
+		return total(lenders, since+time.Duration(ms)*time.Millisecond) >= need
+	})
+	return time.Duration(n) * time.Millisecond
 }
 
 // total returns what the lenders will have after d.
 func total(lenders []Lender, d time.Duration) Amount {
 	var sum Amount
 	for _, l := range lenders {
-		sum += min(l.Own.Burst, l.Level+l.Own.Minted(d))
+		sum += l.after(d)
 		if sum < 0 {
 			return math.MaxInt64
 		}
--- a/rate/bucket.go
+++ b/rate/bucket.go
@@ -64,6 +64,14 @@
 	b.level += min(a, max(0, b.own.Burst-b.held-b.level))
 }
 
+// blocked returns for how long loans leave no room to mint.
+func (b *bucket) blocked(now time.Time) time.Duration {
+	if len(b.holds) == 0 || b.level < b.own.Burst-b.held {
+		return 0
+	}
+	return b.holds[0].until.Sub(now)
+}
+
 // change sets the share of the VM from now on. A lowered burst takes effect at
 // once.
 func (b *bucket) change(now time.Time, own Limit) {
--- a/rate/lease.go
+++ b/rate/lease.go
@@ -13,7 +13,7 @@
 	// A data centre that is cut off for longer stops minting.
 	LongLease = 30 * time.Minute
 	// LoanLife is how long borrowed tokens may be admitted after the ask.
-	LoanLife = time.Second
+	LoanLife = 300 * time.Millisecond
 
 	marginFraction = 10
 )
--- a/rate/limiter.go
+++ b/rate/limiter.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -14,13 +15,10 @@
 
 // Bounds of one gathering. It must end well within the life of a loan.
 const (
-	askTimeout = 150 * time.Millisecond
-	gatherTime = 600 * time.Millisecond
+	askTimeout = 80 * time.Millisecond
+	gatherTime = 200 * time.Millisecond
 	maxAsks    = 12
 	returnTime = time.Second
-	// cutOffRetry is when to come back if the VMs that are reachable could
-	// never have enough.
-	cutOffRetry = 5 * time.Second
 )
 
 var (
@@ -100,14 +98,13 @@
 	lenders := l.peers.Lenders(key)
 	l.book.Estimate(time.Now(), key, lenders)
 	l.collect(ctx, g, key, lenders)
-	short := g.Short()
 	grant, refunds, ok := g.Finish(time.Now())
 	l.giveBack(refunds)
 	if ok {
 		borrowedTotal.Add(1)
 		return grant, nil
 	}
-	return Grant{}, l.refusal(key, need, max(short, 0), lenders)
+	return Grant{}, l.refusal(key, need, lenders, refunds)
 }
 
 func (l *Limiter) askID() AskID {
@@ -124,7 +121,7 @@
 		}
 		answer, err := l.ask(ctx, g, to.VM)
 		if err == nil {
-			l.book.Saw(time.Now(), to.VM, key, answer.Level)
+			l.book.Saw(time.Now(), to.VM, key, answer)
 		}
 	}
 }
@@ -170,21 +167,20 @@
 }
 
 // refusal returns when the VMs that answer will have what is needed.
-func (l *Limiter) refusal(key Key, need, short Amount, lenders []Lender) error {
+func (l *Limiter) refusal(key Key, need Amount, lenders []Lender, refunds []Refund) error {
 	now := time.Now()
-	own := Lender{Own: l.limits.Own(key), Level: l.minter.Level(now, key)}
+	own := Lender{Own: l.limits.Own(key)}
+	own.Level, own.Blocked = l.minter.level(now, key)
 	all := append([]Lender{own}, lenders...)
 	l.book.Estimate(now, key, all[1:])
-	var rate Limit
-	for _, lender := range all {
-		rate.Rate += lender.Own.Rate
-	}
-	l.book.Refused(now, key, need-short, rate)
-	after, ok := waitFor(all, need)
-	if !ok {
-		after = cutOffRetry
+	for _, r := range refunds {
+		// What was collected is on its way back and takes no room any more.
+		i := slices.IndexFunc(all, func(x Lender) bool { return x.VM == r.To })
+		all[i].Level += r.Return.Amount
+		all[i].Blocked = 0
 	}
-	return refuse(key, after)
+	l.book.Refused(now, key, all)
+	return refuse(key, waitFor(all, need, 0))
 }
 
 func refuse(key Key, after time.Duration) error {
--- a/rate/loan.go
+++ b/rate/loan.go
@@ -33,6 +33,9 @@
 	Given Amount `json:"given"`
 	// Level is what the lender has left.
 	Level Amount `json:"level"`
+	// Blocked is for how long the lender mints nothing, because what it has
+	// lent takes all its room.
+	Blocked time.Duration `json:"blocked"`
 }
 
 // Return gives back what a request borrowed and did not use.
@@ -109,6 +112,7 @@
 	// The borrower counts the life of the loan from its ask, which was earlier.
 	answer.Given = b.takeHeld(ask.Want, ask.ID, now.Add(LoanLife+LoanLife/marginFraction))
 	answer.Level = b.level
+	answer.Blocked = b.blocked(now)
 	m.loaned.Store(&now)
 	b.check()
 	b.mu.Unlock()
--- a/rate/minter.go
+++ b/rate/minter.go
@@ -133,14 +133,20 @@
 
 // Level returns the VM's own tokens of a key.
 func (m *Minter) Level(now time.Time, key Key) Amount {
+	a, _ := m.level(now, key)
+	return a
+}
+
+// level also returns for how long the VM mints nothing.
+func (m *Minter) level(now time.Time, key Key) (Amount, time.Duration) {
 	b, ok := m.buckets.Get(key)
 	if !ok {
-		return 0
+		return 0, 0
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.touch(now, m.lease.Load())
-	return b.level
+	return b.level, b.blocked(now)
 }
 
 // Grant is an admission that has to be settled.
