Move tokens to where they can be minted again, and measure refusals

A VM that spends its tokens alone recovers at its own share of the rate while the full buckets of the others mint nothing.

Done: VMs fetch tokens from the fullest peer every 250 ms if that is fuller by more than a sixteenth of the share, and borrowers tell lenders when tokens are not under way any more, so that the room they took can be minted into at once.

--- a/daemon/rate.go
+++ b/daemon/rate.go
@@ -19,6 +19,7 @@
 // Times of the loop that keeps the VM's lease and its place on the mint list.
 const (
 	rateInterval    = 250 * time.Millisecond
+	balanceInterval = 250 * time.Millisecond
 	headInterval    = 5 * time.Second
 	headTimeout     = 2 * time.Second
 	vouchTimeout    = time.Second
@@ -50,6 +51,7 @@
 	proposing atomic.Bool
 	wg        sync.WaitGroup
 	run       func()
+	ctx       context.Context
 	cancel    context.CancelFunc
 	done      chan struct{}
 }
@@ -65,6 +67,7 @@
 		minter: m,
 		book:   rate.NewBook(),
 		keeper: rate.NewKeeper(d.cfg.VM, d.cfg.DataCentre, len(d.cfg.DataCentres), vmListLag, m),
+		ctx:    ctx,
 		cancel: cancel,
 		done:   make(chan struct{}),
 	}
@@ -83,6 +86,7 @@
 // start begins to keep the VM's lease and its place on the mint list.
 func (r *rates) start() {
 	go r.run()
+	r.wg.Go(func() { loop.Every(r.ctx, balanceInterval, r.limiter.Balance) })
 }
 
 // settled reports whether the VM mints, or has tried to for so long that it had
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -33,6 +33,7 @@
 	LedgerState,
 	Heartbeats,
 	InForce,
+	Rates,
 }
 
 // Print runs the tables that names selects, all if it is empty, and writes
--- /dev/null
+++ b/measure/rate.go
@@ -0,0 +1,424 @@
+package measure
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"toucanfall/fleet"
+	"toucanfall/rate"
+)
+
+// Rates compares ways to hold teams to their rates over all VMs.
+var Rates = Table{
+	Name: "rates",
+	Goal: "excess 0 in every case; refusals within rate below 0.1% under even load and with all load on one VM, and below the baselines everywhere",
+	Seed: 1,
+	Run:  runRates,
+}
+
+// Sizes of the simulated fleet and its load.
+const (
+	rateVMs         = 6
+	rateDataCentres = 3
+	rateTeams       = 5
+	rateDuration    = 10 * time.Minute
+	rateTick        = 250 * time.Millisecond
+	rateTakenOver   = 70 * time.Second
+	ratePerSecond   = 1000
+	rateBurst       = 10000
+	rateLoad        = 0.5
+	rateHighLoad    = 0.8
+	rateOverload    = 7
+	rateBound       = 600
+)
+
+// ratePolicy is a way to split a limit over VMs.
+type ratePolicy string
+
+const (
+	policyStatic ratePolicy = "even static shares"
+	policyOwner  ratePolicy = "one owner per team"
+	policyLend   ratePolicy = "minted shares and lending"
+)
+
+// rateCase is a kind of load or fault.
+type rateCase string
+
+const (
+	caseEven     rateCase = "even load"
+	caseHigh     rateCase = "even load at 80% of the rate"
+	caseOneVM    rateCase = "all on one VM"
+	caseDead     rateCase = "one VM dead"
+	caseCut      rateCase = "one data centre cut off"
+	caseOverload rateCase = "one team at 7 times its load"
+)
+
+func runRates(seed uint64) (Result, error) {
+	r := Result{
+		Header: []string{"case", "policy", "requests within rate", "refused of them", "excess over burst and rate (tokens)", "tokens admitted, of one bucket's", "asks a request"},
+		Notes: []string{
+			fmt.Sprintf("%d VMs in %d data centres, %d teams with %d tokens a second and a burst of %d, at %.0f%% of their rate in groups of up to 8 requests; a request is charged %d, uses 50 to 550 and ends after 1 to 10 s. Virtual time: %s.", rateVMs, rateDataCentres, rateTeams, ratePerSecond, rateBurst, rateLoad*100, rateBound, rateDuration),
+			"Within rate means that one bucket for the whole fleet, with the same refunds, admits the request. Under overload only the other teams count; the column of admitted tokens is of the overloaded team.",
+			"The dead VM's share is minted by nobody for the first 70 s, and requests go to the others. VMs of a data centre that is cut off reach only each other.",
+		},
+	}
+	for _, c := range []rateCase{caseEven, caseHigh, caseOneVM, caseDead, caseCut, caseOverload} {
+		for _, p := range []ratePolicy{policyStatic, policyOwner, policyLend} {
+			s := newRateSim(seed, c, p)
+			s.run()
+			r.Rows = append(r.Rows, s.row())
+		}
+	}
+	return r, nil
+}
+
+// rateSim drives the library's objects in virtual time. Messages take none.
+type rateSim struct {
+	c       rateCase
+	p       ratePolicy
+	rng     *rand.Rand
+	now     time.Time
+	begun   time.Time
+	minters []*rate.Minter
+	books   []*rate.Book
+	ideal   *rate.Minter
+	checks  map[rate.Key]*rate.Checker
+	ends    endings
+	asks    int
+	all     int
+	within  int
+	refused int
+	// admitted and wanted are the tokens of the team that the last column is
+	// about.
+	admitted, wanted rate.Amount
+}
+
+func newRateSim(seed uint64, c rateCase, p ratePolicy) *rateSim {
+	s := &rateSim{c: c, p: p, rng: rand.New(rand.NewPCG(seed, 5)), now: time.Unix(0, 0), checks: make(map[rate.Key]*rate.Checker)}
+	s.begun = s.now
+	s.ideal = rate.NewMinter("ideal", nil)
+	s.ideal.Renew(s.now, s.now.Add(24*time.Hour))
+	for i := range rateVMs {
+		m := rate.NewMinter(rateVM(i), s)
+		m.Renew(s.now, s.now.Add(24*time.Hour))
+		s.minters = append(s.minters, m)
+		s.books = append(s.books, rate.NewBook())
+	}
+	for t := range rateTeams {
+		key := rateKey(t)
+		limit := rate.NewLimit(ratePerSecond, rateBurst)
+		s.checks[key] = rate.NewChecker(s.now, limit)
+		s.ideal.SetTerms(s.now, key, limit, true)
+		for i, m := range s.minters {
+			m.SetTerms(s.now, key, s.share(i, key), true)
+		}
+	}
+	return s
+}
+
+func rateVM(i int) fleet.VMID { return fleet.VMID(fmt.Sprintf("vm-%d", i)) }
+
+func rateKey(t int) rate.Key { return rate.Key(fmt.Sprintf("team-%d", t)) }
+
+// share is what a VM mints at the start.
+func (s *rateSim) share(vm int, key rate.Key) rate.Limit {
+	if s.p == policyOwner {
+		if s.owner(key) == vm {
+			return rate.NewLimit(ratePerSecond, rateBurst)
+		}
+		return rate.Limit{}
+	}
+	return rate.NewLimit(ratePerSecond/float64(rateVMs), rateBurst/float64(rateVMs))
+}
+
+func (s *rateSim) owner(key rate.Key) int {
+	return int(xxhash.Sum64String(string(key)) % rateVMs)
+}
+
+// Charged holds every admission against the limit of its team.
+func (s *rateSim) Charged(now time.Time, key rate.Key, a rate.Amount) {
+	// The checker keeps the worst excess for the table.
+	_ = s.checks[key].Record(now, a)
+}
+
+// run sends groups of requests of each team, in random places.
+func (s *rateSim) run() {
+	next := s.now
+	takenOver := s.c != caseDead
+	for s.now.Sub(s.begun) < rateDuration {
+		t, wait := s.nextGroup()
+		s.advance(s.now.Add(wait), &next)
+		if !takenOver && s.now.Sub(s.begun) > rateTakenOver {
+			takenOver = true
+			s.takeOver()
+		}
+		for range 1 + s.rng.IntN(8) {
+			s.request(t)
+		}
+	}
+}
+
+// nextGroup draws the team of the next group and the time until it.
+func (s *rateSim) nextGroup() (int, time.Duration) {
+	weights := rateTeams
+	if s.c == caseOverload {
+		weights += rateOverload - 1
+	}
+	t := max(0, s.rng.IntN(weights)-(weights-rateTeams))
+	// A group has 4.5 requests of 300 tokens in the mean.
+	load := rateLoad
+	if s.c == caseHigh {
+		load = rateHighLoad
+	}
+	groups := load * ratePerSecond / 300 / 4.5 * float64(weights)
+	return t, time.Duration(s.rng.ExpFloat64() / groups * float64(time.Second))
+}
+
+// advance ends requests and spreads levels until a time.
+func (s *rateSim) advance(to time.Time, tick *time.Time) {
+	for {
+		ends := len(s.ends) > 0 && !s.ends[0].at.After(to)
+		if ends && s.ends[0].at.Before(*tick) {
+			s.end(heap.Pop(&s.ends).(ending))
+			continue
+		}
+		if tick.After(to) {
+			if !ends {
+				break
+			}
+			s.end(heap.Pop(&s.ends).(ending))
+			continue
+		}
+		s.now = *tick
+		s.spread()
+		for vm := range s.minters {
+			if s.p == policyLend && s.alive(vm) {
+				s.balance(vm)
+			}
+		}
+		*tick = tick.Add(rateTick)
+	}
+	s.now = to
+}
+
+// spread carries levels by heartbeats.
+func (s *rateSim) spread() {
+	for i, m := range s.minters {
+		d := m.Digest(s.now)
+		for j, b := range s.books {
+			if s.reaches(i, j) {
+				b.Heard(s.now, rateVM(i), d)
+			}
+		}
+	}
+}
+
+// alive excepts the VM that owns the first team under one of the policies.
+func (s *rateSim) alive(vm int) bool { return s.c != caseDead || vm != s.owner(rateKey(0)) }
+
+func (s *rateSim) reaches(i, j int) bool {
+	if i == j || !s.alive(i) || !s.alive(j) {
+		return false
+	}
+	const cut = 0
+	a, b := i%rateDataCentres, j%rateDataCentres
+	return s.c != caseCut || a == b || (a != cut && b != cut)
+}
+
+// takeOver gives the dead VM's share to the other one of its data centre.
+func (s *rateSim) takeOver() {
+	if s.p != policyLend {
+		return
+	}
+	for t := range rateTeams {
+		double := rate.NewLimit(2*ratePerSecond/float64(rateVMs), 2*rateBurst/float64(rateVMs))
+		s.minters[(s.owner(rateKey(0))+rateDataCentres)%rateVMs].SetTerms(s.now, rateKey(t), double, false)
+	}
+}
+
+func (s *rateSim) place() int {
+	for {
+		vm := s.rng.IntN(rateVMs)
+		if s.c == caseOneVM {
+			return 0
+		}
+		if s.alive(vm) {
+			return vm
+		}
+	}
+}
+
+// request makes one request and compares its fate with that under one bucket.
+func (s *rateSim) request(t int) {
+	key, vm := rateKey(t), s.place()
+	used := rate.FromTokens(fleet.Tokens(50 + s.rng.IntN(501)))
+	end := s.now.Add(time.Second + time.Duration(s.rng.Int64N(int64(9*time.Second))))
+	need := rate.FromTokens(rateBound)
+	counted := s.c != caseOverload || t != 0
+	watched := s.c != caseOverload || t == 0
+
+	want, ideal := s.ideal.Take(s.now, key, need)
+	got, at, ok := s.admit(vm, key, need)
+	s.all++
+	if ideal {
+		heap.Push(&s.ends, ending{at: end, minter: s.ideal, grant: want, used: used})
+	}
+	if ok {
+		heap.Push(&s.ends, ending{at: end, minter: s.minters[at], grant: got, used: used})
+	}
+	if ideal && counted {
+		s.within++
+	}
+	if ideal && counted && !ok {
+		s.refused++
+	}
+	if ideal && watched {
+		s.wanted += used
+	}
+	if ok && watched {
+		s.admitted += used
+	}
+}
+
+// admit returns a grant and the VM that has to settle it.
+func (s *rateSim) admit(vm int, key rate.Key, need rate.Amount) (rate.Grant, int, bool) {
+	if s.p == policyOwner {
+		owner := s.owner(key)
+		if vm != owner && !s.reaches(vm, owner) {
+			return rate.Grant{}, 0, false
+		}
+		g, ok := s.minters[owner].Take(s.now, key, need)
+		return g, owner, ok
+	}
+	g, ok := s.minters[vm].Take(s.now, key, need)
+	if ok || s.p == policyStatic {
+		return g, vm, ok
+	}
+	g, ok = s.gather(vm, key, need)
+	return g, vm, ok
+}
+
+// gather borrows as the limiter does.
+func (s *rateSim) gather(vm int, key rate.Key, need rate.Amount) (rate.Grant, bool) {
+	if _, hopeless := s.books[vm].Hopeless(s.now, key, need); hopeless {
+		return rate.Grant{}, false
+	}
+	g := s.minters[vm].Gather(s.now, rate.AskID(fmt.Sprint(vm, "/", s.all)), key, need)
+	lenders := s.lenders(vm, key)
+	g.TakeOwn(s.now)
+	for _, l := range lenders {
+		if g.Short() <= 0 {
+			break
+		}
+		s.asks++
+		a := s.minter(l.VM).Lend(s.now, g.Ask(l.VM))
+		s.books[vm].Saw(s.now, l.VM, key, a)
+		g.Accept(s.now, a)
+	}
+	grant, refunds, ok := g.Finish(s.now)
+	s.giveBack(refunds)
+	if !ok {
+		s.books[vm].Refused(s.now, key, append(lenders, rate.Lender{Own: s.minters[vm].Minting(s.now, key)}))
+	}
+	return grant, ok
+}
+
+// lenders returns the VMs that a VM reaches, the fullest first.
+func (s *rateSim) lenders(vm int, key rate.Key) []rate.Lender {
+	var out []rate.Lender
+	for i, m := range s.minters {
+		if s.reaches(vm, i) {
+			out = append(out, rate.Lender{VM: rateVM(i), Own: m.Minting(s.now, key)})
+		}
+	}
+	s.books[vm].Estimate(s.now, key, out)
+	return out
+}
+
+// balance moves tokens as the limiter does between requests.
+func (s *rateSim) balance(vm int) {
+	for t := range rateTeams {
+		key := rateKey(t)
+		lenders := s.lenders(vm, key)
+		if len(lenders) == 0 {
+			continue
+		}
+		to := lenders[0]
+		want := s.minters[vm].BalanceWant(s.now, key, to)
+		if want == 0 {
+			continue
+		}
+		s.asks++
+		id := rate.AskID(fmt.Sprint("b/", vm, "/", s.asks))
+		g := s.minters[vm].Gather(s.now, id, key, want)
+		a := s.minter(to.VM).Lend(s.now, g.Ask(to.VM))
+		s.books[vm].Saw(s.now, to.VM, key, a)
+		g.Accept(s.now, a)
+		s.giveBack(g.Keep(s.now))
+	}
+}
+
+func (s *rateSim) minter(vm fleet.VMID) *rate.Minter {
+	for i, m := range s.minters {
+		if rateVM(i) == vm {
+			return m
+		}
+	}
+	return nil
+}
+
+func (s *rateSim) giveBack(refunds []rate.Refund) {
+	for _, r := range refunds {
+		s.minter(r.To).TakeBack(s.now, r.Return)
+	}
+}
+
+// ending is the end of a request.
+type ending struct {
+	at     time.Time
+	minter *rate.Minter
+	grant  rate.Grant
+	used   rate.Amount
+}
+
+func (s *rateSim) end(e ending) {
+	s.now = e.at
+	s.giveBack(e.minter.Settle(s.now, e.grant, e.used))
+}
+
+// endings is a heap by time.
+type endings []ending
+
+func (e endings) Len() int           { return len(e) }
+func (e endings) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e endings) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+
+// Push adds an ending.
+func (e *endings) Push(x any) { *e = append(*e, x.(ending)) }
+
+// Pop takes the last one out.
+func (e *endings) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+func (s *rateSim) row() []string {
+	var excess rate.Amount
+	for _, c := range s.checks {
+		excess = max(excess, c.Excess())
+	}
+	return []string{
+		string(s.c), string(s.p),
+		fmt.Sprint(s.within),
+		fmt.Sprintf("%.3f%%", 100*float64(s.refused)/float64(max(1, s.within))),
+		fmt.Sprint(excess.Tokens()),
+		fmt.Sprintf("%.1f%%", 100*float64(s.admitted)/float64(max(1, s.wanted))),
+		fmt.Sprintf("%.2f", float64(s.asks)/float64(s.all)),
+	}
+}
--- a/rate/checker.go
+++ b/rate/checker.go
@@ -16,6 +16,7 @@
 	limit Limit
 	// spans are the intervals that began under each limit.
 	spans []span
+	worst Amount
 }
 
 // span is the worst interval that began under one limit.
@@ -54,12 +55,20 @@
 		s := &c.spans[i]
 		s.excess = max(0, s.excess) + a
 		if s.excess > s.burst {
+			c.worst = max(c.worst, s.excess-s.burst)
 			return fmt.Errorf("an interval admits %d millionths of a token above its rate, but the burst is %d", s.excess, s.burst)
 		}
 	}
 	return nil
 }
 
+// Excess returns by how much the worst interval passed the limit.
+func (c *Checker) Excess() Amount {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.worst
+}
+
 // advance lets the rate yield up to now, rounded up in favour of the admitted.
 func (c *Checker) advance(now time.Time) {
 	d := now.Sub(c.at)
--- a/rate/gather.go
+++ b/rate/gather.go
@@ -26,19 +26,25 @@
 	ended bool
 }
 
-// Gather begins to collect an amount, first from the VM's own bucket. The id
-// must be unique in the fleet.
+// Gather begins to collect an amount. The id must be unique in the fleet.
 func (m *Minter) Gather(now time.Time, id AskID, key Key, need Amount) *Gather {
-	g := &Gather{m: m, id: id, key: key, need: need, until: now.Add(LoanLife), open: make(map[AskID]fleet.VMID)}
-	if b, ok := m.buckets.Get(key); ok {
-		b.mu.Lock()
-		b.touch(now, m.lease.Load())
-		g.own = b.takeHeld(need, id, g.until)
-		m.loaned.Store(&now)
-		b.check()
-		b.mu.Unlock()
+	return &Gather{m: m, id: id, key: key, need: need, until: now.Add(LoanLife), open: make(map[AskID]fleet.VMID)}
+}
+
+// TakeOwn takes what is missing from the VM's own bucket. It is called once.
+func (g *Gather) TakeOwn(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b, ok := g.m.buckets.Get(g.key)
+	if !ok || passed(g.until, now) {
+		return
 	}
-	return g
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.touch(now, g.m.lease.Load())
+	g.own = b.takeHeld(g.short(), g.id, g.until)
+	g.m.loaned.Store(&now)
+	b.check()
 }
 
 // Short returns what is still missing.
@@ -87,7 +93,8 @@
 }
 
 // Finish ends the gathering. If everything is there in time, the request is
-// admitted now; otherwise all that was collected goes back.
+// admitted now; otherwise all that was collected goes back. The lenders are told
+// in either case.
 func (g *Gather) Finish(now time.Time) (Grant, []Refund, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -96,7 +103,7 @@
 	grant := Grant{Key: g.key, Charged: g.need, own: g.own, parts: g.parts}
 	if g.short() <= 0 && !passed(g.until, now) {
 		g.m.charged(now, g.key, g.need)
-		return grant, nil, true
+		return grant, g.landed(), true
 	}
 	if !held {
 		// The bucket has filled up since, so the own part would come on top.
@@ -109,6 +116,36 @@
 	return Grant{}, g.m.settle(now, grant, 0, false), false
 }
 
+// Keep ends the gathering and puts what was lent into the VM's own bucket, up to
+// the burst share. Nothing is admitted: tokens only move to where they can be
+// minted again.
+func (g *Gather) Keep(now time.Time) []Refund {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ended = true
+	b, ok := g.m.buckets.Get(g.key)
+	if !ok || passed(g.until, now) {
+		return nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.touch(now, g.m.lease.Load())
+	for _, p := range g.parts {
+		b.add(p.amount)
+	}
+	b.check()
+	return g.landed()
+}
+
+// landed tells the lenders that their tokens are not under way any more.
+func (g *Gather) landed() []Refund {
+	var out []Refund
+	for _, p := range g.parts {
+		out = append(out, Refund{To: p.vm, Return: Return{ID: p.id, Landed: true}})
+	}
+	return out
+}
+
 // unhold ends the hold on the own part and reports whether it still stood.
 func (g *Gather) unhold(now time.Time) bool {
 	b, ok := g.m.buckets.Get(g.key)
--- a/rate/limiter.go
+++ b/rate/limiter.go
@@ -95,6 +95,7 @@
 		return Grant{}, refuse(key, after)
 	}
 	g := l.minter.Gather(time.Now(), l.askID(), key, need)
+	g.TakeOwn(time.Now())
 	lenders := l.peers.Lenders(key)
 	l.book.Estimate(time.Now(), key, lenders)
 	l.collect(ctx, g, key, lenders)
--- a/rate/loan.go
+++ b/rate/loan.go
@@ -45,6 +45,9 @@
 	// Charged tells that the request was admitted, so that the audit counted
 	// the amount.
 	Charged bool `json:"charged"`
+	// Landed tells only that the tokens are not under way any more: they were
+	// admitted, or are in the borrower's bucket. The lender may mint again.
+	Landed bool `json:"landed"`
 }
 
 // Bounds of what a lender remembers.
@@ -131,7 +134,7 @@
 	if !ok || l.returned {
 		return
 	}
-	l.returned = true
+	l.returned = !r.Landed
 	b, ok := m.buckets.Get(l.key)
 	if !ok {
 		return
@@ -139,7 +142,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.touch(now, m.lease.Load())
-	if held := b.drop(r.ID); !held && !r.Charged {
+	held := b.drop(r.ID)
+	if r.Landed {
+		return
+	}
+	if !held && !r.Charged {
 		// The bucket has filled up since: the tokens were neither admitted nor
 		// kept room for, so they would come on top of a burst.
 		return
--- a/rate/minter.go
+++ b/rate/minter.go
@@ -182,9 +182,10 @@
 	if left == 0 {
 		return nil
 	}
+	// The own part goes back as far as there is room for it; of the rest, the
+	// lenders get what they lent.
 	own := min(left, g.own)
-	m.refund(now, g.Key, own, charged)
-	left -= own
+	left -= m.refund(now, g.Key, own, charged)
 	var out []Refund
 	for _, p := range g.parts {
 		back := min(left, p.amount)
@@ -199,10 +200,10 @@
 
 // refund puts the own part of a grant back. What belongs to a request that was
 // not admitted was never charged.
-func (m *Minter) refund(now time.Time, key Key, a Amount, charged bool) {
+func (m *Minter) refund(now time.Time, key Key, a Amount, charged bool) Amount {
 	b, ok := m.buckets.Get(key)
 	if !ok || a == 0 {
-		return
+		return 0
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -212,4 +213,5 @@
 	if charged {
 		m.charged(now, key, -credited)
 	}
+	return credited
 }
--- a/rate/world_test.go
+++ b/rate/world_test.go
@@ -319,6 +319,7 @@
 	}
 	w.asks++
 	g := n.minter.Gather(w.now, AskID(fmt.Sprint(w.asks)), testKey, need)
+	g.TakeOwn(w.now)
 	n.gathers = append(n.gathers, g)
 	for _, m := range w.nodes {
 		if m != n && g.Short() > 0 {
@@ -339,6 +340,23 @@
 	})
 }
 
+// move carries a whole balancing of a node with another one, with doubled
+// messages.
+func (w *world) move(n, m *node, want Amount) {
+	if !n.runs() || n == m {
+		return
+	}
+	w.asks++
+	g := n.minter.Gather(w.now, AskID(fmt.Sprint(w.asks)), testKey, want)
+	w.ask(n, m, g)
+	w.double()
+	w.arrive(len(w.mail))
+	w.double()
+	w.arrive(len(w.mail))
+	w.giveBack(n, g.Keep(w.now))
+	w.arrive(len(w.mail))
+}
+
 func (w *world) finish(n *node) {
 	if !n.runs() {
 		return
