Run whole fleets under faults of every part

Cause: each package is proved by itself; two faults in different parts at once were not. Done: internal/joined starts daemons, platform and upstreams over a network in memory; a rapid machine kills, stops, cuts, silences and lets the log fail while callers draft and book, and compares what callers were told with what the upstreams saw. Conclusion: not yet part of the promises.

--- a/control/client.go
+++ b/control/client.go
@@ -32,7 +32,11 @@
 // NewClient returns a client of the listener at a base URL. A nil config means
 // plain HTTP, or HTTPS with the system's authorities.
 func NewClient(base string, credential fleet.Secret, config *tls.Config) *Client {
-	rt := &http.Transport{TLSClientConfig: config}
+	return NewClientOver(base, credential, &http.Transport{TLSClientConfig: config})
+}
+
+// NewClientOver returns a client whose requests go over rt.
+func NewClientOver(base string, credential fleet.Secret, rt http.RoundTripper) *Client {
 	return &Client{base: base, credential: credential, hc: &http.Client{Timeout: clientTimeout, Transport: rt}}
 }
 
--- /dev/null
+++ b/internal/joined/book.go
@@ -0,0 +1,141 @@
+package joined
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+
+	"toucanfall/fault"
+	"toucanfall/platform"
+	"toucanfall/standin"
+)
+
+// Book keeps what callers were told, and compares it with what the upstreams
+// saw. It is safe for concurrent use.
+type Book struct {
+	mu       sync.Mutex
+	notRun   map[string]bool
+	done     map[string]bool
+	attempts int
+	whole    int
+	broken   []string
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book {
+	return &Book{notRun: make(map[string]bool), done: make(map[string]bool)}
+}
+
+// Broken lists the promises that were seen broken.
+func (b *Book) Broken() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]string(nil), b.broken...)
+}
+
+// Counts returns the requests of callers and those answered whole.
+func (b *Book) Counts() (attempts, whole int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.attempts, b.whole
+}
+
+func (b *Book) breach(format string, args ...any) {
+	b.broken = append(b.broken, fmt.Sprintf(format, args...))
+}
+
+// Draft notes the outcome of a draft of maxTokens tokens for a prompt.
+func (b *Book) Draft(prompt string, maxTokens int, text string, err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.attempts++
+	want := strings.Join(standin.AnswerTokens(platform.GenerateRequest{
+		Messages:  []platform.Message{{Role: "user", Content: prompt}},
+		MaxTokens: maxTokens,
+	}), "")
+	switch {
+	case err == nil && text != want:
+		b.breach("draft %q ended whole with the text %q", prompt, text)
+	case !strings.HasPrefix(want, text):
+		b.breach("draft %q was cut with the text %q", prompt, text)
+	case err == nil:
+		b.whole++
+	}
+}
+
+// Booking notes the outcome of a booking of an item under an idempotency key
+// that is the item's name.
+func (b *Book) Booking(item string, err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.attempts++
+	switch {
+	case err == nil:
+		b.whole++
+		b.done[item] = true
+	case fault.Lookup(fault.KindOf(err)).NotRun:
+		b.notRun[item] = true
+	}
+}
+
+// Foreign notes the outcome of a request with the key of a team that may not
+// use the route.
+func (b *Book) Foreign(err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if err == nil {
+		b.breach("a request ran with the key of another team")
+	}
+}
+
+// Withdrawn notes the outcome of a request long after its key was withdrawn.
+func (b *Book) Withdrawn(vm int, err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if err == nil {
+		b.breach("VM %d served a withdrawn key", vm)
+	}
+}
+
+// CheckUpstreams compares the book with what the services and engines saw.
+func (b *Book) CheckUpstreams(services []*standin.Service, engines []*standin.Engine, secrets ...string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	runs := make(map[string]int)
+	for _, s := range services {
+		for _, r := range s.Bookings() {
+			runs[r.Item]++
+		}
+		b.checkHeaders(s, secrets)
+	}
+	for item, n := range runs {
+		if n > 1 {
+			b.breach("booking %s ran %d times", item, n)
+		}
+		if b.notRun[item] && !b.done[item] {
+			b.breach("booking %s ran, though its caller was told that it did not", item)
+		}
+	}
+	for item := range b.done {
+		if runs[item] == 0 {
+			b.breach("booking %s did not run, though its caller got an answer", item)
+		}
+	}
+	for i, e := range engines {
+		if r := e.Report(); r.Used > r.Capacity {
+			b.breach("engine %d holds %d of %d bytes", i, r.Used, r.Capacity)
+		}
+	}
+}
+
+func (b *Book) checkHeaders(s *standin.Service, secrets []string) {
+	for _, h := range s.Headers() {
+		for name, values := range h {
+			for _, secret := range secrets {
+				if strings.Contains(strings.Join(values, " "), secret) {
+					b.breach("a service saw a caller's key in the header %s", name)
+				}
+			}
+		}
+	}
+}
