Decode records and bodies without json.Unmarshal's extra scans

Cause: json.Unmarshal scans the text once to check it and once to find its end before it calls a type's UnmarshalJSON, which does both again. Records and bodies both check themselves there.

Done: the methods are called directly; body requires them of every body.

--- a/ledger/ingest.go
+++ b/ledger/ingest.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 
@@ -38,7 +37,8 @@
 func (f *Follower) apply(raw Raw) {
 	f.recent.add(raw)
 	var r Record
-	if err := json.Unmarshal(raw.Data, &r); err != nil {
+	// json.Unmarshal would scan the text twice before it calls this method.
+	if err := r.UnmarshalJSON(raw.Data); err != nil {
 		f.State.Skip(raw.Offset)
 		f.rec.Record(event.RecordSkipped, timeline.Fields{"offset": fmt.Sprint(raw.Offset), "reason": err.Error()})
 		return
--- a/ledger/kinds.go
+++ b/ledger/kinds.go
@@ -57,12 +57,19 @@
 	}
 }
 
+// checkedBody is a pointer to a body that checks itself.
+type checkedBody[B any] interface {
+	*B
+	json.Unmarshaler
+}
+
 // body wraps a function over a decoded body. A body that does not decode is
-// rejected with invalid_request.
-func body[B any](apply func(s *State, offset fleet.Offset, r Record, b B) Verdict) applyFunc {
+// rejected with invalid_request. Its method is called directly, because
+// json.Unmarshal would scan the text twice before it does so.
+func body[B any, P checkedBody[B]](apply func(s *State, offset fleet.Offset, r Record, b B) Verdict) applyFunc {
 	return func(s *State, offset fleet.Offset, r Record) Verdict {
 		var b B
-		if err := json.Unmarshal(r.Body, &b); err != nil {
+		if err := P(&b).UnmarshalJSON(r.Body); err != nil {
 			return reject(offset, fault.InvalidRequest, "body of %s record: %v", r.Kind, err)
 		}
 		return apply(s, offset, r, b)
--- a/ledger/recovery.go
+++ b/ledger/recovery.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math"
@@ -113,7 +112,7 @@
 		}
 		for _, raw := range page.Records {
 			var r Record
-			if json.Unmarshal(raw.Data, &r) == nil && r.Kind == KindSnapshotChunk {
+			if r.UnmarshalJSON(raw.Data) == nil && r.Kind == KindSnapshotChunk {
 				found.addRecord(raw.Offset, r)
 			}
 			from = raw.Offset + 1
--- a/measure/ledger.go
+++ b/measure/ledger.go
@@ -169,15 +169,18 @@
 // silentLog is a log that is never read: the tables fold records directly.
 type silentLog struct{}
 
+// Append sends nothing.
 func (silentLog) Append(context.Context, [][]byte) (fleet.Offset, error) {
 	return 0, ledger.ErrNotSent
 }
 
+// Read waits until ctx ends.
 func (silentLog) Read(ctx context.Context, _ fleet.Offset) ([]ledger.Raw, error) {
 	<-ctx.Done()
 	return nil, ctx.Err()
 }
 
+// Peek waits until ctx ends.
 func (silentLog) Peek(ctx context.Context, _ fleet.Offset) (ledger.Page, error) {
 	<-ctx.Done()
 	return ledger.Page{}, ctx.Err()
