--- a/ledger/ingest.go
+++ b/ledger/ingest.go
@@ -81,6 +81,7 @@
 		return err
 	}
 	f.recent.reset(sn.Covered)
+	f.endUnread()
 	f.rec.Record(event.SnapshotLoaded, timeline.Fields{"offset": fmt.Sprint(sn.Covered), "source": source})
 	return nil
 }
--- a/ledger/promise_test.go
+++ b/ledger/promise_test.go
@@ -39,6 +39,7 @@
 		first, err := propose(vms[0], time.Minute, settingRecord(t, 0, 1))
 		is.NoErr(err)
 		is.NoErr(first.Err())
+		synctest.Wait() // until every VM has read it
 		cut.cut.Store(true)
 
 		l.set(func(l *faultLog) { l.losing = 2 })
--- a/ledger/propose.go
+++ b/ledger/propose.go
@@ -117,7 +117,7 @@
 	}
 }
 
-// fail ends a proposal that was certainly not appended. The caller holds f.mu.
+// fail ends a proposal without a verdict. The caller holds f.mu.
 func (f *Follower) fail(p *proposal, err error) {
 	if !p.over {
 		p.failed <- err
@@ -137,6 +137,19 @@
 	}
 }
 
+// endUnread ends the proposals that may stand among the records that a snapshot
+// replaced. Their verdicts were not read, and a later copy would get another
+// one: the second copy of an accepted change is a conflict.
+func (f *Follower) endUnread() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.waiters {
+		if p.maybeAppended || p.inFlight {
+			f.fail(p, fault.New(fault.OutcomeUnknown, "a snapshot replaced the state before the change was read back"))
+		}
+	}
+}
+
 func unavailable(cause error) error {
 	return fault.New(fault.StoreUnavailable, "the log cannot be reached: %w", cause)
 }
