Leave no events of records while a VM catches up

Cause: the fold spent an eighth of its time on one event for each record, and a VM that starts filled its time line with them.

Done: events of records are recorded from readiness on.

--- a/ledger/ingest.go
+++ b/ledger/ingest.go
@@ -55,7 +55,12 @@
 	}
 }
 
+// noteVerdict records an event, but not for the records of a VM that is still
+// catching up: they would push everything else out of its time line.
 func (f *Follower) noteVerdict(raw Raw, r Record, v Verdict) {
+	if !f.Ready() {
+		return
+	}
 	fields := timeline.Fields{"offset": fmt.Sprint(raw.Offset), "kind": string(r.Kind), "proposer": r.Proposer}
 	if v.Accepted() {
 		f.rec.Record(event.RecordApplied, fields)
