Flatten the stamp in the header of a record

Cause: the stamp was an object of its own, which the decoder of JSON takes reflection and two allocations for.

--- a/ledger/fuzz_test.go
+++ b/ledger/fuzz_test.go
@@ -12,13 +12,13 @@
 // without a panic and comes back from its own encoding.
 func FuzzRecord(f *testing.F) {
 	for _, seed := range []string{
-		`{"id":"1","kind":"team","proposer":"ada","at":{"wall_ms":1,"counter":2}}` + "\n" + `{"id":"quotes","name":"Quotes"}`,
-		`{"id":"2","kind":"setting","proposer":"ada","at":{},"base":7}` + "\n" + `{"path":{"level":"fleet","name":"deadline"},"value":"30s"}`,
-		`{"id":"3","kind":"withdraw","proposer":"ada","at":{}}` + "\n" + `{"key":"k1"}`,
-		`{"id":"4","kind":"booking_claim","proposer":"vm-1","at":{}}` + "\n" + `{"key":"a\nb\nc","request":"r1"}`,
-		`{"id":"5","kind":"snapshot_chunk","proposer":"vm-1","at":{}}` + "\n" + `{"id":"s","covered":1,"index":0,"count":1,"data":"eA=="}`,
-		`{"id":"6","kind":"route","proposer":"ada","at":{}}` + "\nnull",
-		`{"id":"7","kind":"placement_intent","proposer":"vm-1","at":{}}` + "\n" + `{"epoch":1,"engine":"e1","kind":"load"}`,
+		`{"id":"1","kind":"team","proposer":"ada","wall_ms":1,"counter":2}` + "\n" + `{"id":"quotes","name":"Quotes"}`,
+		`{"id":"2","kind":"setting","proposer":"ada","wall_ms":1,"base":7}` + "\n" + `{"path":{"level":"fleet","name":"deadline"},"value":"30s"}`,
+		`{"id":"3","kind":"withdraw","proposer":"ada","wall_ms":1}` + "\n" + `{"key":"k1"}`,
+		`{"id":"4","kind":"booking_claim","proposer":"vm-1","wall_ms":1}` + "\n" + `{"key":"a\nb\nc","request":"r1"}`,
+		`{"id":"5","kind":"snapshot_chunk","proposer":"vm-1","wall_ms":1}` + "\n" + `{"id":"s","covered":1,"index":0,"count":1,"data":"eA=="}`,
+		`{"id":"6","kind":"route","proposer":"ada","wall_ms":1}` + "\nnull",
+		`{"id":"7","kind":"placement_intent","proposer":"vm-1","wall_ms":1}` + "\n" + `{"epoch":1,"engine":"e1","kind":"load"}`,
 	} {
 		f.Add([]byte(seed))
 	}
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -76,14 +76,15 @@
 	ID       RecordID       `json:"id"`
 	Kind     Kind           `json:"kind"`
 	Proposer string         `json:"proposer"`
-	At       timeline.Stamp `json:"at"`
+	WallMS   int64          `json:"wall_ms"`
+	Counter  uint32         `json:"counter,omitempty"`
 	Base     fleet.Revision `json:"base,omitempty"`
 }
 
 // Encode returns the record as it stands in the log: two lines of JSON, the
 // header and the body. So readers scan the body only where they need it.
 func (r Record) Encode() ([]byte, error) {
-	head, err := json.Marshal(header{ID: r.ID, Kind: r.Kind, Proposer: r.Proposer, At: r.At, Base: r.Base})
+	head, err := json.Marshal(header{ID: r.ID, Kind: r.Kind, Proposer: r.Proposer, WallMS: r.At.WallMS, Counter: r.At.Counter, Base: r.Base})
 	if err != nil {
 		return nil, err
 	}
@@ -102,7 +103,8 @@
 	if err := json.Unmarshal(head, &h); err != nil {
 		return Record{}, err
 	}
-	r := Record{ID: h.ID, Kind: h.Kind, Proposer: h.Proposer, At: h.At, Base: h.Base, Body: body}
+	at := timeline.Stamp{WallMS: h.WallMS, Counter: h.Counter}
+	r := Record{ID: h.ID, Kind: h.Kind, Proposer: h.Proposer, At: at, Base: h.Base, Body: body}
 	return r, r.check()
 }
 
