--- a/control/status.go
+++ b/control/status.go
@@ -4,29 +4,45 @@
 	"fmt"
 	"net/url"
 	"strings"
+	"time"
 
 	"toucanfall/fleet"
+	"toucanfall/membership"
 	"toucanfall/operator"
 )
 
 type status struct {
 	session *session
-	Offset  uint64 `long:"offset" value-name:"OFFSET" description:"fail unless every listed VM answers and has applied this offset, as a command showed it"`
+	Offset  uint64        `long:"offset" value-name:"OFFSET" description:"fail unless every listed VM answers and has applied this offset, as a command showed it"`
+	Wait    time.Duration `long:"wait" value-name:"DURATION" description:"with --offset: ask again for up to this long"`
 }
 
+// statusInterval is how often a waiting status asks. VMs tell each other what
+// they have applied by heartbeats, which are as far apart.
+const statusInterval = membership.HeartbeatInterval
+
 // Execute shows the state of all VMs.
 func (c *status) Execute([]string) error {
-	var st operator.Status
-	if err := c.session.ask("status", nil, &st); err != nil {
-		return err
-	}
-	if err := c.show(st); err != nil {
-		return err
-	}
-	if c.Offset == 0 || (st.Everywhere && st.InForce >= fleet.Offset(c.Offset)) {
+	offset := fleet.Offset(c.Offset)
+	end := time.Now().Add(c.Wait)
+	for {
+		var st operator.Status
+		if err := c.session.ask("status", nil, &st); err != nil {
+			return err
+		}
+		inForce := st.Everywhere && st.InForce >= offset
+		if offset > 0 && !inForce && time.Now().Before(end) {
+			time.Sleep(statusInterval)
+			continue
+		}
+		if err := c.show(st); err != nil {
+			return err
+		}
+		if offset > 0 && !inForce {
+			return fmt.Errorf("offset %d is not known to be in force everywhere; not known of: %s", offset, behind(st, offset))
+		}
 		return nil
 	}
-	return fmt.Errorf("offset %d is not known to be in force everywhere; not known of: %s", c.Offset, behind(st, fleet.Offset(c.Offset)))
 }
 
 func (c *status) show(st operator.Status) error {
--- a/measure/inforce.go
+++ b/measure/inforce.go
@@ -16,8 +16,8 @@
 const (
 	inForceVMs     = 7
 	inForceChanges = 100
-	inForceCuts    = 3
-	cutFor         = 1500 * time.Millisecond
+	inForceCuts    = 2
+	cutFor         = 2500 * time.Millisecond
 	inForceTimeout = 10 * time.Second
 	// lookInterval is how often it is looked whether a change is in force.
 	lookInterval = 100 * time.Microsecond
