--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -3,13 +3,11 @@
 package daemon
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/oklog/run"
@@ -43,17 +41,19 @@
 	incarnation fleet.Incarnation
 	leaving     atomic.Bool
 
-	follower *ledger.Follower
-	keyring  *keyring.Keyring
-	links    *peer.Links
-	peers    *peer.Server
-	members  *membership.Membership
-	contact  *membership.Contact
-	history  operator.History
-	spread   *keyring.Spread
-	pool     *upstream.Pool
-	booker   *booking.Booker
-	entry    *entry.Server
+	follower  *ledger.Follower
+	snapshots *ledger.SnapshotWriter
+	relay     *relay
+	keyring   *keyring.Keyring
+	links     *peer.Links
+	peers     *peer.Server
+	members   *membership.Membership
+	contact   *membership.Contact
+	history   operator.History
+	spread    *keyring.Spread
+	pool      *upstream.Pool
+	booker    *booking.Booker
+	entry     *entry.Server
 
 	callers   *http.Server
 	operators *http.Server
@@ -77,7 +77,7 @@
 	state := ledger.NewState()
 	cutOff := func() bool { return d.contact.CutOff() }
 	d.keyring = keyring.New(state, d.rec, keyring.GuardCutOff(cfg.DataCentre, cutOff, state.Setting))
-	d.follower = ledger.NewFollower(platform.NewLog(cfg.Platform.Log, rt), state, d.rec, d.heedWithdrawal, d.history.Observe)
+	d.newLog(platform.NewLog(cfg.Platform.Log, rt), state)
 	d.contact = membership.NewContact(d.follower.LastRead, d.rec)
 	d.members = membership.New(cfg.VM, platform.NewVMList(cfg.Platform.VMList, rt), d, d.beat, d.rec, d.contact.Heard)
 	d.spread = keyring.NewSpread(cfg.VM, d.keyring, keyPeers{d}, keyLog{follower: d.follower, loaded: d.stateLoaded}, d.rec)
@@ -90,6 +90,9 @@
 	if err := d.peers.Register("Peer", &peerService{daemon: d}); err != nil {
 		return nil, fmt.Errorf("register the peer service: %w", err)
 	}
+	if err := d.newRelay(); err != nil {
+		return nil, err
+	}
 	if err := d.peers.Register("Keys", &keyService{daemon: d}); err != nil {
 		return nil, fmt.Errorf("register the key service: %w", err)
 	}
@@ -208,53 +211,34 @@
 	return ls, nil
 }
 
+// addHTTP adds a server to the group. Serve returns as soon as a shutdown
+// begins, while requests are still open; the actor stays until the group ends,
+// since its return would end all others.
 func (d *Daemon) addHTTP(g *run.Group, s *http.Server, l net.Listener) {
+	ended := make(chan struct{})
 	g.Add(
 		func() error {
 			if err := s.Serve(l); err != http.ErrServerClosed {
 				return err
 			}
+			<-ended
 			return nil
 		},
-		func(error) { _ = s.Close() },
+		func(error) {
+			close(ended)
+			_ = s.Close()
+		},
 	)
 }
 
-// awaitStop waits for a signal and then lets open requests end. New requests
-// are served until the balancer has had time to notice. A second signal ends
-// the process at once.
-func (d *Daemon) awaitStop(signals <-chan os.Signal, stop <-chan struct{}) error {
-	select {
-	case <-signals:
-	case <-stop:
-		return nil
-	}
-	d.leaving.Store(true)
-	d.rec.Record(event.StopRequested, nil)
-	drained := make(chan error, 1)
-	go func() {
-		time.Sleep(time.Duration(d.cfg.StopAfter))
-		drained <- d.callers.Shutdown(context.Background())
-	}()
-	select {
-	case err := <-drained:
-		d.rec.Record(event.ProcessStopped, timeline.Fields{"cut": "0"})
-		return err
-	case <-signals:
-		d.rec.Record(event.StopForced, timeline.Fields{"cut": fmt.Sprint(d.entry.InFlight())})
-		return nil
-	}
-}
-
 func (d *Daemon) close() {
 	d.booker.Close()
 	d.pool.Close()
 	d.spread.Close()
 	d.members.Close()
+	d.relay.Close()
+	d.snapshots.Close()
 	d.follower.Close()
 	d.peers.Close()
 	d.links.Close()
 }
-
-// Signals are the signals that ask for a planned stop.
-var Signals = []os.Signal{syscall.SIGTERM, syscall.SIGINT}
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -29,6 +29,8 @@
 
 // Registry lists all tables in the order of docs/MEASURES.md.
 var Registry = []Table{
+	LedgerFold,
+	LedgerState,
 	Heartbeats,
 	InForce,
 }
--- a/measure/membership.go
+++ b/measure/membership.go
@@ -13,9 +13,8 @@
 	heartbeatWindow = 3 * time.Second
 )
 
-// Sizes and goals of the largest fleet.
+// Goals and sizes of heartbeats in the fleet of the target.
 const (
-	targetVMs = 400
 	// controlBytes is what one VM may spend for control, in bytes a second.
 	controlBytes = 7000
 	// headerBytes is what TCP and IP add to a segment, and segmentsPerCall the
