End streams where a team refuses to be served while cut off

Cause: cut_off_keys set to refuse held back new requests only; a stream that had begun went on to the deadline of its route, past a withdrawal that could not arrive. A watch tells why it ended, so entry passes the reason on. Ruled out: ending them by store_unavailable, whose answer says "not run".

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -164,9 +164,6 @@
 	end    func()
 }
 
-// errWithdrawn is the cause of a context that ended because the key did.
-var errWithdrawn = errors.New("the key was withdrawn")
-
 // admit checks the key and the route. The returned admission must be ended; its
 // context ends at the route's deadline and when the key is withdrawn.
 func (s *Server) admit(c echo.Context, id fleet.RouteID) (*admission, error) {
@@ -235,12 +232,12 @@
 	if a.key.ID == "" {
 		return
 	}
-	w := s.Keyring.Watch(a.key.ID)
+	w := s.Keyring.Watch(a.key)
 	go func() {
 		defer w.Stop()
 		select {
 		case <-w.Gone():
-			cancel(errWithdrawn)
+			cancel(w.Err())
 		case <-ctx.Done():
 		}
 	}()
@@ -260,8 +257,8 @@
 	case kind == fault.OutcomeUnknown || fault.Lookup(kind).NotRun:
 		// These say more about a repeat than why the context ended.
 		return err
-	case errors.Is(context.Cause(a.ctx), errWithdrawn):
-		return fault.New(fault.KeyWithdrawn, "key %q was withdrawn", a.key.ID)
+	case endedByKey(a.ctx):
+		return context.Cause(a.ctx)
 	case errors.Is(a.ctx.Err(), context.DeadlineExceeded):
 		return fault.New(fault.Timeout, "the deadline of route %q passed", a.route.ID)
 	default:
@@ -269,6 +266,12 @@
 	}
 }
 
+// endedByKey reports whether a context ended because the key was no longer good.
+func endedByKey(ctx context.Context) bool {
+	var f *fault.Error
+	return errors.As(context.Cause(ctx), &f)
+}
+
 func (s *Server) provenance(c echo.Context, a *admission) {
 	h := c.Response().Header()
 	h.Set(HeaderRoute, string(a.route.ID))
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -20,6 +20,7 @@
 	TooLarge           Kind = "too_large"
 	Unauthenticated    Kind = "unauthenticated"
 	KeyWithdrawn       Kind = "key_withdrawn"
+	KeyUnverified      Kind = "key_unverified"
 	Forbidden          Kind = "forbidden"
 	NotFound           Kind = "not_found"
 	Conflict           Kind = "conflict"
@@ -54,6 +55,7 @@
 	{TooLarge, 413, true, 0, "The header or body is above the limit of the listener."},
 	{Unauthenticated, 401, true, 0, "No key, or a key that is not known."},
 	{KeyWithdrawn, 401, false, 0, "The key was withdrawn; a stream in progress is cut off."},
+	{KeyUnverified, 503, false, 2 * time.Second, "The VM is cut off and cannot learn whether the key was withdrawn; a request in progress is cut off."},
 	{Forbidden, 403, true, 0, "The key is valid, but its team may not use the route."},
 	{NotFound, 404, true, 0, "The named thing does not exist."},
 	{Conflict, 409, true, 0, "Another change came first; the current value is in the answer."},
--- a/keyring/keyring.go
+++ b/keyring/keyring.go
@@ -76,12 +76,10 @@
 		return fleet.Key{}, fault.New(fault.Unauthenticated, "the key is not known")
 	}
 	if k.Withdrawn(key.ID) {
-		return fleet.Key{}, fault.New(fault.KeyWithdrawn, "key %q was withdrawn", key.ID)
+		return fleet.Key{}, withdrawnFault(key.ID)
 	}
-	for _, guard := range k.guards {
-		if err := guard(key); err != nil {
-			return fleet.Key{}, err
-		}
+	if err := k.guard(key); err != nil {
+		return fleet.Key{}, err
 	}
 	return key, nil
 }
@@ -107,7 +105,7 @@
 	delete(k.watches, w.Key)
 	k.mu.Unlock()
 	for watch := range cut {
-		close(watch.gone)
+		watch.end(withdrawnFault(w.Key))
 	}
 	k.rec.Record(event.KeyHeardWithdrawn, timeline.Fields{"key": string(w.Key), "by": w.By, "cut": fmt.Sprint(len(cut))})
 	return true
@@ -133,40 +131,89 @@
 	return nil
 }
 
-// Watch tells one caller when its key is withdrawn. It must be stopped.
+// Watch tells one caller when its key is no longer good. It must be stopped.
 type Watch struct {
 	ring *Keyring
-	key  fleet.KeyID
+	key  fleet.Key
 	gone chan struct{}
+	err  error
 }
 
-// Gone is closed when the key is withdrawn.
+// Gone is closed when the key is no longer good.
 func (w *Watch) Gone() <-chan struct{} {
 	return w.gone
 }
 
+// Err returns why the key is no longer good. It may be called after Gone was
+// closed.
+func (w *Watch) Err() error {
+	return w.err
+}
+
 // Stop ends the watch.
 func (w *Watch) Stop() {
 	w.ring.mu.Lock()
 	defer w.ring.mu.Unlock()
-	delete(w.ring.watches[w.key], w)
-	if len(w.ring.watches[w.key]) == 0 {
-		delete(w.ring.watches, w.key)
+	delete(w.ring.watches[w.key.ID], w)
+	if len(w.ring.watches[w.key.ID]) == 0 {
+		delete(w.ring.watches, w.key.ID)
 	}
 }
 
+// end tells the caller. It is called once, by whoever removed the watch.
+func (w *Watch) end(err error) {
+	w.err = err
+	close(w.gone)
+}
+
 // Watch starts a watch of a key.
-func (k *Keyring) Watch(id fleet.KeyID) *Watch {
-	w := &Watch{ring: k, key: id, gone: make(chan struct{})}
+func (k *Keyring) Watch(key fleet.Key) *Watch {
+	w := &Watch{ring: k, key: key, gone: make(chan struct{})}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.Withdrawn(id) {
-		close(w.gone)
+	if k.Withdrawn(key.ID) {
+		w.end(withdrawnFault(key.ID))
 		return w
 	}
-	if k.watches[id] == nil {
-		k.watches[id] = make(map[*Watch]struct{})
+	if k.watches[key.ID] == nil {
+		k.watches[key.ID] = make(map[*Watch]struct{})
 	}
-	k.watches[id][w] = struct{}{}
+	k.watches[key.ID][w] = struct{}{}
 	return w
 }
+
+// CutGuarded cuts off the callers whose keys a guard refuses now.
+func (k *Keyring) CutGuarded() {
+	k.mu.Lock()
+	var cut []*Watch
+	for id, watches := range k.watches {
+		for w := range watches {
+			if k.guard(w.key) == nil {
+				break // all watches of a key are alike
+			}
+			cut = append(cut, w)
+			delete(watches, w)
+		}
+		if len(watches) == 0 {
+			delete(k.watches, id)
+		}
+	}
+	k.mu.Unlock()
+	for _, w := range cut {
+		w.end(fault.New(fault.KeyUnverified, "this VM is cut off, and the team of key %q does not want to be served then", w.key.ID))
+	}
+}
+
+// guard returns the refusal of the first guard that refuses.
+func (k *Keyring) guard(key fleet.Key) error {
+	for _, guard := range k.guards {
+		if err := guard(key); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func withdrawnFault(id fleet.KeyID) error {
+	return fault.New(fault.KeyWithdrawn, "key %q was withdrawn", id)
+}
--- a/keyring/spread.go
+++ b/keyring/spread.go
@@ -110,6 +110,7 @@
 	}
 	s.wg.Go(func() { loop.Every(ctx, exchangePeriod, s.compareAll) })
 	s.wg.Go(func() { loop.Every(ctx, exchangePeriod, s.appendMissing) })
+	s.wg.Go(func() { loop.Every(ctx, exchangePeriod, func(context.Context) { ring.CutGuarded() }) })
 	return s
 }
 
