Prove with processes that a frozen VM hears of a withdrawal

Cause: the promise was shown under a paused clock only, not on processes. Done: TestKeyWithdrawnWhileVMIsFrozen stops a VM by SIGSTOP in the middle of a stream, takes the log down, withdraws the key at the other VM, and lets both go on. The plant of the process tests keeps the addresses of operators and log. Seen to fail without cutting callers (the stream ends by another kind), and without telling and comparing (the VM never refuses the key).

--- /dev/null
+++ b/daemon/key_test.go
@@ -0,0 +1,76 @@
+package daemon_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"toucanfall/control"
+	"toucanfall/fault"
+	"toucanfall/fleet"
+	"toucanfall/ledger"
+	"toucanfall/operator"
+)
+
+func (p *plant) control(i int) *control.Client {
+	return control.NewClient("http://"+p.operators[i], "op", nil)
+}
+
+// faults sets the faults of the log.
+func (p *plant) faults(t *testing.T, set string) {
+	resp, err := http.Post("http://"+p.log+"/faults", "application/json", strings.NewReader(set))
+	is.New(t).NoErr(err)
+	is.New(t).NoErr(resp.Body.Close())
+}
+
+// refused returns the kind of the refusal of a short draft.
+func (p *plant) refused(t *testing.T, i int) fault.Kind {
+	_, err := p.caller(i).Draft(t.Context(), "textdesk", "x", 1, nil)
+	return fault.KindOf(err)
+}
+
+// TestKeyWithdrawnWhileVMIsFrozen withdraws a key in an outage of the log while
+// the process of one VM is frozen in the middle of a stream. When it goes on,
+// it ends the stream and refuses the key, and the log gets the withdrawal when
+// it answers again.
+func TestKeyWithdrawnWhileVMIsFrozen(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	p := newPlant(t, "100ms")
+	begun, ended := make(chan struct{}), make(chan error, 1)
+	go func() {
+		n := 0
+		_, err := p.caller(1).Draft(context.Background(), "textdesk", "long", 500, func(string) {
+			if n++; n == 3 {
+				close(begun)
+			}
+		})
+		ended <- err
+	}()
+	<-begun
+	p.vms[1].signal(t, syscall.SIGSTOP)
+	p.faults(t, `{"outage":true}`)
+	until(t, "the VM notices the outage", func() bool {
+		var st operator.Status
+		return p.control(0).Query(t.Context(), "status", nil, &st) == nil && !st.VMs[0].LogReachable
+	})
+	o, err := p.control(0).Command(t.Context(), ledger.KindWithdraw, 0, ledger.Withdrawal{Key: "k1"})
+	is.NoErr(err)
+	is.True(o.NotLogged)
+	is.Equal(o.Reach.Missed, []fleet.VMID{"v2"})
+	is.Equal(p.refused(t, 0), fault.KeyWithdrawn)
+
+	p.vms[1].signal(t, syscall.SIGCONT)
+	until(t, "the frozen VM refuses the key", func() bool { return p.refused(t, 1) == fault.KeyWithdrawn })
+	is.Equal(fault.KindOf(<-ended), fault.KeyWithdrawn)
+
+	p.faults(t, `{}`)
+	until(t, "the withdrawal is in the log", func() bool {
+		var keys []operator.KeyStatus
+		return p.control(1).Query(t.Context(), "keys", nil, &keys) == nil && len(keys) == 1 && keys[0].Logged
+	})
+}
--- a/daemon/process_test.go
+++ b/daemon/process_test.go
@@ -154,7 +154,10 @@
 	orders  string
 	vms     []*process
 	callers []string
-	stopFor string
+	// operators are the addresses of the operators' listeners.
+	operators []string
+	log       string
+	stopFor   string
 }
 
 // newPlant starts stand-ins and VMs. The stop of a VM goes on serving for
@@ -163,6 +166,7 @@
 	is.New(t).NoErr(noteSources())
 	p := &plant{stopFor: stopAfter}
 	log, list := freeAddress(t), freeAddress(t)
+	p.log = log
 	var vms []fleet.VM
 	for _, id := range []string{"e1", "e2"} {
 		address := freeAddress(t)
@@ -193,12 +197,13 @@
 func (p *plant) configs(t *testing.T, log, list string, vms *[]fleet.VM) []string {
 	var files []string
 	for _, id := range []string{"v1", "v2"} {
-		callers, peers := freeAddress(t), freeAddress(t)
+		callers, operators, peers := freeAddress(t), freeAddress(t), freeAddress(t)
 		p.callers = append(p.callers, callers)
+		p.operators = append(p.operators, operators)
 		*vms = append(*vms, fleet.VM{ID: fleet.VMID(id), Role: fleet.RoleEntry, DataCentre: "at-1", Address: peers, State: fleet.VMLive})
 		cfg := fmt.Sprintf(`{"vm":%q,"data_centre":"at-1","data_centres":["at-1"],"callers":{"address":%q},"operators":{"address":%q},"peers":{"address":%q},`+
 			`"platform":{"log":"http://%s","vm_list":"http://%s","weight_store":"http://%s"},"first_operator":"%x","stop_after":%q}`,
-			id, callers, freeAddress(t), peers, log, list, list, fleet.Secret("op").Hash(), p.stopFor)
+			id, callers, operators, peers, log, list, list, fleet.Secret("op").Hash(), p.stopFor)
 		file := filepath.Join(t.TempDir(), id+".json")
 		is.New(t).NoErr(os.WriteFile(file, []byte(cfg), 0o600))
 		files = append(files, file)
