--- a/control/control_test.go
+++ b/control/control_test.go
@@ -47,6 +47,8 @@
 	return keyring.Reach{Told: []fleet.VMID{"a", "b"}, Missed: []fleet.VMID{"c"}}
 }
 
+func (v *vm) Timeline(context.Context, timeline.Filter) []timeline.Entry { return nil }
+
 func (v *vm) Members() []membership.Member { return v.members }
 
 func (v *vm) Pending() []keyring.Withdrawal {
@@ -76,6 +78,7 @@
 		Withdrawals: v,
 		Withdrawn:   func(id fleet.KeyID) bool { return v.heard[id] },
 		History:     &v.history,
+		Timelines:   v,
 	}
 	secret := fleet.NewSecret()
 	s := httptest.NewServer(operator.New(secret.Hash(), v.state, operator.NewCommands(v, v, rec), queries).Handler())
@@ -130,6 +133,7 @@
 		{"history quotes", 2, "KIND/ID"},
 		{"operator put mia --access read", 0, "tf_"},
 		{"operator list", 0, "mia"},
+		{"timeline --team quotes --request r", 2, "exclude each other"},
 		{"key", 2, "create, list or withdraw"},
 		{"--help", 0, "Exit codes"},
 		{"--certificate x status", 2, "belong together"},
@@ -168,9 +172,13 @@
 	run.steps(t, []step{
 		{"status --offset 1", 0, "in force everywhere"},
 		{"status --offset 2", 1, "not known of: b"},
+		{"timeline", 0, "PROCESS"},
 	})
 	v.members = append(v.members, membership.Member{VM: fleet.VM{ID: "c"}, Beat: membership.Beat{VM: "c", Applied: 2}})
-	run.steps(t, []step{{"status --offset 1", 1, "not known of: c"}})
+	run.steps(t, []step{
+		{"status --offset 1", 1, "not known of: c"},
+		{"timeline", 0, "events of c are missing"},
+	})
 }
 
 // TestHistoryHidesHashes asserts that no hash of a secret is shown.
--- a/control/main.go
+++ b/control/main.go
@@ -54,6 +54,7 @@
 type session struct {
 	opts   *Options
 	stdout io.Writer
+	stderr io.Writer
 }
 
 func (s *session) client() (*Client, error) {
@@ -110,7 +111,7 @@
 // Main runs toucanctl with the given arguments and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	opts := &Options{}
-	s := &session{opts: opts, stdout: stdout}
+	s := &session{opts: opts, stdout: stdout, stderr: stderr}
 	parser := flags.NewNamedParser("toucanctl", flags.HelpFlag|flags.PassDoubleDash)
 	if _, err := parser.AddGroup("General", "", opts); err != nil {
 		return exit(err, stderr)
--- a/control/timeline.go
+++ b/control/timeline.go
@@ -8,6 +8,7 @@
 	"sort"
 	"strings"
 
+	"toucanfall/operator"
 	"toucanfall/timeline"
 )
 
@@ -15,6 +16,8 @@
 	session *session
 	Request string   `long:"request" description:"only events of this request"`
 	Team    string   `long:"team" description:"only events of this team"`
+	Model   string   `long:"model" description:"only events of this model"`
+	Key     string   `long:"of-key" value-name:"KEY-ID" description:"only events of this key"`
 	Name    string   `long:"name" description:"only events of this name"`
 	Newest  int      `long:"newest" default:"200" description:"at most this many events"`
 	Also    []string `long:"also" value-name:"URL" description:"time line of a further process, such as a stand-in; may be repeated"`
@@ -22,7 +25,10 @@
 
 // Execute shows the merged time line.
 func (c *showTimeline) Execute([]string) error {
-	f := c.filter()
+	f, err := c.filter()
+	if err != nil {
+		return err
+	}
 	params := url.Values{"name": {f.Name}, "field": {f.Field}, "value": {f.Value}}
 	var list []timeline.Entry
 	if err := c.session.ask("timeline", params, &list); err != nil {
@@ -42,18 +48,39 @@
 	for _, e := range merged {
 		rows = append(rows, row(e.At, e.Process, e.Number, e.Name, fieldText(e.Fields)))
 	}
+	c.warnMissing()
 	return c.session.table(merged, "AT\tPROCESS\tEVENT\tNAME\tFIELDS", rows)
 }
 
-func (c *showTimeline) filter() timeline.Filter {
+// warnMissing names the VMs whose events cannot be shown.
+func (c *showTimeline) warnMissing() {
+	var st operator.Status
+	if c.session.ask("status", nil, &st) != nil {
+		return
+	}
+	for _, v := range st.VMs {
+		if !v.Answering {
+			_, _ = fmt.Fprintf(c.session.stderr, "events of %s are missing: it does not answer\n", v.VM)
+		}
+	}
+}
+
+// filter returns the wanted events. A time line is selected by one field.
+func (c *showTimeline) filter() (timeline.Filter, error) {
 	f := timeline.Filter{Name: c.Name}
-	switch {
-	case c.Request != "":
-		f.Field, f.Value = "request", c.Request
-	case c.Team != "":
-		f.Field, f.Value = "team", c.Team
+	first := ""
+	for _, by := range []struct{ flag, field, value string }{
+		{"request", "request", c.Request}, {"team", "team", c.Team}, {"model", "model", c.Model}, {"of-key", "key", c.Key},
+	} {
+		if by.value == "" {
+			continue
+		}
+		if first != "" {
+			return f, usage(fmt.Errorf("--%s and --%s exclude each other", first, by.flag))
+		}
+		first, f.Field, f.Value = by.flag, by.field, by.value
 	}
-	return f
+	return f, nil
 }
 
 func fetchTimeline(base string, params url.Values) ([]timeline.Entry, error) {
--- a/fleet/key.go
+++ b/fleet/key.go
@@ -32,6 +32,11 @@
 	return "secret(hidden)"
 }
 
+// GoString hides the secret from the %#v verb, which does not use String.
+func (s Secret) GoString() string {
+	return s.String()
+}
+
 // Hash returns the hash under which the secret is stored. A plain SHA-256 is
 // enough because secrets are random and too long to guess.
 func (s Secret) Hash() KeyHash {
