--- a/keyring/keyring.go
+++ b/keyring/keyring.go
@@ -104,6 +104,7 @@
 	cut := k.watches[w.Key]
 	delete(k.watches, w.Key)
 	k.mu.Unlock()
+	k.rec.Clock.Observe(w.At)
 	for watch := range cut {
 		watch.end(withdrawnFault(w.Key))
 	}
--- a/settings/registry.go
+++ b/settings/registry.go
@@ -84,7 +84,7 @@
 	{
 		Name: CutOffKeys, Type: TypeWord, Default: raw(`"serve"`), Words: []string{CutOffServe, CutOffRefuse},
 		Levels: []LevelKind{KindFleet, KindDataCentre, KindTeam},
-		Text:   "What a VM does with known keys while it reaches neither the log nor a VM that does: serve, because a data centre that is cut off goes on serving what it can, or refuse, where a withdrawal that cannot arrive weighs more.",
+		Text:   "What a VM does with known keys after 5 s in which it reached neither the log nor a VM that does: serve, because a data centre that is cut off goes on serving what it can, or refuse, which also ends what is in progress, where a withdrawal that cannot arrive weighs more.",
 	},
 	{
 		Name: Fencing, Type: TypeWord, Default: raw(`"ignored"`), Words: []string{"checked", "ignored"},
