--- a/keyring/keyring_test.go
+++ b/keyring/keyring_test.go
@@ -43,10 +43,11 @@
 		a, _ := newRing()
 		b, _ := newRing()
 		ids := rapid.SliceOf(rapid.StringMatching(`[a-z0-9]{1,4}`))
-		for _, id := range ids.Draw(t, "a") {
+		ofA, ofB := ids.Draw(t, "a"), ids.Draw(t, "b")
+		for _, id := range ofA {
 			a.Withdraw(keyring.Withdrawal{Key: fleet.KeyID(id)})
 		}
-		for _, id := range ids.Draw(t, "b") {
+		for _, id := range ofB {
 			b.Withdraw(keyring.Withdrawal{Key: fleet.KeyID(id)})
 		}
 		fromB, fromA := b.Difference(a.Buckets()), a.Difference(b.Buckets())
@@ -56,6 +57,11 @@
 		for _, w := range fromA.Withdrawals {
 			b.Withdraw(w)
 		}
+		for _, id := range append(ofA, ofB...) {
+			if key := fleet.KeyID(id); !a.Withdrawn(key) || !b.Withdrawn(key) {
+				t.Fatalf("%q did not reach both", id)
+			}
+		}
 		if a.Digest() != b.Digest() || len(a.Difference(b.Buckets()).Withdrawals) > 0 {
 			t.Fatal("the keyrings still differ")
 		}
