--- a/ledger/kinds.go
+++ b/ledger/kinds.go
@@ -48,6 +48,10 @@
 		KindBookingClaim:   body(applyBookingClaim),
 		KindBookingOutcome: body(applyBookingOutcome),
 
+		KindMintJoin:         body(applyMintJoin),
+		KindMintConfirm:      body(applyMintConfirm),
+		KindMintRelease:      body(applyMintRelease),
+		KindMintTakeover:     body(applyMintTakeover),
 		KindSnapshotChunk:    body(applySnapshotChunk),
 		KindBookingExpire:    body(applyBookingExpire),
 		KindPlacerClaim:      body(applyPlacerClaim),
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -20,6 +20,7 @@
 	Operators *Table[fleet.OperatorID, Operator]
 	Withdrawn *Table[fleet.KeyID, Withdrawal]
 	Bookings  *Table[BookingKey, Booking]
+	Minters   *Table[fleet.DataCentre, MintList]
 	Placers   *Table[fleet.DataCentre, PlacerClaim]
 	Engines   *Table[fleet.UpstreamID, PlacedEngine]
 
@@ -47,6 +48,7 @@
 		Operators:      newTable[fleet.OperatorID, Operator]("operator"),
 		Withdrawn:      newTable[fleet.KeyID, Withdrawal]("withdrawal"),
 		Bookings:       newTable[BookingKey, Booking]("booking"),
+		Minters:        newTable[fleet.DataCentre, MintList]("mint list"),
 		Placers:        newTable[fleet.DataCentre, PlacerClaim]("placer"),
 		Engines:        newTable[fleet.UpstreamID, PlacedEngine]("engine"),
 		settings:       newTable[string, settings.Put]("setting"),
--- a/ledger/tables.go
+++ b/ledger/tables.go
@@ -37,6 +37,7 @@
 		s.Bookings,
 		s.Placers,
 		s.Engines,
+		s.Minters,
 	}
 }
 
