Take late load reports as a slow mean, and measure first tokens

Cause: the choice believed each report at once. Done: 0.05, and a distance in requests in place of tiers, which jumped with each report.

--- /dev/null
+++ b/measure/routing.go
@@ -0,0 +1,342 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"toucanfall/fleet"
+	"toucanfall/platform"
+	"toucanfall/upstream"
+)
+
+// FirstToken compares choices of engines by how many first tokens come in time
+// while reports of load lag.
+var FirstToken = Table{
+	Name: "serving_first_token",
+	Goal: "more first tokens within 1.1 s than round robin and least in flight, at the same load and the same engines",
+	Seed: 6,
+	Run:  runFirstToken,
+}
+
+// The model: engines with slots and a prefix cache, before them VMs that each
+// see only their own requests and reports that lag.
+const (
+	modelVMs       = 7
+	modelEngines   = 12
+	modelSlots     = 8
+	modelLag       = time.Second
+	modelTime      = 12 * time.Second
+	modelGroups    = 48
+	modelPrefixes  = 8
+	modelCold      = 400 * time.Millisecond
+	modelWarm      = 50 * time.Millisecond
+	modelTokenTime = 20 * time.Millisecond
+	firstTokenGoal = 1100 * time.Millisecond
+)
+
+// modelArrival is one request of the model.
+type modelArrival struct {
+	at     time.Duration
+	vm     int
+	group  platform.PrefixKey
+	tokens int
+}
+
+// modelArrivals draws Poisson arrivals at a rate per second. A few prompts are
+// much more frequent than the others.
+func modelArrivals(seed uint64, rate float64) []modelArrival {
+	r := rand.New(rand.NewPCG(seed, 1))
+	zipf := rand.NewZipf(r, 1.2, 1, modelGroups-1)
+	var out []modelArrival
+	for at := time.Duration(0); at < modelTime; at += time.Duration(r.ExpFloat64() / rate * float64(time.Second)) {
+		out = append(out, modelArrival{
+			at:     at,
+			vm:     r.IntN(modelVMs),
+			group:  platform.PrefixKey(zipf.Uint64() + 1),
+			tokens: 10 + r.IntN(50),
+		})
+	}
+	return out
+}
+
+// modelEngine serves requests in order of arrival, as many at once as it has
+// slots.
+type modelEngine struct {
+	slots chan struct{}
+	// pace multiplies all times.
+	pace time.Duration
+	load  atomic.Int64
+
+	mu       sync.Mutex
+	prefixes []platform.PrefixKey
+	events   []platform.CacheEvent
+	// history holds the load at each tick, the newest last.
+	history []int
+}
+
+func newModelEngine() *modelEngine {
+	return &modelEngine{slots: make(chan struct{}, modelSlots), pace: 1}
+}
+
+// serve calls first when the first token is there, and returns after the last.
+func (e *modelEngine) serve(a modelArrival, first func()) {
+	e.load.Add(1)
+	defer e.load.Add(-1)
+	e.slots <- struct{}{}
+	defer func() { <-e.slots }()
+	prefill := modelCold
+	if e.touch(a.group) {
+		prefill = modelWarm
+	}
+	time.Sleep(e.pace * prefill)
+	first()
+	time.Sleep(e.pace * time.Duration(a.tokens) * modelTokenTime)
+}
+
+// touch reports whether the prefix was in the cache, and puts it there.
+func (e *modelEngine) touch(k platform.PrefixKey) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i, have := range e.prefixes {
+		if have == k {
+			e.prefixes = append(append(e.prefixes[:i:i], e.prefixes[i+1:]...), k)
+			return true
+		}
+	}
+	e.prefixes = append(e.prefixes, k)
+	e.events = append(e.events, platform.CacheEvent{Key: k})
+	if len(e.prefixes) > modelPrefixes {
+		e.events = append(e.events, platform.CacheEvent{Key: e.prefixes[0], Evicted: true})
+		e.prefixes = e.prefixes[1:]
+	}
+	return false
+}
+
+func (e *modelEngine) tick() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.history = append(e.history, int(e.load.Load()))
+}
+
+// modelTick is the time between two entries of an engine's history.
+const modelTick = 50 * time.Millisecond
+
+// modelFleet is a set of engines. It implements the list and the reports that
+// pools need.
+type modelFleet struct {
+	engines []*modelEngine
+}
+
+// newModelFleet returns engines of which a number are at half speed.
+func newModelFleet(slow int) *modelFleet {
+	f := &modelFleet{}
+	for i := range modelEngines {
+		e := newModelEngine()
+		if i < slow {
+			e.pace = 2
+		}
+		f.engines = append(f.engines, e)
+	}
+	return f
+}
+
+// tick keeps the history of loads until ctx ends.
+func (f *modelFleet) tick(ctx context.Context) {
+	t := time.NewTicker(modelTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		for _, e := range f.engines {
+			e.tick()
+		}
+	}
+}
+
+func (f *modelFleet) engine(address string) *modelEngine {
+	var i int
+	// The addresses are those of VMs below.
+	_, _ = fmt.Sscan(address, &i)
+	return f.engines[i]
+}
+
+// VMs lists the engines.
+func (f *modelFleet) VMs() []fleet.VM {
+	var out []fleet.VM
+	for i := range f.engines {
+		out = append(out, fleet.VM{
+			ID:      fleet.VMID(fmt.Sprintf("e%02d", i)),
+			Role:    fleet.RoleModelEngine,
+			Address: fmt.Sprint(i),
+			State:   fleet.VMLive,
+		})
+	}
+	return out
+}
+
+// Report returns the load of a while ago.
+func (f *modelFleet) Report(_ context.Context, address string) (platform.EngineReport, error) {
+	e := f.engine(address)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := platform.EngineReport{Slots: modelSlots, Resident: []platform.ResidentModel{{Model: "m", Ready: true}}}
+	if i := len(e.history) - int(modelLag/modelTick); i >= 0 {
+		r.Running = min(e.history[i], modelSlots)
+		r.Waiting = e.history[i] - r.Running
+	}
+	return r, nil
+}
+
+// ServiceReport returns nothing, since there are no plain services.
+func (f *modelFleet) ServiceReport(context.Context, string) (platform.ServiceReport, error) {
+	return platform.ServiceReport{}, nil
+}
+
+// CacheEvents returns all events from a number on.
+func (f *modelFleet) CacheEvents(_ context.Context, address string, from uint64) (platform.CacheEvents, error) {
+	e := f.engine(address)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	events := append([]platform.CacheEvent(nil), e.events[from:]...)
+	return platform.CacheEvents{First: from, Events: events}, nil
+}
+
+// chooser picks an engine for a VM's request and returns what ends it.
+type chooser func(a modelArrival) (engine int, release func())
+
+// roundRobin lets each VM go through the engines in turn.
+func roundRobin() chooser {
+	var next [modelVMs]atomic.Int64
+	return func(a modelArrival) (int, func()) {
+		return (a.vm + int(next[a.vm].Add(1))) % modelEngines, func() {}
+	}
+}
+
+// leastInFlight lets each VM pick the engine with the fewest own requests.
+func leastInFlight() chooser {
+	var mu sync.Mutex
+	var own [modelVMs][modelEngines]int
+	return func(a modelArrival) (int, func()) {
+		mu.Lock()
+		defer mu.Unlock()
+		best := rand.IntN(modelEngines)
+		for i, n := range own[a.vm] {
+			if n < own[a.vm][best] {
+				best = i
+			}
+		}
+		own[a.vm][best]++
+		return best, func() {
+			mu.Lock()
+			defer mu.Unlock()
+			own[a.vm][best]--
+		}
+	}
+}
+
+// pooled lets each VM choose by a pool of package upstream.
+func pooled(pools []*upstream.Pool) chooser {
+	return func(a modelArrival) (int, func()) {
+		l, err := pools[a.vm].Engine(upstream.Want{Model: "m", Prefix: []platform.PrefixKey{a.group}})
+		if err != nil {
+			return 0, func() {}
+		}
+		var i int
+		_, _ = fmt.Sscan(l.Upstream.VM.Address, &i)
+		return i, l.Release
+	}
+}
+
+// attainment replays arrivals and returns the share of first tokens in time,
+// and the longest wait for one.
+func attainment(f *modelFleet, arrivals []modelArrival, choose chooser) (float64, time.Duration) {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	inTime := 0
+	var longest time.Duration
+	begin := time.Now()
+	for _, a := range arrivals {
+		time.Sleep(time.Until(begin.Add(a.at)))
+		wg.Go(func() {
+			came := time.Now()
+			i, release := choose(a)
+			defer release()
+			f.engines[i].serve(a, func() {
+				mu.Lock()
+				defer mu.Unlock()
+				took := time.Since(came)
+				longest = max(longest, took)
+				if took <= firstTokenGoal {
+					inTime++
+				}
+			})
+		})
+	}
+	wg.Wait()
+	return float64(inTime) / float64(len(arrivals)), longest
+}
+
+// runFirstToken replays the same arrivals for each policy at once, each on a
+// fleet of its own.
+func runFirstToken(seed uint64) (Result, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	loads := []struct {
+		rate float64
+		slow int
+	}{{75, 0}, {95, 0}, {60, 3}, {75, 3}}
+	policies := []string{"round robin", "least in flight", "this routing"}
+	rows := make([][]string, len(loads)*len(policies))
+	var wg sync.WaitGroup
+	for i, load := range loads {
+		arrivals := modelArrivals(seed, load.rate)
+		for j, policy := range policies {
+			wg.Go(func() {
+				f := newModelFleet(load.slow)
+				go f.tick(ctx)
+				choose, end := newChooser(policy, f)
+				defer end()
+				share, longest := attainment(f, arrivals, choose)
+				rows[i*len(policies)+j] = []string{
+					policy, fmt.Sprint(load.rate), fmt.Sprint(load.slow), fmt.Sprintf("%.1f %%", 100*share), longest.Round(time.Millisecond).String(),
+				}
+			})
+		}
+	}
+	wg.Wait()
+	return Result{
+		Header: []string{"policy", "requests/s", "slow engines", "first token within 1.1 s", "longest"},
+		Rows:   rows,
+		Notes: []string{
+			"7 VMs before 12 engines of 8 slots and 8 cached prefixes each; 48 prompts, Zipf 1.2; prefill 400 ms cold and 50 ms warm; reports are 1 s old when they are given and are asked for every 500 ms.",
+			"The policies run at once in real time, each with the same arrivals on engines of its own.",
+		},
+	}, nil
+}
+
+func newChooser(policy string, f *modelFleet) (chooser, func()) {
+	switch policy {
+	case "round robin":
+		return roundRobin(), func() {}
+	case "least in flight":
+		return leastInFlight(), func() {}
+	}
+	var pools []*upstream.Pool
+	for range modelVMs {
+		pools = append(pools, upstream.NewPool("", f, f))
+	}
+	// The first reports are in before the first request.
+	time.Sleep(upstream.ReportInterval)
+	return pooled(pools), func() {
+		for _, p := range pools {
+			p.Close()
+		}
+	}
+}
--- a/upstream/node.go
+++ b/upstream/node.go
@@ -23,9 +23,9 @@
 	ready      map[fleet.ModelID][]fleet.AdapterID
 	// inFlight counts own requests.
 	inFlight int
-	// others estimates the requests of other VMs: what was reported less the
-	// own requests that were in flight then.
-	others int
+	// others estimates the requests of other VMs: the mean of what was reported
+	// less the own requests that were in flight then.
+	others float64
 	health health
 	cache  cache
 }
@@ -76,64 +76,37 @@
 	return !n.gone && !leaving && !silent && n.health.admits(now, n.inFlight)
 }
 
+// othersGain is how much of a new report goes into the estimate of what other
+// VMs have in flight. Reports are late: at 0.2, VMs that all shun the engine that
+// was loaded a second ago load the next one, and first tokens come late. At 0.05
+// the estimate follows in some ten seconds and the choice is stable.
+const othersGain = 0.05
+
 // Weights of a cost, in requests ahead in the queue.
 const (
 	// prefixWeight is what a prompt that stands in the cache is worth.
 	prefixWeight = 2.0
 	// adapterWeight is what an adapter costs that has to be loaded first.
 	adapterWeight = 0.5
+	// minDistance is what another data centre costs at least.
+	minDistance = 4.0
 )
 
-// cost orders the candidates of a choice.
-type cost struct {
-	// tier is 0 in the own data centre and above elsewhere and for saturated
-	// engines, see tierOf.
-	tier int
-	// work is the estimated load with the affinities.
-	work float64
-}
-
-// compare returns -1 if c is lower than other.
-func (c cost) compare(other cost) int {
-	switch {
-	case c.tier != other.tier && c.tier < other.tier, c.tier == other.tier && c.work < other.work:
-		return -1
-	case c == other:
-		return 0
-	default:
-		return 1
-	}
-}
-
-// tierOf prefers the own data centre until its engines are saturated.
-func tierOf(near, saturated bool) int {
-	switch {
-	case near && !saturated:
-		return 0
-	case !saturated:
-		return 1
-	case near:
-		return 2
-	default:
-		return 3
-	}
-}
-
-// cost returns what it costs to send the attempt here, and whether that is
-// possible.
-func (n *node) cost(now time.Time, dc fleet.DataCentre, w Want) (cost, bool) {
+// cost returns what it costs to send the attempt here, in requests, and whether
+// that is possible. An upstream of another data centre costs as much as one
+// here whose slots are all taken.
+func (n *node) cost(now time.Time, dc fleet.DataCentre, w Want) (float64, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if !n.usable(now) {
-		return cost{}, false
-	}
-	load := n.load(now)
-	c := cost{
-		tier: tierOf(n.vm.DataCentre == dc, n.report.Slots > 0 && load >= float64(n.report.Slots)),
-		work: load - prefixWeight*n.cache.share(w.Prefix),
+		return 0, false
 	}
+	c := n.load(now) - prefixWeight*n.cache.share(w.Prefix)
 	if w.Adapter != "" && !slices.Contains(n.ready[w.Model], w.Adapter) {
-		c.work += adapterWeight
+		c += adapterWeight
+	}
+	if n.vm.DataCentre != dc {
+		c += max(float64(n.report.Slots), minDistance)
 	}
 	return c, true
 }
@@ -143,7 +116,7 @@
 func (n *node) load(now time.Time) float64 {
 	age := now.Sub(n.reportedAt)
 	weight := 1 - float64(age)/float64(2*SilentAfter)
-	return float64(n.inFlight) + float64(n.others)*max(weight, 0)
+	return float64(n.inFlight) + n.others*max(weight, 0)
 }
 
 // lease counts a request in flight.
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -204,9 +204,13 @@
 	if n.gone {
 		return
 	}
+	others := float64(max(0, r.Running+r.Waiting-own))
+	if n.reportedAt.IsZero() {
+		n.others = others
+	}
+	n.others += othersGain * (others - n.others)
 	n.report = r
 	n.reportedAt = time.Now()
-	n.others = max(0, r.Running+r.Waiting-own)
 	ready := make(map[fleet.ModelID][]fleet.AdapterID, len(r.Resident))
 	for _, m := range r.Resident {
 		if m.Ready {
@@ -261,7 +265,7 @@
 // the next report.
 func (p *Pool) choose(candidates []*node, w Want) *Lease {
 	var best *node
-	var lowest cost
+	var lowest float64
 	ties := 0
 	now := time.Now()
 	for _, n := range candidates {
@@ -272,10 +276,10 @@
 		if !ok {
 			continue
 		}
-		switch order := c.compare(lowest); {
-		case best == nil || order < 0:
+		switch {
+		case best == nil || c < lowest:
 			best, lowest, ties = n, c, 1
-		case order == 0:
+		case c == lowest:
 			ties++
 			if rand.IntN(ties) == 0 {
 				best = n
