--- a/measure/measure.go
+++ b/measure/measure.go
@@ -33,6 +33,7 @@
 	LedgerState,
 	Heartbeats,
 	InForce,
+	FirstToken,
 }
 
 // Print runs the tables that names selects, all if it is empty, and writes
