Start a placer on every VM, and show and clear placement

Each VM runs a placer; it acts only with the claim of its data centre, which it takes if the holder does not answer. While the log is out of reach and the placer does not answer, any VM of the data centre sends the orders that were accepted before. Demand is metered from the VM's own drafts. toucanctl placement list and placement clear show and release what is stuck. Models in demand get a local copy where there is free room; engines without fencing keep a quarter of their room for lost copies, as nothing there becomes free again.

--- a/control/main.go
+++ b/control/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"strings"
 	"text/tabwriter"
 
@@ -76,7 +77,7 @@
 	if _, err := parser.AddGroup("General", "", opts); err != nil {
 		return exit(err, stderr)
 	}
-	for _, c := range append(commands(s), queries(s)...) {
+	for _, c := range slices.Concat(commands(s), queries(s), placementCommands(s)) {
 		if _, err := parser.AddCommand(c.name, c.text, c.text, c.run); err != nil {
 			return exit(err, stderr)
 		}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"toucanfall/membership"
 	"toucanfall/operator"
 	"toucanfall/peer"
+	"toucanfall/placement"
 	"toucanfall/platform"
 	"toucanfall/settings"
 	"toucanfall/timeline"
@@ -52,6 +53,8 @@
 	spread   *keyring.Spread
 	pool     *upstream.Pool
 	booker   *booking.Booker
+	placer   *placement.Placer
+	demand   *placement.Meter
 	entry    *entry.Server
 
 	callers   *http.Server
@@ -67,6 +70,7 @@
 		incarnation: fleet.Incarnation(time.Now().UnixMilli()),
 		links:       peer.NewLinks(nil),
 		peers:       peer.NewServer(),
+		demand:      placement.NewMeter(),
 	}
 	rt := platform.NewTransport()
 	state := ledger.NewState()
@@ -81,6 +85,7 @@
 	d.pool = upstream.NewPool(cfg.DataCentre, d.members, platform.NewEngines(platform.NewTransport()))
 	d.newEntry(state, engines)
 	d.newOperators(state)
+	d.newPlacer(state)
 	if err := d.peers.Register("Peer", &peerService{daemon: d}); err != nil {
 		return nil, fmt.Errorf("register the peer service: %w", err)
 	}
@@ -96,7 +101,7 @@
 		DataCentre: d.cfg.DataCentre,
 		State:      state,
 		Keyring:    d.keyring,
-		Drafter:    draft.New(d.pool, engines, d.rec),
+		Drafter:    meteredDrafter{drafter: draft.New(d.pool, engines, d.rec), demand: d.demand},
 		Booker:     d.booker,
 		Limiter:    unlimited{},
 		Queue:      unlimited{},
@@ -239,6 +244,7 @@
 }
 
 func (d *Daemon) close() {
+	d.placer.Close()
 	d.booker.Close()
 	d.pool.Close()
 	d.spread.Close()
--- a/operator/commands.go
+++ b/operator/commands.go
@@ -74,6 +74,8 @@
 	ledger.KindRoute:    true,
 	ledger.KindWithdraw: true,
 	ledger.KindOperator: true,
+
+	ledger.KindPlacementClear: true,
 }
 
 // Commands carries out operators' changes.
--- /dev/null
+++ b/operator/placement.go
@@ -0,0 +1,40 @@
+package operator
+
+import (
+	"github.com/labstack/echo/v4"
+
+	"toucanfall/fleet"
+	"toucanfall/ledger"
+)
+
+// EnginePlacement is the account of one engine's memory for operators.
+type EnginePlacement struct {
+	Engine   ledger.PlacedEngine `json:"engine"`
+	Revision fleet.Revision      `json:"revision"`
+	Room     fleet.Bytes         `json:"room_bytes"`
+	Reserved fleet.Bytes         `json:"reserved_bytes"`
+	Fenced   bool                `json:"fenced"`
+}
+
+// Placement tells who places models, and what each engine holds.
+type Placement struct {
+	Placers []ledger.Entry[ledger.PlacerClaim] `json:"placers"`
+	Engines []EnginePlacement                  `json:"engines"`
+}
+
+func (q *Queries) placement(echo.Context) (any, error) {
+	p := Placement{Placers: q.State.Placers.Entries()}
+	for _, e := range q.State.Engines.Entries() {
+		if e.Value.Gone {
+			continue
+		}
+		p.Engines = append(p.Engines, EnginePlacement{
+			Engine:   e.Value,
+			Revision: e.Revision,
+			Room:     q.State.Room(e.Value),
+			Reserved: e.Value.Reserved(),
+			Fenced:   q.State.Fenced(e.Value),
+		})
+	}
+	return p, nil
+}
--- a/operator/queries.go
+++ b/operator/queries.go
@@ -64,6 +64,7 @@
 	"routes":    func(q *Queries, _ echo.Context) (any, error) { return q.State.Routes.Entries(), nil },
 	"operators": func(q *Queries, _ echo.Context) (any, error) { return q.State.Operators.Entries(), nil },
 	"upstreams": func(q *Queries, _ echo.Context) (any, error) { return q.Upstreams.Upstreams(), nil },
+	"placement": (*Queries).placement,
 	"settings":  (*Queries).settings,
 	"effective": (*Queries).effective,
 	"timeline":  (*Queries).timeline,
--- a/placement/moves.go
+++ b/placement/moves.go
@@ -195,6 +195,34 @@
 	}
 }
 
+// placeLocally gives models that are in demand here, but held only by other
+// data centres, a copy of their own where there is free room, so that this data
+// centre can serve them when it is cut off.
+func (p *planner) placeLocally() {
+	n := 0
+	for _, m := range p.byDemand() {
+		if n == p.in.MaxMoves || p.in.Models[m].Demand <= 0 {
+			return
+		}
+		if len(p.copies[m]) > 0 || p.in.Models[m].Cooling {
+			continue
+		}
+		if e := p.roomiest(m); e >= 0 && p.spares(m, e) {
+			p.loadOn(m, e, ReasonLocal)
+			n++
+		}
+	}
+}
+
+// spares reports whether an engine has free room for a copy that is not needed.
+func (p *planner) spares(m, e int) bool {
+	left := p.free[e] - p.in.Models[m].Size
+	if p.in.Engines[e].Fenced {
+		return left >= 0
+	}
+	return float64(left) >= spareShare*float64(p.in.Engines[e].Room)
+}
+
 // followDemand gives copies to models of busy engines while each takes enough
 // load off to be worth its move.
 func (p *planner) followDemand() {
@@ -276,7 +304,7 @@
 		if !p.takes(m, e) {
 			continue
 		}
-		if p.free[e] >= p.in.Models[m].Size {
+		if p.spares(m, e) {
 			return gain{model: m, to: e, takes: takes}, true
 		}
 		vs, ok := p.victims(e, p.in.Models[m].Size)
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -144,7 +144,7 @@
 	if up {
 		p.claim(ctx)
 	}
-	if p.epoch == 0 {
+	if p.epoch == 0 && (up || !p.standsIn()) {
 		return
 	}
 	if up {
@@ -157,6 +157,14 @@
 	}
 }
 
+// standsIn reports whether this VM, which is not the placer, sends orders while
+// the log cannot be reached: the placer does not answer, and what was accepted
+// may be ordered by anyone.
+func (p *Placer) standsIn() bool {
+	now, ok := p.cfg.State.Placers.Get(p.cfg.DataCentre)
+	return ok && (now.Value.VM == p.cfg.VM || !p.cfg.VMs.Answers(now.Value.VM))
+}
+
 // claim makes this VM the placer unless another one holds the claim and
 // answers.
 func (p *Placer) claim(ctx context.Context) {
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -56,6 +56,7 @@
 const (
 	ReasonRestore Reason = "restore"
 	ReasonVersion Reason = "version"
+	ReasonLocal   Reason = "local"
 	ReasonDemand  Reason = "demand"
 	ReasonMakeWay Reason = "make_way"
 	ReasonLeaving Reason = "leaving"
@@ -86,6 +87,9 @@
 	// evictShare is the part of a move's gain that a copy which makes way for
 	// it may serve.
 	evictShare = 0.3
+	// spareShare is the part of the room of an engine without fencing that is
+	// kept for copies that are lost elsewhere, since it never becomes free.
+	spareShare = 0.25
 )
 
 // Plan returns the moves that are wanted now, the most urgent first. It is a
@@ -96,6 +100,7 @@
 	p.restore()
 	p.changeVersions()
 	p.leaveEngines()
+	p.placeLocally()
 	p.followDemand()
 	p.placeAdapters()
 	return p.moves
--- a/script/demo.sh
+++ b/script/demo.sh
@@ -101,8 +101,8 @@
 also=()
 for d in 0 1 2; do
 	dc=${data_centres[$d]}
-	start "engine-$dc-a" "$bin/toucanfake" --name "engine-$dc-a" --kind engine --fenced --listen "$(addr $((base + 10 + d * 3)))" --resident quotes-7b
-	start "engine-$dc-b" "$bin/toucanfake" --name "engine-$dc-b" --kind engine --listen "$(addr $((base + 11 + d * 3)))" --resident quotes-7b
+	start "engine-$dc-a" "$bin/toucanfake" --name "engine-$dc-a" --kind engine --fenced --listen "$(addr $((base + 10 + d * 3)))"
+	start "engine-$dc-b" "$bin/toucanfake" --name "engine-$dc-b" --kind engine --listen "$(addr $((base + 11 + d * 3)))"
 	start "orders-$dc" "$bin/toucanfake" --name "orders-$dc" --kind service --listen "$(addr $((base + 12 + d * 3)))"
 	for i in 10 11 12; do also+=(--also "http://$(addr $((base + i + d * 3)))"); done
 done
@@ -142,6 +142,7 @@
 request=$(tail -n 1 "$dir/draft.out")
 until_ok draft 3 "warm up"
 draft 3 --stream "short answer for the shop"
+ctl placement list
 
 step "book once, and repeat with the same idempotency key on another VM"
 book 1 order-1 | tee "$dir/book1.out"
