--- a/ledger/placement_test.go
+++ b/ledger/placement_test.go
@@ -126,3 +126,16 @@
 		Epoch: p.epoch, Engine: "e1", Kind: IntentLoad, Weights: Weights{Model: "m3", Version: "v1"}, Size: 1,
 	}).Fault, fault.Conflict)
 }
+
+func TestRevivedCopyCountsOnceOldUnloadIsRuledOut(t *testing.T) {
+	p := newPlacing(t, FencingChecked)
+	p.accept(p.report("e1", 0, "m1"))
+	p.accept(p.report("e2", 0, "m1"))
+	p.accept(p.intent("e1", IntentUnload, "m1", 0))
+	v := p.intent("e1", IntentLoad, "m1", 40)
+	p.accept(v)
+	p.is.Equal(p.state.ReadyCopies("m1"), 1)
+	p.is.Equal(p.intent("e2", IntentUnload, "m1", 0).Fault, fault.Conflict)
+	p.accept(p.report("e1", v.Offset, "m1"))
+	p.is.Equal(p.state.ReadyCopies("m1"), 2)
+}
