--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"toucanfall/membership"
 	"toucanfall/operator"
 	"toucanfall/peer"
+	"toucanfall/placement"
 	"toucanfall/platform"
 	"toucanfall/settings"
 	"toucanfall/timeline"
@@ -57,6 +58,8 @@
 	booker    *booking.Booker
 	entry     *entry.Server
 	rates     *rates
+	placer    *placement.Placer
+	demand    *placement.Meter
 
 	callers   *http.Server
 	operators *http.Server
@@ -71,6 +74,7 @@
 		incarnation: fleet.Incarnation(time.Now().UnixMilli()),
 		peers:       peer.NewServer(),
 		sockets:     sockets,
+		demand:      placement.NewMeter(),
 	}
 	links, err := d.newLinks()
 	if err != nil {
@@ -96,6 +100,7 @@
 	d.pool = upstream.NewPool(cfg.DataCentre, d.members, platform.NewEngines(d.newTransport()))
 	d.newEntry(state, engines)
 	d.newOperators(state)
+	d.newPlacer(state)
 	if err := d.peers.Register("Peer", &peerService{daemon: d}); err != nil {
 		return nil, fmt.Errorf("register the peer service: %w", err)
 	}
@@ -114,7 +119,7 @@
 		DataCentre: d.cfg.DataCentre,
 		State:      state,
 		Keyring:    d.keyring,
-		Drafter:    draft.New(d.pool, engines, d.rec),
+		Drafter:    meteredDrafter{drafter: draft.New(d.pool, engines, d.rec), demand: d.demand},
 		Booker:     d.booker,
 		Limiter:    d.rates,
 		Queue:      unlimited{},
@@ -246,6 +251,7 @@
 
 func (d *Daemon) close() {
 	d.rates.close()
+	d.placer.Close()
 	d.booker.Close()
 	d.pool.Close()
 	d.spread.Close()
--- a/ledger/placement.go
+++ b/ledger/placement.go
@@ -146,6 +146,11 @@
 	if err := json.Unmarshal(b, (*plain)(c)); err != nil {
 		return err
 	}
+	return c.Check()
+}
+
+// Check reports the first field that is missing.
+func (c *PlacementClear) Check() error {
 	if c.Engine == "" || c.Weights.Model == "" {
 		return errors.New("a clearance needs engine and model")
 	}
