--- a/measure/measure.go
+++ b/measure/measure.go
@@ -34,6 +34,7 @@
 	Heartbeats,
 	InForce,
 	Rates,
+	FirstToken,
 }
 
 // Print runs the tables that names selects, all if it is empty, and writes
