--- a/queue/line.go
+++ b/queue/line.go
@@ -46,7 +46,9 @@
 
 // Push adds a request, or refuses it with the time to come back.
 func (l *Line) Push(now time.Time, item Item) (*Ticket, error) {
-	if l.length >= l.cfg.MaxWaiting {
+	// A team may fill at most what is left free: so one team leaves half of the
+	// queue to the others, and they always find room.
+	if l.waiting(item.Team) >= l.cfg.MaxWaiting-l.length {
 		return nil, fault.New(fault.Overloaded, "%d requests wait already", l.length).After(l.slotIn(1))
 	}
 	wait := l.waitOf(item)
@@ -102,6 +104,17 @@
 // divisor.
 const serviceWeight = 8
 
+// waiting counts the requests of a team.
+func (l *Line) waiting(team fleet.TeamID) int {
+	n := 0
+	for i := range l.flows {
+		if w, ok := l.flows[i].teams[team]; ok {
+			n += len(w.tickets)
+		}
+	}
+	return n
+}
+
 // slotIn returns the expected time until n slots have become free.
 func (l *Line) slotIn(n int) time.Duration {
 	if l.cfg.Slots <= 0 {
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -36,7 +36,7 @@
 type Config struct {
 	// Slots is how many requests are served at once.
 	Slots int
-	// MaxWaiting bounds the requests that wait.
+	// MaxWaiting bounds the requests that wait. One team alone may fill half.
 	MaxWaiting int
 }
 
