Let a planned stop wait for a rate round only as long as its context

A round of the rate loop held a mutex while it called other VMs, and leave waited for that mutex whatever its context said. Under a paused clock such a wait stops the clock. Done: a channel of one token in place of the mutex; leave gives up with its context. Ruled out: the network in memory, whose own tests pass.

--- a/daemon/rate.go
+++ b/daemon/rate.go
@@ -39,7 +39,10 @@
 	book    *rate.Book
 	limiter *rate.Limiter
 
-	mu     sync.Mutex // held for one round, and while the VM leaves
+	// turn holds one token, which a round takes for its whole length, calls of
+	// other VMs included. Waiting for it ends with a context, as waiting for a
+	// mutex would not.
+	turn   chan struct{}
 	keeper *rate.Keeper
 	// seenHead is when a look at the log's head began that found the state
 	// complete, or will once the state has reached headOffset.
@@ -68,6 +71,7 @@
 		book:   rate.NewBook(),
 		keeper: rate.NewKeeper(d.cfg.VM, d.cfg.DataCentre, len(d.cfg.DataCentres), vmListLag, m),
 		ctx:    ctx,
+		turn:   make(chan struct{}, 1),
 		cancel: cancel,
 		done:   make(chan struct{}),
 	}
@@ -135,8 +139,10 @@
 	}
 	now := time.Now()
 	r.begun.CompareAndSwap(nil, &now)
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	if !r.takeTurn(ctx) {
+		return
+	}
+	defer r.endTurn()
 	r.lookAtHead(ctx)
 	f := r.facts()
 	if r.keeper.NeedsVoucher(time.Now()) {
@@ -260,12 +266,27 @@
 	_, _ = r.d.follower.Propose(ctx, rec)
 }
 
+func (r *rates) takeTurn(ctx context.Context) bool {
+	select {
+	case r.turn <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (r *rates) endTurn() {
+	<-r.turn
+}
+
 // leave stops minting and gives the share to the other VMs. Where the log does
 // not answer, they take it over later.
 func (r *rates) leave(ctx context.Context) {
-	r.mu.Lock()
+	if !r.takeTurn(ctx) {
+		return
+	}
 	r.keeper.Leave(time.Now())
-	r.mu.Unlock()
+	r.endTurn()
 	for range releaseAttempts {
 		r.round(ctx)
 		e, _ := r.state.Minters.Get(r.d.cfg.DataCentre)
--- a/internal/joined/book.go
+++ b/internal/joined/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"strings"
 	"sync"
 
@@ -19,11 +20,12 @@
 	attempts int
 	whole    int
 	broken   []string
+	refused  map[fault.Kind]int
 }
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{notRun: make(map[string]bool), done: make(map[string]bool)}
+	return &Book{notRun: make(map[string]bool), done: make(map[string]bool), refused: make(map[fault.Kind]int)}
 }
 
 // Broken lists the promises that were seen broken.
@@ -33,6 +35,13 @@
 	return append([]string(nil), b.broken...)
 }
 
+// Refused counts the requests that were not answered whole, by kind.
+func (b *Book) Refused() map[fault.Kind]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return maps.Clone(b.refused)
+}
+
 // Counts returns the requests of callers and those answered whole.
 func (b *Book) Counts() (attempts, whole int) {
 	b.mu.Lock()
@@ -60,6 +69,8 @@
 		b.breach("draft %q was cut with the text %q", prompt, text)
 	case err == nil:
 		b.whole++
+	default:
+		b.refused[fault.KindOf(err)]++
 	}
 }
 
@@ -69,6 +80,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.attempts++
+	if err != nil {
+		b.refused[fault.KindOf(err)]++
+	}
 	switch {
 	case err == nil:
 		b.whole++
--- a/internal/joined/random_test.go
+++ b/internal/joined/random_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"toucanfall/caller"
+	"toucanfall/fault"
 	"toucanfall/fleet"
 	"toucanfall/internal/bubble"
 	"toucanfall/internal/joined"
@@ -230,6 +231,7 @@
 // TestRandomFleet runs whole fleets under faults of every part at once.
 func TestRandomFleet(t *testing.T) {
 	attempts, whole := 0, 0
+	refused := make(map[fault.Kind]int)
 	rapid.Check(t, func(rt *rapid.T) {
 		bubble.Run(t, func() {
 			r := newRun(rt)
@@ -239,8 +241,11 @@
 			a, w := r.book.Counts()
 			attempts += a
 			whole += w
+			for kind, n := range r.book.Refused() {
+				refused[kind] += n
+			}
 		})
 	})
-	t.Logf("%d of %d requests were answered whole", whole, attempts)
+	t.Logf("%d of %d requests were answered whole; refused: %v", whole, attempts, refused)
 	is.New(t).True(whole > attempts/4) // the runs do work under their faults
 }
