--- a/daemon/process_test.go
+++ b/daemon/process_test.go
@@ -227,7 +227,7 @@
 	} {
 		record, err := ledger.NewRecord(r.kind, "test", timeline.Stamp{}, 0, r.body)
 		is.New(t).NoErr(err)
-		b, err := json.Marshal(record)
+		b, err := record.Encode()
 		is.New(t).NoErr(err)
 		until(t, "the log takes records", func() bool {
 			_, err := log.Append(t.Context(), [][]byte{b})
--- a/keyring/fleet_test.go
+++ b/keyring/fleet_test.go
@@ -377,8 +377,8 @@
 		w.t.Fatal(err)
 	}
 	for _, raw := range raws {
-		var r ledger.Record
-		if json.Unmarshal(raw.Data, &r) != nil {
+		r, err := ledger.DecodeRecord(raw.Data)
+		if err != nil {
 			continue
 		}
 		if id, ok := ledger.WithdrawnKey(r); ok && id == key {
