Measure heartbeats with the levels of teams that they carry

Cause: heartbeats carry the levels of rate.Digest since the merge of rate, which the table left out.

--- a/measure/inforce.go
+++ b/measure/inforce.go
@@ -36,7 +36,7 @@
 type change func(f *vms, n int) (inForce func(v *measuredVM) bool, err error)
 
 func measureInForce(uint64) (Result, error) {
-	f, err := startVMs(inForceVMs)
+	f, err := startVMs(inForceVMs, todayTeams)
 	if err != nil {
 		return Result{}, err
 	}
--- a/measure/membership.go
+++ b/measure/membership.go
@@ -13,6 +13,9 @@
 	heartbeatWindow = 3 * time.Second
 )
 
+// todayTeams is the number of teams of a fleet of today.
+const todayTeams = 5
+
 // Goals and sizes of heartbeats in the fleet of the target.
 const (
 	// controlBytes is what one VM may spend for control, in bytes a second.
@@ -83,8 +86,13 @@
 func measureHeartbeats(uint64) (Result, error) {
 	r := Result{Header: []string{"VMs", "way", "figure", "payload B/s", "with TCP/IP headers B/s", "share of 7 KB/s", "news of 400 VMs in the rest, each"}}
 	var last heartbeatCost
+	bare, err := heartbeatsOf(7, 0)
+	if err != nil {
+		return Result{}, err
+	}
+	r.Rows = append(r.Rows, costRow(7, "full mesh, no levels of teams", "measured", bare, ""))
 	for _, n := range []int{3, 5, 7} {
-		c, err := heartbeatsOf(n)
+		c, err := heartbeatsOf(n, todayTeams)
 		if err != nil {
 			return Result{}, err
 		}
@@ -97,6 +105,7 @@
 	}
 	r.Notes = []string{
 		fmt.Sprintf("Each VM calls the others every %v; bytes are counted at the connections, net/rpc over loopback, for calls made and answered.", membership.HeartbeatInterval),
+		fmt.Sprintf("Heartbeats carry the levels of %d teams, but for the first row.", todayTeams),
 		fmt.Sprintf("Headers are reckoned at %d segments a call and %d bytes each; they were not measured.", segmentsPerCall, headerBytes),
 		fmt.Sprintf("News of one VM is reckoned at %d bytes. Only the full mesh is built.", digestBytes),
 	}
@@ -114,8 +123,8 @@
 }
 
 // heartbeatsOf measures n VMs after their connections stand.
-func heartbeatsOf(n int) (heartbeatCost, error) {
-	f, err := startVMs(n)
+func heartbeatsOf(n, teams int) (heartbeatCost, error) {
+	f, err := startVMs(n, teams)
 	if err != nil {
 		return heartbeatCost{}, err
 	}
--- a/measure/vms.go
+++ b/measure/vms.go
@@ -17,6 +17,7 @@
 	"toucanfall/ledger"
 	"toucanfall/membership"
 	"toucanfall/peer"
+	"toucanfall/rate"
 	"toucanfall/standin"
 	"toucanfall/timeline"
 )
@@ -27,7 +28,9 @@
 	log  *standin.Log
 	list []fleet.VM
 	all  []*measuredVM
-	wg   sync.WaitGroup
+	// levels go along with each heartbeat.
+	levels rate.Digest
+	wg     sync.WaitGroup
 }
 
 // measuredVM is one of them.
@@ -51,9 +54,13 @@
 	sent, received, calls atomic.Int64
 }
 
-// startVMs starts n VMs. They must be closed.
-func startVMs(n int) (*vms, error) {
+// startVMs starts n VMs whose heartbeats carry the levels of some teams. They
+// must be closed.
+func startVMs(n, teams int) (*vms, error) {
 	f := &vms{log: standin.NewLog()}
+	for i := range teams {
+		f.levels = append(f.levels, rate.Level{Key: rate.Key(fmt.Sprintf("team-%d", i)), Amount: 1_000_000})
+	}
 	for i := range n {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -124,6 +131,7 @@
 		Applied:      v.follower.State.Applied(),
 		LogReachable: v.follower.Reachable(),
 		Withdrawals:  v.ring.Digest(),
+		Levels:       v.vms.levels,
 		At:           v.rec.Clock.Now(),
 	}
 }
