Freeze the VM in the key's process test for less than a silent engine

Cause: TestKeyWithdrawnWhileVMIsFrozen failed once in a loaded run of the whole package: the stream ended by upstream_failed, not key_withdrawn. The VM stood still for longer than the 2 s after which draft takes an engine for silent, so after the freeze it gave the engine up before it heard of the key. In a trial with a mechanism taken out the test also found the VM told, because the signal had not stopped all threads yet. What it asserts is unchanged. Open: a VM that was frozen for longer than 2 s ends its streams by upstream_failed although its engines are well; that is draft's.

--- a/daemon/key_test.go
+++ b/daemon/key_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -33,6 +34,18 @@
 	return fault.KindOf(err)
 }
 
+// alive reports whether a VM answers at once. A signal takes a moment to stop
+// all threads.
+func (p *plant) alive(i int) bool {
+	hc := &http.Client{Timeout: 100 * time.Millisecond}
+	resp, err := hc.Get("http://" + p.callers[i] + "/healthz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return true
+}
+
 // TestKeyWithdrawnWhileVMIsFrozen withdraws a key in an outage of the log while
 // the process of one VM is frozen in the middle of a stream. When it goes on,
 // it ends the stream and refuses the key, and the log gets the withdrawal when
@@ -41,6 +54,11 @@
 	t.Parallel()
 	is := is.New(t)
 	p := newPlant(t, "100ms")
+	p.faults(t, `{"outage":true}`)
+	until(t, "the VM notices the outage", func() bool {
+		var st operator.Status
+		return p.control(0).Query(t.Context(), "status", nil, &st) == nil && !st.VMs[0].LogReachable
+	})
 	begun, ended := make(chan struct{}), make(chan error, 1)
 	go func() {
 		n := 0
@@ -52,19 +70,16 @@
 		ended <- err
 	}()
 	<-begun
+	// The freeze is shorter than the time after which an engine counts as
+	// silent, so that the key alone ends the stream.
 	p.vms[1].signal(t, syscall.SIGSTOP)
-	p.faults(t, `{"outage":true}`)
-	until(t, "the VM notices the outage", func() bool {
-		var st operator.Status
-		return p.control(0).Query(t.Context(), "status", nil, &st) == nil && !st.VMs[0].LogReachable
-	})
+	until(t, "the VM stands still", func() bool { return !p.alive(1) })
 	o, err := p.control(0).Command(t.Context(), ledger.KindWithdraw, 0, ledger.Withdrawal{Key: "k1"})
 	is.NoErr(err)
 	is.True(o.NotLogged)
 	is.Equal(o.Reach.Missed, []fleet.VMID{"v2"})
-	is.Equal(p.refused(t, 0), fault.KeyWithdrawn)
-
 	p.vms[1].signal(t, syscall.SIGCONT)
+	is.Equal(p.refused(t, 0), fault.KeyWithdrawn)
 	until(t, "the frozen VM refuses the key", func() bool { return p.refused(t, 1) == fault.KeyWithdrawn })
 	is.Equal(fault.KindOf(<-ended), fault.KeyWithdrawn)
 
