--- a/keyring/keyring_test.go
+++ b/keyring/keyring_test.go
@@ -35,6 +35,12 @@
 	is.True(!ring.Withdraw(keyring.Withdrawal{Key: "k", At: at})) // no news
 }
 
+func withdrawAll(ring *keyring.Keyring, ids []string) {
+	for _, id := range ids {
+		ring.Withdraw(keyring.Withdrawal{Key: fleet.KeyID(id)})
+	}
+}
+
 // TestRandomDifference exchanges differences between two keyrings and asserts
 // that one exchange in each direction makes them equal, and that equal ones
 // exchange nothing.
@@ -44,12 +50,8 @@
 		b, _ := newRing()
 		ids := rapid.SliceOf(rapid.StringMatching(`[a-z0-9]{1,4}`))
 		ofA, ofB := ids.Draw(t, "a"), ids.Draw(t, "b")
-		for _, id := range ofA {
-			a.Withdraw(keyring.Withdrawal{Key: fleet.KeyID(id)})
-		}
-		for _, id := range ofB {
-			b.Withdraw(keyring.Withdrawal{Key: fleet.KeyID(id)})
-		}
+		withdrawAll(a, ofA)
+		withdrawAll(b, ofB)
 		fromB, fromA := b.Difference(a.Buckets()), a.Difference(b.Buckets())
 		for _, w := range fromB.Withdrawals {
 			a.Withdraw(w)
