Write peer calls one at a time outside the callers' goroutines

Cause: a peer that reads nothing holds up a write; net/rpc then holds its mutex, and every other call of that connection waited for it beyond its deadline. Done: each call is written in the background in its turn; Call returns at the end of its context whatever the connection does.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -121,7 +121,7 @@
 	dial Dial
 
 	mu    sync.Mutex
-	links map[string]*rpc.Client
+	links map[string]*connection
 }
 
 // NewLinks returns links over TCP without connections. With a config they use
@@ -165,7 +165,7 @@
 
 // NewLinksOver returns links over the connections that dial makes.
 func NewLinksOver(dial Dial) *Links {
-	return &Links{dial: dial, links: make(map[string]*rpc.Client)}
+	return &Links{dial: dial, links: make(map[string]*connection)}
 }
 
 // Call calls a method of the peer at address. An error does not mean that the
@@ -178,9 +178,10 @@
 	if err != nil {
 		return err
 	}
-	call := c.Go(method, args, reply, make(chan *rpc.Call, 1))
+	done := make(chan *rpc.Call, 1)
+	c.send(ctx, method, args, reply, done)
 	select {
-	case <-call.Done:
+	case call := <-done:
 		err = call.Error
 	case <-ctx.Done():
 		err = fmt.Errorf("%s at %s: %w", method, address, ctx.Err())
@@ -192,6 +193,31 @@
 	return err
 }
 
+// connection is one connection to a peer.
+type connection struct {
+	*rpc.Client
+	// sending holds a token while a call is written. A peer that reads nothing
+	// holds a writer up, and the mutex of net/rpc would hold up all others
+	// beyond their deadlines.
+	sending chan struct{}
+}
+
+func newConnection(conn net.Conn) *connection {
+	return &connection{Client: rpc.NewClient(bounded{conn}), sending: make(chan struct{}, 1)}
+}
+
+// send writes a call in the background, unless ctx ends before its turn.
+func (c *connection) send(ctx context.Context, method string, args, reply any, done chan *rpc.Call) {
+	go func() {
+		select {
+		case c.sending <- struct{}{}:
+			c.Go(method, args, reply, done)
+			<-c.sending
+		case <-ctx.Done():
+		}
+	}()
+}
+
 // Close drops all connections.
 func (l *Links) Close() {
 	l.mu.Lock()
@@ -202,7 +228,7 @@
 	}
 }
 
-func (l *Links) link(ctx context.Context, address string) (*rpc.Client, error) {
+func (l *Links) link(ctx context.Context, address string) (*connection, error) {
 	l.mu.Lock()
 	c, ok := l.links[address]
 	l.mu.Unlock()
@@ -215,11 +241,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial peer %s: %w", address, err)
 	}
-	return l.keep(address, rpc.NewClient(bounded{conn})), nil
+	return l.keep(address, newConnection(conn)), nil
 }
 
 // keep stores a new connection, or closes it if another call was faster.
-func (l *Links) keep(address string, c *rpc.Client) *rpc.Client {
+func (l *Links) keep(address string, c *connection) *connection {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if first, ok := l.links[address]; ok {
@@ -230,7 +256,7 @@
 	return c
 }
 
-func (l *Links) drop(address string, c *rpc.Client) {
+func (l *Links) drop(address string, c *connection) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.links[address] == c {
