Give connections in memory a send buffer

Cause: without one, a writer waits for its reader, and net/rpc's own reader waits for the writer's mutex when a connection ends; under a paused clock that stopped TestRandomFleet. A real connection takes writes into its buffer. Done: writes go through a bounded buffer with a deadline; Close delivers what is left; the other end of a silent connection is not told of Close. Ruled out: locks of our own; the stacks show only net/rpc's.

--- a/standin/network.go
+++ b/standin/network.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -87,8 +88,8 @@
 
 func (n *Network) pair(lk link, address memoryAddr) (near, far *memoryConn) {
 	a, b := net.Pipe()
-	near = &memoryConn{Conn: a, network: n, link: lk, remote: address, silence: make(chan struct{})}
-	far = &memoryConn{Conn: b, network: n, link: lk, remote: "dialer", silence: make(chan struct{})}
+	near = newMemoryConn(a, n, lk, address)
+	far = newMemoryConn(b, n, lk, "dialer")
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.conns[near] = struct{}{}
@@ -205,7 +206,63 @@
 	mu       sync.Mutex
 	hushed   bool
 	silence  chan struct{}
-	deadline time.Time
+	deadline time.Time // of reads
+	writeBy  time.Time
+
+	// out is the send buffer, which ends when closed is.
+	out    chan []byte
+	closed chan struct{}
+}
+
+// sendBuffer is the number of writes that a connection takes before the other
+// end reads.
+const sendBuffer = 256
+
+// flushTimeout bounds the delivery of what was written before Close.
+const flushTimeout = time.Second
+
+func newMemoryConn(pipe net.Conn, n *Network, lk link, remote memoryAddr) *memoryConn {
+	c := &memoryConn{
+		Conn:    pipe,
+		network: n,
+		link:    lk,
+		remote:  remote,
+		silence: make(chan struct{}),
+		out:     make(chan []byte, sendBuffer),
+		closed:  make(chan struct{}),
+	}
+	go func() { c.deliver() }()
+	return c
+}
+
+// deliver writes the send buffer to the other end until the connection is
+// closed, and then what is left of it.
+func (c *memoryConn) deliver() {
+	defer func() { _ = c.Conn.Close() }()
+	for {
+		select {
+		case b := <-c.out:
+			// A failed write means that the connection is silent or gone.
+			_, _ = c.Conn.Write(b)
+		case <-c.closed:
+			if !c.isHushed() {
+				c.flush()
+			}
+			return
+		}
+	}
+}
+
+func (c *memoryConn) flush() {
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(flushTimeout))
+	for {
+		select {
+		case b := <-c.out:
+			_, _ = c.Conn.Write(b)
+		default:
+			return
+		}
+	}
 }
 
 // RemoteAddr returns the address of the other end.
@@ -223,6 +280,15 @@
 	_ = c.Conn.SetDeadline(time.Unix(1, 0))
 }
 
+func (c *memoryConn) isOver() bool {
+	select {
+	case <-c.closed:
+		return true
+	default:
+		return false
+	}
+}
+
 func (c *memoryConn) isHushed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -232,20 +298,47 @@
 // Read waits for its deadline or Close on a silent connection.
 func (c *memoryConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if err != nil && c.isHushed() && errors.Is(err, os.ErrDeadlineExceeded) {
+	if err != nil && c.isOver() {
+		return n, net.ErrClosed
+	}
+	if err != nil && c.isHushed() {
 		return 0, c.waitSilent()
 	}
 	return n, err
 }
 
-// Write drops everything on a silent connection, as a full buffer of a real one
-// would for long.
+// Write puts b into the send buffer and waits only while that is full. A silent
+// connection drops everything.
 func (c *memoryConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	if err != nil && c.isHushed() && errors.Is(err, os.ErrDeadlineExceeded) {
+	if c.isHushed() {
 		return len(b), nil
 	}
-	return n, err
+	select {
+	case <-c.closed:
+		return 0, net.ErrClosed
+	default:
+	}
+	deadline, stop := c.writeDeadline()
+	defer stop()
+	select {
+	case c.out <- bytes.Clone(b):
+		return len(b), nil
+	case <-c.closed:
+		return 0, net.ErrClosed
+	case <-deadline:
+		return 0, os.ErrDeadlineExceeded
+	}
+}
+
+// writeDeadline returns a channel that fires at the deadline of writes.
+func (c *memoryConn) writeDeadline() (<-chan time.Time, func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writeBy.IsZero() {
+		return nil, func() {}
+	}
+	t := time.NewTimer(time.Until(c.writeBy))
+	return t.C, func() { t.Stop() }
 }
 
 func (c *memoryConn) waitSilent() error {
@@ -287,24 +380,28 @@
 	return c.silence == changed
 }
 
-// SetDeadline sets the deadline of reads and writes.
+// SetDeadline sets the deadlines of reads and writes.
 func (c *memoryConn) SetDeadline(t time.Time) error {
-	return c.setDeadline(t, c.Conn.SetDeadline)
+	_ = c.SetWriteDeadline(t)
+	return c.SetReadDeadline(t)
 }
 
-// SetReadDeadline sets the deadline of reads.
-func (c *memoryConn) SetReadDeadline(t time.Time) error {
-	return c.setDeadline(t, c.Conn.SetReadDeadline)
+// SetWriteDeadline sets the deadline of writes to come.
+func (c *memoryConn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeBy = t
+	return nil
 }
 
-// setDeadline keeps the deadline of a silent connection apart from the pipe's,
-// which has passed.
-func (c *memoryConn) setDeadline(t time.Time, set func(time.Time) error) error {
+// SetReadDeadline sets the deadline of reads. It keeps the deadline of a silent
+// connection apart from the pipe's, which has passed.
+func (c *memoryConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.deadline = t
 	if !c.hushed {
-		return set(t)
+		return c.Conn.SetReadDeadline(t)
 	}
 	select {
 	case <-c.silence:
@@ -328,9 +425,11 @@
 		return net.ErrClosed
 	default:
 		close(c.silence)
+		close(c.closed)
 	}
 	if c.hushed {
 		return nil
 	}
-	return c.Conn.Close()
+	// A reader of this end is woken at once; the other end reads what is left.
+	return c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
--- a/standin/network_test.go
+++ b/standin/network_test.go
@@ -51,6 +51,7 @@
 		is.Equal(time.Since(begin), time.Minute)
 		is.NoErr(near.Close())
 		is.NoErr(far.Close())
+		synctest.Wait()
 	})
 }
 
@@ -67,10 +68,14 @@
 		_, err = n.Dial(ctx, "a", "10.0.0.2:1")
 		is.True(errors.Is(err, context.DeadlineExceeded))
 		n.Heal("a", "b")
-		go func() { _, _ = l.Accept() }()
+		go func() {
+			c, _ := l.Accept()
+			_ = c.Close()
+		}()
 		c, err := n.Dial(context.Background(), "a", "10.0.0.2:1")
 		is.NoErr(err)
 		is.NoErr(c.Close())
+		synctest.Wait()
 	})
 }
 
