--- a/measure/measure.go
+++ b/measure/measure.go
@@ -29,6 +29,7 @@
 
 // Registry lists all tables in the order of docs/MEASURES.md.
 var Registry = []Table{
+	ServingCost,
 	FirstToken,
 }
 
--- a/measure/routing.go
+++ b/measure/routing.go
@@ -69,7 +69,7 @@
 	slots chan struct{}
 	// pace multiplies all times.
 	pace time.Duration
-	load  atomic.Int64
+	load atomic.Int64
 
 	mu       sync.Mutex
 	prefixes []platform.PrefixKey
--- /dev/null
+++ b/measure/serving.go
@@ -0,0 +1,401 @@
+package measure
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/sirupsen/logrus"
+
+	"toucanfall/daemon"
+	"toucanfall/fleet"
+	"toucanfall/ledger"
+	"toucanfall/platform"
+	"toucanfall/settings"
+	"toucanfall/standin"
+	"toucanfall/timeline"
+)
+
+// ServingCost measures what a VM adds to a request, beside a direct call to the
+// same stand-in engine.
+var ServingCost = Table{
+	Name: "serving_cost",
+	Goal: "p99 added under 1 ms, 100,000 streamed tokens a second per core, under 40 KB per open stream",
+	Seed: 6,
+	Run:  runServingCost,
+}
+
+// Extent of the measurement.
+const (
+	costRequests   = 1000
+	costCallers    = 4
+	costStreams    = 1000
+	costTokens     = 1000
+	costTokenTime  = 45 * time.Millisecond
+	costStreamTime = 2 * time.Second
+	costKey        = fleet.Secret("sk-measure-0123456789")
+	costPatience   = 10 * time.Second
+)
+
+// bench is a VM before a stand-in engine, in this process over loopback.
+type bench struct {
+	// engines holds the address of the engine of each model.
+	engines map[fleet.ModelID]string
+	callers string
+	hc      *http.Client
+	ends    []func()
+}
+
+// newBench starts the stand-ins and a VM.
+func newBench() (*bench, error) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	logger.SetLevel(logrus.ErrorLevel)
+	rec := timeline.New("measure", 1, logger)
+	b := &bench{hc: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2 * costStreams, DisableCompression: true}}}
+	engine := standin.NewEngine(standin.EngineConfig{Capacity: 100, Slots: 2 * costStreams, TokenTime: 0}, rec)
+	slow := standin.NewEngine(standin.EngineConfig{Capacity: 100, Slots: 2 * costStreams, TokenTime: costTokenTime}, rec)
+	for _, e := range []*standin.Engine{engine, slow} {
+		if err := e.Order(platform.Order{Kind: platform.OrderLoadModel, Model: modelOf(e == slow), Size: 1}); err != nil {
+			return nil, err
+		}
+	}
+	log := standin.NewLog()
+	addresses := make([]string, 0, 3)
+	for _, h := range []http.Handler{log, engine, slow} {
+		l, err := b.serve(h)
+		if err != nil {
+			return nil, err
+		}
+		addresses = append(addresses, l)
+	}
+	b.engines = map[fleet.ModelID]string{"fast": addresses[1], "slow": addresses[2]}
+	vms := standin.NewVMList(
+		fleet.VM{ID: "fast", Role: fleet.RoleModelEngine, DataCentre: "at-1", Address: addresses[1], State: fleet.VMLive},
+		fleet.VM{ID: "slow", Role: fleet.RoleModelEngine, DataCentre: "at-1", Address: addresses[2], State: fleet.VMLive},
+	)
+	list, err := b.serve(vms)
+	if err != nil {
+		return nil, err
+	}
+	return b, b.start(log, addresses, list, logger)
+}
+
+func modelOf(slow bool) fleet.ModelID {
+	if slow {
+		return "slow"
+	}
+	return "fast"
+}
+
+// serve opens a listener for a stand-in.
+func (b *bench) serve(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: costPatience}
+	go func() { _ = s.Serve(l) }()
+	b.ends = append(b.ends, func() { _ = s.Close() })
+	return l.Addr().String(), nil
+}
+
+// start configures and starts the VM.
+func (b *bench) start(log *standin.Log, addresses []string, list string, logger *logrus.Logger) error {
+	if err := costConfig(log); err != nil {
+		return err
+	}
+	var ports [3]string
+	for i := range ports {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		ports[i] = l.Addr().String()
+		_ = l.Close()
+	}
+	cfg, err := settings.DecodeProcess("measure", fmt.Appendf(nil,
+		`{"vm":"v1","data_centre":"at-1","data_centres":["at-1"],"callers":{"address":%q},"operators":{"address":%q},"peers":{"address":%q},`+
+			`"platform":{"log":"http://%s","vm_list":"http://%s","weight_store":"http://%s"},"first_operator":"%x","stop_after":"0s","log_level":"error"}`,
+		ports[0], ports[1], ports[2], addresses[0], list, list, costKey.Hash()))
+	if err != nil {
+		return err
+	}
+	d, err := daemon.New(cfg, logger)
+	if err != nil {
+		return err
+	}
+	b.callers = ports[0]
+	signals := make(chan os.Signal, 2)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = d.Run(signals)
+	}()
+	b.ends = append(b.ends, func() {
+		signals <- syscall.SIGTERM
+		signals <- syscall.SIGTERM
+		<-ended
+	})
+	return b.awaitReady()
+}
+
+func costConfig(log *standin.Log) error {
+	number := func(n string) settings.Value { return settings.Value{RawMessage: json.RawMessage(n)} }
+	for _, r := range []struct {
+		kind ledger.Kind
+		body any
+	}{
+		{ledger.KindTeam, fleet.Team{ID: "quotes"}},
+		{ledger.KindKey, fleet.Key{ID: "k1", Team: "quotes", Hash: costKey.Hash()}},
+		{ledger.KindModel, fleet.Model{ID: "fast", Version: "v1", Size: 1}},
+		{ledger.KindModel, fleet.Model{ID: "slow", Version: "v1", Size: 1}},
+		{ledger.KindRoute, fleet.Route{ID: "fast", Kind: fleet.RouteDraft, Model: "fast", Teams: []fleet.TeamID{"quotes"}}},
+		{ledger.KindRoute, fleet.Route{ID: "slow", Kind: fleet.RouteDraft, Model: "slow", Teams: []fleet.TeamID{"quotes"}}},
+		{ledger.KindSetting, settings.Put{Path: settings.Path{Level: "fleet", Name: settings.RateTokensPerSecond}, Value: number("1e9")}},
+		{ledger.KindSetting, settings.Put{Path: settings.Path{Level: "fleet", Name: settings.BurstTokens}, Value: number("1e9")}},
+		{ledger.KindSetting, settings.Put{Path: settings.Path{Level: "fleet", Name: settings.MaxTokens}, Value: number("100000")}},
+	} {
+		record, err := ledger.NewRecord(r.kind, "measure", timeline.Stamp{}, 0, r.body)
+		if err != nil {
+			return err
+		}
+		data, err := json.Marshal(record)
+		if err != nil {
+			return err
+		}
+		if _, err := log.Append(context.Background(), [][]byte{data}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (b *bench) awaitReady() error {
+	var err error
+	for end := time.Now().Add(costPatience); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if err = b.one(true, "fast"); err != nil {
+			continue
+		}
+		if err = b.one(true, "slow"); err == nil {
+			return nil
+		}
+	}
+	return fmt.Errorf("the VM does not serve: %w", err)
+}
+
+func (b *bench) close() {
+	for i := len(b.ends) - 1; i >= 0; i-- {
+		b.ends[i]()
+	}
+}
+
+// open starts a streamed draft, through the VM or directly at the engine.
+func (b *bench) open(ctx context.Context, via bool, model fleet.ModelID, tokens int) (*http.Response, error) {
+	address := b.engines[model]
+	if via {
+		address = b.callers
+	}
+	body := fmt.Appendf(nil, `{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"x"}]}`, model, tokens)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+string(costKey))
+	resp, err := b.hc.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		_ = resp.Body.Close()
+		return nil, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return resp, nil
+}
+
+// one makes a request for one token.
+func (b *bench) one(via bool, model fleet.ModelID) error {
+	resp, err := b.open(context.Background(), via, model, 1)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
+
+// cpu returns the processor time of this process.
+func cpu() time.Duration {
+	var u syscall.Rusage
+	// Only a wrong argument can make it fail.
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// requestCost is what requests of one token took.
+type requestCost struct {
+	latency *hdrhistogram.Histogram
+	cpu     time.Duration
+}
+
+// requests makes a number of requests by a few callers at once.
+func (b *bench) requests(via bool) (requestCost, error) {
+	c := requestCost{latency: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)}
+	var mu sync.Mutex
+	var failed error
+	var wg sync.WaitGroup
+	begin := cpu()
+	for range costCallers {
+		wg.Go(func() {
+			for range costRequests / costCallers {
+				at := time.Now()
+				err := b.one(via, "fast")
+				took := time.Since(at)
+				mu.Lock()
+				if err != nil {
+					failed = err
+				}
+				// A value above the bound would be a minute.
+				_ = c.latency.RecordValue(took.Microseconds())
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	c.cpu = cpu() - begin
+	return c, failed
+}
+
+// streamCost is what open streams took.
+type streamCost struct {
+	tokens int64
+	cpu    time.Duration
+	memory int64
+}
+
+// streams keeps streams open, calls busy, and measures them for a while.
+func (b *bench) streams(via bool, busy func() error) (streamCost, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	before := memory()
+	var tokens atomic.Int64
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	opened := make(chan error, costStreams)
+	for range costStreams {
+		wg.Go(func() {
+			resp, err := b.open(ctx, via, "slow", costTokens)
+			opened <- err
+			if err != nil {
+				return
+			}
+			defer resp.Body.Close()
+			count(resp.Body, &tokens)
+		})
+	}
+	for range costStreams {
+		if err := <-opened; err != nil {
+			return streamCost{}, err
+		}
+	}
+	c := streamCost{memory: memory() - before}
+	at, n := cpu(), tokens.Load()
+	time.Sleep(costStreamTime)
+	c.cpu, c.tokens = cpu()-at, tokens.Load()-n
+	return c, busy()
+}
+
+// count adds the events of a stream to tokens until it ends.
+func count(r io.Reader, tokens *atomic.Int64) {
+	lines := bufio.NewReaderSize(r, 1024)
+	for {
+		line, err := lines.ReadSlice('\n')
+		if err != nil {
+			return
+		}
+		if len(line) > 1 {
+			tokens.Add(1)
+		}
+	}
+}
+
+// memory returns what is in use by heap and stacks.
+func memory() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
+
+// runServingCost measures directly and through the VM, alone and with streams
+// open.
+func runServingCost(uint64) (Result, error) {
+	b, err := newBench()
+	if err != nil {
+		return Result{}, err
+	}
+	defer b.close()
+	var alone, crowded [2]requestCost
+	var open [2]streamCost
+	for i, via := range []bool{false, true} {
+		if alone[i], err = b.requests(via); err != nil {
+			return Result{}, err
+		}
+		open[i], err = b.streams(via, func() error {
+			var err error
+			crowded[i], err = b.requests(via)
+			return err
+		})
+		if err != nil {
+			return Result{}, err
+		}
+	}
+	return costResult(alone, crowded, open), nil
+}
+
+func costResult(alone, crowded [2]requestCost, open [2]streamCost) Result {
+	us := func(n int64) string { return fmt.Sprintf("%d us", n) }
+	row := func(name string, direct, via, added string) []string { return []string{name, direct, via, added} }
+	var rows [][]string
+	for _, c := range []struct {
+		name string
+		cost [2]requestCost
+	}{{"alone", alone}, {"1,000 streams open", crowded}} {
+		for _, q := range []float64{50, 99} {
+			direct, via := c.cost[0].latency.ValueAtQuantile(q), c.cost[1].latency.ValueAtQuantile(q)
+			rows = append(rows, row(fmt.Sprintf("request p%.0f, %s", q, c.name), us(direct), us(via), us(via-direct)))
+		}
+	}
+	perCore := func(n int64, d time.Duration) string { return fmt.Sprintf("%.0f", float64(n)/d.Seconds()) }
+	rows = append(rows,
+		row("requests/s per core, alone", perCore(costRequests, alone[0].cpu), perCore(costRequests, alone[1].cpu), perCore(costRequests, alone[1].cpu-alone[0].cpu)),
+		row("streamed tokens/s", perCore(open[0].tokens, costStreamTime), perCore(open[1].tokens, costStreamTime), ""),
+		row("streamed tokens/s per core", perCore(open[0].tokens, open[0].cpu), perCore(open[1].tokens, open[1].cpu), perCore(open[1].tokens, open[1].cpu-open[0].cpu)),
+		row("memory per open stream", kb(open[0].memory), kb(open[1].memory), kb(open[1].memory-open[0].memory)),
+	)
+	return Result{
+		Header: []string{"measure", "direct", "through the VM", "by the VM alone"},
+		Rows:   rows,
+		Notes: []string{
+			"Caller, VM and stand-ins share one process, so that the last column is the difference of the other two: added time, or what the VM's part of processor time and memory comes to.",
+			"Requests are for one token, by 4 callers at once; streams have 45 ms between tokens.",
+		},
+	}
+}
+
+func kb(n int64) string {
+	return fmt.Sprintf("%.1f KB", float64(n)/costStreams/1024)
+}
