--- a/entry/stream.go
+++ b/entry/stream.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -19,12 +20,17 @@
 	a     *admission
 	rc    *http.ResponseController
 	begun bool
+	// bounded is when the deadline of writes was last moved on.
+	bounded time.Time
 	// head is what stands before the text in the event of a token.
 	head []byte
 	// line is the event in the making.
 	line []byte
 }
 
+// boundInterval is the least time between two moves of the deadline of writes.
+const boundInterval = time.Second
+
 // tail is what stands after the text in the event of a token.
 const tail = `},"finish_reason":null}]}` + "\n\n"
 
@@ -65,16 +71,27 @@
 		r.Header().Set(echo.HeaderContentType, "text/event-stream")
 		r.WriteHeader(http.StatusOK)
 	}
-	if err := boundWrite(w.c); err != nil {
+	if err := w.bound(); err != nil {
 		return err
 	}
 	_, err := r.Write(b)
 	return err
 }
 
+// bound moves the deadline of writes on. It does so at most once a second, since
+// that costs as much as encoding a token.
+func (w *streamSink) bound() error {
+	now := time.Now()
+	if now.Sub(w.bounded) < boundInterval {
+		return nil
+	}
+	w.bounded = now
+	return boundWrite(w.c)
+}
+
 // Flush sends what was written.
 func (w *streamSink) Flush() error {
-	if err := boundWrite(w.c); err != nil {
+	if err := w.bound(); err != nil {
 		return err
 	}
 	return w.rc.Flush()
