--- a/draft/draft.go
+++ b/draft/draft.go
@@ -196,7 +196,8 @@
 		if err := a.take(c); err != nil {
 			return err
 		}
-		if stream.More() {
+		// The writer flushes the end of the answer itself.
+		if c.Finish != "" || stream.More() {
 			continue
 		}
 		if err := a.sink.Flush(); err != nil {
