Cut off withdrawn callers that read nothing, and hold engines to the limit

Cause: a caller that read nothing was cut off after the 10 s bound of a write when its key was withdrawn. An engine could send more tokens than were asked and charged for.

--- a/draft/draft.go
+++ b/draft/draft.go
@@ -235,6 +235,9 @@
 		a.result.PromptTokens = c.PromptTokens
 		return nil
 	}
+	if a.result.Tokens >= a.job.MaxTokens {
+		return fmt.Errorf("the engine sent more than %d tokens", a.job.MaxTokens)
+	}
 	if err := a.sink.Token(c); err != nil {
 		return fmt.Errorf("%w: %w", errCaller, err)
 	}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"time"
@@ -31,6 +32,9 @@
 // boundInterval is the least time between two moves of the deadline of writes.
 const boundInterval = time.Second
 
+// endTimeout bounds the write of an error after the end of a request's context.
+const endTimeout = time.Second
+
 // tail is what stands after the text in the event of a token.
 const tail = `},"finish_reason":null}]}` + "\n\n"
 
@@ -78,11 +82,22 @@
 	return err
 }
 
+// cutAtEnd shortens the deadline of a write in progress when the request's
+// context ends, so that a caller that reads nothing cannot hold a request after
+// its deadline or after its key was withdrawn. The returned function ends that.
+func (w *streamSink) cutAtEnd() func() {
+	stop := context.AfterFunc(w.a.ctx, func() {
+		// A writer without deadlines, as in tests, is not bounded.
+		_ = w.rc.SetWriteDeadline(time.Now().Add(endTimeout))
+	})
+	return func() { stop() }
+}
+
 // bound moves the deadline of writes on. It does so at most once a second, since
 // that costs as much as encoding a token.
 func (w *streamSink) bound() error {
 	now := time.Now()
-	if now.Sub(w.bounded) < boundInterval {
+	if now.Sub(w.bounded) < boundInterval || w.a.ctx.Err() != nil {
 		return nil
 	}
 	w.bounded = now
@@ -102,6 +117,7 @@
 // apart.
 func (s *Server) chatStream(c echo.Context, a *admission, job draft.Job) (draft.Result, error) {
 	sink := newStreamSink(c, a)
+	defer sink.cutAtEnd()()
 	result, err := s.Drafter.Run(a.ctx, job, sink)
 	if err != nil {
 		return result, s.endByError(sink, a.explain(err))
