--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -40,17 +40,23 @@
 	rec         *timeline.Recorder
 	incarnation fleet.Incarnation
 	leaving     atomic.Bool
+	sockets     Sockets
+	transports  []*http.Transport
 
-	follower *ledger.Follower
-	keyring  *keyring.Keyring
-	links    *peer.Links
-	peers    *peer.Server
-	members  *membership.Membership
-	contact  *membership.Contact
-	spread   *keyring.Spread
-	pool     *upstream.Pool
-	booker   *booking.Booker
-	entry    *entry.Server
+	follower  *ledger.Follower
+	snapshots *ledger.SnapshotWriter
+	relay     *relay
+	keyring   *keyring.Keyring
+	links     *peer.Links
+	peers     *peer.Server
+	members   *membership.Membership
+	contact   *membership.Contact
+	history   operator.History
+	spread    *keyring.Spread
+	pool      *upstream.Pool
+	booker    *booking.Booker
+	entry     *entry.Server
+	rates     *rates
 
 	callers   *http.Server
 	operators *http.Server
@@ -58,30 +64,44 @@
 
 // New makes the parts of a VM and starts to follow the log, the VM list and
 // the upstreams. Run opens the listeners.
-func New(cfg *settings.Process, logger *logrus.Logger) (*Daemon, error) {
+func New(cfg *settings.Process, sockets Sockets, logger *logrus.Logger) (*Daemon, error) {
 	d := &Daemon{
 		cfg:         cfg,
 		rec:         timeline.New(string(cfg.VM), timelineSize, logger),
 		incarnation: fleet.Incarnation(time.Now().UnixMilli()),
-		links:       peer.NewLinks(nil),
 		peers:       peer.NewServer(),
+		sockets:     sockets,
 	}
-	rt := platform.NewTransport()
+	links, err := d.newLinks()
+	if err != nil {
+		return nil, err
+	}
+	d.links = links
+	rt := d.newTransport()
 	state := ledger.NewState()
-	d.keyring = keyring.New(state, d.rec, d.guardCutOff)
-	d.follower = ledger.NewFollower(platform.NewLog(cfg.Platform.Log, rt), state, d.rec, d.heedWithdrawal)
+	cutOff := func() bool { return d.contact.CutOff() }
+	d.keyring = keyring.New(state, d.rec, keyring.GuardCutOff(cfg.DataCentre, cutOff, state.Setting))
+	log := platform.NewLog(cfg.Platform.Log, rt)
+	d.newLog(log, state)
 	d.contact = membership.NewContact(d.follower.LastRead, d.rec)
-	d.members = membership.New(cfg.VM, platform.NewVMList(cfg.Platform.VMList, rt), d, d.beat, d.rec, d.contact.Heard)
+	if d.rates, err = d.newRates(log); err != nil {
+		return nil, err
+	}
+	d.members = membership.New(cfg.VM, platform.NewVMList(cfg.Platform.VMList, rt), d, d.beat, d.rec, d.contact.Heard, d.rates.heard)
+	d.rates.start()
 	d.spread = keyring.NewSpread(cfg.VM, d.keyring, keyPeers{d}, keyLog{follower: d.follower, loaded: d.stateLoaded}, d.rec)
 	engines := platform.NewEngines(rt)
 	// Reports come over connections of their own, so that a lost connection of
 	// a draft does not hide that its engine is alive.
-	d.pool = upstream.NewPool(cfg.DataCentre, d.members, platform.NewEngines(platform.NewTransport()))
+	d.pool = upstream.NewPool(cfg.DataCentre, d.members, platform.NewEngines(d.newTransport()))
 	d.newEntry(state, engines)
 	d.newOperators(state)
 	if err := d.peers.Register("Peer", &peerService{daemon: d}); err != nil {
 		return nil, fmt.Errorf("register the peer service: %w", err)
 	}
+	if err := d.newRelay(); err != nil {
+		return nil, err
+	}
 	if err := d.peers.Register("Keys", &keyService{daemon: d}); err != nil {
 		return nil, fmt.Errorf("register the key service: %w", err)
 	}
@@ -89,14 +109,14 @@
 }
 
 func (d *Daemon) newEntry(state *ledger.State, engines *platform.Engines) {
-	d.booker = booking.New(d.cfg.VM, d.pool, booking.NewClient(), d.follower, state.Bookings, d.rec)
+	d.booker = booking.New(d.cfg.VM, d.pool, booking.NewClient(d.newTransport()), d.follower, state.Bookings, d.rec)
 	d.entry = entry.New(entry.Config{
 		DataCentre: d.cfg.DataCentre,
 		State:      state,
 		Keyring:    d.keyring,
 		Drafter:    draft.New(d.pool, engines, d.rec),
 		Booker:     d.booker,
-		Limiter:    unlimited{},
+		Limiter:    d.rates,
 		Queue:      unlimited{},
 		Recorder:   d.rec,
 		Ready:      d.ready,
@@ -115,6 +135,7 @@
 
 		Withdrawals: d.spread,
 		Withdrawn:   d.keyring.Withdrawn,
+		History:     &d.history,
 	}
 	s := operator.New(d.cfg.FirstOperator, state, operator.NewCommands(d.follower, d.spread, d.rec), queries)
 	d.operators = httpx.NewServer(s.Handler())
@@ -134,6 +155,9 @@
 	if !d.keyring.Loaded() {
 		return fault.New(fault.NotReady, "the VM has not asked its peers for withdrawn keys yet")
 	}
+	if !d.rates.settled() {
+		return fault.New(fault.NotReady, "the VM does not mint rate yet")
+	}
 	return nil
 }
 
@@ -147,6 +171,7 @@
 		CutOff:       d.contact.CutOff(),
 		Leaving:      d.leaving.Load(),
 		Withdrawals:  d.keyring.Digest(),
+		Levels:       d.rates.minter.Digest(time.Now()),
 		At:           d.rec.Clock.Now(),
 	}
 }
@@ -165,6 +190,7 @@
 		func() error { return d.peers.Serve(listeners.peers) },
 		func(error) { _ = listeners.peers.Close() },
 	)
+	d.addReadyEvent(&g)
 	stop := make(chan struct{})
 	g.Add(
 		func() error { return d.awaitStop(signals, stop) },
@@ -182,16 +208,16 @@
 func (d *Daemon) listen() (listeners, error) {
 	var ls listeners
 	for _, l := range []struct {
-		into    *net.Listener
-		address string
+		into *net.Listener
+		cfg  settings.Listener
 	}{
-		{&ls.callers, d.cfg.Callers.Address},
-		{&ls.operators, d.cfg.Operators.Address},
-		{&ls.peers, d.cfg.Peers.Address},
+		{&ls.callers, d.cfg.Callers},
+		{&ls.operators, d.cfg.Operators},
+		{&ls.peers, d.cfg.Peers},
 	} {
-		opened, err := net.Listen("tcp", l.address)
+		opened, err := d.openListener(l.cfg)
 		if err != nil {
-			return ls, fmt.Errorf("open listener: %w", err)
+			return ls, err
 		}
 		*l.into = opened
 	}
@@ -219,11 +245,17 @@
 }
 
 func (d *Daemon) close() {
+	d.rates.close()
 	d.booker.Close()
 	d.pool.Close()
 	d.spread.Close()
 	d.members.Close()
+	d.relay.Close()
+	d.snapshots.Close()
 	d.follower.Close()
 	d.peers.Close()
 	d.links.Close()
+	for _, t := range d.transports {
+		t.CloseIdleConnections()
+	}
 }
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -117,7 +117,8 @@
 // apart.
 func (s *Server) chatStream(c echo.Context, a *admission, job draft.Job) (draft.Result, error) {
 	sink := newStreamSink(c, a)
-	defer sink.cutAtEnd()()
+	stop := sink.cutAtEnd()
+	defer stop()
 	result, err := s.Drafter.Run(a.ctx, job, sink)
 	if err != nil {
 		return result, s.endByError(sink, a.explain(err))
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -30,6 +30,10 @@
 // Registry lists all tables in the order of docs/MEASURES.md.
 var Registry = []Table{
 	ServingCost,
+	LedgerFold,
+	LedgerState,
+	Heartbeats,
+	InForce,
 	FirstToken,
 }
 
--- a/measure/serving.go
+++ b/measure/serving.go
@@ -133,7 +133,7 @@
 	if err != nil {
 		return err
 	}
-	d, err := daemon.New(cfg, logger)
+	d, err := daemon.New(cfg, daemon.NewTCP(), logger)
 	if err != nil {
 		return err
 	}
--- a/settings/registry.go
+++ b/settings/registry.go
@@ -16,15 +16,16 @@
 
 // The settings of the tree.
 const (
-	RateTokensPerSecond Name = "rate_tokens_per_second"
-	BurstTokens         Name = "burst_tokens"
-	Deadline            Name = "deadline"
-	MaxTokens           Name = "max_tokens"
-	CutOffKeys          Name = "cut_off_keys"
-	Fencing             Name = "fencing"
-	KVRoomPercent       Name = "kv_room_percent"
-	SnapshotInterval    Name = "snapshot_interval"
-	BookingMemory       Name = "booking_memory"
+	RateTokensPerSecond   Name = "rate_tokens_per_second"
+	BurstTokens           Name = "burst_tokens"
+	Deadline              Name = "deadline"
+	MaxTokens             Name = "max_tokens"
+	CutOffKeys            Name = "cut_off_keys"
+	Fencing               Name = "fencing"
+	KVRoomPercent         Name = "kv_room_percent"
+	EngineTokensPerSecond Name = "engine_tokens_per_second"
+	SnapshotInterval      Name = "snapshot_interval"
+	BookingMemory         Name = "booking_memory"
 )
 
 // The values of CutOffKeys.
@@ -83,7 +84,7 @@
 	{
 		Name: CutOffKeys, Type: TypeWord, Default: raw(`"serve"`), Words: []string{CutOffServe, CutOffRefuse},
 		Levels: []LevelKind{KindFleet, KindDataCentre, KindTeam},
-		Text:   "What a VM does with known keys while it reaches neither the log nor a VM that does: serve, because a data centre that is cut off goes on serving what it can, or refuse, where a withdrawal that cannot arrive weighs more.",
+		Text:   "What a VM does with known keys after 5 s in which it reached neither the log nor a VM that does: serve, because a data centre that is cut off goes on serving what it can, or refuse, which also ends what is in progress, where a withdrawal that cannot arrive weighs more.",
 	},
 	{
 		Name: Fencing, Type: TypeWord, Default: raw(`"ignored"`), Words: []string{"checked", "ignored"},
@@ -95,6 +96,11 @@
 		Levels: []LevelKind{KindFleet, KindDataCentre},
 		Text:   "Part of an engine's memory that is kept for KV cache and never given to weights.",
 	},
+	{
+		Name: EngineTokensPerSecond, Type: TypeNumber, Default: raw(`2000`), Min: 1, Max: 1e9,
+		Levels: []LevelKind{KindFleet, KindDataCentre},
+		Text:   "Tokens a second that one engine generates at full load. Models of engines that come near it gain copies elsewhere.",
+	},
 	{
 		Name: SnapshotInterval, Type: TypeDuration, Default: raw(`"1h"`), Min: 1, Max: 30 * 86400,
 		Levels: []LevelKind{KindFleet},
@@ -134,7 +140,7 @@
 
 func (d Definition) acceptNumber(v Value) error {
 	var n float64
-	if err := strictDecode(v.RawMessage, &n); err != nil {
+	if err := decodeScalar(v.RawMessage, &n); err != nil {
 		return fmt.Errorf("%s: value %s must be a number without a unit", d.Name, v.RawMessage)
 	}
 	if n < d.Min || n > d.Max {
@@ -145,7 +151,7 @@
 
 func (d Definition) acceptDuration(v Value) error {
 	var s string
-	if err := strictDecode(v.RawMessage, &s); err != nil {
+	if err := decodeScalar(v.RawMessage, &s); err != nil {
 		return fmt.Errorf("%s: value %s must be a string with a unit, such as \"250ms\" or \"30s\"", d.Name, v.RawMessage)
 	}
 	dur, err := time.ParseDuration(s)
@@ -160,12 +166,20 @@
 
 func (d Definition) acceptWord(v Value) error {
 	var s string
-	if err := strictDecode(v.RawMessage, &s); err != nil || !slices.Contains(d.Words, s) {
+	if err := decodeScalar(v.RawMessage, &s); err != nil || !slices.Contains(d.Words, s) {
 		return fmt.Errorf("%s: value %s must be one of %s", d.Name, v.RawMessage, strings.Join(d.Words, ", "))
 	}
 	return nil
 }
 
+// decodeScalar decodes a number or a string and refuses null.
+func decodeScalar(b []byte, into any) error {
+	if bytes.Equal(bytes.TrimSpace(b), []byte("null")) {
+		return errors.New("null is not a value")
+	}
+	return json.Unmarshal(b, into)
+}
+
 // strictDecode decodes one JSON value and refuses null, unknown fields and
 // trailing data.
 func strictDecode(b []byte, into any) error {
