Go on with a begun answer after a pause of the VM itself

Cause: TestKeyWithdrawnWhileVMIsFrozen ended in upstream_failed. After SIGCONT the VM took its own pause for silence of the engine, ended the attempt, found all reports too old and gave the answer up. The tests that start processes wrote records in the form before they became two lines. Done: the guard knows a pause of its own by the gap between two looks, and a begun answer waits up to 2 s for an engine. Records are encoded by Encode. Seen to fail without the mechanism: TestBegunAnswerWaits with no wait and with a wait before the first byte. Without the pause bound alone the frozen VM's test still passes, because the wait covers it.

--- a/daemon/process_test.go
+++ b/daemon/process_test.go
@@ -227,7 +227,7 @@
 	} {
 		record, err := ledger.NewRecord(r.kind, "test", timeline.Stamp{}, 0, r.body)
 		is.New(t).NoErr(err)
-		b, err := json.Marshal(record)
+		b, err := record.Encode()
 		is.New(t).NoErr(err)
 		until(t, "the log takes records", func() bool {
 			_, err := log.Append(t.Context(), [][]byte{b})
@@ -248,11 +248,10 @@
 func (p *plant) awaitReady(t *testing.T) {
 	for i := range p.vms {
 		until(t, "a VM serves", func() bool {
-			_, err := p.caller(i).Draft(t.Context(), "textdesk", "x", 1, nil)
-			if err != nil {
+			if _, err := p.caller(i).Draft(t.Context(), "textdesk", "x", 1, nil); err != nil {
 				return false
 			}
-			_, err = p.caller(i).Service(t.Context(), "orderdesk", http.MethodGet, "/prices", "", nil)
+			_, err := p.caller(i).Service(t.Context(), "orderdesk", http.MethodGet, "/prices", "", nil)
 			return err == nil
 		})
 	}
--- a/draft/draft.go
+++ b/draft/draft.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"toucanfall/event"
 	"toucanfall/fault"
@@ -118,7 +119,7 @@
 		}
 		d.noteFailure(job, lease, err)
 		want.Avoid = append(want.Avoid, lease.Upstream.ID())
-		next := d.next(want, n)
+		next := d.next(ctx, a, want, n)
 		if next == nil {
 			return a.result, fault.New(fault.UpstreamFailed, "no engine finished the answer: %w", err)
 		}
@@ -133,18 +134,39 @@
 	return !errors.As(err, &status) || status.Status >= http.StatusInternalServerError
 }
 
+// Bounds of the wait for an engine that goes on with a begun answer.
+const (
+	resumeWait     = 2 * time.Second
+	resumeInterval = 100 * time.Millisecond
+)
+
 // next returns the engine for another attempt after n, nil if there is none or
-// the budget is spent. An engine that failed is tried again if no other holds
-// the model, since its connection may have failed alone.
-func (d *Drafter) next(want upstream.Want, n int) *upstream.Lease {
+// the budget is spent. Once the caller has a part of the answer, a short wait
+// for an engine is better than its loss.
+func (d *Drafter) next(ctx context.Context, a *answer, want upstream.Want, n int) *upstream.Lease {
 	if n >= maxAttempts || !d.retries.spend() {
 		return nil
 	}
+	lease := d.other(want)
+	for end := time.Now().Add(resumeWait); lease == nil && a.result.Tokens > 0 && time.Now().Before(end); lease = d.other(want) {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(resumeInterval):
+		}
+	}
+	return lease
+}
+
+// other returns an engine, nil if there is none. One that failed is taken again
+// if no other holds the model, since its connection may have failed alone.
+func (d *Drafter) other(want upstream.Want) *upstream.Lease {
 	lease, err := d.pool.Engine(want)
-	if err != nil {
-		want.Avoid = nil
-		lease, err = d.pool.Engine(want)
+	if err == nil {
+		return lease
 	}
+	want.Avoid = nil
+	lease, err = d.pool.Engine(want)
 	if err != nil {
 		return nil
 	}
--- a/draft/draft_test.go
+++ b/draft/draft_test.go
@@ -270,3 +270,33 @@
 		is.Equal(time.Since(begin), firstBound+time.Second)
 	})
 }
+
+// latePool has no engine for a while after the first attempt.
+type latePool struct {
+	engines
+	asked int
+	back  time.Time
+}
+
+func (p *latePool) Engine(w upstream.Want) (*upstream.Lease, error) {
+	p.asked++
+	if p.asked > 1 && time.Now().Before(p.back) {
+		return nil, fault.New(fault.NoUpstream, "none yet")
+	}
+	return p.engines.Engine(w)
+}
+
+// TestBegunAnswerWaits waits for an engine only if the caller has a part of the
+// answer.
+func TestBegunAnswerWaits(t *testing.T) {
+	for _, at := range []int{0, 2} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s := &scripted{plans: []plan{{defectCut, at}}}
+			d := newDrafter(s)
+			d.pool = &latePool{back: time.Now().Add(time.Second)}
+			_, err := d.Run(context.Background(), job(4), &callerSink{})
+			is.Equal(err == nil, at > 0)
+		})
+	}
+}
--- a/draft/guard.go
+++ b/draft/guard.go
@@ -18,6 +18,8 @@
 	betweenBound = 2 * time.Second
 	// guardInterval is the time between two looks.
 	guardInterval = 250 * time.Millisecond
+	// pauseBound is the time between two looks that shows a pause of this VM.
+	pauseBound = time.Second
 )
 
 // errSilent is the cause of an attempt that was ended for silence.
@@ -43,12 +45,15 @@
 	mu    sync.Mutex
 	timer *time.Timer
 	over  bool
+	// looked is the time of the last look.
+	looked time.Time
 }
 
 func newGuard(cancel context.CancelCauseFunc, engine liveness) *guard {
 	g := &guard{cancel: cancel, engine: engine, begun: time.Now()}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.looked = g.begun
 	g.timer = time.AfterFunc(guardInterval, g.look)
 	return g
 }
@@ -66,17 +71,28 @@
 }
 
 func (g *guard) look() {
-	last := time.Duration(g.last.Load())
-	quiet := time.Since(g.begun) - last
-	if quiet > g.bound(last) || (quiet > betweenBound && g.engine.Silent()) {
-		g.cancel(errSilent)
-		return
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.over {
-		g.timer.Reset(guardInterval)
+	if g.over {
+		return
+	}
+	now := time.Now()
+	if now.Sub(g.looked) > pauseBound {
+		// This VM was paused, which says nothing of the engine.
+		g.token()
 	}
+	g.looked = now
+	if g.silent() {
+		g.cancel(errSilent)
+		return
+	}
+	g.timer.Reset(guardInterval)
+}
+
+func (g *guard) silent() bool {
+	last := time.Duration(g.last.Load())
+	quiet := time.Since(g.begun) - last
+	return quiet > g.bound(last) || (quiet > betweenBound && g.engine.Silent())
 }
 
 func (g *guard) bound(last time.Duration) time.Duration {
--- a/measure/serving.go
+++ b/measure/serving.go
@@ -172,7 +172,7 @@
 		if err != nil {
 			return err
 		}
-		data, err := json.Marshal(record)
+		data, err := record.Encode()
 		if err != nil {
 			return err
 		}
