--- a/control/nouns.go
+++ b/control/nouns.go
@@ -50,6 +50,10 @@
 			{"put", "make or change an operator and show a new credential once", &putOperator{session: s}},
 			{"list", "list operators", &listOperators{session: s}},
 		}},
+		{"placement", "models in engines' memory", []entry{
+			{"list", "show the memory of every engine and what it is reserved for", &listPlacement{session: s}},
+			{"clear", "release memory of weights that the engine does not report, after making sure that no order for them can still arrive", &clearPlacement{session: s}},
+		}},
 		{"upstream", "upstreams", []entry{
 			{"list", "list upstreams with load and resident models", &listUpstreams{session: s}},
 		}},
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -34,6 +34,8 @@
 	LedgerState,
 	Heartbeats,
 	InForce,
+	Rates,
+	Fairness,
 	FirstToken,
 }
 
--- a/rate/minter.go
+++ b/rate/minter.go
@@ -133,14 +133,20 @@
 
 // Level returns the VM's own tokens of a key.
 func (m *Minter) Level(now time.Time, key Key) Amount {
+	a, _ := m.level(now, key)
+	return a
+}
+
+// level also returns for how long the VM mints nothing.
+func (m *Minter) level(now time.Time, key Key) (Amount, time.Duration) {
 	b, ok := m.buckets.Get(key)
 	if !ok {
-		return 0
+		return 0, 0
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.touch(now, m.lease.Load())
-	return b.level
+	return b.level, b.blocked(now)
 }
 
 // Grant is an admission that has to be settled.
@@ -176,9 +182,10 @@
 	if left == 0 {
 		return nil
 	}
+	// The own part goes back as far as there is room for it; of the rest, the
+	// lenders get what they lent.
 	own := min(left, g.own)
-	m.refund(now, g.Key, own, charged)
-	left -= own
+	left -= m.refund(now, g.Key, own, charged)
 	var out []Refund
 	for _, p := range g.parts {
 		back := min(left, p.amount)
@@ -193,10 +200,10 @@
 
 // refund puts the own part of a grant back. What belongs to a request that was
 // not admitted was never charged.
-func (m *Minter) refund(now time.Time, key Key, a Amount, charged bool) {
+func (m *Minter) refund(now time.Time, key Key, a Amount, charged bool) Amount {
 	b, ok := m.buckets.Get(key)
 	if !ok || a == 0 {
-		return
+		return 0
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -206,4 +213,5 @@
 	if charged {
 		m.charged(now, key, -credited)
 	}
+	return credited
 }
