--- a/daemon/process_test.go
+++ b/daemon/process_test.go
@@ -248,11 +248,10 @@
 func (p *plant) awaitReady(t *testing.T) {
 	for i := range p.vms {
 		until(t, "a VM serves", func() bool {
-			_, err := p.caller(i).Draft(t.Context(), "textdesk", "x", 1, nil)
-			if err != nil {
+			if _, err := p.caller(i).Draft(t.Context(), "textdesk", "x", 1, nil); err != nil {
 				return false
 			}
-			_, err = p.caller(i).Service(t.Context(), "orderdesk", http.MethodGet, "/prices", "", nil)
+			_, err := p.caller(i).Service(t.Context(), "orderdesk", http.MethodGet, "/prices", "", nil)
 			return err == nil
 		})
 	}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -19,12 +21,20 @@
 	a     *admission
 	rc    *http.ResponseController
 	begun bool
+	// bounded is when the deadline of writes was last moved on.
+	bounded time.Time
 	// head is what stands before the text in the event of a token.
 	head []byte
 	// line is the event in the making.
 	line []byte
 }
 
+// boundInterval is the least time between two moves of the deadline of writes.
+const boundInterval = time.Second
+
+// endTimeout bounds the write of an error after the end of a request's context.
+const endTimeout = time.Second
+
 // tail is what stands after the text in the event of a token.
 const tail = `},"finish_reason":null}]}` + "\n\n"
 
@@ -65,16 +75,38 @@
 		r.Header().Set(echo.HeaderContentType, "text/event-stream")
 		r.WriteHeader(http.StatusOK)
 	}
-	if err := boundWrite(w.c); err != nil {
+	if err := w.bound(); err != nil {
 		return err
 	}
 	_, err := r.Write(b)
 	return err
 }
 
+// cutAtEnd shortens the deadline of a write in progress when the request's
+// context ends, so that a caller that reads nothing cannot hold a request after
+// its deadline or after its key was withdrawn. The returned function ends that.
+func (w *streamSink) cutAtEnd() func() {
+	stop := context.AfterFunc(w.a.ctx, func() {
+		// A writer without deadlines, as in tests, is not bounded.
+		_ = w.rc.SetWriteDeadline(time.Now().Add(endTimeout))
+	})
+	return func() { stop() }
+}
+
+// bound moves the deadline of writes on. It does so at most once a second, since
+// that costs as much as encoding a token.
+func (w *streamSink) bound() error {
+	now := time.Now()
+	if now.Sub(w.bounded) < boundInterval || w.a.ctx.Err() != nil {
+		return nil
+	}
+	w.bounded = now
+	return boundWrite(w.c)
+}
+
 // Flush sends what was written.
 func (w *streamSink) Flush() error {
-	if err := boundWrite(w.c); err != nil {
+	if err := w.bound(); err != nil {
 		return err
 	}
 	return w.rc.Flush()
@@ -85,6 +117,8 @@
 // apart.
 func (s *Server) chatStream(c echo.Context, a *admission, job draft.Job) (draft.Result, error) {
 	sink := newStreamSink(c, a)
+	stop := sink.cutAtEnd()
+	defer stop()
 	result, err := s.Drafter.Run(a.ctx, job, sink)
 	if err != nil {
 		return result, s.endByError(sink, a.explain(err))
