--- a/measure/measure.go
+++ b/measure/measure.go
@@ -31,6 +31,7 @@
 var Registry = []Table{
 	LedgerFold,
 	LedgerState,
+	LedgerInForce,
 }
 
 // Print runs the tables that names selects, all if it is empty, and writes
