--- a/measure/measure.go
+++ b/measure/measure.go
@@ -31,7 +31,9 @@
 var Registry = []Table{
 	LedgerFold,
 	LedgerState,
-	LedgerInForce,
+	Heartbeats,
+	InForce,
+	FirstToken,
 }
 
 // Print runs the tables that names selects, all if it is empty, and writes
--- a/settings/registry.go
+++ b/settings/registry.go
@@ -16,15 +16,16 @@
 
 // The settings of the tree.
 const (
-	RateTokensPerSecond Name = "rate_tokens_per_second"
-	BurstTokens         Name = "burst_tokens"
-	Deadline            Name = "deadline"
-	MaxTokens           Name = "max_tokens"
-	CutOffKeys          Name = "cut_off_keys"
-	Fencing             Name = "fencing"
-	KVRoomPercent       Name = "kv_room_percent"
-	SnapshotInterval    Name = "snapshot_interval"
-	BookingMemory       Name = "booking_memory"
+	RateTokensPerSecond   Name = "rate_tokens_per_second"
+	BurstTokens           Name = "burst_tokens"
+	Deadline              Name = "deadline"
+	MaxTokens             Name = "max_tokens"
+	CutOffKeys            Name = "cut_off_keys"
+	Fencing               Name = "fencing"
+	KVRoomPercent         Name = "kv_room_percent"
+	EngineTokensPerSecond Name = "engine_tokens_per_second"
+	SnapshotInterval      Name = "snapshot_interval"
+	BookingMemory         Name = "booking_memory"
 )
 
 // The values of CutOffKeys.
@@ -83,7 +84,7 @@
 	{
 		Name: CutOffKeys, Type: TypeWord, Default: raw(`"serve"`), Words: []string{CutOffServe, CutOffRefuse},
 		Levels: []LevelKind{KindFleet, KindDataCentre, KindTeam},
-		Text:   "What a VM does with known keys while it reaches neither the log nor a VM that does: serve, because a data centre that is cut off goes on serving what it can, or refuse, where a withdrawal that cannot arrive weighs more.",
+		Text:   "What a VM does with known keys after 5 s in which it reached neither the log nor a VM that does: serve, because a data centre that is cut off goes on serving what it can, or refuse, which also ends what is in progress, where a withdrawal that cannot arrive weighs more.",
 	},
 	{
 		Name: Fencing, Type: TypeWord, Default: raw(`"ignored"`), Words: []string{"checked", "ignored"},
@@ -95,6 +96,11 @@
 		Levels: []LevelKind{KindFleet, KindDataCentre},
 		Text:   "Part of an engine's memory that is kept for KV cache and never given to weights.",
 	},
+	{
+		Name: EngineTokensPerSecond, Type: TypeNumber, Default: raw(`2000`), Min: 1, Max: 1e9,
+		Levels: []LevelKind{KindFleet, KindDataCentre},
+		Text:   "Tokens a second that one engine generates at full load. Models of engines that come near it gain copies elsewhere.",
+	},
 	{
 		Name: SnapshotInterval, Type: TypeDuration, Default: raw(`"1h"`), Min: 1, Max: 30 * 86400,
 		Levels: []LevelKind{KindFleet},
