--- a/event/event.go
+++ b/event/event.go
@@ -23,7 +23,7 @@
 var Registry = []Event{
 	ProcessStarted, ProcessReady, StopRequested, ProcessStopped, StopForced,
 	LogUnreachable, LogReachable, RecordSkipped, RecordApplied, RecordRejected,
-	StateIncomplete, SnapshotLoaded, SnapshotWritten, SnapshotFailed, RecordsMissing, RelayFailed,
+	StateIncomplete, SnapshotLoaded, SnapshotWritten, SnapshotFailed, RecordsMissing, RelayFailed, StateDiverged,
 	PeerJoined, PeerSilent, PeerLeaving, ListUnreachable, PeerRestarted, VMCutOff, VMReconnected,
 	RequestReceived, RequestRefused, AttemptStarted, AttemptFailed, RequestAnswered, CallerCut,
 	PlacerClaimed, PlacerReplaced, PlacementIntended, PlacementRejected, OrderFailed, PlacementBroken,
@@ -54,6 +54,7 @@
 	SnapshotFailed  = Event{209, "snapshot_failed", logrus.WarnLevel, "A snapshot could not be written; it is tried again. If this goes on, VMs that start after the retention time cannot get the state from the log."}
 	RecordsMissing  = Event{210, "records_missing", logrus.WarnLevel, "Records that were read do not follow the applied offset. They are not applied; the VM looks for a snapshot."}
 	RelayFailed     = Event{211, "relay_failed", logrus.DebugLevel, "A peer could not give the records or the state that this VM misses."}
+	StateDiverged   = Event{212, "state_diverged", logrus.ErrorLevel, "This VM and the one in the field vm made different states of the same records. Restart the VM that runs another version or differs from most; this must not happen and is a fault to report."}
 )
 
 // Events of membership.
--- a/ledger/booking.go
+++ b/ledger/booking.go
@@ -137,7 +137,7 @@
 func applyBookingClaim(s *State, offset fleet.Offset, r Record, b BookingClaim) Verdict {
 	old, ok := s.Bookings.Get(b.Key)
 	if ok && old.Value.Expired(b.ClaimedMS) && old.Value.Claim.Request != b.Request {
-		s.Bookings.m.Delete(b.Key)
+		s.Bookings.remove(b.Key)
 		ok = false
 	}
 	switch {
@@ -198,7 +198,7 @@
 func applyBookingExpire(s *State, offset fleet.Offset, _ Record, b BookingExpire) Verdict {
 	for _, k := range s.Bookings.Keys() {
 		if e, ok := s.Bookings.Get(k); ok && e.Value.Expired(b.BeforeMS) {
-			s.Bookings.m.Delete(k)
+			s.Bookings.remove(k)
 		}
 	}
 	return Verdict{Offset: offset}
--- a/ledger/chunk.go
+++ b/ledger/chunk.go
@@ -34,7 +34,9 @@
 	Index    int          `json:"index"`
 	Count    int          `json:"count"`
 	Checksum uint64       `json:"checksum"`
-	Data     []byte       `json:"data"`
+	// Fingerprint is that of the writer's state at the covered offset.
+	Fingerprint Fingerprint `json:"fingerprint,omitempty"`
+	Data        []byte      `json:"data"`
 }
 
 // UnmarshalJSON decodes and checks a chunk.
@@ -68,7 +70,7 @@
 	for i := range out {
 		from := i * chunkSize
 		to := min(from+chunkSize, len(sn.Data))
-		out[i] = SnapshotChunk{ID: id, Covered: sn.Covered, Index: i, Count: count, Checksum: sn.Checksum, Data: sn.Data[from:to]}
+		out[i] = SnapshotChunk{ID: id, Covered: sn.Covered, Index: i, Count: count, Checksum: sn.Checksum, Fingerprint: sn.Fingerprint, Data: sn.Data[from:to]}
 	}
 	return out
 }
@@ -104,19 +106,15 @@
 	return &assemblies{keepData: keepData, open: make(map[SnapshotID]*assembly)}
 }
 
-// addRecord takes the record of a chunk.
-func (as *assemblies) addRecord(offset fleet.Offset, r Record) {
-	var c SnapshotChunk
-	if json.Unmarshal(r.Body, &c) != nil || c.Covered >= offset {
-		return
-	}
-	if as.lastChunk.Before(r.At) {
-		as.lastChunk = r.At
+// add takes a chunk that stands at an offset.
+func (as *assemblies) add(offset fleet.Offset, at timeline.Stamp, c SnapshotChunk) {
+	if as.lastChunk.Before(at) {
+		as.lastChunk = at
 	}
 	if c.Covered <= as.newest.snapshot.Covered {
 		return
 	}
-	a := as.assembly(offset, r.At, c)
+	a := as.assembly(offset, at, c)
 	if a.count != c.Count || a.snapshot.Covered != c.Covered || a.snapshot.Checksum != c.Checksum {
 		return
 	}
--- a/ledger/faultlog_test.go
+++ b/ledger/faultlog_test.go
@@ -24,6 +24,7 @@
 	next    fleet.Offset
 	grown   chan struct{}
 	appends int
+	peeks   int
 	// down fails every call without effect, as a service that answers 503.
 	down bool
 	// losing is how many appends take effect and lose their answers.
@@ -97,6 +98,7 @@
 func (l *faultLog) Peek(_ context.Context, from fleet.Offset) (Page, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.peeks++
 	if l.down {
 		return Page{}, errors.New("status 503")
 	}
@@ -147,6 +149,12 @@
 	return l.next
 }
 
+func (l *faultLog) peeked() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.peeks
+}
+
 func quietRecorder() *timeline.Recorder {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
--- a/ledger/follower.go
+++ b/ledger/follower.go
@@ -21,6 +21,8 @@
 	readTimeout      = 4 * time.Second
 	retryInterval    = 50 * time.Millisecond
 	maxRetryInterval = time.Second
+	// searchInterval is the time between two searches for a snapshot.
+	searchInterval = 10 * time.Second
 )
 
 // Follower reads the log, folds it into a state, and proposes records.
@@ -122,6 +124,11 @@
 			pause.Reset()
 			continue
 		}
+		if errors.Is(err, ErrNoSnapshot) {
+			// The search has read the whole log and will hardly find more soon.
+			sleep(ctx, searchInterval)
+			continue
+		}
 		sleep(ctx, pause.NextBackOff())
 	}
 }
--- a/ledger/follower_test.go
+++ b/ledger/follower_test.go
@@ -375,3 +375,37 @@
 		is.Equal(late.State.Applied(), fleet.Offset(0))
 	})
 }
+
+// TestDivergedStateIsReported changes the state of one VM behind the log's back.
+func TestDivergedStateIsReported(t *testing.T) {
+	within(t, func(t *testing.T, is *is.I, l *faultLog) {
+		f, g := follow(t, l), follow(t, l)
+		synctest.Wait()
+		w := newWriter(t, f, "vm-1", 24*time.Hour)
+		for _, want := range []int{0, 1} {
+			fillLog(is, t, f, 5)
+			_, err := w.Write(t.Context())
+			is.NoErr(err)
+			synctest.Wait()
+			is.Equal(len(f.rec.Entries(timeline.Filter{Name: event.StateDiverged.Name})), 0)
+			is.Equal(len(g.rec.Entries(timeline.Filter{Name: event.StateDiverged.Name})), want)
+			g.State.Teams.put(l.end(), Record{}, "ghost", fleet.Team{ID: "ghost"})
+		}
+	})
+}
+
+// TestSearchForSnapshotIsNotRepeatedAtOnce counts the reads of a VM that finds
+// none.
+func TestSearchForSnapshotIsNotRepeatedAtOnce(t *testing.T) {
+	within(t, func(t *testing.T, is *is.I, l *faultLog) {
+		f := follow(t, l)
+		synctest.Wait()
+		fillLog(is, t, f, 30)
+		f.Close()
+		l.trim(10)
+		follow(t, l)
+		before := l.peeked()
+		time.Sleep(time.Minute)
+		is.True(l.peeked()-before < 100) // seven searches of about a dozen reads
+	})
+}
--- a/ledger/ingest.go
+++ b/ledger/ingest.go
@@ -29,6 +29,7 @@
 			return fmt.Errorf("record %d after offset %d: %w", raw.Offset, applied, ErrGap)
 		}
 		f.apply(raw)
+		f.recent.add(raw, f.State.fingerprint())
 	}
 	return nil
 }
@@ -36,7 +37,6 @@
 // apply folds one raw record. Records that do not decode are skipped by every
 // VM alike, so that a foreign writer cannot stop the fold.
 func (f *Follower) apply(raw Raw) {
-	f.recent.add(raw)
 	r, err := DecodeRecord(raw.Data)
 	if err != nil {
 		f.State.Skip(raw.Offset)
@@ -47,7 +47,7 @@
 	v := f.State.Apply(raw.Offset, r)
 	f.noteVerdict(raw, r, v)
 	if r.Kind == KindSnapshotChunk && v.Accepted() {
-		f.snapshots.addRecord(raw.Offset, r)
+		f.takeChunk(raw.Offset, r)
 	}
 	f.settle(r.ID, v)
 	for _, observe := range f.observers {
@@ -55,6 +55,18 @@
 	}
 }
 
+// takeChunk notes a part of a snapshot that another VM or this one wrote.
+func (f *Follower) takeChunk(offset fleet.Offset, r Record) {
+	var c SnapshotChunk
+	if c.UnmarshalJSON(r.Body) != nil {
+		return
+	}
+	f.snapshots.add(offset, r.At, c)
+	if c.Index == 0 {
+		f.checkFingerprint(r, c)
+	}
+}
+
 // noteVerdict records an event, but not for the records of a VM that is still
 // catching up: they would push everything else out of its time line.
 func (f *Follower) noteVerdict(raw Raw, r Record, v Verdict) {
@@ -73,19 +85,20 @@
 // Snapshot returns the state as it is now. No record is applied while the
 // tables are encoded; they are packed afterwards.
 func (f *Follower) Snapshot() (Snapshot, error) {
-	covered, tables, err := f.encodeState()
+	sn, err := f.encodeState()
 	if err != nil {
 		return Snapshot{}, fmt.Errorf("encode snapshot: %w", err)
 	}
-	return pack(covered, tables)
+	return sn.pack()
 }
 
-func (f *Follower) encodeState() (fleet.Offset, []byte, error) {
+// encodeState returns a snapshot that is not packed yet.
+func (f *Follower) encodeState() (Snapshot, error) {
 	f.foldMu.Lock()
 	defer f.foldMu.Unlock()
 	var buf bytes.Buffer
 	err := f.State.encodeTables(&buf)
-	return f.State.Applied(), buf.Bytes(), err
+	return Snapshot{Covered: f.State.Applied(), Fingerprint: f.State.fingerprint(), Data: buf.Bytes()}, err
 }
 
 // Load replaces the state by a newer snapshot. An older one does no harm: it
--- a/ledger/random_test.go
+++ b/ledger/random_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"toucanfall/event"
 	"toucanfall/fault"
 	"toucanfall/fleet"
 	"toucanfall/keyring"
@@ -386,13 +387,16 @@
 		vm.log.cut.Store(false)
 	}
 	m.log.set(func(l *faultLog) { l.losing, l.dropping, l.holding = 0, 0, 0 })
-	time.Sleep(12 * time.Second)
+	time.Sleep(15 * time.Second)
 	m.check(rt)
 	if len(m.ended) != m.open {
 		rt.Fatalf("%d of %d proposals have ended", len(m.ended), m.open)
 	}
 	for i, vm := range m.vms {
 		f := vm.follower
+		if len(f.rec.Entries(timeline.Filter{Name: event.StateDiverged.Name})) > 0 {
+			rt.Fatalf("VM %d reports that its state diverged", i)
+		}
 		if f.Reachable() && f.State.Applied() != m.truth.Applied() {
 			rt.Fatalf("VM %d stands at offset %d of %d", i, f.State.Applied(), m.truth.Applied())
 		}
--- a/ledger/recovery.go
+++ b/ledger/recovery.go
@@ -112,13 +112,21 @@
 		}
 		for _, raw := range page.Records {
 			if r, err := DecodeRecord(raw.Data); err == nil && r.Kind == KindSnapshotChunk {
-				found.addRecord(raw.Offset, r)
+				found.addBody(raw.Offset, r)
 			}
 			from = raw.Offset + 1
 		}
 	}
 }
 
+// addBody decodes a chunk and takes it.
+func (as *assemblies) addBody(offset fleet.Offset, r Record) {
+	var c SnapshotChunk
+	if c.UnmarshalJSON(r.Body) == nil && c.Covered < offset {
+		as.add(offset, r.At, c)
+	}
+}
+
 // usable returns nothing if records after the snapshot have expired or if it is
 // not newer than the state.
 func usable(sn Snapshot, first, applied fleet.Offset) Snapshot {
--- a/ledger/rejected.go
+++ b/ledger/rejected.go
@@ -29,14 +29,14 @@
 
 // rememberRejection adds r and forgets the oldest rejection beyond the bound.
 func (s *State) rememberRejection(offset fleet.Offset, r Record, v Verdict) {
-	s.rejected.m.Put(r.ID, Entry[Rejection]{
+	s.rejected.set(r.ID, Entry[Rejection]{
 		Value:    Rejection{Fault: v.Fault},
 		Revision: fleet.Revision(offset),
 		Proposer: r.Proposer,
 	})
 	s.rejectedOrder = append(s.rejectedOrder, r.ID)
 	if len(s.rejectedOrder) > maxRejected {
-		s.rejected.m.Delete(s.rejectedOrder[0])
+		s.rejected.remove(s.rejectedOrder[0])
 		s.rejectedOrder = s.rejectedOrder[1:]
 	}
 }
--- a/ledger/snapshot.go
+++ b/ledger/snapshot.go
@@ -18,26 +18,30 @@
 type Snapshot struct {
 	Covered  fleet.Offset `json:"covered"`
 	Checksum uint64       `json:"checksum"`
-	Data     []byte       `json:"data"`
+	// Fingerprint is that of the state.
+	Fingerprint Fingerprint `json:"fingerprint"`
+	Data        []byte      `json:"data"`
 }
 
 // ErrNotNewer is returned for a snapshot that covers less than the state.
 var ErrNotNewer = errors.New("the snapshot is not newer than the state")
 
-// pack makes a snapshot of encoded tables.
-func pack(covered fleet.Offset, tables []byte) (Snapshot, error) {
+// pack packs the encoded tables.
+func (sn Snapshot) pack() (Snapshot, error) {
 	var buf bytes.Buffer
 	packed, err := gzip.NewWriterLevel(&buf, gzip.BestSpeed)
 	if err != nil {
 		return Snapshot{}, err
 	}
-	if _, err := packed.Write(tables); err != nil {
+	if _, err := packed.Write(sn.Data); err != nil {
 		return Snapshot{}, err
 	}
 	if err := packed.Close(); err != nil {
 		return Snapshot{}, err
 	}
-	return Snapshot{Covered: covered, Checksum: xxhash.Sum64(buf.Bytes()), Data: buf.Bytes()}, nil
+	sn.Data = buf.Bytes()
+	sn.Checksum = xxhash.Sum64(sn.Data)
+	return sn, nil
 }
 
 // OnRestore adds a function that is called after a snapshot replaced the state.
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -33,6 +33,8 @@
 	rejected      *Table[RecordID, Rejection]
 	rejectedOrder []RecordID
 
+	// listed keeps the result of tables.
+	listed    []stateTable
 	applied   atomic.Uint64
 	onRestore []func()
 }
--- a/ledger/table.go
+++ b/ledger/table.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"cmp"
 	"encoding/json"
 	"fmt"
 
@@ -19,12 +18,14 @@
 
 // Table holds the things of one kind by id. Only the fold writes to it; many
 // goroutines may read.
-type Table[K cmp.Ordered, V any] struct {
+type Table[K ~string, V any] struct {
 	what string
 	m    *shard.Map[K, Entry[V]]
+	// sum is the fingerprint. Only the fold uses it.
+	sum Fingerprint
 }
 
-func newTable[K cmp.Ordered, V any](what string) *Table[K, V] {
+func newTable[K ~string, V any](what string) *Table[K, V] {
 	return &Table[K, V]{what: what, m: shard.New[K, Entry[V]]()}
 }
 
@@ -60,10 +61,24 @@
 		panic(fmt.Sprintf("%s %v at revision %d would go back to %d", t.what, k, old.Revision, offset))
 	}
 	e := Entry[V]{Value: v, Revision: fleet.Revision(offset), Proposer: r.Proposer}
-	t.m.Put(k, e)
+	t.set(k, e)
 	return Verdict{Offset: offset, Revision: e.Revision}
 }
 
+// set puts an entry whatever stands there.
+func (t *Table[K, V]) set(k K, e Entry[V]) {
+	old, _ := t.m.Get(k)
+	t.sum ^= t.mark(k, old.Revision) ^ t.mark(k, e.Revision)
+	t.m.Put(k, e)
+}
+
+// remove deletes the entry of k.
+func (t *Table[K, V]) remove(k K) {
+	old, _ := t.m.Get(k)
+	t.sum ^= t.mark(k, old.Revision)
+	t.m.Delete(k)
+}
+
 func (t *Table[K, V]) conflict(offset fleet.Offset, r Record, k K, old Entry[V]) Verdict {
 	v := Verdict{
 		Offset:   offset,
--- a/ledger/tables.go
+++ b/ledger/tables.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"cmp"
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
@@ -16,6 +15,7 @@
 	// snapshots in the log carry it.
 	name() string
 	len() int
+	fingerprint() Fingerprint
 	// encode writes all entries in the order of the keys.
 	encode(enc *json.Encoder) error
 	// decode reads the entries of a snapshot. Nothing changes until the returned
@@ -51,7 +51,7 @@
 }
 
 // row is one entry of a table in a snapshot.
-type row[K cmp.Ordered, V any] struct {
+type row[K ~string, V any] struct {
 	Key   K        `json:"key"`
 	Entry Entry[V] `json:"entry"`
 }
@@ -88,6 +88,8 @@
 
 func (t *Table[K, V]) name() string { return t.what }
 
+func (t *Table[K, V]) fingerprint() Fingerprint { return t.sum }
+
 func (t *Table[K, V]) len() int { return t.m.Len() }
 
 func (t *Table[K, V]) encode(enc *json.Encoder) error {
@@ -119,11 +121,11 @@
 // never miss an entry that both contents have.
 func (t *Table[K, V]) replace(fresh map[K]Entry[V]) {
 	for k, e := range fresh {
-		t.m.Put(k, e)
+		t.set(k, e)
 	}
 	for _, k := range t.m.Keys() {
 		if _, ok := fresh[k]; !ok {
-			t.m.Delete(k)
+			t.remove(k)
 		}
 	}
 }
