--- a/daemon/rate.go
+++ b/daemon/rate.go
@@ -19,6 +19,7 @@
 // Times of the loop that keeps the VM's lease and its place on the mint list.
 const (
 	rateInterval    = 250 * time.Millisecond
+	balanceInterval = 250 * time.Millisecond
 	headInterval    = 5 * time.Second
 	headTimeout     = 2 * time.Second
 	vouchTimeout    = time.Second
@@ -38,7 +39,10 @@
 	book    *rate.Book
 	limiter *rate.Limiter
 
-	mu     sync.Mutex // held for one round, and while the VM leaves
+	// turn holds one token, which a round takes for its whole length, calls of
+	// other VMs included. Waiting for it ends with a context, as waiting for a
+	// mutex would not.
+	turn   chan struct{}
 	keeper *rate.Keeper
 	// seenHead is when a look at the log's head began that found the state
 	// complete, or will once the state has reached headOffset.
@@ -50,6 +54,7 @@
 	proposing atomic.Bool
 	wg        sync.WaitGroup
 	run       func()
+	ctx       context.Context
 	cancel    context.CancelFunc
 	done      chan struct{}
 }
@@ -65,6 +70,8 @@
 		minter: m,
 		book:   rate.NewBook(),
 		keeper: rate.NewKeeper(d.cfg.VM, d.cfg.DataCentre, len(d.cfg.DataCentres), vmListLag, m),
+		ctx:    ctx,
+		turn:   make(chan struct{}, 1),
 		cancel: cancel,
 		done:   make(chan struct{}),
 	}
@@ -83,6 +90,7 @@
 // start begins to keep the VM's lease and its place on the mint list.
 func (r *rates) start() {
 	go r.run()
+	r.wg.Go(func() { loop.Every(r.ctx, balanceInterval, r.limiter.Balance) })
 }
 
 // settled reports whether the VM mints, or has tried to for so long that it had
@@ -131,8 +139,10 @@
 	}
 	now := time.Now()
 	r.begun.CompareAndSwap(nil, &now)
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	if !r.takeTurn(ctx) {
+		return
+	}
+	defer r.endTurn()
 	r.lookAtHead(ctx)
 	f := r.facts()
 	if r.keeper.NeedsVoucher(time.Now()) {
@@ -256,12 +266,27 @@
 	_, _ = r.d.follower.Propose(ctx, rec)
 }
 
+func (r *rates) takeTurn(ctx context.Context) bool {
+	select {
+	case r.turn <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (r *rates) endTurn() {
+	<-r.turn
+}
+
 // leave stops minting and gives the share to the other VMs. Where the log does
 // not answer, they take it over later.
 func (r *rates) leave(ctx context.Context) {
-	r.mu.Lock()
+	if !r.takeTurn(ctx) {
+		return
+	}
 	r.keeper.Leave(time.Now())
-	r.mu.Unlock()
+	r.endTurn()
 	for range releaseAttempts {
 		r.round(ctx)
 		e, _ := r.state.Minters.Get(r.d.cfg.DataCentre)
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -33,6 +33,8 @@
 	LedgerState,
 	Heartbeats,
 	InForce,
+	Rates,
+	Fairness,
 	FirstToken,
 }
 
--- a/rate/loan.go
+++ b/rate/loan.go
@@ -33,6 +33,9 @@
 	Given Amount `json:"given"`
 	// Level is what the lender has left.
 	Level Amount `json:"level"`
+	// Blocked is for how long the lender mints nothing, because what it has
+	// lent takes all its room.
+	Blocked time.Duration `json:"blocked"`
 }
 
 // Return gives back what a request borrowed and did not use.
@@ -42,6 +45,9 @@
 	// Charged tells that the request was admitted, so that the audit counted
 	// the amount.
 	Charged bool `json:"charged"`
+	// Landed tells only that the tokens are not under way any more: they were
+	// admitted, or are in the borrower's bucket. The lender may mint again.
+	Landed bool `json:"landed"`
 }
 
 // Bounds of what a lender remembers.
@@ -109,6 +115,7 @@
 	// The borrower counts the life of the loan from its ask, which was earlier.
 	answer.Given = b.takeHeld(ask.Want, ask.ID, now.Add(LoanLife+LoanLife/marginFraction))
 	answer.Level = b.level
+	answer.Blocked = b.blocked(now)
 	m.loaned.Store(&now)
 	b.check()
 	b.mu.Unlock()
@@ -127,7 +134,7 @@
 	if !ok || l.returned {
 		return
 	}
-	l.returned = true
+	l.returned = !r.Landed
 	b, ok := m.buckets.Get(l.key)
 	if !ok {
 		return
@@ -135,7 +142,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.touch(now, m.lease.Load())
-	if held := b.drop(r.ID); !held && !r.Charged {
+	held := b.drop(r.ID)
+	if r.Landed {
+		return
+	}
+	if !held && !r.Charged {
 		// The bucket has filled up since: the tokens were neither admitted nor
 		// kept room for, so they would come on top of a burst.
 		return
