--- a/rate/book.go
+++ b/rate/book.go
@@ -150,7 +150,7 @@
 }
 
 // cutOffRetry is when to come back if the VMs that are reachable could never
-// have enough.
+// have enough, or mint nothing.
 const cutOffRetry = 5 * time.Second
 
 // maxRetry bounds the search for the time to come back.
@@ -159,11 +159,12 @@
 // waitFor returns when the lenders together will have the amount, if nobody
 // else takes from them, counted from some time after they had their levels.
 func waitFor(lenders []Lender, need Amount, since time.Duration) time.Duration {
-	var bursts Amount
+	var all Limit
 	for _, l := range lenders {
-		bursts += l.Own.Burst
+		all.Burst += l.Own.Burst
+		all.Rate += l.Own.Rate
 	}
-	if bursts < need {
+	if all.Burst < need || all.Rate == 0 {
 		return cutOffRetry
 	}
 	n := sort.Search(int(maxRetry/time.Millisecond), func(ms int) bool {
--- a/rate/limiter.go
+++ b/rate/limiter.go
@@ -66,7 +66,10 @@
 // grant must be settled by [Limiter.Settle]. The error is rate_limited, with the
 // time until the fleet has the tokens, or too_large if it never will.
 func (l *Limiter) Take(ctx context.Context, team fleet.TeamID, tokens fleet.Tokens) (Grant, error) {
-	key, need := TeamKey(team), FromTokens(tokens)
+	return l.take(ctx, TeamKey(team), FromTokens(tokens))
+}
+
+func (l *Limiter) take(ctx context.Context, key Key, need Amount) (Grant, error) {
 	if g, ok := l.minter.Take(time.Now(), key, need); ok {
 		return g, nil
 	}
--- a/rate/loan.go
+++ b/rate/loan.go
@@ -91,9 +91,13 @@
 	}
 }
 
-func (l *loans) put(ask Ask, answer Answer, now time.Time) {
+// put remembers a loan, for good if keep is set: what is not minted again must
+// come back however late.
+func (l *loans) put(ask Ask, answer Answer, now time.Time, keep bool) {
 	l.byID[ask.ID] = &loan{key: ask.Key, answer: answer, at: now}
-	l.order = append(l.order, ask.ID)
+	if !keep {
+		l.order = append(l.order, ask.ID)
+	}
 }
 
 // Lend answers an ask. It debits before it returns, so that an answer that is
@@ -116,11 +120,12 @@
 	answer.Given = b.takeHeld(ask.Want, ask.ID, now.Add(LoanLife+LoanLife/marginFraction))
 	answer.Level = b.level
 	answer.Blocked = b.blocked(now)
+	keep := b.own.Rate == 0
 	m.loaned.Store(&now)
 	b.check()
 	b.mu.Unlock()
 	if answer.Given > 0 {
-		m.loans.put(ask, answer, now)
+		m.loans.put(ask, answer, now, keep)
 	}
 	return answer
 }
--- a/rate/promise_test.go
+++ b/rate/promise_test.go
@@ -135,6 +135,26 @@
 	}
 }
 
+// TestNewTeamIsNotFilledTwice makes a team while one VM is paused. Another spends
+// its full share of the new team and leaves; the first must not take that share
+// for unspent.
+func TestNewTeamIsNotFilledTwice(t *testing.T) {
+	w := newWorld(t, 3, promiseLimit)
+	w.run(10)
+	w.nodes[0].paused = true
+	w.makeTeam()
+	w.rounds(2, 50*time.Millisecond)
+	if got := w.nodes[1].minter.Level(w.now, testKey); got < promiseLimit.Burst/7 {
+		t.Fatalf("a VM starts with %d", got)
+	}
+	w.drainAll()
+	w.leave(w.nodes[1])
+	w.rounds(2, 50*time.Millisecond)
+	w.nodes[0].paused = false
+	w.rounds(1, 50*time.Millisecond)
+	w.drainAll()
+}
+
 func (w *world) greedy(seconds int) {
 	for range seconds {
 		w.run(1)
--- a/rate/random_test.go
+++ b/rate/random_test.go
@@ -59,6 +59,7 @@
 		"borrow":     func(t *rapid.T) { w.borrow(w.pick(t), Amount(rapid.IntRange(1, 1200).Draw(t, "need"))*One) },
 		"lend":       w.randomLoan,
 		"move":       func(t *rapid.T) { w.move(w.pick(t), w.pick(t), 100*One) },
+		"keep":       func(t *rapid.T) { w.keep(w.pick(t)) },
 		"finish":     func(t *rapid.T) { w.finish(w.pick(t)) },
 		"settle":     func(t *rapid.T) { w.settle(w.pick(t), rapid.SampledFrom([]int{0, 30, 100}).Draw(t, "used")) },
 		"mail":       w.randomMail,
--- a/rate/world_test.go
+++ b/rate/world_test.go
@@ -357,6 +357,17 @@
 	w.arrive(len(w.mail))
 }
 
+// keep puts what gatherings collected into the node's bucket.
+func (w *world) keep(n *node) {
+	if !n.runs() {
+		return
+	}
+	for _, g := range n.gathers {
+		w.giveBack(n, g.Keep(w.now))
+	}
+	n.gathers = nil
+}
+
 func (w *world) finish(n *node) {
 	if !n.runs() {
 		return
