--- a/measure/measure.go
+++ b/measure/measure.go
@@ -34,6 +34,7 @@
 	Heartbeats,
 	InForce,
 	Rates,
+	RateMessages,
 	Fairness,
 	FirstToken,
 }
