--- a/daemon/rate.go
+++ b/daemon/rate.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"toucanfall/entry"
+	"toucanfall/event"
 	"toucanfall/fleet"
 	"toucanfall/internal/loop"
 	"toucanfall/ledger"
@@ -45,6 +46,8 @@
 	// complete, or will once the state has reached headOffset.
 	seenHead   time.Time
 	headOffset fleet.Offset
+	// minting is what noteShare recorded last.
+	minting bool
 
 	// begun is when the VM first had state to keep rates by.
 	begun     atomic.Pointer[time.Time]
@@ -143,6 +146,7 @@
 		r.askVouchers(ctx, f.List)
 	}
 	r.keeper.Act(time.Now(), f)
+	r.noteShare(f.List)
 	if plan := r.keeper.Plan(time.Now(), f); len(plan) > 0 && r.proposing.CompareAndSwap(false, true) {
 		r.wg.Go(func() {
 			defer r.proposing.Store(false)
@@ -153,6 +157,20 @@
 	}
 }
 
+// noteShare records when the VM begins and ceases to mint.
+func (r *rates) noteShare(list ledger.MintList) {
+	minting := list.Active(r.d.cfg.VM) && r.minter.Leased(time.Now())
+	if minting == r.minting {
+		return
+	}
+	r.minting = minting
+	if minting {
+		r.d.rec.Record(event.ShareMinted, nil)
+		return
+	}
+	r.d.rec.Record(event.ShareLost, nil)
+}
+
 // lookAtHead asks the log now and then whether there is more than the state
 // holds. Reads of the follower do not tell: after a pause they bring pages of
 // old records.
@@ -257,6 +275,9 @@
 	if err != nil {
 		return
 	}
+	if p.Kind == ledger.KindMintTakeover {
+		r.d.rec.Record(event.ShareTakeover, nil)
+	}
 	_, _ = r.d.follower.Propose(ctx, rec)
 }
 
--- a/event/event.go
+++ b/event/event.go
@@ -26,6 +26,7 @@
 	StateIncomplete, SnapshotLoaded, SnapshotWritten, SnapshotFailed, RecordsMissing, RelayFailed,
 	PeerJoined, PeerSilent, PeerLeaving, ListUnreachable, PeerRestarted, VMCutOff, VMReconnected,
 	RequestReceived, RequestRefused, AttemptStarted, AttemptFailed, RequestAnswered, CallerCut,
+	ShareMinted, ShareLost, ShareTakeover,
 	PlacerClaimed, PlacerReplaced, PlacementIntended, PlacementRejected, OrderFailed, PlacementBroken,
 	KeyHeardWithdrawn, OperatorCommand, WithdrawalAppended,
 	FakeStarted, FakeServed,
