--- a/measure/measure.go
+++ b/measure/measure.go
@@ -35,6 +35,7 @@
 	Heartbeats,
 	InForce,
 	Rates,
+	RateMessages,
 	Fairness,
 	FirstToken,
 }
