Plan over all data centres, and measure placement

A placer saw only its own data centre's requests and engines, though half of the models are served across data centres.

Done: a plan sees the engines of all data centres and the whole fleet's demand, and moves only its own.

--- a/ledger/placement_test.go
+++ b/ledger/placement_test.go
@@ -139,3 +139,10 @@
 	p.accept(p.report("e1", v.Offset, "m1"))
 	p.is.Equal(p.state.ReadyCopies("m1"), 2)
 }
+
+func TestLateReportIsRefused(t *testing.T) {
+	p := newPlacing(t, FencingChecked)
+	p.accept(p.report("e1", 0, "m1"))
+	p.taken--
+	p.is.Equal(p.report("e1", 0).Fault, fault.Conflict)
+}
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -28,7 +28,9 @@
 }
 
 // Registry lists all tables in the order of docs/MEASURES.md.
-var Registry = []Table{}
+var Registry = []Table{
+	placementTable,
+}
 
 // Print runs the tables that names selects, all if it is empty, and writes
 // them as Markdown.
--- /dev/null
+++ b/measure/placement.go
@@ -0,0 +1,267 @@
+package measure
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"toucanfall/fleet"
+	"toucanfall/ledger"
+	"toucanfall/placement"
+)
+
+// placementTable compares policies of placement.
+var placementTable = Table{
+	Name: "placement",
+	Goal: "at least 20% more attainment per accelerator than static placement, with at most half of greedy's moves; a planning round below 50 ms at 140 engines and 1,900 models.",
+	Seed: 7,
+	Run:  runPlacement,
+}
+
+// placementSizes are today's fleet, and one data centre of the target with a
+// tenth of its engines' demand for each model.
+var placementSizes = []placementSize{
+	{name: "today, 75% used", dataCentres: 3, engines: 12, models: 21, room: 6, usage: 0.75, seconds: 7200},
+	{name: "today, 90% used", dataCentres: 3, engines: 12, models: 21, room: 6, usage: 0.9, seconds: 7200},
+	{name: "target, one data centre, 75% used", dataCentres: 1, engines: 140, models: 1900, room: 34, usage: 0.75, seconds: 1800},
+}
+
+// simPolicy changes a fleet's placement every simPlanInterval.
+type simPolicy interface {
+	plan(f *simFleet)
+}
+
+func runPlacement(seed uint64) (Result, error) {
+	r := Result{
+		Header: []string{"size", "policy", "attained", "attained tokens/s per accelerator", "against static", "loads", "worst team", "plan, median", "plan, longest"},
+		Notes: []string{
+			"Attained are tokens of requests that began within 1.1 s; all others were refused. The same requests are sent to each policy.",
+			"All policies start from the static placement, which knows the mean demand. A load takes 20 s, an unload 5 s. All engines check fencing.",
+		},
+	}
+	for _, size := range placementSizes {
+		base := 0.0
+		for _, p := range []struct {
+			name   string
+			policy simPolicy
+		}{
+			{"static by mean demand", staticPolicy{}},
+			{"greedy by last demand", greedyPolicy{}},
+			{"toucanfall", newPlanPolicy(size)},
+		} {
+			o := simulate(size, p.policy, seed)
+			if base == 0 {
+				base = o.perEngine
+			}
+			r.Rows = append(r.Rows, []string{
+				size.name, p.name, percentText(o.attained), fmt.Sprintf("%.0f", o.perEngine),
+				fmt.Sprintf("%+.1f%%", 100*(o.perEngine/base-1)), strconv.Itoa(o.moves), percentText(o.worst),
+				o.median.String(), o.longest.String(),
+			})
+		}
+	}
+	return r, nil
+}
+
+func percentText(share float64) string {
+	return fmt.Sprintf("%.1f%%", 100*share)
+}
+
+// simOutcome is what a policy reached.
+type simOutcome struct {
+	attained, perEngine, worst float64
+	moves                      int
+	// median and longest are times of a planning round.
+	median, longest time.Duration
+}
+
+func simulate(size placementSize, policy simPolicy, seed uint64) simOutcome {
+	rng := rand.New(rand.NewPCG(seed, uint64(size.engines)))
+	f := newSimFleet(size, newSimModels(size, rng))
+	var rounds []time.Duration
+	for s := range size.seconds {
+		advanceDemand(f.models, rng)
+		for _, r := range drawRequests(size, f.models, rng) {
+			f.serve(r)
+		}
+		f.advance()
+		if s%simPlanInterval == simPlanInterval-1 {
+			begin := time.Now()
+			policy.plan(f)
+			rounds = append(rounds, time.Since(begin).Round(10*time.Microsecond))
+			for _, d := range f.recent {
+				clear(d)
+			}
+		}
+	}
+	o := f.outcome()
+	slices.Sort(rounds)
+	o.median, o.longest = rounds[len(rounds)/2], rounds[len(rounds)-1]
+	return o
+}
+
+func (f *simFleet) outcome() simOutcome {
+	o := simOutcome{worst: 1, moves: f.moves}
+	var served, asked float64
+	for t := range f.served {
+		served += f.served[t]
+		asked += f.asked[t]
+		if f.asked[t] > 0 {
+			o.worst = min(o.worst, f.served[t]/f.asked[t])
+		}
+	}
+	o.attained = served / asked
+	o.perEngine = served / float64(f.size.seconds*f.size.engines)
+	return o
+}
+
+// staticPolicy never moves anything.
+type staticPolicy struct{}
+
+func (staticPolicy) plan(*simFleet) {}
+
+// greedyPolicy gives the model with most demand for each copy another one, in
+// place of the copy with the least, by the demand of the last interval.
+type greedyPolicy struct{}
+
+// greedyMoves is the number of moves in one interval for each data centre, as
+// the planner has.
+const greedyMoves = 2
+
+func (greedyPolicy) plan(f *simFleet) {
+	for range greedyMoves * f.size.dataCentres {
+		hot := f.hottest()
+		if hot < 0 {
+			return
+		}
+		e := f.coldestEngineFor(hot)
+		if e < 0 {
+			return
+		}
+		f.load(e, hot)
+	}
+}
+
+// perCopy is the demand of the last interval for each copy of a model.
+func (f *simFleet) perCopy(m int) float64 {
+	sum := 0.0
+	for _, d := range f.recent {
+		sum += d[m]
+	}
+	return sum / float64(max(1, len(f.holders[m])))
+}
+
+func (f *simFleet) hottest() int {
+	best := -1
+	for m := range f.models {
+		if best < 0 || f.perCopy(m) > f.perCopy(best) {
+			best = m
+		}
+	}
+	return best
+}
+
+// coldestEngineFor returns an engine with room for a model, or unloads the
+// coldest spare copies of one and returns -1.
+func (f *simFleet) coldestEngineFor(m int) int {
+	best, least := -1, math.Inf(1)
+	for e := range f.engines {
+		if slices.Contains(f.holders[m], e) {
+			continue
+		}
+		if f.free(e) >= f.models[m].size {
+			return e
+		}
+		if v := f.coldestOn(e); v >= 0 && f.perCopy(v) < least {
+			best, least = e, f.perCopy(v)
+		}
+	}
+	if best >= 0 && least < f.perCopy(m) {
+		f.unload(best, f.coldestOn(best))
+	}
+	return -1
+}
+
+func (f *simFleet) coldestOn(e int) int {
+	best := -1
+	for _, h := range f.engines[e].held {
+		if h.freeAt != 0 || len(f.holders[h.model]) < 2 {
+			continue
+		}
+		if best < 0 || f.perCopy(h.model) < f.perCopy(best) {
+			best = h.model
+		}
+	}
+	return best
+}
+
+// planPolicy places by package placement, each data centre for itself, with a
+// decayed average of the demand.
+type planPolicy struct {
+	demand [][]float64
+	moved  [][]int
+}
+
+func newPlanPolicy(size placementSize) *planPolicy {
+	p := &planPolicy{}
+	for range size.dataCentres {
+		p.demand = append(p.demand, make([]float64, size.models))
+		p.moved = append(p.moved, make([]int, size.models))
+	}
+	return p
+}
+
+// simHalfLife and simCoolTime are the planner's own times in seconds.
+const (
+	simHalfLife = 60.0
+	simCoolTime = 60
+)
+
+func (p *planPolicy) plan(f *simFleet) {
+	keep := math.Exp2(-simPlanInterval / simHalfLife)
+	for dc := range p.demand {
+		for m := range f.models {
+			p.demand[dc][m] = keep*p.demand[dc][m] + (1-keep)*f.recent[dc][m]/simPlanInterval
+		}
+		p.planOne(f, dc)
+	}
+}
+
+func (p *planPolicy) planOne(f *simFleet, dc int) {
+	in := placement.Input{MaxMoves: greedyMoves}
+	for e := range f.engines {
+		engine := f.planEngine(e, fleet.UpstreamID(strconv.Itoa(e)))
+		engine.Foreign = f.engines[e].dc != dc
+		in.Engines = append(in.Engines, engine)
+	}
+	byID := make(map[fleet.ModelID]int, len(f.models))
+	for m, model := range f.models {
+		byID[model.id] = m
+		in.Models = append(in.Models, placement.Model{
+			Model:   fleet.Model{ID: model.id, Version: simVersion, Size: model.size},
+			Demand:  fleet.TokensPerSecond(p.fleetDemand(m)),
+			Cooling: p.moved[dc][m] > 0 && f.now-p.moved[dc][m] < simCoolTime,
+		})
+	}
+	for _, move := range placement.Plan(in) {
+		e, _ := strconv.Atoi(string(move.Engine))
+		m := byID[move.Weights.Model]
+		p.moved[dc][m] = f.now
+		if move.Kind == ledger.IntentLoad {
+			f.load(e, m)
+			continue
+		}
+		f.unload(e, m)
+	}
+}
+
+func (p *planPolicy) fleetDemand(m int) float64 {
+	sum := 0.0
+	for _, d := range p.demand {
+		sum += d[m]
+	}
+	return sum
+}
--- /dev/null
+++ b/measure/placement_world.go
@@ -0,0 +1,334 @@
+package measure
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+
+	"toucanfall/fleet"
+	"toucanfall/ledger"
+	"toucanfall/placement"
+)
+
+// Figures of the simulated fleet. Times are in seconds.
+const (
+	simEngineRate   = 2000.0
+	simRequestSize  = 300.0
+	simWaitLimit    = 1.1
+	simLoadTime     = 20
+	simUnloadTime   = 5
+	simPlanInterval = 10
+	simTeams        = 5
+)
+
+// placementSize is a fleet to place models on.
+type placementSize struct {
+	name        string
+	dataCentres int
+	engines     int
+	models      int
+	// room is the memory of an engine for weights in units of a small model.
+	room int
+	// usage is the demand as a part of what the engines generate.
+	usage   float64
+	seconds int
+}
+
+// simModel is a model with its moving demand.
+type simModel struct {
+	id     fleet.ModelID
+	size   fleet.Bytes
+	team   int
+	weight float64
+	// power is the exponent of ten by which the demand differs from its mean;
+	// it goes to target by step in each second.
+	power, target, step float64
+}
+
+// simHeld is a copy on a simulated engine.
+type simHeld struct {
+	model   int
+	readyAt int
+	// freeAt is when the memory of an unloaded copy is free; 0 if it stays.
+	freeAt int
+}
+
+type simEngine struct {
+	dc      int
+	backlog float64
+	held    []simHeld
+}
+
+// simFleet is a fleet under one policy.
+type simFleet struct {
+	size    placementSize
+	models  []simModel
+	engines []simEngine
+	// holders lists for each model the engines that hold it.
+	holders [][]int
+	// served and asked count tokens, by team.
+	served, asked [simTeams]float64
+	moves         int
+	now           int
+	// recent is the demand of each data centre and model since the last plan.
+	recent [][]float64
+}
+
+// newSimModels draws models whose mean demand follows Zipf's law, and gives the
+// largest teams most of them.
+func newSimModels(size placementSize, rng *rand.Rand) []simModel {
+	models := make([]simModel, size.models)
+	total := 0.0
+	for m := range models {
+		models[m] = simModel{
+			id:     fleet.ModelID("m" + strconv.Itoa(m)),
+			size:   fleet.Bytes(1 + rng.IntN(3)),
+			team:   int(float64(simTeams) * math.Pow(rng.Float64(), 2)),
+			weight: math.Pow(float64(m+1), -0.7),
+		}
+		total += models[m].weight
+	}
+	for m := range models {
+		models[m].weight /= total
+	}
+	return models
+}
+
+// advanceDemand moves each model's demand towards its target, which is a factor
+// of ten away and is reached within minutes to an hour. A model swings between a
+// tenth, once and ten times its mean weight.
+func advanceDemand(models []simModel, rng *rand.Rand) {
+	const shortest, longest = 300, 3600
+	for i := range models {
+		m := &models[i]
+		if math.Abs(m.target-m.power) <= math.Abs(m.step) {
+			m.power = m.target
+			m.target = m.power + 1
+			if m.power > 0 || m.power == 0 && rng.IntN(2) == 0 {
+				m.target = m.power - 1
+			}
+			m.step = (m.target - m.power) / float64(shortest+rng.IntN(longest-shortest))
+		}
+		m.power += m.step
+	}
+}
+
+// simRequest is one request of the trace.
+type simRequest struct {
+	model, dc int
+	tokens    float64
+}
+
+// drawRequests returns the requests of one second. The demand as a whole stays
+// at the same part of what the engines generate.
+func drawRequests(size placementSize, models []simModel, rng *rand.Rand) []simRequest {
+	cumulative := make([]float64, len(models))
+	sum := 0.0
+	for i, m := range models {
+		sum += m.weight * math.Pow(10, m.power)
+		cumulative[i] = sum
+	}
+	mean := size.usage * simEngineRate * float64(size.engines) / simRequestSize
+	n := int(mean + math.Sqrt(mean)*rng.NormFloat64() + 0.5)
+	out := make([]simRequest, 0, max(n, 0))
+	for range n {
+		m, _ := slices.BinarySearch(cumulative, rng.Float64()*sum)
+		out = append(out, simRequest{
+			model:  min(m, len(models)-1),
+			dc:     rng.IntN(size.dataCentres),
+			tokens: simRequestSize * (0.5 + rng.Float64()),
+		})
+	}
+	return out
+}
+
+func newSimFleet(size placementSize, models []simModel) *simFleet {
+	f := &simFleet{size: size, models: models, engines: make([]simEngine, size.engines), holders: make([][]int, size.models)}
+	for e := range f.engines {
+		f.engines[e].dc = e * size.dataCentres / size.engines
+	}
+	for range size.dataCentres {
+		f.recent = append(f.recent, make([]float64, size.models))
+	}
+	f.placeByMean()
+	return f
+}
+
+// placeByMean fills the engines by the mean demand: one copy of every model,
+// then further copies where the mean demand for each copy is highest.
+func (f *simFleet) placeByMean() {
+	load := make([]float64, len(f.engines))
+	for m := range f.models {
+		f.placeOne(m, load)
+	}
+	order := make([]int, len(f.models))
+	for m := range order {
+		order[m] = m
+	}
+	for placed := true; placed; {
+		placed = false
+		slices.SortStableFunc(order, func(a, b int) int {
+			x, y := f.models[a].weight/float64(len(f.holders[a])), f.models[b].weight/float64(len(f.holders[b]))
+			switch {
+			case x > y:
+				return -1
+			case x < y:
+				return 1
+			default:
+				return 0
+			}
+		})
+		for _, m := range order {
+			if f.placeOne(m, load) {
+				placed = true
+				break
+			}
+		}
+	}
+}
+
+func (f *simFleet) placeOne(m int, load []float64) bool {
+	best := -1
+	for e := range f.engines {
+		if f.free(e) < f.models[m].size || slices.Contains(f.holders[m], e) {
+			continue
+		}
+		if best < 0 || load[e] < load[best] {
+			best = e
+		}
+	}
+	if best < 0 {
+		return false
+	}
+	load[best] += f.models[m].weight / float64(len(f.holders[m])+1)
+	f.engines[best].held = append(f.engines[best].held, simHeld{model: m})
+	f.holders[m] = append(f.holders[m], best)
+	return true
+}
+
+func (f *simFleet) free(e int) fleet.Bytes {
+	free := fleet.Bytes(f.size.room)
+	for _, h := range f.engines[e].held {
+		free -= f.models[h.model].size
+	}
+	return free
+}
+
+// serve routes a request to the least loaded ready copy, in its own data centre
+// if one is in time, and refuses it if none is.
+func (f *simFleet) serve(r simRequest) {
+	team := f.models[r.model].team
+	f.asked[team] += r.tokens
+	f.recent[r.dc][r.model] += r.tokens
+	own, best := -1, -1
+	for _, e := range f.holders[r.model] {
+		if !f.ready(e, r.model) {
+			continue
+		}
+		if best < 0 || f.engines[e].backlog < f.engines[best].backlog {
+			best = e
+		}
+		if f.engines[e].dc == r.dc && (own < 0 || f.engines[e].backlog < f.engines[own].backlog) {
+			own = e
+		}
+	}
+	const inTime = simWaitLimit * simEngineRate
+	if own >= 0 && f.engines[own].backlog <= inTime {
+		best = own
+	}
+	if best >= 0 && f.engines[best].backlog <= inTime {
+		f.engines[best].backlog += r.tokens
+		f.served[team] += r.tokens
+	}
+}
+
+func (f *simFleet) ready(e, m int) bool {
+	for _, h := range f.engines[e].held {
+		if h.model == m {
+			return h.freeAt == 0 && h.readyAt <= f.now
+		}
+	}
+	return false
+}
+
+// advance lets a second pass.
+func (f *simFleet) advance() {
+	f.now++
+	for e := range f.engines {
+		engine := &f.engines[e]
+		engine.backlog = max(0, engine.backlog-simEngineRate)
+		engine.held = slices.DeleteFunc(engine.held, func(h simHeld) bool {
+			gone := h.freeAt != 0 && h.freeAt <= f.now
+			if gone {
+				f.holders[h.model] = slices.DeleteFunc(f.holders[h.model], func(x int) bool { return x == e })
+			}
+			return gone
+		})
+	}
+}
+
+// load starts to load a copy if there is room.
+func (f *simFleet) load(e, m int) {
+	if f.free(e) < f.models[m].size || slices.Contains(f.holders[m], e) {
+		return
+	}
+	f.engines[e].held = append(f.engines[e].held, simHeld{model: m, readyAt: f.now + simLoadTime})
+	f.holders[m] = append(f.holders[m], e)
+	f.moves++
+}
+
+// unload starts to unload a copy unless it is the last ready one.
+func (f *simFleet) unload(e, m int) {
+	others := 0
+	for _, x := range f.holders[m] {
+		if x != e && f.ready(x, m) {
+			others++
+		}
+	}
+	for i := range f.engines[e].held {
+		h := &f.engines[e].held[i]
+		if h.model == m && h.freeAt == 0 && others > 0 {
+			h.freeAt = f.now + simUnloadTime
+		}
+	}
+}
+
+// heldOf returns what an engine holds in the terms of a plan.
+func (f *simFleet) heldOf(e int) ([]ledger.HeldWeights, []bool) {
+	var held []ledger.HeldWeights
+	var serving []bool
+	for _, h := range f.engines[e].held {
+		w := ledger.HeldWeights{
+			Weights: ledger.Weights{Model: f.models[h.model].id, Version: simVersion},
+			Size:    f.models[h.model].size,
+			Shown:   true,
+			Ready:   h.readyAt <= f.now,
+		}
+		if h.freeAt != 0 {
+			w.Unload = 1
+		}
+		held = append(held, w)
+		serving = append(serving, w.Ready && w.Unload == 0)
+	}
+	return held, serving
+}
+
+// simVersion is the version of every simulated model.
+const simVersion = "v1"
+
+// planEngine returns an engine in the terms of a plan.
+func (f *simFleet) planEngine(e int, id fleet.UpstreamID) placement.Engine {
+	held, serving := f.heldOf(e)
+	room := fleet.Bytes(f.size.room)
+	return placement.Engine{
+		ID:       id,
+		Room:     room,
+		Reserved: room - f.free(e),
+		Fenced:   true,
+		Usable:   true,
+		Rate:     simEngineRate,
+		Held:     held,
+		Serving:  serving,
+	}
+}
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -20,7 +20,7 @@
 }
 
 // demandHalfLife is the time after which a token counts half.
-const demandHalfLife = 2 * time.Minute
+const demandHalfLife = time.Minute
 
 // Meter measures the demand of the requests of this VM as a decayed average.
 // It is safe for concurrent use.
--- a/placement/input.go
+++ b/placement/input.go
@@ -23,11 +23,9 @@
 	for _, e := range p.cfg.State.Models.Entries() {
 		id := e.Value.ID
 		m := Model{
-			Model:           e.Value,
-			Demand:          demand[id],
-			ReadyElsewhere:  v.ready[id],
-			ComingElsewhere: v.coming[id],
-			Cooling:         now.Sub(p.moved[id]) < coolAfter,
+			Model:   e.Value,
+			Demand:  demand[id],
+			Cooling: now.Sub(p.moved[id]) < coolAfter,
 		}
 		m.Restore = p.restores(id, v, now)
 		in.Models = append(in.Models, m)
@@ -41,17 +39,13 @@
 // view is what the ordered state and the reports say of all engines.
 type view struct {
 	engines []Engine
-	// ready and coming count the copies in other data centres that this VM
-	// can reach, own those of this one.
-	ready, coming, own map[fleet.ModelID]int
+	// copies counts the copies of each model, ready or coming, that this VM
+	// can reach.
+	copies map[fleet.ModelID]int
 }
 
 func (p *Placer) look() view {
-	v := view{
-		ready:  make(map[fleet.ModelID]int),
-		coming: make(map[fleet.ModelID]int),
-		own:    make(map[fleet.ModelID]int),
-	}
+	v := view{copies: make(map[fleet.ModelID]int)}
 	reached := make(map[fleet.UpstreamID]bool)
 	for _, u := range p.cfg.Upstreams.Upstreams() {
 		reached[u.ID()] = !silent(u) && !u.Report.Leaving && u.VM.State != fleet.VMLeaving
@@ -62,35 +56,27 @@
 			continue
 		}
 		usable := reached[e.ID] && !e.Silent
-		if e.DataCentre == p.cfg.DataCentre {
-			v.engines = append(v.engines, p.engine(e, usable))
-			v.count(e, usable, v.own, v.own)
-			continue
+		v.engines = append(v.engines, p.engine(e, usable))
+		if usable {
+			v.count(e)
 		}
-		v.count(e, usable, v.ready, v.coming)
 	}
 	return v
 }
 
-func (v *view) count(e ledger.PlacedEngine, usable bool, ready, coming map[fleet.ModelID]int) {
-	if !usable {
-		return
-	}
+func (v *view) count(e ledger.PlacedEngine) {
 	for _, h := range e.Held {
-		switch {
-		case h.Weights.Adapter != "" || h.Unload != 0:
-		case e.Serves(h):
-			ready[h.Weights.Model]++
-		default:
-			coming[h.Weights.Model]++
+		if h.Weights.Adapter == "" && h.Unload == 0 {
+			v.copies[h.Weights.Model]++
 		}
 	}
 }
 
 func (p *Placer) engine(e ledger.PlacedEngine, usable bool) Engine {
-	scope := settings.Scope{DataCentre: p.cfg.DataCentre}
+	scope := settings.Scope{DataCentre: e.DataCentre}
 	out := Engine{
 		ID:       e.ID,
+		Foreign:  e.DataCentre != p.cfg.DataCentre,
 		Room:     p.cfg.State.Room(e),
 		Reserved: e.Reserved(),
 		Fenced:   p.cfg.State.Fenced(e),
@@ -109,7 +95,7 @@
 // no copy. The data centres take turns by a hash, each a while after the one
 // before, so that they do not all load the model.
 func (p *Placer) restores(id fleet.ModelID, v view, now time.Time) bool {
-	if v.ready[id]+v.coming[id]+v.own[id] > 0 {
+	if v.copies[id] > 0 {
 		delete(p.missing, id)
 		return false
 	}
--- a/placement/moves.go
+++ b/placement/moves.go
@@ -29,7 +29,7 @@
 func (p *planner) revive(m int) bool {
 	for i := range p.copies[m] {
 		c := &p.copies[m][i]
-		if !c.unloading || c.held < 0 || !p.in.Engines[c.engine].Usable {
+		if !c.unloading || c.held < 0 || !p.mine(*c) {
 			continue
 		}
 		h := p.in.Engines[c.engine].Held[c.held]
@@ -74,7 +74,7 @@
 }
 
 func (p *planner) takes(m, e int) bool {
-	return p.in.Engines[e].Usable && !p.claimed[e] && !p.on(m, e)
+	return p.in.Engines[e].Usable && !p.in.Engines[e].Foreign && !p.claimed[e] && !p.on(m, e)
 }
 
 // makeWay unloads copies that other copies can stand in for, on the engine
@@ -155,7 +155,7 @@
 func (p *planner) changeVersions() {
 	for m := range p.in.Models {
 		old := slices.IndexFunc(p.copies[m], func(c copyOf) bool {
-			return c.version != p.in.Models[m].Version && !c.unloading && p.in.Engines[c.engine].Usable
+			return c.version != p.in.Models[m].Version && !c.unloading && p.mine(c)
 		})
 		if old < 0 {
 			continue
@@ -188,7 +188,9 @@
 		if n == p.in.MaxMoves {
 			return
 		}
-		leaving := slices.ContainsFunc(p.copies[m], func(c copyOf) bool { return !p.in.Engines[c.engine].Usable && c.serving })
+		leaving := slices.ContainsFunc(p.copies[m], func(c copyOf) bool {
+			return !p.in.Engines[c.engine].Usable && !p.in.Engines[c.engine].Foreign && c.serving
+		})
 		if leaving && p.present(m) == 0 && p.placeAnywhere(m, ReasonLeaving) {
 			n++
 		}
@@ -204,7 +206,7 @@
 		if n == p.in.MaxMoves || p.in.Models[m].Demand <= 0 {
 			return
 		}
-		if len(p.copies[m]) > 0 || p.in.Models[m].Cooling {
+		if slices.ContainsFunc(p.copies[m], p.here) || p.in.Models[m].Cooling {
 			continue
 		}
 		if e := p.roomiest(m); e >= 0 && p.spares(m, e) {
@@ -214,6 +216,10 @@
 	}
 }
 
+func (p *planner) here(c copyOf) bool {
+	return !p.in.Engines[c.engine].Foreign
+}
+
 // spares reports whether an engine has free room for a copy that is not needed.
 func (p *planner) spares(m, e int) bool {
 	left := p.free[e] - p.in.Models[m].Size
@@ -328,7 +334,7 @@
 			if n == maxAdapterLoads {
 				return
 			}
-			if c.serving && p.carries(c) && p.loadAdapter(a, c) {
+			if c.serving && p.carries(c) && p.mine(c) && p.loadAdapter(a, c) {
 				n++
 			}
 		}
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -8,9 +8,12 @@
 	"toucanfall/ledger"
 )
 
-// Engine is what a plan knows of an engine of the own data centre.
+// Engine is what a plan knows of an engine.
 type Engine struct {
 	ID fleet.UpstreamID
+	// Foreign engines belong to other data centres, whose placers decide what
+	// they hold. Their copies and loads count.
+	Foreign bool
 	// Room is the memory for weights, Reserved the part of it that is taken.
 	Room     fleet.Bytes
 	Reserved fleet.Bytes
@@ -28,11 +31,8 @@
 // Model is what a plan knows of a model.
 type Model struct {
 	fleet.Model
-	// Demand is the decayed demand in this data centre.
+	// Demand is the decayed demand of the whole fleet, as far as it is known.
 	Demand fleet.TokensPerSecond
-	// ReadyElsewhere and ComingElsewhere count copies in other data centres.
-	ReadyElsewhere  int
-	ComingElsewhere int
 	// Restore is set if this data centre is to bring back a model without any
 	// copy.
 	Restore bool
@@ -80,13 +80,13 @@
 	maxAdapterLoads = 16
 	// busyShare is the part of an engine's rate above which its models gain
 	// copies elsewhere.
-	busyShare = 0.7
+	busyShare = 0.8
 	// gainShare is the part of an engine's rate that a copy must take off a
 	// busy engine to be worth a move.
-	gainShare = 0.15
+	gainShare = 0.05
 	// evictShare is the part of a move's gain that a copy which makes way for
-	// it may serve.
-	evictShare = 0.3
+	// it may serve. Its other copies take that over.
+	evictShare = 1.0
 	// spareShare is the part of the room of an engine without fencing that is
 	// kept for copies that are lost elsewhere, since it never becomes free.
 	spareShare = 0.25
@@ -225,7 +225,7 @@
 // present counts the copies of a model that serve or are coming, over all data
 // centres.
 func (p *planner) present(m int) int {
-	n := p.in.Models[m].ReadyElsewhere + p.in.Models[m].ComingElsewhere
+	n := 0
 	for _, c := range p.copies[m] {
 		if p.carries(c) {
 			n++
@@ -237,15 +237,20 @@
 // serving counts the ready copies of a model over all data centres, without
 // those that this plan unloads.
 func (p *planner) serving(m int) int {
-	n := p.in.Models[m].ReadyElsewhere
+	n := 0
 	for _, c := range p.copies[m] {
-		if c.serving && !c.unloading {
+		if c.serving && !c.unloading && (p.in.Engines[c.engine].Usable || !p.in.Engines[c.engine].Foreign) {
 			n++
 		}
 	}
 	return n
 }
 
+// mine reports whether a copy is on a usable engine of the own data centre.
+func (p *planner) mine(c copyOf) bool {
+	return p.in.Engines[c.engine].Usable && !p.in.Engines[c.engine].Foreign
+}
+
 func (p *planner) on(m, e int) bool {
 	return slices.ContainsFunc(p.copies[m], func(c copyOf) bool { return c.engine == e })
 }
