--- a/control/placement.go
+++ b/control/placement.go
@@ -8,20 +8,6 @@
 	"toucanfall/operator"
 )
 
-// placementCommands lists the commands about placement.
-func placementCommands(s *session) []entry {
-	return []entry{{"placement", "see what engines hold, and clear what is stuck", &placementGroup{
-		List:  listPlacement{session: s},
-		Clear: clearPlacement{session: s},
-	}}}
-}
-
-// placementGroup holds the commands below "placement".
-type placementGroup struct {
-	List  listPlacement  `command:"list" description:"show the memory of every engine and what it is reserved for"`
-	Clear clearPlacement `command:"clear" description:"release memory of weights that the engine does not report, after making sure that no order for them can still arrive"`
-}
-
 type listPlacement struct{ session *session }
 
 // Execute shows one row for each reservation.
@@ -86,7 +72,7 @@
 			return fmt.Errorf("engine %q is not known", c.Args.Engine)
 		}
 	}
-	return c.session.propose(ledger.KindPlacementClear, base, ledger.PlacementClear{
+	return c.session.propose(ledger.KindPlacementClear, base, &ledger.PlacementClear{
 		Engine: fleet.UpstreamID(c.Args.Engine),
 		Weights: ledger.Weights{
 			Model:   fleet.ModelID(c.Args.Model),
--- a/daemon/placement.go
+++ b/daemon/placement.go
@@ -18,7 +18,7 @@
 func (d *Daemon) newPlacer(state *ledger.State) {
 	// Orders come over connections of their own, so that a busy or lost
 	// connection of drafts does not hold them up.
-	engines := platform.NewEngines(platform.NewTransport())
+	engines := platform.NewEngines(d.newTransport())
 	d.placer = placement.New(placement.Config{
 		VM:          d.cfg.VM,
 		DataCentre:  d.cfg.DataCentre,
--- a/ledger/ingest.go
+++ b/ledger/ingest.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 
@@ -37,8 +36,8 @@
 // VM alike, so that a foreign writer cannot stop the fold.
 func (f *Follower) apply(raw Raw) {
 	f.recent.add(raw)
-	var r Record
-	if err := json.Unmarshal(raw.Data, &r); err != nil {
+	r, err := DecodeRecord(raw.Data)
+	if err != nil {
 		f.State.Skip(raw.Offset)
 		f.rec.Record(event.RecordSkipped, timeline.Fields{"offset": fmt.Sprint(raw.Offset), "reason": err.Error()})
 		return
@@ -55,7 +54,12 @@
 	}
 }
 
+// noteVerdict records an event, but not for the records of a VM that is still
+// catching up: they would push everything else out of its time line.
 func (f *Follower) noteVerdict(raw Raw, r Record, v Verdict) {
+	if !f.Ready() {
+		return
+	}
 	fields := timeline.Fields{"offset": fmt.Sprint(raw.Offset), "kind": string(r.Kind), "proposer": r.Proposer}
 	if v.Accepted() {
 		f.rec.Record(event.RecordApplied, fields)
@@ -81,6 +85,7 @@
 		return err
 	}
 	f.recent.reset(sn.Covered)
+	f.endUnread()
 	f.rec.Record(event.SnapshotLoaded, timeline.Fields{"offset": fmt.Sprint(sn.Covered), "source": source})
 	return nil
 }
--- a/ledger/propose.go
+++ b/ledger/propose.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 
 	"github.com/cenkalti/backoff/v5"
@@ -38,7 +37,7 @@
 // outcome_unknown if ctx ended while that was open: the record may then still
 // come into force. A rejected record is no error here; see Verdict.Err.
 func (f *Follower) Propose(ctx context.Context, r Record) (Verdict, error) {
-	data, err := json.Marshal(r)
+	data, err := r.Encode()
 	if err != nil {
 		return Verdict{}, fault.New(fault.InvalidRequest, "cannot encode record: %w", err)
 	}
@@ -117,7 +116,7 @@
 	}
 }
 
-// fail ends a proposal that was certainly not appended. The caller holds f.mu.
+// fail ends a proposal without a verdict. The caller holds f.mu.
 func (f *Follower) fail(p *proposal, err error) {
 	if !p.over {
 		p.failed <- err
@@ -137,6 +136,19 @@
 	}
 }
 
+// endUnread ends the proposals that may stand among the records that a snapshot
+// replaced. Their verdicts were not read, and a later copy would get another
+// one: the second copy of an accepted change is a conflict.
+func (f *Follower) endUnread() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.waiters {
+		if p.maybeAppended || p.inFlight {
+			f.fail(p, fault.New(fault.OutcomeUnknown, "a snapshot replaced the state before the change was read back"))
+		}
+	}
+}
+
 func unavailable(cause error) error {
 	return fault.New(fault.StoreUnavailable, "the log cannot be reached: %w", cause)
 }
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -29,7 +29,12 @@
 
 // Registry lists all tables in the order of docs/MEASURES.md.
 var Registry = []Table{
-	placementTable,
+	LedgerFold,
+	LedgerState,
+	Heartbeats,
+	InForce,
+	FirstToken,
+	Placement,
 }
 
 // Print runs the tables that names selects, all if it is empty, and writes
--- a/measure/placement.go
+++ b/measure/placement.go
@@ -13,8 +13,8 @@
 	"toucanfall/placement"
 )
 
-// placementTable compares policies of placement.
-var placementTable = Table{
+// Placement compares policies of placement.
+var Placement = Table{
 	Name: "placement",
 	Goal: "at least 20% more attainment per accelerator than static placement, with at most half of greedy's moves; a planning round below 50 ms at 140 engines and 1,900 models.",
 	Seed: 7,
