--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -73,8 +73,8 @@
 		rec:         timeline.New(string(cfg.VM), timelineSize, logger),
 		incarnation: fleet.Incarnation(time.Now().UnixMilli()),
 		peers:       peer.NewServer(),
-		demand:      placement.NewMeter(),
 		sockets:     sockets,
+		demand:      placement.NewMeter(),
 	}
 	links, err := d.newLinks()
 	if err != nil {
@@ -250,8 +250,8 @@
 }
 
 func (d *Daemon) close() {
-	d.placer.Close()
 	d.rates.close()
+	d.placer.Close()
 	d.booker.Close()
 	d.pool.Close()
 	d.spread.Close()
