--- a/control/nouns.go
+++ b/control/nouns.go
@@ -57,10 +57,6 @@
 		{"upstream", "upstreams", []entry{
 			{"list", "list upstreams with load and resident models", &listUpstreams{session: s}},
 		}},
-		{"placement", "what engines hold", []entry{
-			{"list", "show the memory of every engine and what it is reserved for", &listPlacement{session: s}},
-			{"clear", "release memory of weights that the engine does not report, after making sure that no order for them can still arrive", &clearPlacement{session: s}},
-		}},
 	}
 }
 
