--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -122,7 +122,7 @@
 		Drafter:    meteredDrafter{drafter: draft.New(d.pool, engines, d.rec), demand: d.demand},
 		Booker:     d.booker,
 		Limiter:    d.rates,
-		Queue:      unlimited{},
+		Queue:      newQueues(d.cfg.DataCentre, state.Setting),
 		Recorder:   d.rec,
 		Ready:      d.ready,
 		Leaving:    d.leaving.Load,
