--- a/measure/measure.go
+++ b/measure/measure.go
@@ -38,6 +38,7 @@
 	RateMessages,
 	Fairness,
 	FirstToken,
+	Placement,
 }
 
 // Print runs the tables that names selects, all if it is empty, and writes
