Add up the demand of a data centre's VMs, and order events across upstreams

Cause: a placer saw only the drafts of its own VM, so models that other VMs asked for got no copies; in the time line an upstream's event stood before the request that caused it, because their clocks differ. Requests to upstreams carry a stamp of the hybrid clock, which the stand-ins observe. Ruled out: demand in heartbeats, which every VM would pay for all the time though one VM a data centre needs it.

--- a/booking/send.go
+++ b/booking/send.go
@@ -78,13 +78,14 @@
 	hc *http.Client
 }
 
-// NewClient returns a client over rt, which it makes open a connection for each
-// request: net/http repeats a request by itself if a reused connection turns
-// out dead. It follows no redirects, each of which would be another attempt.
-func NewClient(rt *http.Transport) *Client {
+// NewClient returns a client over rt, whose requests carry a stamp of rec. It
+// makes rt open a connection for each request: net/http repeats a request by
+// itself if a reused connection turns out dead. It follows no redirects, each of
+// which would be another attempt.
+func NewClient(rt *http.Transport, rec *timeline.Recorder) *Client {
 	rt.DisableKeepAlives = true
 	return &Client{hc: &http.Client{
-		Transport:     rt,
+		Transport:     timeline.StampRequests(rt, rec),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -60,6 +60,7 @@
 	rates     *rates
 	placer    *placement.Placer
 	demand    *placement.Meter
+	asked     *placement.FleetDemand
 
 	callers   *http.Server
 	operators *http.Server
@@ -94,7 +95,7 @@
 	d.members = membership.New(cfg.VM, platform.NewVMList(cfg.Platform.VMList, rt), d, d.beat, d.rec, d.contact.Heard, d.rates.heard)
 	d.rates.start()
 	d.spread = keyring.NewSpread(cfg.VM, d.keyring, keyPeers{d}, keyLog{follower: d.follower, loaded: d.stateLoaded}, d.rec)
-	engines := platform.NewEngines(rt)
+	engines := platform.NewEngines(timeline.StampRequests(rt, d.rec))
 	// Reports come over connections of their own, so that a lost connection of
 	// a draft does not hide that its engine is alive.
 	d.pool = upstream.NewPool(cfg.DataCentre, d.members, platform.NewEngines(d.newTransport()))
@@ -104,6 +105,9 @@
 	if err := d.peers.Register("Peer", &peerService{daemon: d}); err != nil {
 		return nil, fmt.Errorf("register the peer service: %w", err)
 	}
+	if err := d.peers.Register("Placement", &demandService{meter: d.demand}); err != nil {
+		return nil, fmt.Errorf("register the placement service: %w", err)
+	}
 	if err := d.newRelay(); err != nil {
 		return nil, err
 	}
@@ -114,7 +118,7 @@
 }
 
 func (d *Daemon) newEntry(state *ledger.State, engines *platform.Engines) {
-	d.booker = booking.New(d.cfg.VM, d.pool, booking.NewClient(d.newTransport()), d.follower, state.Bookings, d.rec)
+	d.booker = booking.New(d.cfg.VM, d.pool, booking.NewClient(d.newTransport(), d.rec), d.follower, state.Bookings, d.rec)
 	d.entry = entry.New(entry.Config{
 		DataCentre: d.cfg.DataCentre,
 		State:      state,
@@ -252,6 +256,7 @@
 func (d *Daemon) close() {
 	d.rates.close()
 	d.placer.Close()
+	d.asked.Close()
 	d.booker.Close()
 	d.pool.Close()
 	d.spread.Close()
--- /dev/null
+++ b/daemon/demand.go
@@ -0,0 +1,49 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+
+	"toucanfall/fleet"
+	"toucanfall/placement"
+)
+
+// demandService tells a placer the demand that this VM measures.
+type demandService struct {
+	meter *placement.Meter
+}
+
+// Demand answers with the demand of this VM.
+func (s *demandService) Demand(_ None, reply *[]placement.ModelDemand) error {
+	*reply = s.meter.Demand()
+	return nil
+}
+
+// demandPeers asks the other VMs of the data centre. It implements
+// [placement.Peers].
+type demandPeers struct {
+	daemon *Daemon
+}
+
+// Demands asks all VMs at once.
+func (p demandPeers) Demands(ctx context.Context) map[fleet.VMID][]placement.ModelDemand {
+	out := make(map[fleet.VMID][]placement.ModelDemand)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, m := range p.daemon.members.Members() {
+		if m.VM.DataCentre != p.daemon.cfg.DataCentre || !m.Answering {
+			continue
+		}
+		wg.Go(func() {
+			var models []placement.ModelDemand
+			if p.daemon.links.Call(ctx, m.VM.Address, "Placement.Demand", None{}, &models) != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			out[m.VM.ID] = models
+		})
+	}
+	wg.Wait()
+	return out
+}
--- a/daemon/placement.go
+++ b/daemon/placement.go
@@ -19,6 +19,7 @@
 	// Orders come over connections of their own, so that a busy or lost
 	// connection of drafts does not hold them up.
 	engines := platform.NewEngines(d.newTransport())
+	d.asked = placement.NewFleetDemand(d.demand, demandPeers{d})
 	d.placer = placement.New(placement.Config{
 		VM:          d.cfg.VM,
 		DataCentre:  d.cfg.DataCentre,
@@ -28,7 +29,7 @@
 		Upstreams:   d.pool,
 		Engines:     engines,
 		VMs:         placerVMs{d.members},
-		Demand:      d.demand,
+		Demand:      d.asked,
 		Permits:     placement.NewStaticPermits(len(d.cfg.DataCentres)),
 		Recorder:    d.rec,
 	})
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -151,7 +151,7 @@
 	w.upstream = &addresses{engine: es.Listener.Addr().String(), service: ss.Listener.Addr().String()}
 
 	engines := platform.NewEngines(platform.NewTransport())
-	booker := booking.New("vm", w.upstream, booking.NewClient(platform.NewTransport()), w.follower, w.state.Bookings, rec)
+	booker := booking.New("vm", w.upstream, booking.NewClient(platform.NewTransport(), rec), w.follower, w.state.Bookings, rec)
 	t.Cleanup(booker.Close)
 	s := entry.New(entry.Config{
 		State:    w.state,
--- a/standin/main.go
+++ b/standin/main.go
@@ -148,6 +148,8 @@
 // withTimeline serves the events of the process at /timeline.
 func withTimeline(rec *timeline.Recorder, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// A stamp that cannot be read orders nothing; the request is served.
+		_ = rec.Observe(r.Header.Get(timeline.HeaderClock))
 		if r.URL.Path != "/timeline" {
 			next.ServeHTTP(w, r)
 			return
