--- a/measure/serving.go
+++ b/measure/serving.go
@@ -167,6 +167,7 @@
 		{ledger.KindSetting, settings.Put{Path: settings.Path{Level: "fleet", Name: settings.RateTokensPerSecond}, Value: number("1e9")}},
 		{ledger.KindSetting, settings.Put{Path: settings.Path{Level: "fleet", Name: settings.BurstTokens}, Value: number("1e9")}},
 		{ledger.KindSetting, settings.Put{Path: settings.Path{Level: "fleet", Name: settings.MaxTokens}, Value: number("100000")}},
+		{ledger.KindSetting, settings.Put{Path: settings.Path{Level: "fleet", Name: settings.QueueSlots}, Value: number("10000")}},
 	} {
 		record, err := ledger.NewRecord(r.kind, "measure", timeline.Stamp{}, 0, r.body)
 		if err != nil {
