Keep the placer from adding copies in the serving bench

Cause: through the VM only 7,730 of 22,000 offered tokens a second came: the placer, wired since, loaded the slow model beside the fast one, and 711 of 1,000 streams ended at once on the fast engine. Done: each engine of the bench has room for one model. Ruled out: the queue and the rate limiter, which admitted all 1,000.

--- a/measure/serving.go
+++ b/measure/serving.go
@@ -47,6 +47,9 @@
 	costStreamTime = 2 * time.Second
 	costKey        = fleet.Secret("sk-measure-0123456789")
 	costPatience   = 10 * time.Second
+	// An engine has room for one model, so that the placer adds no copies.
+	costCapacity  = 100
+	costModelSize = 60
 )
 
 // bench is a VM before a stand-in engine, in this process over loopback.
@@ -65,10 +68,10 @@
 	logger.SetLevel(logrus.ErrorLevel)
 	rec := timeline.New("measure", 1, logger)
 	b := &bench{hc: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2 * costStreams, DisableCompression: true}}}
-	engine := standin.NewEngine(standin.EngineConfig{Capacity: 100, Slots: 2 * costStreams, TokenTime: 0}, rec)
-	slow := standin.NewEngine(standin.EngineConfig{Capacity: 100, Slots: 2 * costStreams, TokenTime: costTokenTime}, rec)
+	engine := standin.NewEngine(standin.EngineConfig{Capacity: costCapacity, Slots: 2 * costStreams, TokenTime: 0}, rec)
+	slow := standin.NewEngine(standin.EngineConfig{Capacity: costCapacity, Slots: 2 * costStreams, TokenTime: costTokenTime}, rec)
 	for _, e := range []*standin.Engine{engine, slow} {
-		if err := e.Order(platform.Order{Kind: platform.OrderLoadModel, Model: modelOf(e == slow), Size: 1}); err != nil {
+		if err := e.Order(platform.Order{Kind: platform.OrderLoadModel, Model: modelOf(e == slow), Version: "v1", Size: costModelSize}); err != nil {
 			return nil, err
 		}
 	}
@@ -160,8 +163,8 @@
 	}{
 		{ledger.KindTeam, fleet.Team{ID: "quotes"}},
 		{ledger.KindKey, fleet.Key{ID: "k1", Team: "quotes", Hash: costKey.Hash()}},
-		{ledger.KindModel, fleet.Model{ID: "fast", Version: "v1", Size: 1}},
-		{ledger.KindModel, fleet.Model{ID: "slow", Version: "v1", Size: 1}},
+		{ledger.KindModel, fleet.Model{ID: "fast", Version: "v1", Size: costModelSize}},
+		{ledger.KindModel, fleet.Model{ID: "slow", Version: "v1", Size: costModelSize}},
 		{ledger.KindRoute, fleet.Route{ID: "fast", Kind: fleet.RouteDraft, Model: "fast", Teams: []fleet.TeamID{"quotes"}}},
 		{ledger.KindRoute, fleet.Route{ID: "slow", Kind: fleet.RouteDraft, Model: "slow", Teams: []fleet.TeamID{"quotes"}}},
 		{ledger.KindSetting, settings.Put{Path: settings.Path{Level: "fleet", Name: settings.RateTokensPerSecond}, Value: number("1e9")}},
