Run the commands of the operators' page, and complete it

Done: script/fleet.sh starts the fleet for the demo and for script/operating.sh, which runs each command of the page in order and compares exit codes. Conclusion: outputs in the page are examples; only exit codes are compared.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 TOOL := $(GO) tool -modfile=tools/go.mod
 
-.PHONY: build demo test lint vet docs docs-check unit measure soak
+.PHONY: build demo operating test lint vet docs docs-check unit measure soak
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -9,6 +9,10 @@
 demo: build
 	script/demo.sh
 
+# operating runs the commands of docs/OPERATING.md.
+operating: build
+	script/operating.sh
+
 # test runs all checks.
 test: lint vet build docs-check unit
 
