Share how random checks run under a paused clock

Cause: five packages each had their own way to run a rapid check in a bubble. Done: bubble.Check and bubble.Default; the tests keep their checks. One case in placement that told a kind of panic apart and did the same with it is gone.

--- a/booking/booking_test.go
+++ b/booking/booking_test.go
@@ -17,6 +17,7 @@
 
 	"toucanfall/fault"
 	"toucanfall/fleet"
+	"toucanfall/internal/bubble"
 	"toucanfall/ledger"
 	"toucanfall/standin"
 	"toucanfall/timeline"
@@ -190,25 +191,10 @@
 	}
 }
 
-// bubble runs randomised checks, each with a clock of its own. A failed check
-// panics, which has to leave the bubble on rapid's goroutine.
-func bubble(t *testing.T, check func(t *rapid.T)) {
-	rapid.Check(t, func(rt *rapid.T) {
-		var failed any
-		synctest.Test(t, func(*testing.T) {
-			defer func() { failed = recover() }()
-			check(rt)
-		})
-		if failed != nil {
-			panic(failed)
-		}
-	})
-}
-
 // TestPromiseBookingAtMostOnce lets callers book the same keys on two VMs at
 // once while the log and the service fail and requests die at any step.
 func TestPromiseBookingAtMostOnce(t *testing.T) {
-	bubble(t, func(t *rapid.T) {
+	bubble.Check(t, func(t *rapid.T) {
 		seen, o := book(t)
 		for key, n := range o.runs {
 			if n > 1 && key != repeatable {
@@ -226,7 +212,7 @@
 // TestPromiseNotRunIsTrue holds every refusal that says not run against the
 // runs that the service counted, also those that came later.
 func TestPromiseNotRunIsTrue(t *testing.T) {
-	bubble(t, func(t *rapid.T) {
+	bubble.Check(t, func(t *rapid.T) {
 		seen, o := book(t)
 		for _, s := range seen {
 			if fault.Lookup(fault.KindOf(s.err)).NotRun && s.err != nil && o.by[s.request] > 0 {
--- a/internal/bubble/bubble.go
+++ b/internal/bubble/bubble.go
@@ -5,20 +5,24 @@
 	"flag"
 	"testing"
 	"testing/synctest"
+
+	"pgregory.net/rapid"
 )
 
-// Run runs f in a bubble of its own, in which time passes only while every
-// goroutine waits. A panic of f, by which a check of rapid ends, is handed on
-// outside the bubble, where rapid expects it.
-func Run(t *testing.T, f func()) {
-	var failed any
-	synctest.Test(t, func(*testing.T) {
-		defer func() { failed = recover() }()
-		f()
+// Check runs random checks, each in a bubble of its own, in which time passes
+// only while every goroutine waits. A panic, by which a failed check ends, is
+// handed on outside the bubble, where rapid expects it.
+func Check(t *testing.T, check func(t *rapid.T)) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var failed any
+		synctest.Test(t, func(*testing.T) {
+			defer func() { failed = recover() }()
+			check(rt)
+		})
+		if failed != nil {
+			panic(failed)
+		}
 	})
-	if failed != nil {
-		panic(failed)
-	}
 }
 
 // Default gives a flag of rapid another default for the length of a test. A
--- a/internal/joined/random_test.go
+++ b/internal/joined/random_test.go
@@ -235,19 +235,17 @@
 	bubble.Default(t, "rapid.checks", histories)
 	attempts, whole := 0, 0
 	refused := make(map[fault.Kind]int)
-	rapid.Check(t, func(rt *rapid.T) {
-		bubble.Run(t, func() {
-			r := newRun(rt)
-			defer r.f.Close()
-			rt.Repeat(rapid.StateMachineActions(r))
-			r.finish(rt)
-			a, w := r.book.Counts()
-			attempts += a
-			whole += w
-			for kind, n := range r.book.Refused() {
-				refused[kind] += n
-			}
-		})
+	bubble.Check(t, func(rt *rapid.T) {
+		r := newRun(rt)
+		defer r.f.Close()
+		rt.Repeat(rapid.StateMachineActions(r))
+		r.finish(rt)
+		a, w := r.book.Counts()
+		attempts += a
+		whole += w
+		for kind, n := range r.book.Refused() {
+			refused[kind] += n
+		}
 	})
 	t.Logf("%d of %d requests were answered whole; refused: %v", whole, attempts, refused)
 	// Requests without a fault of the system never reached a VM that runs.
--- a/keyring/random_test.go
+++ b/keyring/random_test.go
@@ -3,13 +3,13 @@
 import (
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"toucanfall/fault"
 	"toucanfall/fleet"
+	"toucanfall/internal/bubble"
 )
 
 var (
@@ -137,25 +137,17 @@
 }
 
 func TestRandomWithdrawals(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		var failed any
-		synctest.Test(t, func(t *testing.T) {
-			// The panic is handed on to rapid, which runs outside the bubble.
-			defer func() { failed = recover() }()
-			w := newWorld(t, vmNames...)
-			defer w.close()
-			m := &machine{
-				w:         w,
-				secrets:   w.setUp("serve", keyIDs...),
-				withdrawn: make(map[fleet.KeyID]bool),
-				told:      make(map[fleet.KeyID]bool),
-				heard:     make(map[*vm]map[fleet.KeyID]bool),
-			}
-			rt.Repeat(rapid.StateMachineActions(m))
-			m.heal(rt)
-		})
-		if failed != nil {
-			panic(failed)
+	bubble.Check(t, func(rt *rapid.T) {
+		w := newWorld(t, vmNames...)
+		defer w.close()
+		m := &machine{
+			w:         w,
+			secrets:   w.setUp("serve", keyIDs...),
+			withdrawn: make(map[fleet.KeyID]bool),
+			told:      make(map[fleet.KeyID]bool),
+			heard:     make(map[*vm]map[fleet.KeyID]bool),
 		}
+		rt.Repeat(rapid.StateMachineActions(m))
+		m.heal(rt)
 	})
 }
--- a/membership/random_test.go
+++ b/membership/random_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"toucanfall/fleet"
+	"toucanfall/internal/bubble"
 	"toucanfall/membership"
 )
 
@@ -142,29 +143,15 @@
 }
 
 func TestRandomMembership(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		inBubble(t, func() {
-			m := &machine{n: newNetwork(), highest: make(map[[2]fleet.VMID]membership.Member)}
-			defer m.stopAll()
-			m.n.list(ids...)
-			rt.Repeat(rapid.StateMachineActions(m))
-			m.heal(rt)
-		})
+	bubble.Check(t, func(rt *rapid.T) {
+		m := &machine{n: newNetwork(), highest: make(map[[2]fleet.VMID]membership.Member)}
+		defer m.stopAll()
+		m.n.list(ids...)
+		rt.Repeat(rapid.StateMachineActions(m))
+		m.heal(rt)
 	})
 }
 
-// inBubble runs f in a bubble of its own and hands its panic on to rapid.
-func inBubble(t *testing.T, f func()) {
-	var failed any
-	synctest.Test(t, func(*testing.T) {
-		defer func() { failed = recover() }()
-		f()
-	})
-	if failed != nil {
-		panic(failed)
-	}
-}
-
 // heal ends all faults. Then all VMs must know all others as they are.
 func (m *machine) heal(t *rapid.T) {
 	for _, id := range ids {
--- a/placement/promise_test.go
+++ b/placement/promise_test.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"fmt"
-	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"toucanfall/fleet"
+	"toucanfall/internal/bubble"
 	"toucanfall/ledger"
 )
 
@@ -141,26 +139,9 @@
 	w.put(ledger.KindModel, old.Revision, fleet.Model{ID: m, Version: version, Size: modelSize})
 }
 
-// checkInBubble runs each check in a bubble of its own, so that no check takes
-// away time from the others. A failed check ends by a panic, which must leave
-// the bubble before it goes on.
+// checkInBubble runs each check on a world and with a clock of its own.
 func checkInBubble(t *testing.T, run func(w *world)) {
-	rapid.Check(t, func(rt *rapid.T) {
-		var failed any
-		synctest.Test(t, func(*testing.T) {
-			defer func() { failed = recover() }()
-			run(newWorld(rt))
-		})
-		if failed == nil {
-			return
-		}
-		if strings.Contains(fmt.Sprintf("%T", failed), "invalidData") {
-			// rapid tells failures apart by where they come from, and this one
-			// only says that a shortened check draws too much.
-			panic(failed)
-		}
-		panic(failed)
-	})
+	bubble.Check(t, func(rt *rapid.T) { run(newWorld(rt)) })
 }
 
 // repeat runs the machine's steps a number of times.
--- a/rate/random_test.go
+++ b/rate/random_test.go
@@ -1,16 +1,15 @@
 package rate
 
 import (
-	"flag"
 	"maps"
 	"slices"
 	"testing"
 	"time"
 
-	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"toucanfall/fleet"
+	"toucanfall/internal/bubble"
 )
 
 // minHistories is how many histories make test runs at least.
@@ -19,21 +18,11 @@
 // steps is the mean length of a history.
 const steps = "30"
 
-// atLeast replaces the default of a flag of rapid.
-func atLeast(t *testing.T, name, value string) {
-	f := flag.Lookup(name)
-	if f.Value.String() != f.DefValue {
-		return
-	}
-	is.New(t).NoErr(f.Value.Set(value))
-	t.Cleanup(func() { is.New(t).NoErr(f.Value.Set(f.DefValue)) })
-}
-
 // TestRandomShares runs random histories of a fleet. The world fails the
 // history if any interval passes the limit.
 func TestRandomShares(t *testing.T) {
-	atLeast(t, "rapid.checks", minHistories)
-	atLeast(t, "rapid.steps", steps)
+	bubble.Default(t, "rapid.checks", minHistories)
+	bubble.Default(t, "rapid.steps", steps)
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t, rapid.IntRange(1, 3).Draw(t, "VMs"), Limit{Rate: 100 * One, Burst: 1000 * One})
 		w.run(rapid.SampledFrom([]int{0, 3, 10, 40}).Draw(t, "warm up"))
