--- a/fleet/domain.go
+++ b/fleet/domain.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"encoding/json"
 	"fmt"
 )
 
@@ -14,7 +13,7 @@
 // UnmarshalJSON decodes and checks a team.
 func (t *Team) UnmarshalJSON(b []byte) error {
 	type plain Team
-	return decodeChecked(b, (*plain)(t), t.Check)
+	return DecodeChecked(b, (*plain)(t), t.Check)
 }
 
 // Check reports the first field that is not valid.
@@ -32,7 +31,7 @@
 // UnmarshalJSON decodes and checks a key.
 func (k *Key) UnmarshalJSON(b []byte) error {
 	type plain Key
-	return decodeChecked(b, (*plain)(k), k.Check)
+	return DecodeChecked(b, (*plain)(k), k.Check)
 }
 
 // Check reports the first field that is not valid.
@@ -60,7 +59,7 @@
 // UnmarshalJSON decodes and checks a model.
 func (m *Model) UnmarshalJSON(b []byte) error {
 	type plain Model
-	return decodeChecked(b, (*plain)(m), m.Check)
+	return DecodeChecked(b, (*plain)(m), m.Check)
 }
 
 // Check reports the first field that is not valid.
@@ -87,7 +86,7 @@
 // UnmarshalJSON decodes and checks an adapter.
 func (a *Adapter) UnmarshalJSON(b []byte) error {
 	type plain Adapter
-	return decodeChecked(b, (*plain)(a), a.Check)
+	return DecodeChecked(b, (*plain)(a), a.Check)
 }
 
 // Check reports the first field that is not valid.
@@ -158,7 +157,7 @@
 // UnmarshalJSON decodes and checks a route.
 func (r *Route) UnmarshalJSON(b []byte) error {
 	type plain Route
-	return decodeChecked(b, (*plain)(r), r.Check)
+	return DecodeChecked(b, (*plain)(r), r.Check)
 }
 
 // Check reports the first field that is not valid.
@@ -228,7 +227,7 @@
 // UnmarshalJSON decodes and checks an entry of the list.
 func (v *VM) UnmarshalJSON(b []byte) error {
 	type plain VM
-	return decodeChecked(b, (*plain)(v), v.Check)
+	return DecodeChecked(b, (*plain)(v), v.Check)
 }
 
 // Check reports the first field that is not valid.
@@ -249,11 +248,3 @@
 	}
 	return nil
 }
-
-// decodeChecked decodes b into plain, which aliases the receiver of check.
-func decodeChecked[T any](b []byte, plain *T, check func() error) error {
-	if err := json.Unmarshal(b, plain); err != nil {
-		return err
-	}
-	return check()
-}
--- a/keyring/withdrawal.go
+++ b/keyring/withdrawal.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"maps"
 	"slices"
 
@@ -23,9 +22,10 @@
 // UnmarshalJSON decodes and checks a withdrawal.
 func (w *Withdrawal) UnmarshalJSON(b []byte) error {
 	type plain Withdrawal
-	if err := json.Unmarshal(b, (*plain)(w)); err != nil {
-		return err
-	}
+	return fleet.DecodeChecked(b, (*plain)(w), w.check)
+}
+
+func (w *Withdrawal) check() error {
 	return fleet.CheckID("key", w.Key)
 }
 
--- a/ledger/booking.go
+++ b/ledger/booking.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"slices"
@@ -57,9 +56,10 @@
 // UnmarshalJSON decodes and checks a claim.
 func (c *BookingClaim) UnmarshalJSON(b []byte) error {
 	type plain BookingClaim
-	if err := json.Unmarshal(b, (*plain)(c)); err != nil {
-		return err
-	}
+	return fleet.DecodeChecked(b, (*plain)(c), c.check)
+}
+
+func (c *BookingClaim) check() error {
 	if c.Key == "" || c.Request == "" {
 		return errors.New("booking claim needs key and request")
 	}
@@ -84,9 +84,10 @@
 // UnmarshalJSON decodes and checks an outcome.
 func (o *BookingOutcome) UnmarshalJSON(b []byte) error {
 	type plain BookingOutcome
-	if err := json.Unmarshal(b, (*plain)(o)); err != nil {
-		return err
-	}
+	return fleet.DecodeChecked(b, (*plain)(o), o.check)
+}
+
+func (o *BookingOutcome) check() error {
 	if o.Key == "" || o.Request == "" {
 		return errors.New("booking outcome needs key and request")
 	}
@@ -114,9 +115,10 @@
 // UnmarshalJSON decodes and checks an expiry.
 func (e *BookingExpire) UnmarshalJSON(b []byte) error {
 	type plain BookingExpire
-	if err := json.Unmarshal(b, (*plain)(e)); err != nil {
-		return err
-	}
+	return fleet.DecodeChecked(b, (*plain)(e), e.check)
+}
+
+func (e *BookingExpire) check() error {
 	if e.BeforeMS <= 0 {
 		return errors.New("booking expiry needs before_ms above 0")
 	}
--- a/ledger/chunk.go
+++ b/ledger/chunk.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"encoding/json"
 	"fmt"
 
 	"github.com/cespare/xxhash/v2"
@@ -42,9 +41,10 @@
 // UnmarshalJSON decodes and checks a chunk.
 func (c *SnapshotChunk) UnmarshalJSON(b []byte) error {
 	type plain SnapshotChunk
-	if err := json.Unmarshal(b, (*plain)(c)); err != nil {
-		return err
-	}
+	return fleet.DecodeChecked(b, (*plain)(c), c.check)
+}
+
+func (c *SnapshotChunk) check() error {
 	if c.ID == "" || c.Covered == 0 {
 		return fmt.Errorf("snapshot chunk needs an id and the covered offset")
 	}
--- a/ledger/config.go
+++ b/ledger/config.go
@@ -17,9 +17,10 @@
 // UnmarshalJSON decodes and checks a withdrawal.
 func (w *Withdrawal) UnmarshalJSON(b []byte) error {
 	type plain Withdrawal
-	if err := json.Unmarshal(b, (*plain)(w)); err != nil {
-		return err
-	}
+	return fleet.DecodeChecked(b, (*plain)(w), w.check)
+}
+
+func (w *Withdrawal) check() error {
 	return fleet.CheckID("key", w.Key)
 }
 
@@ -44,9 +45,10 @@
 // UnmarshalJSON decodes and checks an operator.
 func (o *Operator) UnmarshalJSON(b []byte) error {
 	type plain Operator
-	if err := json.Unmarshal(b, (*plain)(o)); err != nil {
-		return err
-	}
+	return fleet.DecodeChecked(b, (*plain)(o), o.check)
+}
+
+func (o *Operator) check() error {
 	if o.Access != AccessRead && o.Access != AccessWrite {
 		return fmt.Errorf("operator %q: unknown access %q", o.ID, o.Access)
 	}
--- a/ledger/mint.go
+++ b/ledger/mint.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"encoding/json"
 	"errors"
 	"slices"
 
@@ -28,9 +27,10 @@
 // UnmarshalJSON decodes and checks a join.
 func (j *MintJoin) UnmarshalJSON(b []byte) error {
 	type plain MintJoin
-	if err := json.Unmarshal(b, (*plain)(j)); err != nil {
-		return err
-	}
+	return fleet.DecodeChecked(b, (*plain)(j), j.check)
+}
+
+func (j *MintJoin) check() error {
 	if j.DataCentre == "" {
 		return errors.New("mint join needs a data centre")
 	}
@@ -52,9 +52,10 @@
 // UnmarshalJSON decodes and checks a confirmation.
 func (c *MintConfirm) UnmarshalJSON(b []byte) error {
 	type plain MintConfirm
-	if err := json.Unmarshal(b, (*plain)(c)); err != nil {
-		return err
-	}
+	return fleet.DecodeChecked(b, (*plain)(c), c.check)
+}
+
+func (c *MintConfirm) check() error {
 	if c.Joined == 0 || c.Through < c.Joined {
 		return errors.New("mint confirmation must name an offset from its join on")
 	}
@@ -73,9 +74,10 @@
 // UnmarshalJSON decodes and checks a takeover.
 func (t *MintTakeover) UnmarshalJSON(b []byte) error {
 	type plain MintTakeover
-	if err := json.Unmarshal(b, (*plain)(t)); err != nil {
-		return err
-	}
+	return fleet.DecodeChecked(b, (*plain)(t), t.check)
+}
+
+func (t *MintTakeover) check() error {
 	if t.Joined == 0 || t.By == t.VM {
 		return errors.New("mint takeover must name a join and another VM")
 	}
@@ -98,9 +100,10 @@
 // UnmarshalJSON decodes and checks a release.
 func (r *MintRelease) UnmarshalJSON(b []byte) error {
 	type plain MintRelease
-	if err := json.Unmarshal(b, (*plain)(r)); err != nil {
-		return err
-	}
+	return fleet.DecodeChecked(b, (*plain)(r), r.check)
+}
+
+func (r *MintRelease) check() error {
 	if r.Joined == 0 || r.By == "" {
 		return errors.New("mint release must name a join and its proposer")
 	}
--- a/ledger/placement.go
+++ b/ledger/placement.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 
@@ -27,9 +26,10 @@
 // UnmarshalJSON decodes and checks a claim.
 func (c *PlacerClaim) UnmarshalJSON(b []byte) error {
 	type plain PlacerClaim
-	if err := json.Unmarshal(b, (*plain)(c)); err != nil {
-		return err
-	}
+	return fleet.DecodeChecked(b, (*plain)(c), c.check)
+}
+
+func (c *PlacerClaim) check() error {
 	if err := fleet.CheckID("data centre", c.DataCentre); err != nil {
 		return err
 	}
@@ -76,9 +76,10 @@
 // UnmarshalJSON decodes and checks an intent.
 func (p *PlacementIntent) UnmarshalJSON(b []byte) error {
 	type plain PlacementIntent
-	if err := json.Unmarshal(b, (*plain)(p)); err != nil {
-		return err
-	}
+	return fleet.DecodeChecked(b, (*plain)(p), p.check)
+}
+
+func (p *PlacementIntent) check() error {
 	switch p.Kind {
 	case IntentLoad:
 		if p.Size <= 0 {
@@ -124,9 +125,10 @@
 // UnmarshalJSON decodes and checks an outcome.
 func (o *PlacementOutcome) UnmarshalJSON(b []byte) error {
 	type plain PlacementOutcome
-	if err := json.Unmarshal(b, (*plain)(o)); err != nil {
-		return err
-	}
+	return fleet.DecodeChecked(b, (*plain)(o), o.check)
+}
+
+func (o *PlacementOutcome) check() error {
 	if o.Engine == "" || o.DataCentre == "" {
 		return errors.New("an outcome needs engine and data centre")
 	}
@@ -143,10 +145,7 @@
 // UnmarshalJSON decodes and checks a clearance.
 func (c *PlacementClear) UnmarshalJSON(b []byte) error {
 	type plain PlacementClear
-	if err := json.Unmarshal(b, (*plain)(c)); err != nil {
-		return err
-	}
-	return c.Check()
+	return fleet.DecodeChecked(b, (*plain)(c), c.Check)
 }
 
 // Check reports the first field that is missing.
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -126,10 +126,7 @@
 // UnmarshalJSON decodes and checks a change.
 func (p *Put) UnmarshalJSON(b []byte) error {
 	type plain Put
-	if err := json.Unmarshal(b, (*plain)(p)); err != nil {
-		return err
-	}
-	return p.Check()
+	return fleet.DecodeChecked(b, (*plain)(p), p.Check)
 }
 
 // Check reports whether the path exists and the value fits its setting.
--- /dev/null
+++ b/standin/listener.go
@@ -0,0 +1,48 @@
+package standin
+
+import (
+	"net"
+	"sync"
+)
+
+// memoryAddr is an address of the network.
+type memoryAddr string
+
+// Network returns the kind of the network.
+func (a memoryAddr) Network() string { return "tcp" }
+
+// String returns the address.
+func (a memoryAddr) String() string { return string(a) }
+
+type memoryListener struct {
+	network *Network
+	site    string
+	address memoryAddr
+	accept  chan net.Conn
+	once    sync.Once
+	closed  chan struct{}
+}
+
+// Accept waits for a connection.
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accept:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close refuses further connections.
+func (l *memoryListener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.network.mu.Lock()
+		defer l.network.mu.Unlock()
+		delete(l.network.listeners, string(l.address))
+	})
+	return nil
+}
+
+// Addr returns the listener's address.
+func (l *memoryListener) Addr() net.Addr { return l.address }
