--- /dev/null
+++ b/control/client_test.go
@@ -0,0 +1,35 @@
+package control_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"toucanfall/control"
+	"toucanfall/fault"
+	"toucanfall/fleet"
+	"toucanfall/ledger"
+)
+
+// TestCommandWithoutAnswerIsNotCalledNotRun sends a command to a VM that takes
+// it and dies before the answer, and to one that is not there.
+func TestCommandWithoutAnswerIsNotCalledNotRun(t *testing.T) {
+	is := is.New(t)
+	taken := 0
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		taken++
+		panic(http.ErrAbortHandler)
+	}))
+	c := control.NewClient(s.URL, "secret", nil)
+	_, err := c.Command(context.Background(), ledger.KindTeam, 0, &fleet.Team{ID: "quotes"})
+	is.Equal(taken, 1)
+	is.Equal(fault.KindOf(err), fault.OutcomeUnknown)
+	is.True(!fault.Lookup(fault.KindOf(err)).NotRun)
+
+	s.Close()
+	_, err = c.Command(context.Background(), ledger.KindTeam, 0, &fleet.Team{ID: "quotes"})
+	is.Equal(fault.KindOf(err), fault.StoreUnavailable)
+}
