Charge a prompt by an upper bound that holds for every text

Cause: a prompt was charged one token for two bytes. Chinese text and code can have up to a token for each byte, so a team could pass its rate by its prompts; the settlement above the charge was only counted. Done: one token for each byte and eight for each message; the setting prompt_bytes_per_token lowers it where texts are known. The rest is refunded at the end as before. Ruled out: a debt in the bucket at the settlement, since the tokens are used by then. Conclusion: long prompts hold more of a team's tokens until they end, which can refuse within rate; not measured.

--- a/entry/limits.go
+++ b/entry/limits.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"toucanfall/draft"
 	"toucanfall/fleet"
+	"toucanfall/settings"
 )
 
 // Limiter charges teams for tokens. Its refusals are faults that say when to
@@ -15,7 +17,7 @@
 }
 
 // Grant is a charge that is settled once. What was used may be above the charge
-// if the estimate of the prompt was too low.
+// only if prompt_bytes_per_token is set too high.
 type Grant interface {
 	Settle(used fleet.Tokens)
 }
@@ -41,7 +43,8 @@
 // charged runs a draft after it was charged for and has its turn, and settles
 // what it used, also if it failed.
 func (s *Server) charged(a *admission, job draft.Job, run func() (draft.Result, error)) error {
-	prompt := promptEstimate(job)
+	perToken := settings.Number(s.State.Setting, s.scope(a), settings.PromptBytesPerToken)
+	prompt := promptBound(job, perToken)
 	charge := prompt + fleet.Tokens(job.MaxTokens)
 	grant, err := s.Limiter.Take(a.ctx, job.Team, charge)
 	if err != nil {
@@ -67,14 +70,15 @@
 	return err
 }
 
-// bytesPerToken is below what any usual tokenizer needs for a text.
-const bytesPerToken = 2
+// templateTokens is more than a chat template adds to a message, and to a prompt.
+const templateTokens = 8
 
-// promptEstimate bounds the tokens of a prompt from above.
-func promptEstimate(job draft.Job) fleet.Tokens {
-	n := 0
+// promptBound bounds the tokens of a prompt from above. A tokenizer that falls
+// back to bytes makes at most one token of each byte.
+func promptBound(job draft.Job, bytesPerToken float64) fleet.Tokens {
+	n := templateTokens
 	for _, m := range job.Messages {
-		n += 1 + (len(m.Role)+len(m.Content)+bytesPerToken-1)/bytesPerToken
+		n += templateTokens + int(math.Ceil(float64(len(m.Role)+len(m.Content))/bytesPerToken))
 	}
 	return fleet.Tokens(n)
 }
--- /dev/null
+++ b/entry/limits_test.go
@@ -0,0 +1,24 @@
+package entry
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"toucanfall/draft"
+	"toucanfall/fleet"
+	"toucanfall/platform"
+)
+
+// TestPromptIsChargedByAnUpperBound takes texts of which a byte-level tokenizer
+// makes a token of each byte, at worst.
+func TestPromptIsChargedByAnUpperBound(t *testing.T) {
+	is := is.New(t)
+	for _, text := range []string{"!?!?!?!?!?!?!?!?", "軌道研磨計畫", ""} {
+		text = strings.Repeat(text, 100)
+		job := draft.Job{Messages: []platform.Message{{Role: "user", Content: text}}}
+		worst := fleet.Tokens(len(text) + len("user"))
+		is.True(promptBound(job, 1) > worst)
+	}
+}
--- a/settings/registry.go
+++ b/settings/registry.go
@@ -19,6 +19,7 @@
 	RateTokensPerSecond   Name = "rate_tokens_per_second"
 	BurstTokens           Name = "burst_tokens"
 	Deadline              Name = "deadline"
+	PromptBytesPerToken   Name = "prompt_bytes_per_token"
 	MaxTokens             Name = "max_tokens"
 	QueueSlots            Name = "queue_slots"
 	QueueWaiting          Name = "queue_waiting"
@@ -93,6 +94,11 @@
 		Levels: []LevelKind{KindFleet, KindDataCentre, KindModel},
 		Text:   "Drafts of one model that may wait for their turn on a VM. More are refused as overloaded.",
 	},
+	{
+		Name: PromptBytesPerToken, Type: TypeNumber, Default: raw(`1`), Min: 1, Max: 16,
+		Levels: []LevelKind{KindFleet, KindTeam, KindModel, KindRoute},
+		Text:   "Bytes of a prompt that are charged as one token until the engine tells how many it had. With 1 the charge is never too low. A higher value charges long prompts less at first, but lets a team pass its rate where its texts have more tokens, as Chinese and code do.",
+	},
 	{
 		Name: CutOffKeys, Type: TypeWord, Default: raw(`"serve"`), Words: []string{CutOffServe, CutOffRefuse},
 		Levels: []LevelKind{KindFleet, KindDataCentre, KindTeam},
