Make the daemon's parts in two named steps

Cause: New was fifty lines in which the order mattered without a word about it. Done: newFleet and registerServices, with the reason for the order.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -77,44 +77,59 @@
 		sockets:     sockets,
 		demand:      placement.NewMeter(),
 	}
-	links, err := d.newLinks()
-	if err != nil {
-		return nil, err
-	}
-	d.links = links
-	rt := d.newTransport()
 	state := ledger.NewState()
-	cutOff := func() bool { return d.contact.CutOff() }
-	d.keyring = keyring.New(state, d.rec, keyring.GuardCutOff(cfg.DataCentre, cutOff, state.Setting))
-	log := platform.NewLog(cfg.Platform.Log, rt)
-	d.newLog(log, state)
-	d.contact = membership.NewContact(d.follower.LastRead, d.rec)
-	if d.rates, err = d.newRates(log); err != nil {
+	rt := d.newTransport()
+	if err := d.newFleet(state, rt); err != nil {
 		return nil, err
 	}
-	d.members = membership.New(cfg.VM, platform.NewVMList(cfg.Platform.VMList, rt), d, d.beat, d.rec, d.contact.Heard, d.rates.heard)
-	d.rates.start()
-	d.spread = keyring.NewSpread(cfg.VM, d.keyring, keyPeers{d}, keyLog{follower: d.follower, loaded: d.stateLoaded}, d.rec)
-	engines := platform.NewEngines(timeline.StampRequests(rt, d.rec))
 	// Reports come over connections of their own, so that a lost connection of
 	// a draft does not hide that its engine is alive.
 	d.pool = upstream.NewPool(cfg.DataCentre, d.members, platform.NewEngines(d.newTransport()))
-	d.newEntry(state, engines)
+	d.newEntry(state, platform.NewEngines(timeline.StampRequests(rt, d.rec)))
 	d.newOperators(state)
 	d.newPlacer(state)
-	if err := d.peers.Register("Peer", &peerService{daemon: d}); err != nil {
-		return nil, fmt.Errorf("register the peer service: %w", err)
-	}
-	if err := d.peers.Register("Placement", &demandService{meter: d.demand}); err != nil {
-		return nil, fmt.Errorf("register the placement service: %w", err)
+	return d, d.registerServices()
+}
+
+// newFleet makes what VMs share: the ordered state, the keys, the members and
+// the rates. Each part starts to work as soon as it is made, so none is made
+// before what it calls.
+func (d *Daemon) newFleet(state *ledger.State, rt http.RoundTripper) error {
+	links, err := d.newLinks()
+	if err != nil {
+		return err
 	}
-	if err := d.newRelay(); err != nil {
-		return nil, err
+	d.links = links
+	cutOff := func() bool { return d.contact.CutOff() }
+	d.keyring = keyring.New(state, d.rec, keyring.GuardCutOff(d.cfg.DataCentre, cutOff, state.Setting))
+	log := platform.NewLog(d.cfg.Platform.Log, rt)
+	d.newLog(log, state)
+	d.contact = membership.NewContact(d.follower.LastRead, d.rec)
+	if d.rates, err = d.newRates(log); err != nil {
+		return err
 	}
-	if err := d.peers.Register("Keys", &keyService{daemon: d}); err != nil {
-		return nil, fmt.Errorf("register the key service: %w", err)
+	list := platform.NewVMList(d.cfg.Platform.VMList, rt)
+	d.members = membership.New(d.cfg.VM, list, d, d.beat, d.rec, d.contact.Heard, d.rates.heard)
+	d.rates.start()
+	d.spread = keyring.NewSpread(d.cfg.VM, d.keyring, keyPeers{d}, keyLog{follower: d.follower, loaded: d.stateLoaded}, d.rec)
+	return nil
+}
+
+// registerServices offers peers what they may call.
+func (d *Daemon) registerServices() error {
+	for _, s := range []struct {
+		name    string
+		service any
+	}{
+		{"Peer", &peerService{daemon: d}},
+		{"Placement", &demandService{meter: d.demand}},
+		{"Keys", &keyService{daemon: d}},
+	} {
+		if err := d.peers.Register(s.name, s.service); err != nil {
+			return fmt.Errorf("register service %s: %w", s.name, err)
+		}
 	}
-	return d, nil
+	return d.newRelay()
 }
 
 func (d *Daemon) newEntry(state *ledger.State, engines *platform.Engines) {
