Count calls of a test server atomically

Cause: the race detector found the counter of TestCommandWithoutAnswerIsNotCalledNotRun shared between the server and the test.

--- a/control/client_test.go
+++ b/control/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -18,14 +19,14 @@
 // it and dies before the answer, and to one that is not there.
 func TestCommandWithoutAnswerIsNotCalledNotRun(t *testing.T) {
 	is := is.New(t)
-	taken := 0
+	var taken atomic.Int64
 	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
-		taken++
+		taken.Add(1)
 		panic(http.ErrAbortHandler)
 	}))
 	c := control.NewClient(s.URL, "secret", nil)
 	_, err := c.Command(context.Background(), ledger.KindTeam, 0, &fleet.Team{ID: "quotes"})
-	is.Equal(taken, 1)
+	is.Equal(taken.Load(), int64(1))
 	is.Equal(fault.KindOf(err), fault.OutcomeUnknown)
 	is.True(!fault.Lookup(fault.KindOf(err)).NotRun)
 
