Keep the name of promise tests for the twelve promises

Done: they are renamed, with the same checks; the test of docs/PROMISES.md now also finds promise tests without a row.

--- a/internal/docgen/promises_test.go
+++ b/internal/docgen/promises_test.go
@@ -21,7 +21,8 @@
 )
 
 // TestEachPromiseNamesItsTest checks that docs/PROMISES.md has a row for each
-// promise, and that the test it names exists.
+// promise, that the test it names exists, and that no other test has such a
+// name.
 func TestEachPromiseNamesItsTest(t *testing.T) {
 	is := is.New(t)
 	page, err := os.ReadFile("../../docs/PROMISES.md")
@@ -38,6 +39,7 @@
 		is.True(!seen[name]) // each promise has a test of its own
 		seen[name] = true
 	}
+	is.Equal(len(tests), len(seen))
 }
 
 // promiseTests returns the names of all promise tests below a folder.
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -61,9 +61,9 @@
 	})
 }
 
-// TestPromiseBatchGivesWayButDoesNotStarve keeps interactive work waiting all
+// TestBatchGivesWayButDoesNotStarve keeps interactive work waiting all
 // the time and counts the turns of a batch request.
-func TestPromiseBatchGivesWayButDoesNotStarve(t *testing.T) {
+func TestBatchGivesWayButDoesNotStarve(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		q := queue.New(queue.Config{Slots: 1, MaxWaiting: 100})
@@ -98,9 +98,9 @@
 	})
 }
 
-// TestPromiseUnmeetableDeadlineIsRefusedAtOnce also checks that the time to come
+// TestUnmeetableDeadlineIsRefusedAtOnce also checks that the time to come
 // back is true: after it the same request is served in time.
-func TestPromiseUnmeetableDeadlineIsRefusedAtOnce(t *testing.T) {
+func TestUnmeetableDeadlineIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		q := queue.New(queue.Config{Slots: 1, MaxWaiting: 100})
--- a/rate/limiter_test.go
+++ b/rate/limiter_test.go
@@ -80,8 +80,8 @@
 	return sum
 }
 
-// TestPromiseRetryAfterIsTrue comes back after the time that a refusal gave.
-func TestPromiseRetryAfterIsTrue(t *testing.T) {
+// TestRetryAfterIsTrue comes back after the time that a refusal gave.
+func TestRetryAfterIsTrue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		g := newGroup(Limit{100 * One, 1000 * One}, "a", "b", "c", "d")
--- a/rate/permits_test.go
+++ b/rate/permits_test.go
@@ -10,9 +10,9 @@
 	"toucanfall/fault"
 )
 
-// TestPromisePermitsBoundWorkInFlight takes eight permits of the fleet on two of
+// TestPermitsBoundWorkInFlight takes eight permits of the fleet on two of
 // seven VMs. A ninth is refused until one is given back, however long it takes.
-func TestPromisePermitsBoundWorkInFlight(t *testing.T) {
+func TestPermitsBoundWorkInFlight(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		g := newGroup(Limit{0, 8 * 7 * One}, "a", "b", "c", "d", "e", "f", "g")
