Keep late answers and late settlements out of what has ended

Done: loop.Group takes no new goroutines once it is closed, for returns of tokens and for proposals of the rate loop; Links.Call decodes into a value of its own. Ruled out: a race of the test alone; both stacks are in the program.

--- a/daemon/rate.go
+++ b/daemon/rate.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -53,7 +52,7 @@
 	// begun is when the VM first had state to keep rates by.
 	begun     atomic.Pointer[time.Time]
 	proposing atomic.Bool
-	wg        sync.WaitGroup
+	tasks     loop.Group
 	run       func()
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -91,7 +90,7 @@
 // start begins to keep the VM's lease and its place on the mint list.
 func (r *rates) start() {
 	go r.run()
-	r.wg.Go(func() { loop.Every(r.ctx, balanceInterval, r.limiter.Balance) })
+	r.tasks.Go(func() { loop.Every(r.ctx, balanceInterval, r.limiter.Balance) })
 }
 
 // settled reports whether the VM mints, or has tried to for so long that it had
@@ -109,7 +108,7 @@
 func (r *rates) close() {
 	r.cancel()
 	<-r.done
-	r.wg.Wait()
+	r.tasks.Close()
 	r.limiter.Close()
 }
 
@@ -152,7 +151,7 @@
 	r.keeper.Act(time.Now(), f)
 	r.noteShare(f.List)
 	if plan := r.keeper.Plan(time.Now(), f); len(plan) > 0 && r.proposing.CompareAndSwap(false, true) {
-		r.wg.Go(func() {
+		r.tasks.Go(func() {
 			defer r.proposing.Store(false)
 			for _, p := range plan {
 				r.propose(ctx, p)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"time"
 )
@@ -179,10 +180,16 @@
 		return err
 	}
 	done := make(chan *rpc.Call, 1)
-	c.send(ctx, method, args, reply, done)
+	// An answer that comes after the call was given up must not change what the
+	// caller has by then, so it is decoded into a value of its own.
+	answer := reflect.New(reflect.TypeOf(reply).Elem())
+	c.send(ctx, method, args, answer.Interface(), done)
 	select {
 	case call := <-done:
 		err = call.Error
+		if err == nil {
+			reflect.ValueOf(reply).Elem().Set(answer.Elem())
+		}
 	case <-ctx.Done():
 		err = fmt.Errorf("%s at %s: %w", method, address, ctx.Err())
 	}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -22,8 +22,11 @@
 
 // Say answers with text.
 func (e *echoService) Say(text string, reply *string) error {
-	if text == "block" {
+	switch text {
+	case "block":
 		<-e.block
+	case "late":
+		time.Sleep(2 * time.Second)
 	}
 	*reply = text
 	return nil
@@ -181,6 +184,19 @@
 	})
 }
 
+// TestLateAnswerChangesNothing lets an answer come after its call was given up.
+func TestLateAnswerChangesNothing(t *testing.T) {
+	inMemory(t, func(is *is.I, _ *standin.Network, links *peer.Links, _ *atomic.Int64) {
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(time.Second, cancel)
+		var reply string
+		err := links.Call(ctx, "b", "Echo.Say", "late", &reply)
+		is.True(errors.Is(err, context.Canceled))
+		time.Sleep(2 * time.Second)
+		is.Equal(reply, "")
+	})
+}
+
 func TestCutLinkFailsUntilHealed(t *testing.T) {
 	inMemory(t, func(is *is.I, n *standin.Network, links *peer.Links, _ *atomic.Int64) {
 		is.NoErr(say(links, "b", "one"))
--- a/rate/limiter.go
+++ b/rate/limiter.go
@@ -6,11 +6,11 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
-	"sync"
 	"time"
 
 	"toucanfall/fault"
 	"toucanfall/fleet"
+	"toucanfall/internal/loop"
 )
 
 // Bounds of one gathering. It must end well within the life of a loan.
@@ -52,7 +52,8 @@
 	peers  Peers
 	limits Limits
 	prefix string
-	wg     sync.WaitGroup
+	// returns are under way.
+	returns loop.Group
 }
 
 // NewLimiter returns a limiter over a VM's tokens and its peers.
@@ -85,9 +86,10 @@
 	l.giveBack(l.minter.Settle(time.Now(), g, FromTokens(used)))
 }
 
-// Close waits for returns that are under way.
+// Close waits for returns that are under way. Requests that a forced stop cuts
+// may settle later; what they would return is lost.
 func (l *Limiter) Close() {
-	l.wg.Wait()
+	l.returns.Close()
 }
 
 func (l *Limiter) gather(ctx context.Context, key Key, need Amount) (Grant, error) {
@@ -161,7 +163,7 @@
 
 func (l *Limiter) giveBack(refunds []Refund) {
 	for _, r := range refunds {
-		l.wg.Go(func() {
+		l.returns.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), returnTime)
 			defer cancel()
 			// A return that is lost loses the tokens.
