--- a/booking/send.go
+++ b/booking/send.go
@@ -7,11 +7,11 @@
 	"io"
 	"net/http"
 
+	"toucanfall/dialect"
 	"toucanfall/event"
 	"toucanfall/fault"
 	"toucanfall/fleet"
 	"toucanfall/ledger"
-	"toucanfall/platform"
 	"toucanfall/timeline"
 	"toucanfall/upstream"
 )
@@ -106,8 +106,8 @@
 	if c.ContentType != "" {
 		req.Header.Set("Content-Type", c.ContentType)
 	}
-	req.Header.Set(platform.HeaderRequestID, string(c.Request))
-	req.Header.Set(platform.HeaderPriority, string(c.Route.Priority))
+	req.Header.Set(dialect.HeaderRequestID, string(c.Request))
+	req.Header.Set(dialect.HeaderPriority, string(c.Route.Priority))
 	resp, err := cl.hc.Do(req)
 	if err != nil {
 		return Answer{}, sendFault(err)
@@ -118,7 +118,7 @@
 
 // readAnswer takes an answer only if it is whole and belongs to the request.
 func readAnswer(c Call, resp *http.Response) (Answer, error) {
-	if got := resp.Header.Get(platform.HeaderRequestID); got != "" && got != string(c.Request) {
+	if got := resp.Header.Get(dialect.HeaderRequestID); got != "" && got != string(c.Request) {
 		return Answer{}, fault.New(fault.OutcomeUnknown, "the service answered request %q", got)
 	}
 	if c.Method != http.MethodHead && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
@@ -136,7 +136,7 @@
 
 // sendFault tells errors before the first byte from those after it.
 func sendFault(err error) error {
-	if errors.Is(platform.MarkNotSent(err), ledger.ErrNotSent) {
+	if errors.Is(dialect.MarkNotSent(err), ledger.ErrNotSent) {
 		return fault.New(fault.NoUpstream, "the service cannot be reached: %w", err)
 	}
 	return fault.New(fault.OutcomeUnknown, "the service did not answer: %w", err)
--- a/booking/send_test.go
+++ b/booking/send_test.go
@@ -13,9 +13,9 @@
 
 	"github.com/matryer/is"
 
+	"toucanfall/dialect"
 	"toucanfall/fault"
 	"toucanfall/ledger"
-	"toucanfall/platform"
 )
 
 // dyingServer answers the first request and then cuts the connection of each
@@ -57,7 +57,7 @@
 			is.Equal(n.Load(), int64(3)) // the second request was sent twice
 
 			address, n = dyingServer(t)
-			cl := NewClient(platform.NewTransport(), recorder())
+			cl := NewClient(dialect.NewTransport(), recorder())
 			c := call("r1", tt.idempotencyKey)
 			c.Method, c.Body = tt.method, nil
 			_, err := cl.Send(context.Background(), address, c)
@@ -113,7 +113,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			a, err := NewClient(platform.NewTransport(), recorder()).Send(context.Background(), tt.address, call("r1", ""))
+			a, err := NewClient(dialect.NewTransport(), recorder()).Send(context.Background(), tt.address, call("r1", ""))
 			is.Equal(fault.KindOf(err), tt.want)
 			if tt.name == "redirect" {
 				is.Equal(a.Status, http.StatusTemporaryRedirect)
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -13,11 +13,11 @@
 	"net/url"
 	"strings"
 
+	"toucanfall/dialect"
 	"toucanfall/entry"
 	"toucanfall/fault"
 	"toucanfall/fleet"
 	"toucanfall/internal/httpx"
-	"toucanfall/platform"
 )
 
 // Client calls the callers' listener of one VM.
@@ -42,17 +42,17 @@
 
 // draftRequest is an OpenAI-style request.
 type draftRequest struct {
-	Model     fleet.RouteID      `json:"model"`
-	Messages  []platform.Message `json:"messages"`
-	MaxTokens int                `json:"max_tokens,omitempty"`
-	Stream    bool               `json:"stream,omitempty"`
+	Model     fleet.RouteID     `json:"model"`
+	Messages  []dialect.Message `json:"messages"`
+	MaxTokens int               `json:"max_tokens,omitempty"`
+	Stream    bool              `json:"stream,omitempty"`
 }
 
 // draftAnswer is the part of an answer or a chunk that a caller needs.
 type draftAnswer struct {
 	Choices []struct {
-		Message platform.Message `json:"message"`
-		Delta   platform.Message `json:"delta"`
+		Message dialect.Message `json:"message"`
+		Delta   dialect.Message `json:"delta"`
 	} `json:"choices"`
 	Usage struct {
 		CompletionTokens int `json:"completion_tokens"`
@@ -67,7 +67,7 @@
 func (c *Client) Draft(ctx context.Context, route fleet.RouteID, prompt string, maxTokens int, onToken func(string)) (Draft, error) {
 	in := draftRequest{
 		Model:     route,
-		Messages:  []platform.Message{{Role: "user", Content: prompt}},
+		Messages:  []dialect.Message{{Role: "user", Content: prompt}},
 		MaxTokens: maxTokens,
 		Stream:    onToken != nil,
 	}
--- a/control/client.go
+++ b/control/client.go
@@ -14,11 +14,11 @@
 	"net/url"
 	"time"
 
+	"toucanfall/dialect"
 	"toucanfall/fault"
 	"toucanfall/fleet"
 	"toucanfall/ledger"
 	"toucanfall/operator"
-	"toucanfall/platform"
 )
 
 // clientTimeout bounds one call of an operators' listener.
@@ -116,7 +116,7 @@
 // callFault tells a command that may have taken effect from a call that had
 // none: a query, or one for which no connection could be made.
 func callFault(method string, err error) error {
-	if method == http.MethodGet || errors.Is(platform.MarkNotSent(err), ledger.ErrNotSent) {
+	if method == http.MethodGet || errors.Is(dialect.MarkNotSent(err), ledger.ErrNotSent) {
 		return fault.New(fault.StoreUnavailable, "cannot reach the VM: %w", err)
 	}
 	return fault.New(fault.OutcomeUnknown, "the VM did not answer; look whether the change is in force before you repeat it: %w", err)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"toucanfall/booking"
+	"toucanfall/dialect"
 	"toucanfall/draft"
 	"toucanfall/entry"
 	"toucanfall/event"
@@ -26,7 +27,6 @@
 	"toucanfall/operator"
 	"toucanfall/peer"
 	"toucanfall/placement"
-	"toucanfall/platform"
 	"toucanfall/settings"
 	"toucanfall/timeline"
 	"toucanfall/upstream"
@@ -84,8 +84,8 @@
 	}
 	// Reports come over connections of their own, so that a lost connection of
 	// a draft does not hide that its engine is alive.
-	d.pool = upstream.NewPool(cfg.DataCentre, d.members, platform.NewEngines(d.newTransport()))
-	d.newEntry(state, platform.NewEngines(timeline.StampRequests(rt, d.rec)))
+	d.pool = upstream.NewPool(cfg.DataCentre, d.members, dialect.NewEngines(d.newTransport()))
+	d.newEntry(state, dialect.NewEngines(timeline.StampRequests(rt, d.rec)))
 	d.newOperators(state)
 	d.newPlacer(state)
 	return d, d.registerServices()
@@ -102,13 +102,13 @@
 	d.links = links
 	cutOff := func() bool { return d.contact.CutOff() }
 	d.keyring = keyring.New(state, d.rec, keyring.GuardCutOff(d.cfg.DataCentre, cutOff, state.Setting))
-	log := platform.NewLog(d.cfg.Platform.Log, rt)
+	log := dialect.NewLog(d.cfg.Platform.Log, rt)
 	d.newLog(log, state)
 	d.contact = membership.NewContact(d.follower.LastRead, d.rec)
 	if d.rates, err = d.newRates(log); err != nil {
 		return err
 	}
-	list := platform.NewVMList(d.cfg.Platform.VMList, rt)
+	list := dialect.NewVMList(d.cfg.Platform.VMList, rt)
 	d.members = membership.New(d.cfg.VM, list, d, d.beat, d.rec, d.contact.Heard, d.rates.heard)
 	d.rates.start()
 	d.spread = keyring.NewSpread(d.cfg.VM, d.keyring, keyPeers{d}, keyLog{follower: d.follower, loaded: d.stateLoaded}, d.rec)
@@ -132,7 +132,7 @@
 	return d.newRelay()
 }
 
-func (d *Daemon) newEntry(state *ledger.State, engines *platform.Engines) {
+func (d *Daemon) newEntry(state *ledger.State, engines *dialect.Engines) {
 	d.booker = booking.New(d.cfg.VM, d.pool, booking.NewClient(d.newTransport(), d.rec), d.follower, state.Bookings, d.rec)
 	d.entry = entry.New(entry.Config{
 		DataCentre: d.cfg.DataCentre,
--- a/daemon/placement.go
+++ b/daemon/placement.go
@@ -4,13 +4,13 @@
 	"context"
 	"slices"
 
+	"toucanfall/dialect"
 	"toucanfall/draft"
 	"toucanfall/fault"
 	"toucanfall/fleet"
 	"toucanfall/ledger"
 	"toucanfall/membership"
 	"toucanfall/placement"
-	"toucanfall/platform"
 )
 
 // newPlacer starts the VM's placer, which acts if it holds the claim of the
@@ -18,7 +18,7 @@
 func (d *Daemon) newPlacer(state *ledger.State) {
 	// Orders come over connections of their own, so that a busy or lost
 	// connection of drafts does not hold them up.
-	engines := platform.NewEngines(d.newTransport())
+	engines := dialect.NewEngines(d.newTransport())
 	d.asked = placement.NewFleetDemand(d.demand, demandPeers{d})
 	d.placer = placement.New(placement.Config{
 		VM:          d.cfg.VM,
--- a/daemon/process_test.go
+++ b/daemon/process_test.go
@@ -22,10 +22,10 @@
 	"github.com/matryer/is"
 
 	"toucanfall/caller"
+	"toucanfall/dialect"
 	"toucanfall/fault"
 	"toucanfall/fleet"
 	"toucanfall/ledger"
-	"toucanfall/platform"
 	"toucanfall/settings"
 	"toucanfall/standin"
 	"toucanfall/timeline"
@@ -180,7 +180,7 @@
 	vms = append(vms, fleet.VM{ID: "orders", Role: fleet.RoleService, Service: "orderdesk", DataCentre: "at-1", Address: p.orders, State: fleet.VMLive})
 	configs := p.configs(t, log, list, &vms)
 	file := filepath.Join(t.TempDir(), "vms.json")
-	b, err := json.Marshal(platform.VMListAnswer{VMs: vms})
+	b, err := json.Marshal(dialect.VMListAnswer{VMs: vms})
 	is.New(t).NoErr(err)
 	is.New(t).NoErr(os.WriteFile(file, b, 0o600))
 	start(t, "toucanfake", "--name", "log", "--kind", "log", "--listen", log)
@@ -212,7 +212,7 @@
 }
 
 func configure(t *testing.T, address string) {
-	log := platform.NewLog("http://"+address, platform.NewTransport())
+	log := dialect.NewLog("http://"+address, dialect.NewTransport())
 	for _, r := range []struct {
 		kind ledger.Kind
 		body any
@@ -325,7 +325,7 @@
 
 // whole returns the answer to a prompt.
 func whole(prompt string, n int) string {
-	g := platform.GenerateRequest{MaxTokens: n, Messages: []platform.Message{{Content: prompt}}}
+	g := dialect.GenerateRequest{MaxTokens: n, Messages: []dialect.Message{{Content: prompt}}}
 	return strings.Join(standin.AnswerTokens(g), "")
 }
 
--- a/daemon/sockets.go
+++ b/daemon/sockets.go
@@ -7,8 +7,8 @@
 	"net"
 	"net/http"
 
+	"toucanfall/dialect"
 	"toucanfall/peer"
-	"toucanfall/platform"
 	"toucanfall/settings"
 )
 
@@ -27,7 +27,7 @@
 // NewTCP returns sockets whose connections notice a peer that takes no packets
 // any more.
 func NewTCP() *TCP {
-	return &TCP{dialer: platform.NewDialer()}
+	return &TCP{dialer: dialect.NewDialer()}
 }
 
 // Listen opens a listener.
@@ -42,7 +42,7 @@
 
 // newTransport returns a transport over the daemon's sockets.
 func (d *Daemon) newTransport() *http.Transport {
-	t := platform.NewTransport()
+	t := dialect.NewTransport()
 	t.DialContext = d.sockets.Dial
 	d.transports = append(d.transports, t)
 	return t
--- a/platform/log_test.go
+++ b/dialect/log_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package dialect_test
 
 import (
 	"context"
@@ -10,9 +10,9 @@
 
 	"github.com/matryer/is"
 
+	"toucanfall/dialect"
 	"toucanfall/fleet"
 	"toucanfall/ledger"
-	"toucanfall/platform"
 	"toucanfall/standin"
 )
 
@@ -28,7 +28,7 @@
 	stand := standin.NewLog()
 	server := httptest.NewServer(stand)
 	defer server.Close()
-	l := platform.NewLog(server.URL, platform.NewTransport())
+	l := dialect.NewLog(server.URL, dialect.NewTransport())
 	appendTo(is, l, "a", "b", "c", "d")
 	stand.Keep(2)
 
@@ -61,7 +61,7 @@
 		_, _ = w.Write([]byte(`{"first":1}`))
 	}))
 	defer server.Close()
-	l := platform.NewLog(server.URL, platform.NewTransport())
+	l := dialect.NewLog(server.URL, dialect.NewTransport())
 	for i := range 3 {
 		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 		_, err := l.Read(ctx, 1)
--- a/platform/vmlist.go
+++ b/dialect/vmlist.go
@@ -1,4 +1,4 @@
-package platform
+package dialect
 
 import (
 	"context"
--- a/draft/draft.go
+++ b/draft/draft.go
@@ -17,10 +17,10 @@
 	"strings"
 	"time"
 
+	"toucanfall/dialect"
 	"toucanfall/event"
 	"toucanfall/fault"
 	"toucanfall/fleet"
-	"toucanfall/platform"
 	"toucanfall/timeline"
 	"toucanfall/upstream"
 )
@@ -39,14 +39,14 @@
 	Request   fleet.RequestID
 	Team      fleet.TeamID
 	Route     fleet.Route
-	Messages  []platform.Message
+	Messages  []dialect.Message
 	MaxTokens int
 }
 
 // Sink takes the tokens of an answer. An error of Token ends the draft: the
 // caller is gone.
 type Sink interface {
-	Token(c platform.Chunk) error
+	Token(c dialect.Chunk) error
 	// Flush sends on what Token may have kept back. It is called before the
 	// draft waits for the engine.
 	Flush() error
@@ -63,7 +63,7 @@
 
 // Engines starts answers on engines.
 type Engines interface {
-	Generate(ctx context.Context, address string, id fleet.RequestID, p fleet.Priority, g platform.GenerateRequest) (*platform.Stream, error)
+	Generate(ctx context.Context, address string, id fleet.RequestID, p fleet.Priority, g dialect.GenerateRequest) (*dialect.Stream, error)
 }
 
 // Pool chooses engines.
@@ -99,7 +99,7 @@
 func (d *Drafter) Run(ctx context.Context, job Job, sink Sink) (Result, error) {
 	a := &answer{job: job, sink: sink}
 	d.retries.earn()
-	want := upstream.Want{Model: job.Route.Model, Adapter: job.Route.Adapter, Prefix: platform.PrefixKeys(a.request())}
+	want := upstream.Want{Model: job.Route.Model, Adapter: job.Route.Adapter, Prefix: dialect.PrefixKeys(a.request())}
 	lease, err := d.pool.Engine(want)
 	if err != nil {
 		return a.result, err
@@ -130,7 +130,7 @@
 // blames reports whether an error speaks against the engine's health. A refusal
 // of the one request, such as of a model that was just unloaded, does not.
 func blames(err error) bool {
-	var status *platform.StatusError
+	var status *dialect.StatusError
 	return !errors.As(err, &status) || status.Status >= http.StatusInternalServerError
 }
 
@@ -204,7 +204,7 @@
 }
 
 // read takes chunks until the answer is whole.
-func (a *answer) read(stream *platform.Stream, g *guard) error {
+func (a *answer) read(stream *dialect.Stream, g *guard) error {
 	defer stream.Close()
 	for {
 		c, err := stream.Next()
@@ -228,8 +228,8 @@
 	}
 }
 
-func (a *answer) request() platform.GenerateRequest {
-	return platform.GenerateRequest{
+func (a *answer) request() dialect.GenerateRequest {
+	return dialect.GenerateRequest{
 		Model:      a.job.Route.Model,
 		Adapter:    a.job.Route.Adapter,
 		Messages:   a.job.Messages,
@@ -242,7 +242,7 @@
 }
 
 // take checks that a chunk is the next one of this answer and hands it on.
-func (a *answer) take(c platform.Chunk) error {
+func (a *answer) take(c dialect.Chunk) error {
 	if c.ID != a.job.Request {
 		return fmt.Errorf("chunk belongs to request %q", c.ID)
 	}
--- a/draft/draft_test.go
+++ b/draft/draft_test.go
@@ -17,9 +17,9 @@
 	"github.com/sirupsen/logrus"
 	"pgregory.net/rapid"
 
+	"toucanfall/dialect"
 	"toucanfall/fault"
 	"toucanfall/fleet"
-	"toucanfall/platform"
 	"toucanfall/standin"
 	"toucanfall/timeline"
 	"toucanfall/upstream"
@@ -54,24 +54,24 @@
 // scripted is a set of engines that follow a plan for each attempt.
 type scripted struct {
 	plans    []plan
-	requests []platform.GenerateRequest
+	requests []dialect.GenerateRequest
 	closed   atomic.Int64
 }
 
-func (s *scripted) Generate(ctx context.Context, _ string, id fleet.RequestID, _ fleet.Priority, g platform.GenerateRequest) (*platform.Stream, error) {
+func (s *scripted) Generate(ctx context.Context, _ string, id fleet.RequestID, _ fleet.Priority, g dialect.GenerateRequest) (*dialect.Stream, error) {
 	p := plan{defect: defectNone}
 	if len(s.plans) > 0 {
 		p, s.plans = s.plans[0], s.plans[1:]
 	}
 	s.requests = append(s.requests, g)
 	if p.defect == defectRefused {
-		return nil, &platform.StatusError{Status: 503}
+		return nil, &dialect.StatusError{Status: 503}
 	}
 	r, w := io.Pipe()
 	ctx, cancel := context.WithCancel(ctx)
 	context.AfterFunc(ctx, func() { _ = r.CloseWithError(ctx.Err()) })
 	go write(ctx, w, id, g, p)
-	return platform.NewStream(&counted{ReadCloser: r, s: s}, cancel), nil
+	return dialect.NewStream(&counted{ReadCloser: r, s: s}, cancel), nil
 }
 
 type counted struct {
@@ -84,11 +84,11 @@
 	return c.ReadCloser.Close()
 }
 
-func write(ctx context.Context, w *io.PipeWriter, id fleet.RequestID, g platform.GenerateRequest, p plan) {
+func write(ctx context.Context, w *io.PipeWriter, id fleet.RequestID, g dialect.GenerateRequest, p plan) {
 	defer func() { _ = w.Close() }()
 	tokens := standin.AnswerTokens(g)
 	for i := g.ResumeFrom; i < len(tokens); i++ {
-		c := platform.Chunk{ID: id, Position: i, Text: tokens[i]}
+		c := dialect.Chunk{ID: id, Position: i, Text: tokens[i]}
 		if i != p.at {
 			send(w, c)
 			continue
@@ -113,19 +113,19 @@
 		case defectAborted:
 			c.Finish = "abort"
 		case defectEarlyStop:
-			c = platform.Chunk{ID: id, Position: i + 1, Finish: "stop"}
+			c = dialect.Chunk{ID: id, Position: i + 1, Finish: "stop"}
 		}
 		send(w, c)
 	}
 	n := len(tokens)
 	if p.defect == defectTooMany {
-		send(w, platform.Chunk{ID: id, Position: n, Text: "more "})
+		send(w, dialect.Chunk{ID: id, Position: n, Text: "more "})
 		n++
 	}
-	send(w, platform.Chunk{ID: id, Position: n, Finish: "stop", Version: "v1", PromptTokens: 3})
+	send(w, dialect.Chunk{ID: id, Position: n, Finish: "stop", Version: "v1", PromptTokens: 3})
 }
 
-func send(w io.Writer, c platform.Chunk) {
+func send(w io.Writer, c dialect.Chunk) {
 	b, _ := json.Marshal(c)
 	_, _ = fmt.Fprintf(w, "data: %s\n\n", b)
 }
@@ -149,7 +149,7 @@
 	shown   int
 }
 
-func (s *callerSink) Token(c platform.Chunk) error {
+func (s *callerSink) Token(c dialect.Chunk) error {
 	s.n++
 	if s.n == s.goes {
 		return errors.New("gone")
@@ -174,7 +174,7 @@
 		Request:   "r1",
 		Team:      "quotes",
 		Route:     fleet.Route{ID: "textdesk", Model: "m", Priority: fleet.PriorityBatch},
-		Messages:  []platform.Message{{Role: "user", Content: "ten fine sieves"}},
+		Messages:  []dialect.Message{{Role: "user", Content: "ten fine sieves"}},
 		MaxTokens: n,
 	}
 }
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -8,11 +8,11 @@
 
 	"github.com/labstack/echo/v4"
 
+	"toucanfall/dialect"
 	"toucanfall/draft"
 	"toucanfall/event"
 	"toucanfall/fault"
 	"toucanfall/fleet"
-	"toucanfall/platform"
 	"toucanfall/settings"
 	"toucanfall/timeline"
 )
@@ -20,10 +20,10 @@
 // chatRequest is the part of an OpenAI-style request that is understood. The
 // model names a route.
 type chatRequest struct {
-	Model     fleet.RouteID      `json:"model"`
-	Messages  []platform.Message `json:"messages"`
-	MaxTokens int                `json:"max_tokens"`
-	Stream    bool               `json:"stream"`
+	Model     fleet.RouteID     `json:"model"`
+	Messages  []dialect.Message `json:"messages"`
+	MaxTokens int               `json:"max_tokens"`
+	Stream    bool              `json:"stream"`
 }
 
 // UnmarshalJSON decodes and checks a request.
@@ -60,10 +60,10 @@
 }
 
 type chatChoice struct {
-	Index        int               `json:"index"`
-	Message      *platform.Message `json:"message,omitempty"`
-	Delta        *platform.Message `json:"delta,omitempty"`
-	FinishReason *string           `json:"finish_reason"`
+	Index        int              `json:"index"`
+	Message      *dialect.Message `json:"message,omitempty"`
+	Delta        *dialect.Message `json:"delta,omitempty"`
+	FinishReason *string          `json:"finish_reason"`
 }
 
 type chatAnswer struct {
@@ -123,7 +123,7 @@
 }
 
 // Token collects the text of a chunk.
-func (w *wholeSink) Token(c platform.Chunk) error {
+func (w *wholeSink) Token(c dialect.Chunk) error {
 	w.text.WriteString(c.Text)
 	return nil
 }
@@ -144,7 +144,7 @@
 	answer := a.lastChunk(result)
 	answer.Object = "chat.completion"
 	answer.Choices[0].Delta = nil
-	answer.Choices[0].Message = &platform.Message{Role: "assistant", Content: sink.text.String()}
+	answer.Choices[0].Message = &dialect.Message{Role: "assistant", Content: sink.text.String()}
 	s.noteAnswered(a, result)
 	if err := boundWrite(c); err != nil {
 		return result, err
@@ -167,7 +167,7 @@
 		ID:      a.request,
 		Object:  "chat.completion.chunk",
 		Model:   a.route.ID,
-		Choices: []chatChoice{{Delta: &platform.Message{}, FinishReason: &stop}},
+		Choices: []chatChoice{{Delta: &dialect.Message{}, FinishReason: &stop}},
 		Usage: &chatUsage{
 			PromptTokens:     result.PromptTokens,
 			CompletionTokens: result.Tokens,
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -18,13 +18,13 @@
 
 	"toucanfall/booking"
 	"toucanfall/caller"
+	"toucanfall/dialect"
 	"toucanfall/draft"
 	"toucanfall/entry"
 	"toucanfall/fault"
 	"toucanfall/fleet"
 	"toucanfall/keyring"
 	"toucanfall/ledger"
-	"toucanfall/platform"
 	"toucanfall/settings"
 	"toucanfall/standin"
 	"toucanfall/timeline"
@@ -142,7 +142,7 @@
 	w.configure(is)
 
 	engine := standin.NewEngine(standin.EngineConfig{Capacity: 100}, rec)
-	is.NoErr(engine.Order(platform.Order{Kind: platform.OrderLoadModel, Model: "m", Size: 1}))
+	is.NoErr(engine.Order(dialect.Order{Kind: dialect.OrderLoadModel, Model: "m", Size: 1}))
 	w.engine = &seen{next: engine}
 	w.services = &seen{next: w.service}
 	es, ss := httptest.NewServer(w.engine), httptest.NewServer(w.services)
@@ -150,8 +150,8 @@
 	t.Cleanup(ss.Close)
 	w.upstream = &addresses{engine: es.Listener.Addr().String(), service: ss.Listener.Addr().String()}
 
-	engines := platform.NewEngines(platform.NewTransport())
-	booker := booking.New("vm", w.upstream, booking.NewClient(platform.NewTransport(), rec), w.follower, w.state.Bookings, rec)
+	engines := dialect.NewEngines(dialect.NewTransport())
+	booker := booking.New("vm", w.upstream, booking.NewClient(dialect.NewTransport(), rec), w.follower, w.state.Bookings, rec)
 	t.Cleanup(booker.Close)
 	s := entry.New(entry.Config{
 		State:    w.state,
@@ -204,14 +204,14 @@
 	kind := rapid.SampledFrom([]string{"whole", "cut", "reset", "twice", "skip", "crossed", "late", "abort", "extra"}).Draw(t, "defect")
 	at := rapid.IntRange(0, 8).Draw(t, "at")
 	return func(w http.ResponseWriter, r *http.Request) {
-		var g platform.GenerateRequest
+		var g dialect.GenerateRequest
 		if json.NewDecoder(r.Body).Decode(&g) != nil {
 			return
 		}
-		id := fleet.RequestID(r.Header.Get(platform.HeaderRequestID))
+		id := fleet.RequestID(r.Header.Get(dialect.HeaderRequestID))
 		tokens := standin.AnswerTokens(g)
 		for i := g.ResumeFrom; i < len(tokens); i++ {
-			c := platform.Chunk{ID: id, Position: i, Text: tokens[i]}
+			c := dialect.Chunk{ID: id, Position: i, Text: tokens[i]}
 			if i == at {
 				switch kind {
 				case "cut":
@@ -232,14 +232,14 @@
 			}
 			sendChunk(w, c)
 		}
-		sendChunk(w, platform.Chunk{ID: id, Position: len(tokens), Finish: "stop", PromptTokens: 2})
+		sendChunk(w, dialect.Chunk{ID: id, Position: len(tokens), Finish: "stop", PromptTokens: 2})
 		if kind == "extra" {
-			sendChunk(w, platform.Chunk{ID: "another", Text: "not yours "})
+			sendChunk(w, dialect.Chunk{ID: "another", Text: "not yours "})
 		}
 	}, kind
 }
 
-func sendChunk(w http.ResponseWriter, c platform.Chunk) {
+func sendChunk(w http.ResponseWriter, c dialect.Chunk) {
 	b, _ := json.Marshal(c)
 	_, _ = fmt.Fprintf(w, "data: %s\n\n", b)
 	_ = http.NewResponseController(w).Flush()
@@ -272,7 +272,7 @@
 			onToken = func(string) {}
 		}
 		d, err := w.caller().Draft(context.Background(), "textdesk", prompt, n, onToken)
-		tokens := standin.AnswerTokens(platform.GenerateRequest{MaxTokens: n, Messages: []platform.Message{{Content: prompt}}})
+		tokens := standin.AnswerTokens(dialect.GenerateRequest{MaxTokens: n, Messages: []dialect.Message{{Content: prompt}}})
 		whole := strings.Join(tokens, "")
 		if err == nil && (d.Text != whole || d.Tokens != n) {
 			t.Fatalf("got %q as a whole answer", d.Text)
--- a/entry/limits_test.go
+++ b/entry/limits_test.go
@@ -6,9 +6,9 @@
 
 	"github.com/matryer/is"
 
+	"toucanfall/dialect"
 	"toucanfall/draft"
 	"toucanfall/fleet"
-	"toucanfall/platform"
 )
 
 // TestPromptIsChargedByAnUpperBound takes texts of which a byte-level tokenizer
@@ -17,7 +17,7 @@
 	is := is.New(t)
 	for _, text := range []string{"!?!?!?!?!?!?!?!?", "軌道研磨計畫", ""} {
 		text = strings.Repeat(text, 100)
-		job := draft.Job{Messages: []platform.Message{{Role: "user", Content: text}}}
+		job := draft.Job{Messages: []dialect.Message{{Role: "user", Content: text}}}
 		worst := fleet.Tokens(len(text) + len("user"))
 		is.True(promptBound(job, 1) > worst)
 	}
--- a/entry/slow_test.go
+++ b/entry/slow_test.go
@@ -11,9 +11,9 @@
 
 	"github.com/matryer/is"
 
+	"toucanfall/dialect"
 	"toucanfall/fleet"
 	"toucanfall/keyring"
-	"toucanfall/platform"
 )
 
 // TestSlowReader streams to a caller that reads nothing. The engine is held
@@ -26,10 +26,10 @@
 	gone := make(chan struct{})
 	w.engine.set(func(rw http.ResponseWriter, r *http.Request) {
 		defer close(gone)
-		id := fleet.RequestID(r.Header.Get(platform.HeaderRequestID))
+		id := fleet.RequestID(r.Header.Get(dialect.HeaderRequestID))
 		text := strings.Repeat("x", 32<<10)
 		for i := 0; r.Context().Err() == nil; i++ {
-			sendChunk(rw, platform.Chunk{ID: id, Position: i, Text: text})
+			sendChunk(rw, dialect.Chunk{ID: id, Position: i, Text: text})
 			sent.Add(int64(len(text)))
 		}
 	})
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -8,10 +8,10 @@
 
 	"github.com/labstack/echo/v4"
 
+	"toucanfall/dialect"
 	"toucanfall/draft"
 	"toucanfall/event"
 	"toucanfall/fault"
-	"toucanfall/platform"
 	"toucanfall/timeline"
 )
 
@@ -49,7 +49,7 @@
 }
 
 // Token writes a chunk to the buffer of the connection.
-func (w *streamSink) Token(c platform.Chunk) error {
+func (w *streamSink) Token(c dialect.Chunk) error {
 	text, err := json.Marshal(c.Text)
 	if err != nil {
 		return err
--- a/entry/team_test.go
+++ b/entry/team_test.go
@@ -15,13 +15,13 @@
 	"pgregory.net/rapid"
 
 	"toucanfall/booking"
+	"toucanfall/dialect"
 	"toucanfall/draft"
 	"toucanfall/entry"
 	"toucanfall/fleet"
 	"toucanfall/internal/httpx"
 	"toucanfall/keyring"
 	"toucanfall/ledger"
-	"toucanfall/platform"
 	"toucanfall/timeline"
 )
 
@@ -45,7 +45,7 @@
 
 func (u *upstreams) Run(_ context.Context, job draft.Job, sink draft.Sink) (draft.Result, error) {
 	u.note(job.Request, job.Team, job.Route.ID)
-	return draft.Result{}, sink.Token(platform.Chunk{Text: "x"})
+	return draft.Result{}, sink.Token(dialect.Chunk{Text: "x"})
 }
 
 func (u *upstreams) Do(_ context.Context, c booking.Call) (booking.Answer, error) {
--- a/internal/joined/book.go
+++ b/internal/joined/book.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
+	"toucanfall/dialect"
 	"toucanfall/fault"
-	"toucanfall/platform"
 	"toucanfall/standin"
 )
 
@@ -69,8 +69,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.attempts++
-	want := strings.Join(standin.AnswerTokens(platform.GenerateRequest{
-		Messages:  []platform.Message{{Role: "user", Content: prompt}},
+	want := strings.Join(standin.AnswerTokens(dialect.GenerateRequest{
+		Messages:  []dialect.Message{{Role: "user", Content: prompt}},
 		MaxTokens: maxTokens,
 	}), "")
 	switch {
--- a/keyring/fleet_test.go
+++ b/keyring/fleet_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"toucanfall/dialect"
 	"toucanfall/draft"
 	"toucanfall/entry"
 	"toucanfall/fault"
@@ -24,7 +25,6 @@
 	"toucanfall/ledger"
 	"toucanfall/membership"
 	"toucanfall/operator"
-	"toucanfall/platform"
 	"toucanfall/settings"
 	"toucanfall/standin"
 	"toucanfall/timeline"
@@ -293,7 +293,7 @@
 
 func (endless) Run(ctx context.Context, _ draft.Job, sink draft.Sink) (draft.Result, error) {
 	for {
-		if err := sink.Token(platform.Chunk{Text: "x"}); err != nil {
+		if err := sink.Token(dialect.Chunk{Text: "x"}); err != nil {
 			return draft.Result{}, err
 		}
 		select {
--- a/measure/routing.go
+++ b/measure/routing.go
@@ -8,8 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"toucanfall/dialect"
 	"toucanfall/fleet"
-	"toucanfall/platform"
 	"toucanfall/upstream"
 )
 
@@ -42,7 +42,7 @@
 type modelArrival struct {
 	at     time.Duration
 	vm     int
-	group  platform.PrefixKey
+	group  dialect.PrefixKey
 	tokens int
 }
 
@@ -56,7 +56,7 @@
 		out = append(out, modelArrival{
 			at:     at,
 			vm:     r.IntN(modelVMs),
-			group:  platform.PrefixKey(zipf.Uint64() + 1),
+			group:  dialect.PrefixKey(zipf.Uint64() + 1),
 			tokens: 10 + r.IntN(50),
 		})
 	}
@@ -72,8 +72,8 @@
 	load atomic.Int64
 
 	mu       sync.Mutex
-	prefixes []platform.PrefixKey
-	events   []platform.CacheEvent
+	prefixes []dialect.PrefixKey
+	events   []dialect.CacheEvent
 	// history holds the load at each tick, the newest last.
 	history []int
 }
@@ -98,7 +98,7 @@
 }
 
 // touch reports whether the prefix was in the cache, and puts it there.
-func (e *modelEngine) touch(k platform.PrefixKey) bool {
+func (e *modelEngine) touch(k dialect.PrefixKey) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for i, have := range e.prefixes {
@@ -108,9 +108,9 @@
 		}
 	}
 	e.prefixes = append(e.prefixes, k)
-	e.events = append(e.events, platform.CacheEvent{Key: k})
+	e.events = append(e.events, dialect.CacheEvent{Key: k})
 	if len(e.prefixes) > modelPrefixes {
-		e.events = append(e.events, platform.CacheEvent{Key: e.prefixes[0], Evicted: true})
+		e.events = append(e.events, dialect.CacheEvent{Key: e.prefixes[0], Evicted: true})
 		e.prefixes = e.prefixes[1:]
 	}
 	return false
@@ -182,11 +182,11 @@
 }
 
 // Report returns the load of a while ago.
-func (f *modelFleet) Report(_ context.Context, address string) (platform.EngineReport, error) {
+func (f *modelFleet) Report(_ context.Context, address string) (dialect.EngineReport, error) {
 	e := f.engine(address)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	r := platform.EngineReport{Slots: modelSlots, Resident: []platform.ResidentModel{{Model: "m", Ready: true}}}
+	r := dialect.EngineReport{Slots: modelSlots, Resident: []dialect.ResidentModel{{Model: "m", Ready: true}}}
 	if i := len(e.history) - int(modelLag/modelTick); i >= 0 {
 		r.Running = min(e.history[i], modelSlots)
 		r.Waiting = e.history[i] - r.Running
@@ -195,17 +195,17 @@
 }
 
 // ServiceReport returns nothing, since there are no plain services.
-func (f *modelFleet) ServiceReport(context.Context, string) (platform.ServiceReport, error) {
-	return platform.ServiceReport{}, nil
+func (f *modelFleet) ServiceReport(context.Context, string) (dialect.ServiceReport, error) {
+	return dialect.ServiceReport{}, nil
 }
 
 // CacheEvents returns all events from a number on.
-func (f *modelFleet) CacheEvents(_ context.Context, address string, from uint64) (platform.CacheEvents, error) {
+func (f *modelFleet) CacheEvents(_ context.Context, address string, from uint64) (dialect.CacheEvents, error) {
 	e := f.engine(address)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	events := append([]platform.CacheEvent(nil), e.events[from:]...)
-	return platform.CacheEvents{First: from, Events: events}, nil
+	events := append([]dialect.CacheEvent(nil), e.events[from:]...)
+	return dialect.CacheEvents{First: from, Events: events}, nil
 }
 
 // chooser picks an engine for a VM's request and returns what ends it.
@@ -244,7 +244,7 @@
 // pooled lets each VM choose by a pool of package upstream.
 func pooled(pools []*upstream.Pool) chooser {
 	return func(a modelArrival) (int, func()) {
-		l, err := pools[a.vm].Engine(upstream.Want{Model: "m", Prefix: []platform.PrefixKey{a.group}})
+		l, err := pools[a.vm].Engine(upstream.Want{Model: "m", Prefix: []dialect.PrefixKey{a.group}})
 		if err != nil {
 			return 0, func() {}
 		}
--- a/measure/serving.go
+++ b/measure/serving.go
@@ -20,9 +20,9 @@
 	"github.com/sirupsen/logrus"
 
 	"toucanfall/daemon"
+	"toucanfall/dialect"
 	"toucanfall/fleet"
 	"toucanfall/ledger"
-	"toucanfall/platform"
 	"toucanfall/settings"
 	"toucanfall/standin"
 	"toucanfall/timeline"
@@ -71,7 +71,7 @@
 	engine := standin.NewEngine(standin.EngineConfig{Capacity: costCapacity, Slots: 2 * costStreams, TokenTime: 0}, rec)
 	slow := standin.NewEngine(standin.EngineConfig{Capacity: costCapacity, Slots: 2 * costStreams, TokenTime: costTokenTime}, rec)
 	for _, e := range []*standin.Engine{engine, slow} {
-		if err := e.Order(platform.Order{Kind: platform.OrderLoadModel, Model: modelOf(e == slow), Version: "v1", Size: costModelSize}); err != nil {
+		if err := e.Order(dialect.Order{Kind: dialect.OrderLoadModel, Model: modelOf(e == slow), Version: "v1", Size: costModelSize}); err != nil {
 			return nil, err
 		}
 	}
--- a/placement/orders.go
+++ b/placement/orders.go
@@ -5,10 +5,10 @@
 	"sync"
 	"time"
 
+	"toucanfall/dialect"
 	"toucanfall/event"
 	"toucanfall/fleet"
 	"toucanfall/ledger"
-	"toucanfall/platform"
 	"toucanfall/timeline"
 	"toucanfall/upstream"
 )
@@ -22,7 +22,7 @@
 // sentOrder is an order that was sent and may not have ended.
 type sentOrder struct {
 	number  fleet.Offset
-	kind    platform.OrderKind
+	kind    dialect.OrderKind
 	at      time.Time
 	first   time.Time
 	release func()
@@ -45,8 +45,8 @@
 
 // due returns the orders for one engine: unloads and models first, so that
 // adapters find their model.
-func (p *Placer) due(ctx context.Context, e ledger.PlacedEngine, u upstream.Upstream) []platform.Order {
-	var models, adapters []platform.Order
+func (p *Placer) due(ctx context.Context, e ledger.PlacedEngine, u upstream.Upstream) []dialect.Order {
+	var models, adapters []dialect.Order
 	var shown ledger.PlacementOutcome
 	fillOutcome(&shown, u.Report)
 	for _, h := range e.Held {
@@ -59,7 +59,7 @@
 		if !p.start(ctx, key, kind, e.Number) {
 			continue
 		}
-		o := platform.Order{
+		o := dialect.Order{
 			Kind:    kind,
 			Fence:   e.Number,
 			Model:   h.Weights.Model,
@@ -78,19 +78,19 @@
 
 // wanted returns the order that held weights need. An unload waits while the
 // copy that stands in for the model is not ready any more.
-func (p *Placer) wanted(h ledger.HeldWeights, shown *ledger.PlacementOutcome) (platform.OrderKind, bool) {
+func (p *Placer) wanted(h ledger.HeldWeights, shown *ledger.PlacementOutcome) (dialect.OrderKind, bool) {
 	w, there := find(shown, h.Weights)
 	switch {
 	case h.Unload != 0 && !there:
 		return "", false
 	case h.Unload != 0 && h.Weights.Adapter != "":
-		return platform.OrderUnloadAdapter, true
+		return dialect.OrderUnloadAdapter, true
 	case h.Unload != 0:
-		return platform.OrderUnloadModel, p.cfg.State.ReadyCopies(h.Weights.Model) > 0
+		return dialect.OrderUnloadModel, p.cfg.State.ReadyCopies(h.Weights.Model) > 0
 	case h.Weights.Adapter != "":
-		return platform.OrderLoadAdapter, !there
+		return dialect.OrderLoadAdapter, !there
 	default:
-		return platform.OrderLoadModel, !there || !w.Ready
+		return dialect.OrderLoadModel, !there || !w.Ready
 	}
 }
 
@@ -106,7 +106,7 @@
 // start reports whether an order is to be sent now, and takes the permit that
 // a load needs. An order of which nothing has shown is sent again after a while
 // or as soon as the number has changed.
-func (p *Placer) start(ctx context.Context, key orderKey, kind platform.OrderKind, number fleet.Offset) bool {
+func (p *Placer) start(ctx context.Context, key orderKey, kind dialect.OrderKind, number fleet.Offset) bool {
 	now := time.Now()
 	last, ok := p.sent[key]
 	if ok && last.kind != kind {
@@ -132,11 +132,11 @@
 	return true
 }
 
-func (p *Placer) permit(ctx context.Context, kind platform.OrderKind) (func(), error) {
+func (p *Placer) permit(ctx context.Context, kind dialect.OrderKind) (func(), error) {
 	switch kind {
-	case platform.OrderLoadModel:
+	case dialect.OrderLoadModel:
 		return p.cfg.Permits.Acquire(ctx, PermitWeightLoad)
-	case platform.OrderLoadAdapter:
+	case dialect.OrderLoadAdapter:
 		return p.cfg.Permits.Acquire(ctx, PermitAdapterLoad)
 	default:
 		return func() {}, nil
@@ -151,7 +151,7 @@
 	}
 }
 
-func (p *Placer) sendTo(ctx context.Context, u upstream.Upstream, orders []platform.Order) {
+func (p *Placer) sendTo(ctx context.Context, u upstream.Upstream, orders []dialect.Order) {
 	for _, o := range orders {
 		once, cancel := context.WithTimeout(ctx, orderTimeout)
 		err := p.cfg.Engines.Order(once, u.VM.Address, o)
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -19,11 +19,11 @@
 	"sync"
 	"time"
 
+	"toucanfall/dialect"
 	"toucanfall/event"
 	"toucanfall/fleet"
 	"toucanfall/internal/loop"
 	"toucanfall/ledger"
-	"toucanfall/platform"
 	"toucanfall/timeline"
 	"toucanfall/upstream"
 )
@@ -51,7 +51,7 @@
 
 // Engines sends orders to engines.
 type Engines interface {
-	Order(ctx context.Context, address string, o platform.Order) error
+	Order(ctx context.Context, address string, o dialect.Order) error
 }
 
 // Upstreams tells the last report of every engine.
--- a/placement/reports.go
+++ b/placement/reports.go
@@ -5,9 +5,9 @@
 	"slices"
 	"time"
 
+	"toucanfall/dialect"
 	"toucanfall/fleet"
 	"toucanfall/ledger"
-	"toucanfall/platform"
 	"toucanfall/upstream"
 )
 
@@ -52,7 +52,7 @@
 	return ledger.PlacementOutcome{DataCentre: p.cfg.DataCentre, Epoch: p.epoch, Engine: id}
 }
 
-func fillOutcome(o *ledger.PlacementOutcome, r platform.EngineReport) {
+func fillOutcome(o *ledger.PlacementOutcome, r dialect.EngineReport) {
 	o.StartedMS, o.TakenMS, o.Capacity, o.Fence = r.StartedMS, r.TakenMS, r.Capacity, r.Fence
 	for _, m := range r.Resident {
 		w := ledger.Weights{Model: m.Model, Version: m.Version}
--- a/placement/world_test.go
+++ b/placement/world_test.go
@@ -12,9 +12,9 @@
 	"github.com/sirupsen/logrus"
 	"pgregory.net/rapid"
 
+	"toucanfall/dialect"
 	"toucanfall/fleet"
 	"toucanfall/ledger"
-	"toucanfall/platform"
 	"toucanfall/settings"
 	"toucanfall/standin"
 	"toucanfall/timeline"
@@ -63,12 +63,12 @@
 type simEngine struct {
 	vm      fleet.VM
 	engine  *standin.Engine
-	history []platform.EngineReport
+	history []dialect.EngineReport
 }
 
 type queuedOrder struct {
 	engine fleet.UpstreamID
-	order  platform.Order
+	order  dialect.Order
 }
 
 // simVM is an entry VM with its own, lagging state.
@@ -196,7 +196,7 @@
 }
 
 // Order queues an order; it arrives when the machine says so.
-func (w *world) Order(_ context.Context, address string, o platform.Order) error {
+func (w *world) Order(_ context.Context, address string, o dialect.Order) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.queue = append(w.queue, queuedOrder{engine: fleet.UpstreamID(address), order: o})
@@ -325,7 +325,7 @@
 }
 
 func (w *world) really(id fleet.UpstreamID, m fleet.ModelID) bool {
-	return slices.ContainsFunc(w.engines[id].engine.Report().Resident, func(r platform.ResidentModel) bool {
+	return slices.ContainsFunc(w.engines[id].engine.Report().Resident, func(r dialect.ResidentModel) bool {
 		return r.Model == m && r.Ready
 	})
 }
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
+	"toucanfall/dialect"
 	"toucanfall/event"
 	"toucanfall/fleet"
-	"toucanfall/platform"
 	"toucanfall/timeline"
 )
 
@@ -42,7 +42,7 @@
 	running  int
 	leaving  bool
 	memory   memory
-	resident map[fleet.ModelID]*platform.ResidentModel
+	resident map[fleet.ModelID]*dialect.ResidentModel
 	prefixes prefixCache
 }
 
@@ -52,7 +52,7 @@
 		cfg:      cfg,
 		rec:      rec,
 		started:  time.Now(),
-		resident: make(map[fleet.ModelID]*platform.ResidentModel),
+		resident: make(map[fleet.ModelID]*dialect.ResidentModel),
 	}
 }
 
@@ -73,7 +73,7 @@
 }
 
 func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request) {
-	var g platform.GenerateRequest
+	var g dialect.GenerateRequest
 	if err := json.NewDecoder(r.Body).Decode(&g); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -84,15 +84,15 @@
 		return
 	}
 	defer e.end()
-	e.prefixes.touch(platform.PrefixKeys(g))
-	id := fleet.RequestID(r.Header.Get(platform.HeaderRequestID))
+	e.prefixes.touch(dialect.PrefixKeys(g))
+	id := fleet.RequestID(r.Header.Get(dialect.HeaderRequestID))
 	e.rec.Record(event.FakeServed, timeline.Fields{"request": string(id), "model": string(g.Model)})
 	w.Header().Set("Content-Type", "text/event-stream")
 	e.stream(w, r, id, version, g)
 }
 
 // stream writes the tokens of the answer until the client goes.
-func (e *Engine) stream(w http.ResponseWriter, r *http.Request, id fleet.RequestID, version string, g platform.GenerateRequest) {
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, id fleet.RequestID, version string, g dialect.GenerateRequest) {
 	rc := http.NewResponseController(w)
 	tokens := AnswerTokens(g)
 	for i := g.ResumeFrom; i < len(tokens); i++ {
@@ -101,16 +101,16 @@
 			return
 		case <-time.After(e.cfg.TokenTime):
 		}
-		writeChunk(w, platform.Chunk{ID: id, Position: i, Text: tokens[i]})
+		writeChunk(w, dialect.Chunk{ID: id, Position: i, Text: tokens[i]})
 		if rc.Flush() != nil {
 			return
 		}
 	}
-	last := platform.Chunk{ID: id, Position: len(tokens), Finish: "stop", Version: version, PromptTokens: PromptTokens(g.Messages)}
+	last := dialect.Chunk{ID: id, Position: len(tokens), Finish: "stop", Version: version, PromptTokens: PromptTokens(g.Messages)}
 	writeChunk(w, last)
 }
 
-func writeChunk(w http.ResponseWriter, c platform.Chunk) {
+func writeChunk(w http.ResponseWriter, c dialect.Chunk) {
 	// A chunk always encodes, and a failed write shows at the next flush.
 	b, _ := json.Marshal(c)
 	_, _ = fmt.Fprintf(w, "data: %s\n\n", b)
@@ -118,7 +118,7 @@
 
 // AnswerTokens returns the tokens of an engine's answer to g: the words of the
 // last message, numbered, up to the limit.
-func AnswerTokens(g platform.GenerateRequest) []string {
+func AnswerTokens(g dialect.GenerateRequest) []string {
 	var words []string
 	if len(g.Messages) > 0 {
 		words = strings.Fields(g.Messages[len(g.Messages)-1].Content)
@@ -134,7 +134,7 @@
 }
 
 // PromptTokens counts the tokens of a prompt as the stand-in does: its words.
-func PromptTokens(messages []platform.Message) int {
+func PromptTokens(messages []dialect.Message) int {
 	n := 0
 	for _, m := range messages {
 		n += len(strings.Fields(m.Content))
@@ -167,10 +167,10 @@
 }
 
 // Report returns the engine's load and what is resident.
-func (e *Engine) Report() platform.EngineReport {
+func (e *Engine) Report() dialect.EngineReport {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	r := platform.EngineReport{
+	r := dialect.EngineReport{
 		Running:   e.running,
 		Slots:     e.cfg.Slots,
 		Fence:     e.memory.fence,
--- a/standin/log.go
+++ b/standin/log.go
@@ -9,9 +9,9 @@
 	"sync"
 	"time"
 
+	"toucanfall/dialect"
 	"toucanfall/fleet"
 	"toucanfall/ledger"
-	"toucanfall/platform"
 )
 
 // Bounds of one read of the log.
@@ -127,13 +127,13 @@
 }
 
 func (l *Log) serveAppend(w http.ResponseWriter, r *http.Request) {
-	var in platform.AppendRequest
+	var in dialect.AppendRequest
 	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	at, _ := l.Append(r.Context(), in.Records)
-	answer(w, http.StatusOK, platform.AppendAnswer{FirstOffset: at})
+	answer(w, http.StatusOK, dialect.AppendAnswer{FirstOffset: at})
 }
 
 func (l *Log) serveRead(w http.ResponseWriter, r *http.Request) {
@@ -154,7 +154,7 @@
 		http.Error(w, err.Error(), http.StatusGone)
 		return
 	}
-	answer(w, http.StatusOK, platform.ReadAnswer{Records: records, First: l.oldest()})
+	answer(w, http.StatusOK, dialect.ReadAnswer{Records: records, First: l.oldest()})
 }
 
 // serveTrim drops the records below the offset in the query, or all but the
--- a/standin/main.go
+++ b/standin/main.go
@@ -14,11 +14,11 @@
 
 	"github.com/sirupsen/logrus"
 
+	"toucanfall/dialect"
 	"toucanfall/event"
 	"toucanfall/fleet"
 	"toucanfall/internal/cli"
 	"toucanfall/internal/httpx"
-	"toucanfall/platform"
 	"toucanfall/timeline"
 )
 
@@ -124,7 +124,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("cannot read the VM list: %w", err)
 	}
-	var list platform.VMListAnswer
+	var list dialect.VMListAnswer
 	if err := json.Unmarshal(b, &list); err != nil {
 		return nil, fmt.Errorf("VM list %s: %w", file, err)
 	}
@@ -140,7 +140,7 @@
 		Fenced:    opts.Fenced,
 	}, rec)
 	for _, m := range opts.Resident {
-		e.resident[fleet.ModelID(m)] = &platform.ResidentModel{Model: fleet.ModelID(m), Version: "v1", Size: 1, Ready: true}
+		e.resident[fleet.ModelID(m)] = &dialect.ResidentModel{Model: fleet.ModelID(m), Version: "v1", Size: 1, Ready: true}
 	}
 	return e
 }
--- a/standin/orders.go
+++ b/standin/orders.go
@@ -8,8 +8,8 @@
 	"slices"
 	"time"
 
+	"toucanfall/dialect"
 	"toucanfall/fleet"
-	"toucanfall/platform"
 )
 
 // memory is what an engine keeps about orders and the memory that they take.
@@ -19,8 +19,8 @@
 	// taken is the time of the last report in milliseconds.
 	taken int64
 	// unloading holds the models whose memory is not free yet.
-	unloading map[*platform.ResidentModel]bool
-	adapters  map[*platform.ResidentModel]map[fleet.AdapterID]fleet.Bytes
+	unloading map[*dialect.ResidentModel]bool
+	adapters  map[*dialect.ResidentModel]map[fleet.AdapterID]fleet.Bytes
 	// violations counts loads that took the memory above its capacity.
 	violations int
 }
@@ -33,14 +33,14 @@
 }
 
 // report returns a copy of a resident model with its adapters.
-func (m *memory) report(r *platform.ResidentModel) platform.ResidentModel {
+func (m *memory) report(r *dialect.ResidentModel) dialect.ResidentModel {
 	c := *r
 	c.Adapters = slices.Sorted(maps.Keys(m.adapters[r]))
 	return c
 }
 
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
-	var o platform.Order
+	var o dialect.Order
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -54,7 +54,7 @@
 
 // Order carries out an order. Loading what is resident and unloading what is
 // absent have no effect.
-func (e *Engine) Order(o platform.Order) error {
+func (e *Engine) Order(o dialect.Order) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.cfg.Fenced && o.Fence < e.memory.fence {
@@ -62,14 +62,14 @@
 	}
 	e.memory.fence = max(e.memory.fence, o.Fence)
 	switch o.Kind {
-	case platform.OrderLoadModel:
+	case dialect.OrderLoadModel:
 		return e.load(o)
-	case platform.OrderUnloadModel:
+	case dialect.OrderUnloadModel:
 		e.unload(o)
 		return nil
-	case platform.OrderLoadAdapter:
+	case dialect.OrderLoadAdapter:
 		return e.loadAdapter(o)
-	case platform.OrderUnloadAdapter:
+	case dialect.OrderUnloadAdapter:
 		delete(e.memory.adapters[e.resident[o.Model]], o.Adapter)
 		return nil
 	default:
@@ -78,7 +78,7 @@
 }
 
 // load takes memory at once and makes the model ready after the load time.
-func (e *Engine) load(o platform.Order) error {
+func (e *Engine) load(o dialect.Order) error {
 	if m, ok := e.resident[o.Model]; ok {
 		if m.Version != o.Version || e.memory.unloading[m] {
 			return fmt.Errorf("model %q is still there", o.Model)
@@ -88,7 +88,7 @@
 	if err := e.admit(o); err != nil {
 		return err
 	}
-	m := &platform.ResidentModel{Model: o.Model, Version: o.Version, Size: o.Size}
+	m := &dialect.ResidentModel{Model: o.Model, Version: o.Version, Size: o.Size}
 	e.resident[o.Model] = m
 	time.AfterFunc(e.cfg.LoadTime, func() {
 		e.mu.Lock()
@@ -100,7 +100,7 @@
 
 // admit refuses a load above the capacity, or counts it if the engine is
 // unguarded.
-func (e *Engine) admit(o platform.Order) error {
+func (e *Engine) admit(o dialect.Order) error {
 	if e.used()+o.Size <= e.cfg.Capacity {
 		return nil
 	}
@@ -113,7 +113,7 @@
 
 // unload takes a model out of service at once and frees its memory after the
 // unload time.
-func (e *Engine) unload(o platform.Order) {
+func (e *Engine) unload(o dialect.Order) {
 	m, ok := e.resident[o.Model]
 	if !ok || o.Version != "" && m.Version != o.Version {
 		return
@@ -132,7 +132,7 @@
 		return
 	}
 	if e.memory.unloading == nil {
-		e.memory.unloading = make(map[*platform.ResidentModel]bool)
+		e.memory.unloading = make(map[*dialect.ResidentModel]bool)
 	}
 	e.memory.unloading[m] = true
 	time.AfterFunc(e.cfg.UnloadTime, func() {
@@ -144,7 +144,7 @@
 	})
 }
 
-func (e *Engine) loadAdapter(o platform.Order) error {
+func (e *Engine) loadAdapter(o dialect.Order) error {
 	m, ok := e.resident[o.Model]
 	if !ok || e.memory.unloading[m] {
 		return fmt.Errorf("base model %q is not resident", o.Model)
@@ -161,7 +161,7 @@
 	}
 	held[o.Adapter] = o.Size
 	if e.memory.adapters == nil {
-		e.memory.adapters = make(map[*platform.ResidentModel]map[fleet.AdapterID]fleet.Bytes)
+		e.memory.adapters = make(map[*dialect.ResidentModel]map[fleet.AdapterID]fleet.Bytes)
 	}
 	e.memory.adapters[m] = held
 	return nil
--- a/standin/prefixes.go
+++ b/standin/prefixes.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"sync"
 
-	"toucanfall/platform"
+	"toucanfall/dialect"
 )
 
 // Bounds of the stand-in's prefix cache.
@@ -19,31 +19,31 @@
 // prefixCache keeps the newest prefixes and the newest events about them.
 type prefixCache struct {
 	mu     sync.Mutex
-	keys   []platform.PrefixKey
-	events []platform.CacheEvent
+	keys   []dialect.PrefixKey
+	events []dialect.CacheEvent
 	// first is the number of the oldest event that is kept.
 	first uint64
 }
 
 // touch makes keys the newest ones.
-func (p *prefixCache) touch(keys []platform.PrefixKey) {
+func (p *prefixCache) touch(keys []dialect.PrefixKey) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, k := range keys {
 		if i := slices.Index(p.keys, k); i >= 0 {
 			p.keys = slices.Delete(p.keys, i, i+1)
 		} else {
-			p.note(platform.CacheEvent{Key: k})
+			p.note(dialect.CacheEvent{Key: k})
 		}
 		p.keys = append(p.keys, k)
 	}
 	for len(p.keys) > maxPrefixes {
-		p.note(platform.CacheEvent{Key: p.keys[0], Evicted: true})
+		p.note(dialect.CacheEvent{Key: p.keys[0], Evicted: true})
 		p.keys = p.keys[1:]
 	}
 }
 
-func (p *prefixCache) note(ev platform.CacheEvent) {
+func (p *prefixCache) note(ev dialect.CacheEvent) {
 	p.events = append(p.events, ev)
 	if len(p.events) > maxCacheEvents {
 		p.events = p.events[1:]
@@ -52,14 +52,14 @@
 }
 
 // since returns the events from a number on, as far as they are kept.
-func (p *prefixCache) since(from uint64) platform.CacheEvents {
+func (p *prefixCache) since(from uint64) dialect.CacheEvents {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	next := p.first + uint64(len(p.events))
 	if from < p.first || from > next {
 		from = p.first
 	}
-	return platform.CacheEvents{First: from, Events: slices.Clone(p.events[from-p.first:])}
+	return dialect.CacheEvents{First: from, Events: slices.Clone(p.events[from-p.first:])}
 }
 
 func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
--- a/standin/service.go
+++ b/standin/service.go
@@ -6,8 +6,8 @@
 	"net/http"
 	"sync"
 
+	"toucanfall/dialect"
 	"toucanfall/event"
-	"toucanfall/platform"
 	"toucanfall/timeline"
 )
 
@@ -55,9 +55,9 @@
 		s.begin(r)
 		defer s.end()
 	}
-	id := r.Header.Get(platform.HeaderRequestID)
+	id := r.Header.Get(dialect.HeaderRequestID)
 	s.rec.Record(event.FakeServed, timeline.Fields{"request": id, "path": r.URL.Path})
-	w.Header().Set(platform.HeaderRequestID, id)
+	w.Header().Set(dialect.HeaderRequestID, id)
 	switch r.URL.Path {
 	case "/reservations":
 		s.serveBook(w, r, id)
@@ -92,10 +92,10 @@
 	s.leaving = true
 }
 
-func (s *Service) report() platform.ServiceReport {
+func (s *Service) report() dialect.ServiceReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return platform.ServiceReport{Running: s.running, Leaving: s.leaving}
+	return dialect.ServiceReport{Running: s.running, Leaving: s.leaving}
 }
 
 func (s *Service) serveBook(w http.ResponseWriter, r *http.Request, id string) {
--- a/standin/vmlist.go
+++ b/standin/vmlist.go
@@ -6,8 +6,8 @@
 	"slices"
 	"sync"
 
+	"toucanfall/dialect"
 	"toucanfall/fleet"
-	"toucanfall/platform"
 )
 
 // VMList is a stand-in for the platform's list of VMs.
@@ -47,7 +47,7 @@
 		l.mu.Lock()
 		vms := slices.Clone(l.vms)
 		l.mu.Unlock()
-		answer(w, http.StatusOK, platform.VMListAnswer{VMs: vms})
+		answer(w, http.StatusOK, dialect.VMListAnswer{VMs: vms})
 	case http.MethodPut:
 		var vm fleet.VM
 		if err := json.NewDecoder(r.Body).Decode(&vm); err != nil {
--- a/upstream/cache.go
+++ b/upstream/cache.go
@@ -1,6 +1,6 @@
 package upstream
 
-import "toucanfall/platform"
+import "toucanfall/dialect"
 
 // maxCacheKeys bounds what is remembered of one engine's prefix cache.
 const maxCacheKeys = 4096
@@ -10,7 +10,7 @@
 // It only guides choices, so that it may be wrong. The lock of its node guards
 // it.
 type cache struct {
-	keys map[platform.PrefixKey]struct{}
+	keys map[dialect.PrefixKey]struct{}
 	want uint64
 }
 
@@ -21,7 +21,7 @@
 
 // apply takes the events that were asked for from a number on. After a gap, or
 // a restart of the engine, all that was known may be wrong and is dropped.
-func (c *cache) apply(from uint64, e platform.CacheEvents) {
+func (c *cache) apply(from uint64, e dialect.CacheEvents) {
 	if e.First != from {
 		c.keys = nil
 	}
@@ -36,9 +36,9 @@
 }
 
 // put adds a key and makes room by dropping any other.
-func (c *cache) put(k platform.PrefixKey) {
+func (c *cache) put(k dialect.PrefixKey) {
 	if c.keys == nil {
-		c.keys = make(map[platform.PrefixKey]struct{})
+		c.keys = make(map[dialect.PrefixKey]struct{})
 	}
 	for old := range c.keys {
 		if len(c.keys) < maxCacheKeys {
@@ -50,14 +50,14 @@
 }
 
 // expect adds the keys of a request that is about to be sent.
-func (c *cache) expect(keys []platform.PrefixKey) {
+func (c *cache) expect(keys []dialect.PrefixKey) {
 	for _, k := range keys {
 		c.put(k)
 	}
 }
 
 // share returns which part of the prompt's messages stands in the cache.
-func (c *cache) share(keys []platform.PrefixKey) float64 {
+func (c *cache) share(keys []dialect.PrefixKey) float64 {
 	if len(keys) == 0 {
 		return 0
 	}
--- a/upstream/node.go
+++ b/upstream/node.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
+	"toucanfall/dialect"
 	"toucanfall/fleet"
-	"toucanfall/platform"
 )
 
 // node is the state of one upstream under a lock of its own.
@@ -18,7 +18,7 @@
 	mu         sync.Mutex
 	vm         fleet.VM
 	gone       bool
-	report     platform.EngineReport
+	report     dialect.EngineReport
 	reportedAt time.Time
 	ready      map[fleet.ModelID][]fleet.AdapterID
 	// inFlight counts own requests.
@@ -50,7 +50,7 @@
 }
 
 // learn takes events of the prefix cache.
-func (n *node) learn(from uint64, c platform.CacheEvents) {
+func (n *node) learn(from uint64, c dialect.CacheEvents) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.cache.apply(from, c)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -15,10 +15,10 @@
 	"sync"
 	"time"
 
+	"toucanfall/dialect"
 	"toucanfall/fault"
 	"toucanfall/fleet"
 	"toucanfall/internal/loop"
-	"toucanfall/platform"
 )
 
 // Times of the observation of upstreams.
@@ -38,17 +38,17 @@
 
 // Reporter asks upstreams for their reports.
 type Reporter interface {
-	Report(ctx context.Context, address string) (platform.EngineReport, error)
-	ServiceReport(ctx context.Context, address string) (platform.ServiceReport, error)
-	CacheEvents(ctx context.Context, address string, from uint64) (platform.CacheEvents, error)
+	Report(ctx context.Context, address string) (dialect.EngineReport, error)
+	ServiceReport(ctx context.Context, address string) (dialect.ServiceReport, error)
+	CacheEvents(ctx context.Context, address string, from uint64) (dialect.CacheEvents, error)
 }
 
 // Upstream is what a VM knows of one upstream.
 type Upstream struct {
-	VM         fleet.VM              `json:"vm"`
-	Report     platform.EngineReport `json:"report"`
-	ReportedAt time.Time             `json:"reported_at"`
-	InFlight   int                   `json:"in_flight"`
+	VM         fleet.VM             `json:"vm"`
+	Report     dialect.EngineReport `json:"report"`
+	ReportedAt time.Time            `json:"reported_at"`
+	InFlight   int                  `json:"in_flight"`
 	// Ejected is set while the upstream gets nothing new because it failed.
 	Ejected bool `json:"ejected,omitempty"`
 }
@@ -64,7 +64,7 @@
 	Adapter fleet.AdapterID
 	// Prefix holds the keys of the beginnings of the prompt, the shortest
 	// first.
-	Prefix []platform.PrefixKey
+	Prefix []dialect.PrefixKey
 	// Avoid lists engines that failed the request.
 	Avoid []fleet.UpstreamID
 }
@@ -171,7 +171,7 @@
 	vm, own, from := n.asking()
 	if vm.Role == fleet.RoleService {
 		if r, err := p.reporter.ServiceReport(ctx, vm.Address); err == nil {
-			p.take(n, platform.EngineReport{Running: r.Running, Waiting: r.Waiting, Leaving: r.Leaving}, own)
+			p.take(n, dialect.EngineReport{Running: r.Running, Waiting: r.Waiting, Leaving: r.Leaving}, own)
 		}
 		return
 	}
@@ -186,7 +186,7 @@
 }
 
 // take stores a report that was asked for while own requests were in flight.
-func (p *Pool) take(n *node, r platform.EngineReport, own int) {
+func (p *Pool) take(n *node, r dialect.EngineReport, own int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.gone {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -11,9 +11,9 @@
 
 	"github.com/matryer/is"
 
+	"toucanfall/dialect"
 	"toucanfall/fault"
 	"toucanfall/fleet"
-	"toucanfall/platform"
 )
 
 // plant is a set of upstreams with settable reports. It implements List and
@@ -21,20 +21,20 @@
 type plant struct {
 	mu      sync.Mutex
 	vms     []fleet.VM
-	reports map[string]platform.EngineReport
+	reports map[string]dialect.EngineReport
 	silent  map[string]bool
-	events  map[string]platform.CacheEvents
+	events  map[string]dialect.CacheEvents
 }
 
 func newPlant() *plant {
-	return &plant{reports: make(map[string]platform.EngineReport), silent: make(map[string]bool), events: make(map[string]platform.CacheEvents)}
+	return &plant{reports: make(map[string]dialect.EngineReport), silent: make(map[string]bool), events: make(map[string]dialect.CacheEvents)}
 }
 
 func (p *plant) engine(id string, dc fleet.DataCentre, models ...fleet.ModelID) {
 	p.vms = append(p.vms, fleet.VM{ID: fleet.VMID(id), Role: fleet.RoleModelEngine, DataCentre: dc, Address: id, State: fleet.VMLive})
-	r := platform.EngineReport{Slots: 4}
+	r := dialect.EngineReport{Slots: 4}
 	for _, m := range models {
-		r.Resident = append(r.Resident, platform.ResidentModel{Model: m, Ready: true})
+		r.Resident = append(r.Resident, dialect.ResidentModel{Model: m, Ready: true})
 	}
 	p.reports[id] = r
 }
@@ -51,7 +51,7 @@
 	return append([]fleet.VM(nil), p.vms...)
 }
 
-func (p *plant) Report(ctx context.Context, address string) (platform.EngineReport, error) {
+func (p *plant) Report(ctx context.Context, address string) (dialect.EngineReport, error) {
 	p.mu.Lock()
 	r, silent := p.reports[address], p.silent[address]
 	p.mu.Unlock()
@@ -62,12 +62,12 @@
 	return r, nil
 }
 
-func (p *plant) ServiceReport(ctx context.Context, address string) (platform.ServiceReport, error) {
+func (p *plant) ServiceReport(ctx context.Context, address string) (dialect.ServiceReport, error) {
 	r, err := p.Report(ctx, address)
-	return platform.ServiceReport{Running: r.Running, Waiting: r.Waiting, Leaving: r.Leaving}, err
+	return dialect.ServiceReport{Running: r.Running, Waiting: r.Waiting, Leaving: r.Leaving}, err
 }
 
-func (p *plant) CacheEvents(_ context.Context, address string, from uint64) (platform.CacheEvents, error) {
+func (p *plant) CacheEvents(_ context.Context, address string, from uint64) (dialect.CacheEvents, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e, ok := p.events[address]
@@ -77,7 +77,7 @@
 	if from < e.First || from > e.First+uint64(len(e.Events)) {
 		from = e.First
 	}
-	return platform.CacheEvents{First: from, Events: e.Events[from-e.First:]}, nil
+	return dialect.CacheEvents{First: from, Events: e.Events[from-e.First:]}, nil
 }
 
 // picked takes n choices, releases them, and counts them by upstream.
@@ -108,9 +108,9 @@
 		{"list says leaving", func(p *plant) { p.vms[0].State = fleet.VMLeaving }, 2 * time.Second},
 		{"list drops it", func(p *plant) { p.vms = p.vms[1:] }, 2 * time.Second},
 		{"report says leaving", func(p *plant) {
-			p.reports["e1"] = platform.EngineReport{Leaving: true, Resident: p.reports["e1"].Resident}
+			p.reports["e1"] = dialect.EngineReport{Leaving: true, Resident: p.reports["e1"].Resident}
 		}, 2 * time.Second},
-		{"model is gone", func(p *plant) { p.reports["e1"] = platform.EngineReport{} }, 2 * time.Second},
+		{"model is gone", func(p *plant) { p.reports["e1"] = dialect.EngineReport{} }, 2 * time.Second},
 		{"silent", func(p *plant) { p.silent["e1"] = true }, SilentAfter + ReportInterval},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -145,7 +145,7 @@
 		for _, id := range []string{"o1", "o2"} {
 			plant.vms = append(plant.vms, fleet.VM{ID: fleet.VMID(id), Role: fleet.RoleService, Service: "orderdesk", DataCentre: "at-1", Address: id, State: fleet.VMLive})
 		}
-		plant.reports["o1"] = platform.EngineReport{Running: 3}
+		plant.reports["o1"] = dialect.EngineReport{Running: 3}
 		p := NewPool("at-1", plant, plant)
 		defer p.Close()
 		time.Sleep(time.Second)
@@ -157,7 +157,7 @@
 		l, err = p.Service("orderdesk", nil)
 		is.NoErr(err)
 		is.Equal(l.Upstream.ID(), fleet.UpstreamID("o1"))
-		plant.change(func() { plant.reports["o1"] = platform.EngineReport{Leaving: true} })
+		plant.change(func() { plant.reports["o1"] = dialect.EngineReport{Leaving: true} })
 		time.Sleep(2 * time.Second)
 		_, err = p.Service("orderdesk", nil)
 		is.Equal(fault.KindOf(err), fault.NoUpstream)
@@ -222,17 +222,17 @@
 		plant.engine("e2", "at-1", "m")
 		r := plant.reports["e2"]
 		r.Resident[0].Adapters = []fleet.AdapterID{"tone"}
-		plant.events["e1"] = platform.CacheEvents{Events: []platform.CacheEvent{{Key: 7}, {Key: 8}, {Key: 8, Evicted: true}}}
+		plant.events["e1"] = dialect.CacheEvents{Events: []dialect.CacheEvent{{Key: 7}, {Key: 8}, {Key: 8, Evicted: true}}}
 		p := NewPool("at-1", plant, plant)
 		defer p.Close()
 		time.Sleep(time.Second)
 		is.Equal(picked(p, 1, Want{Model: "m", Adapter: "tone"}), map[fleet.UpstreamID]int{"e2": 1})
-		is.Equal(picked(p, 1, Want{Model: "m", Adapter: "tone", Prefix: []platform.PrefixKey{7}}), map[fleet.UpstreamID]int{"e1": 1})
-		is.Equal(picked(p, 1, Want{Model: "m", Adapter: "tone", Prefix: []platform.PrefixKey{8}}), map[fleet.UpstreamID]int{"e2": 1})
-		plant.change(func() { plant.events["e1"] = platform.CacheEvents{First: 40, Events: []platform.CacheEvent{{Key: 9}}} })
+		is.Equal(picked(p, 1, Want{Model: "m", Adapter: "tone", Prefix: []dialect.PrefixKey{7}}), map[fleet.UpstreamID]int{"e1": 1})
+		is.Equal(picked(p, 1, Want{Model: "m", Adapter: "tone", Prefix: []dialect.PrefixKey{8}}), map[fleet.UpstreamID]int{"e2": 1})
+		plant.change(func() { plant.events["e1"] = dialect.CacheEvents{First: 40, Events: []dialect.CacheEvent{{Key: 9}}} })
 		time.Sleep(time.Second)
-		is.Equal(picked(p, 1, Want{Model: "m", Adapter: "tone", Prefix: []platform.PrefixKey{7}}), map[fleet.UpstreamID]int{"e2": 1})
-		is.Equal(picked(p, 1, Want{Model: "m", Adapter: "tone", Prefix: []platform.PrefixKey{9}}), map[fleet.UpstreamID]int{"e1": 1})
+		is.Equal(picked(p, 1, Want{Model: "m", Adapter: "tone", Prefix: []dialect.PrefixKey{7}}), map[fleet.UpstreamID]int{"e2": 1})
+		is.Equal(picked(p, 1, Want{Model: "m", Adapter: "tone", Prefix: []dialect.PrefixKey{9}}), map[fleet.UpstreamID]int{"e1": 1})
 	})
 }
 
@@ -283,7 +283,7 @@
 	}
 	i := 0
 	for b.Loop() {
-		l, err := p.Engine(Want{Model: models[i%len(models)], Prefix: []platform.PrefixKey{1, 2}})
+		l, err := p.Engine(Want{Model: models[i%len(models)], Prefix: []dialect.PrefixKey{1, 2}})
 		if err == nil {
 			l.Release()
 		}
