Wait for orders of the coordinator before to end

Cause: a report lists what an engine holds, not what it is loading. Orders also held the engine's lock over the network, so that one slow engine stopped every VM's messages to the coordinator.

Ruled out: a report that lags (the same report showed Busy); fences (each holder had its own); orders carried out late (seq matched).

Mend: an engine whose report is busy stays closed until one is not; who speaks to an engine has a turn of its own, and the account's lock is never held over the network.

Before: TestLoadOfPredecessorIsNotOvercommitted fails without the flag (seen). After: passes with the race detector.

Conclusion: the account must treat what it cannot see as taken.

--- a/coordinator/account.go
+++ b/coordinator/account.go
@@ -17,9 +17,10 @@
 	seq    int64
 	models map[fleet.ModelID]*held
 	copies roster.Copies
-	// busyUntil is until when an order that this account does not know of may
-	// be under way.
-	busyUntil time.Time
+	// busy is set while a report shows an order of a model under way. What it
+	// needs is not in the report, so an order of another coordinator cannot be
+	// accounted for until it is over.
+	busy bool
 	// doubt is set after an order without an answer, until a report that was
 	// made later settles it.
 	doubt time.Time
@@ -38,7 +39,6 @@
 	// unloading is set from the order until a report shows the model gone.
 	unloading bool
 	ordered   time.Time
-	used      time.Time
 }
 
 // heldAdapter is an adapter that an engine holds, or that is on its way.
@@ -71,7 +71,7 @@
 			models[id] = old
 		}
 	}
-	a.seq = max(a.seq, r.Seq)
+	a.seq, a.busy = max(a.seq, r.Seq), r.Busy
 	a.known, a.models, a.copies, a.doubt = true, models, r.Copies, time.Time{}
 }
 
@@ -80,7 +80,7 @@
 	m := &held{adapters: make(map[fleet.AdapterID]*heldAdapter, len(h.Adapters))}
 	old := a.models[h.Model]
 	if old != nil {
-		m.used, m.unloading = old.used, old.unloading
+		m.unloading = old.unloading
 	}
 	for _, id := range h.Adapters {
 		if a.dropped[roster.Adapter{Model: h.Model, Adapter: id}].After(since) {
@@ -123,6 +123,11 @@
 	return sum
 }
 
+// hasPlace reports whether one more adapter of a model fits.
+func (a *account) hasPlace(spec *catalogue.Engine, model fleet.ModelID) bool {
+	return a.adapters() < spec.AdapterSlots && a.memory(spec)+spec.Models[model].AdapterMB <= spec.WeightsMB
+}
+
 // adapters returns the number of adapter places that are taken.
 func (a *account) adapters() int {
 	n := 0
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -115,7 +115,7 @@
 	defer c.mu.Unlock()
 	e, ok := c.engines[u.ID]
 	if !ok || e.u != u {
-		e = &engine{u: u, acc: newAccount()}
+		e = newEngine(u)
 		c.engines[u.ID] = e
 		c.version++
 	}
@@ -185,14 +185,11 @@
 
 // use notes the use of an adapter.
 func (e *engine) use(a roster.Adapter, now time.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if m, ok := e.acc.models[a.Model]; ok {
-		m.used = now
-		if ad, ok := m.adapters[a.Adapter]; ok {
-			ad.used = now
+	e.with(func(acc *account) {
+		if m, ok := acc.models[a.Model]; ok && m.adapters[a.Adapter] != nil {
+			m.adapters[a.Adapter].used = now
 		}
-	}
+	})
 }
 
 func (c *Coordinator) answer(in Sync) SyncAnswer {
@@ -208,11 +205,11 @@
 		return out
 	}
 	for _, e := range engines {
-		e.mu.Lock()
-		if e.acc.known {
-			out.Holdings = append(out.Holdings, EngineHoldings{Upstream: e.u.ID, Models: e.acc.servable(), Adapters: e.acc.list()})
-		}
-		e.mu.Unlock()
+		e.with(func(a *account) {
+			if a.known {
+				out.Holdings = append(out.Holdings, EngineHoldings{Upstream: e.u.ID, Models: a.servable(), Adapters: a.list()})
+			}
+		})
 	}
 	return out
 }
@@ -280,6 +277,10 @@
 	return WishAnswer{}, last
 }
 
+// turnWait is how long a wish waits for other orders to an engine before it goes
+// to another one.
+const turnWait = 100 * time.Millisecond
+
 // wishTries bounds the engines that are tried for one wish.
 const wishTries = 3
 
@@ -304,8 +305,12 @@
 }
 
 func (c *Coordinator) wishAt(ctx context.Context, e *engine, spec *catalogue.Engine, a roster.Adapter) (time.Duration, error) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	turn, cancel := context.WithTimeout(ctx, turnWait)
+	defer cancel()
+	if err := e.take(turn); err != nil {
+		return 0, err
+	}
+	defer e.give()
 	if err := c.settle(ctx, e); err != nil {
 		return 0, err
 	}
--- /dev/null
+++ b/coordinator/coordinator_test.go
@@ -0,0 +1,163 @@
+package coordinator_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"toucanfall/catalogue"
+	"toucanfall/coordinator"
+	"toucanfall/fleet"
+	"toucanfall/roster"
+	"toucanfall/shares"
+	"toucanfall/timeline"
+)
+
+// spec is a service whose engines have room for two of its models.
+func spec(models ...fleet.ModelID) *catalogue.Engine {
+	e := &catalogue.Engine{
+		Slots: 8, WeightsMB: 210, AdapterSlots: 2, LoadsPerSecond: 10, LoadsAtOnce: 8,
+		Models: make(map[fleet.ModelID]*catalogue.Model),
+	}
+	for _, m := range models {
+		e.Models[m] = &catalogue.Model{ID: m, WeightsMB: 100, AdapterMB: 1, Adapters: 9, Load: 4 * time.Second}
+	}
+	return e
+}
+
+// world is a coordinator in front of stand-in engines.
+type world struct {
+	engines *engines
+	roster  *roster.Roster
+	c       *coordinator.Coordinator
+	fence   int64
+}
+
+func newWorld(e *catalogue.Engine) *world {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	start := time.Now()
+	holder := catalogue.NewHolder(func() time.Duration { return time.Since(start) })
+	holder.Apply(catalogue.NewConfig(1, nil, []*catalogue.Service{{ID: "texts", Engine: e}}, nil, catalogue.Limits{}))
+	w := &world{engines: newEngines(e), roster: roster.New(), fence: 1}
+	w.c = coordinator.New(coordinator.Config{
+		VM: "vm-1", Catalogue: holder, Roster: w.roster, Engines: w.engines, Pool: w.engines.pool,
+		Duty:   func() (int64, bool) { return w.fence, w.fence != 0 },
+		Fenced: func(int64) { w.fence = 0 },
+		Tokens: shares.NewPool(), Events: timeline.New("test", 16, logger),
+	})
+	return w
+}
+
+// run runs the coordinator for a time while a model is asked for.
+func (w *world) run(d time.Duration, asked fleet.ModelID) error {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	go func() { _ = w.c.Run(ctx) }()
+	for ctx.Err() == nil {
+		in := coordinator.Sync{VM: "vm-1"}
+		if asked != "" {
+			in.Demand = append(in.Demand, coordinator.Demand{Service: "texts", Model: asked, Count: 10, Tokens: 10000})
+		}
+		var out coordinator.SyncAnswer
+		if err := w.c.Service().Sync(in, &out); err != nil {
+			return err
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	synctest.Wait()
+	return nil
+}
+
+// A coordinator that begins while an order of the one before is under way must
+// not order more than there is room for: the report shows that the engine is
+// busy, not with what.
+func TestLoadOfPredecessorIsNotOvercommitted(t *testing.T) {
+	for left := 50 * time.Millisecond; left < 3*time.Second; left += 50 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(spec("a", "b", "c"))
+			w.engines.add(w.roster, "engine-1", "a")
+			f := w.engines.all["engine-1"]
+			f.seq, f.loading, f.until = 1, "b", time.Now().Add(left)
+			is.NoErr(w.run(6*time.Second, "c"))
+			is.Equal(len(w.engines.broken), 0) // ordered over the limit
+		})
+	}
+}
+
+// A shift of demand is followed: the model that is asked for gets copies where
+// copies of silent ones made room, and each model keeps one.
+func TestPlacementFollowsShift(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(spec("a", "b"))
+		for i := range 4 {
+			w.engines.add(w.roster, fleet.UpstreamID(fmt.Sprintf("engine-%d", i)), "a")
+		}
+		w.engines.add(w.roster, "engine-4", "b")
+		is.NoErr(w.run(15*time.Second, "b"))
+		is.Equal(len(w.engines.broken), 0)
+		is.Equal(len(w.engines.holders("b")), 5)
+		is.True(len(w.engines.holders("a")) >= 1)
+	})
+}
+
+// Lost answers to orders leave room reserved, so that no engine is ordered over
+// its limits.
+func TestLostAnswersKeepLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(spec("a", "b", "c"))
+		w.engines.add(w.roster, "engine-1", "a")
+		w.engines.add(w.roster, "engine-2", "b")
+		w.engines.lose = true
+		done := make(chan error, 1)
+		go func() { done <- w.run(10*time.Second, "c") }()
+		for i := range 40 {
+			in := coordinator.Wish{Service: "texts", Adapter: roster.Adapter{Model: "a", Adapter: fleet.AdapterID(fmt.Sprintf("a%d", i%5))}}
+			var out coordinator.WishAnswer
+			// The answer may be an error: what counts is that no limit breaks.
+			_ = w.c.Service().Wish(in, &out)
+			time.Sleep(200 * time.Millisecond)
+		}
+		is.NoErr(<-done)
+		is.Equal(len(w.engines.broken), 0)
+	})
+}
+
+// Adapters take turns in the places of an engine; one that is in use stays.
+func TestAdaptersTakeTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(spec("a"))
+		w.engines.add(w.roster, "engine-1", "a")
+		for _, a := range []fleet.AdapterID{"a1", "a2", "a3"} {
+			var out coordinator.WishAnswer
+			in := coordinator.Wish{Service: "texts", Adapter: roster.Adapter{Model: "a", Adapter: a}}
+			is.NoErr(w.c.Service().Wish(in, &out))
+			is.Equal(out.Upstream, fleet.UpstreamID("engine-1"))
+			time.Sleep(time.Second)
+		}
+		is.Equal(w.engines.all["engine-1"].models["a"], map[fleet.AdapterID]bool{"a2": true, "a3": true})
+	})
+}
+
+// Without the duty nothing is done.
+func TestNoDutyNoOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(spec("a"))
+		w.engines.add(w.roster, "engine-1", "a")
+		w.fence = 0
+		var out coordinator.WishAnswer
+		err := w.c.Service().Wish(coordinator.Wish{Service: "texts", Adapter: roster.Adapter{Model: "a", Adapter: "a1"}}, &out)
+		is.Equal(err, coordinator.ErrNoDuty)
+	})
+}
--- a/coordinator/engine.go
+++ b/coordinator/engine.go
@@ -30,31 +30,62 @@
 	Order(ctx context.Context, p *courier.Pool, id fleet.UpstreamID, o Order) (Verdict, error)
 }
 
-// engine is an upstream with the coordinator's account of it. Orders to one
-// engine go one after another, under its lock.
+// engine is an upstream with the coordinator's account of it.
 type engine struct {
 	u *roster.Upstream
+	// turn holds a token while somebody speaks to the engine: orders to one
+	// engine go one after another. Only who has the turn changes what the
+	// account holds.
+	turn chan struct{}
 
 	mu  sync.Mutex
 	acc *account
 }
 
+func newEngine(u *roster.Upstream) *engine {
+	return &engine{u: u, turn: make(chan struct{}, 1), acc: newAccount()}
+}
+
+// take waits for the turn, which must be given back.
+func (e *engine) take(ctx context.Context) error {
+	select {
+	case e.turn <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("engine %q is busy with other orders: %w", e.u.ID, ctx.Err())
+	}
+}
+
+func (e *engine) give() {
+	<-e.turn
+}
+
+// with calls f with the account under its lock.
+func (e *engine) with(f func(a *account)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f(e.acc)
+}
+
 // errNotKnown tells that an engine's state is not known for certain.
 var errNotKnown = errors.New("the state of the engine is not known yet")
 
-// settle makes the account certain, by a report where it is not. The caller
-// holds the lock.
+// settle makes the account certain, by a report where it is not. The caller has
+// the turn.
 func (c *Coordinator) settle(ctx context.Context, e *engine) error {
-	if e.acc.known && e.acc.doubt.IsZero() {
+	var known bool
+	var doubt time.Time
+	e.with(func(a *account) { known, doubt = a.known && !a.busy, a.doubt })
+	if known && doubt.IsZero() {
 		return nil
 	}
-	if time.Since(e.acc.doubt) < reportAge {
+	if time.Since(doubt) < reportAge {
 		return errNotKnown
 	}
 	return c.refresh(ctx, e)
 }
 
-// refresh asks for a report and takes it over. The caller holds the lock.
+// refresh asks for a report and takes it over. The caller has the turn.
 func (c *Coordinator) refresh(ctx context.Context, e *engine) error {
 	asked := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
@@ -66,22 +97,20 @@
 	if born := e.u.Born(); r.Born != 0 && born != 0 && r.Born != born {
 		return fmt.Errorf("the engine at the address of %q was started at another time", e.u.ID)
 	}
-	e.acc.apply(r, asked)
-	if r.Busy {
-		e.acc.busyUntil = asked.Add(reportAge)
-	}
+	e.with(func(a *account) { a.apply(r, asked) })
 	c.touch()
 	return nil
 }
 
-// order gives an order under the coordinator's fencing token. The caller holds
-// the lock and has settled the account. On an error the account is in doubt.
+// order gives an order under the coordinator's fencing token. The caller has the
+// turn and has settled the account. On an error the account is in doubt.
 func (c *Coordinator) order(ctx context.Context, e *engine, o Order) (Verdict, error) {
 	fence, ok := c.cfg.Duty()
 	if !ok {
 		return Refused, ErrNoDuty
 	}
-	o.Seq, o.Holder, o.Fence = e.acc.seq, c.cfg.VM, fence
+	e.with(func(a *account) { o.Seq = a.seq })
+	o.Holder, o.Fence = c.cfg.VM, fence
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	v, err := c.cfg.Engines.Order(ctx, c.cfg.Pool(e.u), e.u.ID, o)
@@ -89,37 +118,53 @@
 		"engine": string(e.u.ID), "order": o.String(), "verdict": v.String(), "error": fmt.Sprint(err),
 		"seq": fmt.Sprint(o.Seq), "fence": fmt.Sprint(fence),
 	})
-	switch {
-	case err != nil, v == Busy:
-		e.acc.doubt = time.Now()
-	case v == Fenced:
-		e.acc.doubt = time.Now()
+	e.with(func(a *account) { a.ordered(o, v, err) })
+	if err == nil && v == Fenced {
 		c.cfg.Fenced(fence)
-	case v == Accepted, v == AlreadySo && o.Unload:
-		e.acc.seq++
 	}
 	return v, err
 }
 
+// ordered takes over the answer to an order.
+func (a *account) ordered(o Order, v Verdict, err error) {
+	switch {
+	case err != nil, v == Busy, v == Fenced:
+		a.doubt = time.Now()
+	case v == Accepted, v == AlreadySo && o.Unload:
+		a.seq++
+	}
+}
+
 // loadAdapter brings an adapter to an engine and returns how long that takes.
-// The caller holds the lock.
-func (c *Coordinator) loadAdapter(ctx context.Context, e *engine, spec *catalogue.Engine, a roster.Adapter) (time.Duration, error) {
+// The caller has the turn.
+func (c *Coordinator) loadAdapter(ctx context.Context, e *engine, spec *catalogue.Engine, ad roster.Adapter) (time.Duration, error) {
 	now := time.Now()
-	m, ok := e.acc.models[a.Model]
-	if !ok || m.loading || m.unloading {
-		return 0, fmt.Errorf("engine %q does not hold model %q", e.u.ID, a.Model)
+	var have, held bool
+	var ready time.Duration
+	e.with(func(a *account) {
+		m := a.models[ad.Model]
+		if held = m != nil && !m.loading && !m.unloading; !held {
+			return
+		}
+		if h := m.adapters[ad.Adapter]; h != nil && !h.unloading {
+			have, h.used, ready = true, now, max(h.ready.Sub(now), 0)
+		}
+	})
+	if !held {
+		return 0, fmt.Errorf("engine %q does not hold model %q", e.u.ID, ad.Model)
 	}
-	if have, ok := m.adapters[a.Adapter]; ok && !have.unloading {
-		have.used = now
-		return max(have.ready.Sub(now), 0), nil
+	if have {
+		return ready, nil
 	}
-	if err := c.makeRoom(ctx, e, spec, a.Model); err != nil {
+	if err := c.makeRoom(ctx, e, spec, ad.Model); err != nil {
 		return 0, err
 	}
-	v, err := c.order(ctx, e, Order{Model: a.Model, Adapter: a.Adapter})
+	v, err := c.order(ctx, e, Order{Model: ad.Model, Adapter: ad.Adapter})
 	if err != nil || v == Accepted || v == AlreadySo {
 		// Reserved also where the answer was lost.
-		m.adapters[a.Adapter] = &heldAdapter{ordered: now, ready: now.Add(adapterTime), used: now}
+		e.with(func(a *account) {
+			a.models[ad.Model].adapters[ad.Adapter] = &heldAdapter{ordered: now, ready: now.Add(adapterTime), used: now}
+		})
 		c.touch()
 	}
 	if err != nil {
@@ -146,29 +191,44 @@
 	adapterRest = 500 * time.Millisecond
 )
 
-// makeRoom unloads the adapter that was used longest ago if the engine has no
-// free place.
+// makeRoom unloads adapters, those that were used longest ago first, until the
+// engine has a free place.
 func (c *Coordinator) makeRoom(ctx context.Context, e *engine, spec *catalogue.Engine, model fleet.ModelID) error {
-	now := time.Now()
-	if e.acc.inTransit(now) >= maxInTransit {
-		return fmt.Errorf("engine %q has %d adapters on their way", e.u.ID, maxInTransit)
-	}
-	size := spec.Models[model].AdapterMB
-	for e.acc.adapters() >= spec.AdapterSlots || e.acc.memory(spec)+size > spec.WeightsMB {
-		victim, ok := e.acc.oldestAdapter(now.Add(-adapterRest))
-		if !ok {
+	for {
+		now := time.Now()
+		var victim roster.Adapter
+		var free, found bool
+		var transit int
+		e.with(func(a *account) {
+			free, transit = a.hasPlace(spec, model), a.inTransit(now)
+			victim, found = a.oldestAdapter(now.Add(-adapterRest))
+		})
+		switch {
+		case transit >= maxInTransit:
+			return fmt.Errorf("engine %q has %d adapters on their way", e.u.ID, maxInTransit)
+		case free:
+			return nil
+		case !found:
 			return fmt.Errorf("engine %q has no place for an adapter", e.u.ID)
 		}
-		v, err := c.order(ctx, e, Order{Unload: true, Model: victim.Model, Adapter: victim.Adapter})
-		c.touch()
-		if err == nil && v == AlreadySo {
-			e.acc.drop(victim, now)
-			continue
+		if err := c.unloadAdapter(ctx, e, victim); err != nil {
+			return err
 		}
-		// The place is free only once a report shows it.
-		e.acc.models[victim.Model].adapters[victim.Adapter].unloading = true
-		e.acc.doubt = time.Now()
-		return fmt.Errorf("engine %q is still giving up adapter %q: %s", e.u.ID, victim.Adapter, v)
 	}
-	return nil
+}
+
+// unloadAdapter unloads an adapter. It fails if the place is not free at once:
+// it is free only when a report shows it.
+func (c *Coordinator) unloadAdapter(ctx context.Context, e *engine, victim roster.Adapter) error {
+	v, err := c.order(ctx, e, Order{Unload: true, Model: victim.Model, Adapter: victim.Adapter})
+	c.touch()
+	if err == nil && v == AlreadySo {
+		e.with(func(a *account) { a.drop(victim, time.Now()) })
+		return nil
+	}
+	e.with(func(a *account) {
+		a.models[victim.Model].adapters[victim.Adapter].unloading = true
+		a.doubt = time.Now()
+	})
+	return fmt.Errorf("engine %q is still giving up adapter %q: %s", e.u.ID, victim.Adapter, v)
 }
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"toucanfall/catalogue"
@@ -44,6 +45,8 @@
 	model     fleet.ModelID
 	evict     fleet.ModelID
 	fromStore bool
+	freeMB    float64
+	holds     map[fleet.ModelID]bool
 }
 
 // planner plans the placement of the models of one service.
@@ -133,7 +136,7 @@
 			cost += victimWeight * p.demand[victim] / (p.mean() + 1)
 		}
 		if !found || cost < least {
-			best = move{engine: s.id, model: m, evict: victim, fromStore: s.fromStore[m]}
+			best = move{engine: s.id, model: m, evict: victim, fromStore: s.fromStore[m], freeMB: s.freeMB, holds: maps.Clone(s.models)}
 			least, found = cost, true
 		}
 	}
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -56,11 +56,9 @@
 			return
 		}
 		e := byID[mv.engine]
-		e.mu.Lock()
-		e.acc.moving = true
-		e.mu.Unlock()
+		e.with(func(a *account) { a.moving = true })
 		c.cfg.Events.Record(event.PlacementChanged, timeline.Fields{
-			"engine": string(mv.engine), "load": string(mv.model), "unload": string(mv.evict),
+			"engine": string(mv.engine), "load": string(mv.model), "unload": string(mv.evict), "free_mb": fmt.Sprint(mv.freeMB), "holds": fmt.Sprint(mv.holds),
 		})
 		go c.carry(ctx, e, s.Engine, mv)
 	}
@@ -75,29 +73,36 @@
 			continue
 		}
 		e := c.engine(u)
-		load := c.load(u.ID)
-		e.mu.Lock()
-		st := &site{id: u.ID, models: make(map[fleet.ModelID]bool), load: load}
-		if !e.acc.moving && c.settle(ctx, e) != nil {
-			st.closed = true
-		}
-		e.acc.view(st, s.Engine, time.Now())
-		e.mu.Unlock()
+		st := &site{id: u.ID, models: make(map[fleet.ModelID]bool), load: c.load(u.ID)}
+		st.closed = !c.certain(ctx, e)
+		e.with(func(a *account) { a.view(st, s.Engine) })
 		out = append(out, st)
 		byID[u.ID] = e
 	}
 	return out, byID
 }
 
+// certain settles the account of an engine that nobody speaks to, and reports
+// whether it could.
+func (c *Coordinator) certain(ctx context.Context, e *engine) bool {
+	select {
+	case e.turn <- struct{}{}:
+	default:
+		return false
+	}
+	defer e.give()
+	return c.settle(ctx, e) == nil
+}
+
 // view fills in what the plan needs of an engine.
-func (a *account) view(st *site, spec *catalogue.Engine, now time.Time) {
+func (a *account) view(st *site, spec *catalogue.Engine) {
 	for id, m := range a.models {
 		if !m.unloading {
 			st.models[id] = true
 		}
 	}
 	st.freeMB = spec.WeightsMB - a.memory(spec)
-	st.closed = st.closed || a.moving || !a.known || now.Before(a.busyUntil)
+	st.closed = st.closed || a.moving || a.busy || !a.known
 	st.loadSeconds = make(map[fleet.ModelID]float64, len(spec.Models))
 	st.fromStore = make(map[fleet.ModelID]bool, len(spec.Models))
 	for id, m := range spec.Models {
@@ -136,12 +141,10 @@
 	if err == nil {
 		err = c.loadModel(ctx, e, spec, mv.model)
 	}
-	e.mu.Lock()
-	e.acc.moving = false
-	e.mu.Unlock()
+	e.with(func(a *account) { a.moving = false })
 	c.touch()
 	if err != nil {
-		c.cfg.Events.Record(event.GatewayFault, timeline.Fields{"engine": string(e.u.ID), "reason": err.Error()})
+		c.cfg.Events.Record(event.MoveFailed, timeline.Fields{"engine": string(e.u.ID), "reason": err.Error()})
 	}
 }
 
@@ -160,78 +163,104 @@
 	if m == "" {
 		return nil
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if err := c.settle(ctx, e); err != nil {
+	if err := c.orderModel(ctx, e, Order{Unload: true, Model: m}, (*account).giveUp, nil); err != nil {
 		return err
 	}
-	h, ok := e.acc.models[m]
-	if !ok {
-		return nil
-	}
-	// VMs send no more requests for the model from their next message on.
-	h.unloading = true
-	c.touch()
-	v, err := c.order(ctx, e, Order{Unload: true, Model: m})
-	if err == nil && v != Accepted && v != AlreadySo {
-		h.unloading = false
-		return fmt.Errorf("engine %q does not unload model %q: %s", e.u.ID, m, v)
+	return c.await(ctx, e, unloadWait, func(a *account) bool { return a.models[m] == nil })
+}
+
+// giveUp marks a model that VMs are to send no more requests for.
+func (a *account) giveUp(o Order) {
+	if h := a.models[o.Model]; h != nil {
+		h.unloading = true
 	}
-	return c.await(ctx, e, unloadWait, func() bool { return e.acc.models[m] == nil })
+}
+
+// expect reserves the memory of a model that is being loaded.
+func (a *account) expect(o Order) {
+	a.models[o.Model] = &held{adapters: make(map[fleet.AdapterID]*heldAdapter), loading: true, ordered: time.Now()}
 }
 
 // loadModel loads a model and waits until a report shows it.
 func (c *Coordinator) loadModel(ctx context.Context, e *engine, spec *catalogue.Engine, m fleet.ModelID) error {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if err := c.settle(ctx, e); err != nil {
-		return err
-	}
-	if e.acc.models[m] != nil {
+	var d time.Duration
+	fits := func(a *account) error {
+		d, _ = a.loadTime(spec.Models[m])
+		if a.memory(spec)+spec.Models[m].WeightsMB > spec.WeightsMB {
+			return fmt.Errorf("engine %q has no room for model %q", e.u.ID, m)
+		}
 		return nil
 	}
-	if e.acc.memory(spec)+spec.Models[m].WeightsMB > spec.WeightsMB {
-		return fmt.Errorf("engine %q has no room for model %q", e.u.ID, m)
-	}
-	d, _ := e.acc.loadTime(spec.Models[m])
-	now := time.Now()
-	v, err := c.order(ctx, e, Order{Model: m})
-	if err == nil && v != Accepted && v != AlreadySo {
-		return fmt.Errorf("engine %q does not load model %q: %s", e.u.ID, m, v)
+	if err := c.orderModel(ctx, e, Order{Model: m}, (*account).expect, fits); err != nil {
+		return err
 	}
-	// Reserved also where the answer was lost.
-	e.acc.models[m] = &held{adapters: make(map[fleet.AdapterID]*heldAdapter), loading: true, ordered: now, used: now}
-	e.mu.Unlock()
 	pause(ctx, d)
-	e.mu.Lock()
-	return c.await(ctx, e, loadPatience*d, func() bool {
-		h := e.acc.models[m]
+	return c.await(ctx, e, loadPatience*d, func(a *account) bool {
+		h := a.models[m]
 		return h == nil || !h.loading
 	})
 }
 
+// orderModel gives an order of a model, after a check of the account. Mark is
+// applied before an unload, and after any order that may have been accepted.
+func (c *Coordinator) orderModel(ctx context.Context, e *engine, o Order, mark func(*account, Order), check func(*account) error) error {
+	if err := e.take(ctx); err != nil {
+		return err
+	}
+	defer e.give()
+	if err := c.settle(ctx, e); err != nil {
+		return err
+	}
+	var failed error
+	e.with(func(a *account) {
+		if check != nil {
+			failed = check(a)
+		}
+	})
+	if failed != nil {
+		return failed
+	}
+	v, err := c.order(ctx, e, o)
+	if err == nil && v != Accepted && v != AlreadySo {
+		return fmt.Errorf("engine %q does not %s: %s", e.u.ID, o, v)
+	}
+	// Also where the answer was lost.
+	e.with(func(a *account) { mark(a, o) })
+	c.touch()
+	return nil
+}
+
 // errGone tells that an engine has left meanwhile.
 var errGone = errors.New("the engine has left")
 
-// await asks for reports until done, for at most a time. The caller holds the
-// lock, which is given up between the reports.
-func (c *Coordinator) await(ctx context.Context, e *engine, most time.Duration, done func() bool) error {
+// await asks for reports until done, for at most a time.
+func (c *Coordinator) await(ctx context.Context, e *engine, most time.Duration, done func(a *account) bool) error {
 	end := time.Now().Add(most)
-	for !done() {
-		if ctx.Err() != nil || !e.u.Usable() {
+	for {
+		var over bool
+		e.with(func(a *account) { over = done(a) })
+		switch {
+		case over:
+			return nil
+		case ctx.Err() != nil || !e.u.Usable():
 			return errGone
-		}
-		if time.Now().After(end) {
+		case time.Now().After(end):
 			return fmt.Errorf("engine %q has not carried out an order within %s", e.u.ID, most)
 		}
-		e.mu.Unlock()
 		pause(ctx, checkEvery)
-		e.mu.Lock()
-		if err := c.refresh(ctx, e); err != nil {
-			c.cfg.Events.Record(event.GatewayFault, timeline.Fields{"engine": string(e.u.ID), "reason": err.Error()})
+		if err := c.look(ctx, e); err != nil {
+			c.cfg.Events.Record(event.MoveFailed, timeline.Fields{"engine": string(e.u.ID), "reason": err.Error()})
 		}
 	}
-	return nil
+}
+
+// look asks for a report in turn.
+func (c *Coordinator) look(ctx context.Context, e *engine) error {
+	if err := e.take(ctx); err != nil {
+		return err
+	}
+	defer e.give()
+	return c.refresh(ctx, e)
 }
 
 // pause waits for d, or until ctx ends.
--- a/event/gateway.go
+++ b/event/gateway.go
@@ -17,6 +17,7 @@
 	CoordinatorFound = Event{816, "coordinator_found", logrus.InfoLevel, "The coordinator answers."}
 	EngineOrdered    = Event{821, "engine_ordered", logrus.InfoLevel, "An order went to an engine; the fields are its answer."}
 	PlacementChanged = Event{822, "placement_changed", logrus.InfoLevel, "A model is to be loaded on an engine, or to make room there."}
+	MoveFailed       = Event{823, "move_failed", logrus.WarnLevel, "A model could not be brought to an engine, or its report not be had; the placement is planned anew."}
 	SettingsReloaded = Event{831, "settings_reloaded", logrus.InfoLevel, "The settings file was read again; the fields are what has changed."}
 	SettingsRefused  = Event{832, "settings_refused", logrus.ErrorLevel, "The changed settings file cannot be used; the settings before stay in force."}
 	GatewayFault     = Event{833, "gateway_fault", logrus.ErrorLevel, "A part of the gateway failed; the field reason says how."}
--- a/serving/answer.go
+++ b/serving/answer.go
@@ -57,8 +57,8 @@
 	if c.Route.Kind == catalogue.Stream && got.Status == http.StatusOK {
 		return a.copyEvents(got, heard)
 	}
-	if got.Length >= 0 && got.Length <= wholeBytes {
-		return a.copyWhole(c, got)
+	if got.Length <= wholeBytes {
+		return a.copyWhole(c, got, heard)
 	}
 	a.begin(got)
 	return a.copyPieces(got.Body, heard)
@@ -83,18 +83,22 @@
 	a.w.WriteHeader(got.Status)
 }
 
-// copyWhole reads an answer to its end before it begins its own.
-func (a *answer) copyWhole(c *Call, got *courier.Answer) error {
+// copyWhole reads an answer to its end before it begins its own, unless it is
+// too long for that.
+func (a *answer) copyWhole(c *Call, got *courier.Answer, heard func()) error {
 	if c.Method == http.MethodHead {
 		a.begin(got)
 		return nil
 	}
-	b, err := io.ReadAll(got.Body)
+	b, err := io.ReadAll(io.LimitReader(got.Body, wholeBytes+1))
 	if err != nil {
 		return fmt.Errorf("the answer broke off: %w", err)
 	}
 	a.begin(got)
-	return a.write(b, false)
+	if err := a.write(b, false); err != nil || len(b) <= wholeBytes {
+		return err
+	}
+	return a.copyPieces(got.Body, heard)
 }
 
 func (a *answer) copyPieces(body io.Reader, heard func()) error {
--- a/serving/run.go
+++ b/serving/run.go
@@ -227,7 +227,9 @@
 		"request": string(t.c.ID), "upstream": string(u.ID), "reason": err.Error(), "sends": strconv.Itoa(t.sends),
 	})
 	var gone *clientGone
-	return mayGoOn && !errors.As(err, &gone), err
+	// Only a stream of events can go on after a part of it went to the client.
+	whole := !t.out.begun || t.c.Route.Kind == catalogue.Stream
+	return mayGoOn && whole && !errors.As(err, &gone), err
 }
 
 // notRun judges an answer that says that the request did not run. An adapter
