--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -49,10 +50,17 @@
 	uses    map[Use]bool
 	version uint64
 	lost    bool
-	wishes  map[Wish]*pending
+	wishes  map[wishKey]*pending
 	dry     map[fleet.TeamID]time.Time
 }
 
+// wishKey tells which requests can share a wish.
+type wishKey struct {
+	service catalogue.ServiceID
+	adapter roster.Adapter
+	avoid   string
+}
+
 // pending is a wish that several requests wait for.
 type pending struct {
 	done   chan struct{}
@@ -64,7 +72,7 @@
 func NewClient(cfg ClientConfig) *Client {
 	return &Client{
 		cfg: cfg, demand: make(map[Demand]Demand), uses: make(map[Use]bool),
-		wishes: make(map[Wish]*pending), dry: make(map[fleet.TeamID]time.Time),
+		wishes: make(map[wishKey]*pending), dry: make(map[fleet.TeamID]time.Time),
 	}
 }
 
@@ -199,16 +207,17 @@
 	c.uses[Use{Upstream: u, Adapter: a}] = true
 }
 
-// Load returns the engine that has the adapter, once it can be used there.
-// Requests that wait for the same adapter share one call.
-func (c *Client) Load(ctx context.Context, s catalogue.ServiceID, a roster.Adapter) (fleet.UpstreamID, error) {
-	w := Wish{VM: c.cfg.VM, Service: s, Adapter: a}
+// Load returns an engine that has the adapter, once it can be used there, other
+// than those to avoid. Requests that wait for the same adapter share one call.
+func (c *Client) Load(ctx context.Context, s catalogue.ServiceID, a roster.Adapter, avoid []fleet.UpstreamID) (fleet.UpstreamID, error) {
+	w := Wish{VM: c.cfg.VM, Service: s, Adapter: a, Avoid: avoid}
+	k := wishKey{service: s, adapter: a, avoid: fmt.Sprint(avoid)}
 	c.mu.Lock()
-	p, ok := c.wishes[w]
+	p, ok := c.wishes[k]
 	if !ok {
 		p = &pending{done: make(chan struct{})}
-		c.wishes[w] = p
-		go c.fetch(w, p)
+		c.wishes[k] = p
+		go c.fetch(k, w, p)
 	}
 	c.mu.Unlock()
 	select {
@@ -219,7 +228,7 @@
 	}
 }
 
-func (c *Client) fetch(w Wish, p *pending) {
+func (c *Client) fetch(k wishKey, w Wish, p *pending) {
 	p.err = c.call(context.Background(), wishTimeout, "Wish", w, &p.answer)
 	if p.err == nil {
 		time.Sleep(p.answer.ReadyIn)
@@ -228,7 +237,7 @@
 		}
 	}
 	c.mu.Lock()
-	delete(c.wishes, w)
+	delete(c.wishes, k)
 	c.mu.Unlock()
 	close(p.done)
 }
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -292,7 +292,7 @@
 	}
 	var list []loaded
 	for _, u := range c.cfg.Roster.Upstreams() {
-		if u.Usable() && u.Service() == in.Service && u.Holds(in.Adapter.Model) {
+		if u.Usable() && u.Service() == in.Service && u.Holds(in.Adapter.Model) && !slices.Contains(in.Avoid, u.ID) {
 			list = append(list, loaded{c.engine(u), c.load(u.ID)})
 		}
 	}
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -133,6 +133,8 @@
 	VM      fleet.VMID
 	Service catalogue.ServiceID
 	Adapter roster.Adapter
+	// Avoid lists engines that the VM could not reach.
+	Avoid []fleet.UpstreamID
 }
 
 // WishAnswer names the engine and when the adapter can be used there.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,8 +65,9 @@
 	links     *peer.Links
 	peers     *peer.Server
 	callers   *http.Server
-	stopping  atomic.Bool
-	open      atomic.Int64
+	// stopping is when the process ends, nil while no stop is planned.
+	stopping atomic.Pointer[time.Time]
+	open     atomic.Int64
 }
 
 // New returns a gateway that does not listen yet.
@@ -110,7 +111,7 @@
 		Rates: g.client, Loader: g.client, Events: g.events,
 		StaleAfter: g.staleAfter(),
 		Budget:     serving.NewBudget(g.cfg.RepeatRatio, g.cfg.RepeatSlack, time.Duration(g.cfg.RepeatWindow), budgetVMs),
-		Stopping:   g.stopping.Load,
+		Stopping:   g.stopsAt,
 	}
 }
 
@@ -126,6 +127,15 @@
 	return m.VM(), m.Address(), ok
 }
 
+// stopsAt returns when a planned stop ends the process, the zero time while
+// there is none.
+func (g *Gateway) stopsAt() time.Time {
+	if end := g.stopping.Load(); end != nil {
+		return *end
+	}
+	return time.Time{}
+}
+
 // count serves a request and counts it as open meanwhile.
 func (g *Gateway) count(w http.ResponseWriter, r *http.Request) {
 	g.open.Add(1)
@@ -136,7 +146,7 @@
 // ready reports whether the VM is to get new connections.
 func (g *Gateway) ready() bool {
 	cfg, age := g.catalogue.Current()
-	return cfg != nil && age < g.staleAfter() && !g.stopping.Load() && len(g.roster.Upstreams()) > 0
+	return cfg != nil && age < g.staleAfter() && g.stopsAt().IsZero() && len(g.roster.Upstreams()) > 0
 }
 
 // Run serves until ctx ends, and then stops without cutting requests.
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -24,7 +24,7 @@
 // themselves.
 func (g *Gateway) stop() {
 	end := time.Now().Add(time.Duration(g.cfg.StopWithin) - endMargin)
-	g.stopping.Store(true)
+	g.stopping.Store(&end)
 	g.events.Record(event.StopRequested, nil)
 	time.Sleep(handOver)
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
--- a/serving/call.go
+++ b/serving/call.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"toucanfall/catalogue"
+	"toucanfall/fault"
 	"toucanfall/fleet"
 )
 
@@ -102,3 +103,27 @@
 	}
 	return max(end.Sub(now), time.Millisecond)
 }
+
+// Bounds of how long a request takes, by which a VM that is about to stop
+// refuses what it could not end.
+const (
+	// slowToken is how long a token takes on a loaded engine, from played days.
+	slowToken = 9 * time.Millisecond
+	// slowFirst is how long the first token, or a plain answer, takes there.
+	slowFirst = 1200 * time.Millisecond
+)
+
+// endsBy refuses a call that may not be over when the process ends.
+func (c *Call) endsBy(end time.Time) error {
+	if end.IsZero() {
+		return nil
+	}
+	need := slowFirst + time.Duration(c.TokensOut)*slowToken
+	if time.Until(end) > need {
+		return nil
+	}
+	return fault.New(fault.Stopping, "this VM stops before the request could end").After(stopRetry)
+}
+
+// stopRetry is when to come back to another VM: at once.
+const stopRetry = 20 * time.Millisecond
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -40,8 +40,9 @@
 
 // Loader brings adapters to engines.
 type Loader interface {
-	// Load returns the engine that has the adapter, once it can be used there.
-	Load(ctx context.Context, s catalogue.ServiceID, a roster.Adapter) (fleet.UpstreamID, error)
+	// Load returns an engine that has the adapter, once it can be used there,
+	// other than those to avoid.
+	Load(ctx context.Context, s catalogue.ServiceID, a roster.Adapter, avoid []fleet.UpstreamID) (fleet.UpstreamID, error)
 	// Used notes the use of an adapter at an engine.
 	Used(u fleet.UpstreamID, a roster.Adapter)
 	// Asked counts a request for a model, whether it is served or not.
@@ -62,9 +63,9 @@
 	StaleAfter time.Duration
 	// Budget bounds the repeated sends.
 	Budget *Budget
-	// Stopping reports whether clients are to open no further requests on
-	// their connections.
-	Stopping func() bool
+	// Stopping tells when a planned stop ends the process, the zero time while
+	// there is none.
+	Stopping func() time.Time
 }
 
 // Handler serves clients' requests.
@@ -94,10 +95,14 @@
 // ServeHTTP serves one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	received := time.Now()
-	if h.cfg.Stopping() {
+	end := h.cfg.Stopping()
+	if !end.IsZero() {
 		w.Header().Set("Connection", "close")
 	}
 	c, team, err := h.admit(r, received)
+	if err == nil {
+		err = c.endsBy(end)
+	}
 	if err == nil {
 		err = h.charge(r.Context(), c, team)
 	}
--- a/serving/picker.go
+++ b/serving/picker.go
@@ -56,11 +56,11 @@
 }
 
 // candidates returns the usable upstreams of a service that hold the call's
-// model, if it names one.
-func (p *picker) candidates(s catalogue.ServiceID, c *Call) []*roster.Upstream {
+// model, if it names one, but for those to avoid.
+func (p *picker) candidates(s catalogue.ServiceID, c *Call, avoid []fleet.UpstreamID) []*roster.Upstream {
 	var out []*roster.Upstream
 	for _, u := range p.roster.Upstreams() {
-		if u.Usable() && u.Service() == s && (c.Model == "" || u.Holds(c.Model)) {
+		if !slices.Contains(avoid, u.ID) && u.Usable() && u.Service() == s && (c.Model == "" || u.Holds(c.Model)) {
 			out = append(out, u)
 		}
 	}
--- a/serving/run.go
+++ b/serving/run.go
@@ -66,6 +66,8 @@
 	// sends counts all sends, tried lists the upstreams that got the request.
 	sends int
 	tried []fleet.UpstreamID
+	// unreachable lists those to which no connection could be made.
+	unreachable []fleet.UpstreamID
 	// ran is set once an attempt may have run.
 	ran bool
 	// last is why the last attempt failed.
@@ -92,7 +94,7 @@
 
 // choose finds an upstream, bringing the adapter to an engine if needed.
 func (t *tries) choose(ctx context.Context) (*roster.Upstream, error) {
-	list := t.h.pick.candidates(t.service, t.c)
+	list := t.h.pick.candidates(t.service, t.c, t.unreachable)
 	if len(list) == 0 {
 		return nil, fault.New(fault.NoUpstream, "no upstream of service %q holds model %q", t.service, t.c.Model)
 	}
@@ -102,7 +104,7 @@
 	if ready := withAdapter(list, t.c); len(ready) > 0 {
 		return t.h.pick.best(ready, t.tried), nil
 	}
-	id, err := t.h.cfg.Loader.Load(ctx, t.service, roster.Adapter{Model: t.c.Model, Adapter: t.c.Adapter})
+	id, err := t.h.cfg.Loader.Load(ctx, t.service, roster.Adapter{Model: t.c.Model, Adapter: t.c.Adapter}, t.unreachable)
 	if err != nil {
 		return nil, fault.New(fault.NoUpstream, "adapter %q of model %q: %w", t.c.Adapter, t.c.Model, err)
 	}
@@ -191,7 +193,7 @@
 		"request": string(t.c.ID), "upstream": string(u.ID), "reason": err.Error(), "sends": strconv.Itoa(t.sends),
 	})
 	if errors.Is(err, courier.ErrNotSent) {
-		t.tried = append(t.tried, u.ID)
+		t.unreachable = append(t.unreachable, u.ID)
 		return true, fault.New(fault.NoUpstream, "upstream %q cannot be reached: %w", u.ID, err)
 	}
 	t.ran = true
--- /dev/null
+++ b/serving/serving_test.go
@@ -0,0 +1,202 @@
+package serving_test
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"toucanfall/catalogue"
+)
+
+var (
+	safe   = catalogue.Route{Kind: catalogue.Safe, Attempts: 2, Timeout: 2 * time.Second, Objective: 500 * time.Millisecond}
+	unsafe = catalogue.Route{Kind: catalogue.Unsafe, Attempts: 1, Timeout: 2 * time.Second}
+	stream = catalogue.Route{Kind: catalogue.Stream, Attempts: 2, Timeout: 5 * time.Second, Resumable: true}
+)
+
+const sealed = "HTTP/1.1 200 OK\r\nToucanfall-Attempt-Id: id-1\r\nToucanfall-Response-Seal: s\r\n"
+
+// breakOff resets the connection, so that nobody takes what came for complete.
+func breakOff(conn net.Conn) bool {
+	if c, ok := conn.(*net.TCPConn); ok {
+		_ = c.SetLinger(0)
+	}
+	return false
+}
+
+// An answer without a length that is reset on the way must not be followed by
+// the answer of another upstream.
+func TestBrokenAnswerIsNotJoinedToAnother(t *testing.T) {
+	is := is.New(t)
+	broken := newUpstream(t, func(conn net.Conn, _ *http.Request, _ []byte) bool {
+		answer(conn, sealed+"\r\nhalf")
+		time.Sleep(20 * time.Millisecond)
+		return breakOff(conn)
+	})
+	w := newWorld(t, safe, broken, newUpstream(t, whole("the whole answer")))
+	_, body, err := w.ask(t, "GET", "")
+	is.NoErr(err)
+	is.Equal(body, "the whole answer")
+	is.Equal(broken.seen(), 1)
+}
+
+// A request that may run once is not sent again after it may have run, and the
+// answer does not say that it has not.
+func TestUnsafeRunsOnce(t *testing.T) {
+	is := is.New(t)
+	lost := newUpstream(t, func(conn net.Conn, _ *http.Request, _ []byte) bool { return breakOff(conn) })
+	other := newUpstream(t, whole("x"))
+	w := newWorld(t, unsafe, lost, other)
+	resp, _, err := w.ask(t, "POST", "book")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusBadGateway)
+	is.Equal(lost.seen()+other.seen(), 1)
+}
+
+// The upstream gets the team in place of the key, the client's own headers, and
+// none that only the system may set.
+func TestHeadersOfAttempt(t *testing.T) {
+	is := is.New(t)
+	u := newUpstream(t, whole("ok"))
+	w := newWorld(t, unsafe, u)
+	_, _, err := w.ask(t, "POST", "the body", "Toucanfall-Tenant", "forged", "Toucanfall-Hold", "h", "Kv-From", "1.2.3.4:5/h",
+		"Toucanfall-Prompt-Prefix", "aa:1", "Connection", "Toucanfall-Prompt-Prefix, X-Hop", "X-Hop", "1", "X-Own", "2")
+	is.NoErr(err)
+	h := u.requests[0].Header
+	is.Equal(u.bodies[0], "the body")
+	is.Equal(u.requests[0].RequestURI, "/p/x?q=1")
+	is.Equal(h.Get("Toucanfall-Tenant"), "team")
+	is.Equal(h.Get("Toucanfall-Expect-Instance"), "u-0")
+	is.Equal(h.Get("Toucanfall-Prompt-Prefix"), "aa:1")
+	is.Equal(h.Get("X-Own"), "2")
+	for _, name := range []string{"Authorization", "Toucanfall-Hold", "Kv-From", "X-Hop"} {
+		is.Equal(h.Get(name), "") // must not reach the upstream
+	}
+	is.True(h.Get("Toucanfall-Deadline-Ms") != "")
+}
+
+// An answer to an earlier request that comes where this one's is due is read
+// past.
+func TestAnswerToOtherRequestIsDropped(t *testing.T) {
+	is := is.New(t)
+	u := newUpstream(t, func(conn net.Conn, r *http.Request, _ []byte) bool {
+		answer(conn, "HTTP/1.1 200 OK\r\nToucanfall-Attempt-Id: other\r\nToucanfall-Response-Seal: s\r\nContent-Length: 3\r\n\r\nbad")
+		return whole("mine")(conn, r, nil)
+	})
+	w := newWorld(t, unsafe, u)
+	_, body, err := w.ask(t, "POST", "x")
+	is.NoErr(err)
+	is.Equal(body, "mine")
+}
+
+// A resumable stream goes on at another upstream after the last whole event,
+// under the seal of the first.
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	is := is.New(t)
+	first := newUpstream(t, func(conn net.Conn, _ *http.Request, _ []byte) bool {
+		answer(conn, sealed+"Content-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\nid: 2\nda")
+		time.Sleep(20 * time.Millisecond)
+		return breakOff(conn)
+	})
+	second := newUpstream(t, func(conn net.Conn, _ *http.Request, _ []byte) bool {
+		answer(conn, "HTTP/1.1 200 OK\r\nToucanfall-Attempt-Id: id-1\r\nToucanfall-Response-Seal: t\r\n\r\nid: 2\ndata: b\n\n")
+		return false
+	})
+	w := newWorld(t, stream, first, second)
+	resp, body, err := w.ask(t, "POST", "x", "Toucanfall-Model", "m", "Toucanfall-Token-Counts", "10,10")
+	is.NoErr(err)
+	is.Equal(body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+	is.Equal(resp.Header.Get("Toucanfall-Response-Seal"), "s")
+	is.Equal(second.requests[0].Header.Get("Last-Event-Id"), "1")
+}
+
+// A stream that may not be resumed and breaks off does not look complete.
+func TestBrokenStreamLooksBroken(t *testing.T) {
+	is := is.New(t)
+	route := stream
+	route.Resumable = false
+	u := newUpstream(t, func(conn net.Conn, _ *http.Request, _ []byte) bool {
+		answer(conn, sealed+"Transfer-Encoding: chunked\r\n\r\n10\r\nid: 1\ndata: a\n\n\r\n")
+		time.Sleep(20 * time.Millisecond)
+		return breakOff(conn)
+	})
+	w := newWorld(t, route, u, newUpstream(t, whole("x")))
+	_, _, err := w.ask(t, "POST", "x", "Toucanfall-Model", "m")
+	is.True(err != nil)
+}
+
+// While its knowledge is stale a VM serves no key, and neither calls a key
+// unknown nor a route missing.
+func TestStaleConfigurationRefusesWithoutKnowledge(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, unsafe, newUpstream(t, whole("x")))
+	w.clock = 5 * time.Second
+	resp, _, err := w.ask(t, "POST", "x")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	resp, _, err = w.ask(t, "POST", "x", "Authorization", "Bearer unknown")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	w.holder.Prove(4 * time.Second)
+	resp, _, err = w.ask(t, "POST", "x", "Authorization", "Bearer unknown")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusUnauthorized)
+}
+
+// A team over its limit is told when to come back, and a request that did not
+// run costs nothing.
+func TestLimitAndRefund(t *testing.T) {
+	is := is.New(t)
+	shed := newUpstream(t, func(conn net.Conn, _ *http.Request, _ []byte) bool {
+		answer(conn, "HTTP/1.1 503 Service Unavailable\r\nToucanfall-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	w := newWorld(t, unsafe, shed)
+	resp, _, err := w.ask(t, "POST", "x")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(int(w.fakes.refunded), 7)
+	w.fakes.over = true
+	resp, _, err = w.ask(t, "POST", "x")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusTooManyRequests)
+	is.Equal(resp.Header.Get("Retry-After"), "0.250")
+}
+
+// A VM that is about to stop takes only what it can end, and sends the rest
+// elsewhere without having run it.
+func TestStopRefusesLongRequests(t *testing.T) {
+	is := is.New(t)
+	u := newUpstream(t, whole("ok"))
+	w := newWorld(t, stream, u)
+	w.ends = time.Now().Add(3 * time.Second)
+	resp, _, err := w.ask(t, "POST", "x", "Toucanfall-Model", "m", "Toucanfall-Token-Counts", "10,900")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(u.seen(), 0)
+	resp, _, err = w.ask(t, "POST", "x", "Toucanfall-Model", "m", "Toucanfall-Token-Counts", "10,20")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.True(resp.Close)
+}
+
+// An upstream that answers before it has read the body keeps its answer, and its
+// connection carries nothing else.
+func TestTimeoutIsAnsweredInTime(t *testing.T) {
+	is := is.New(t)
+	route := unsafe
+	route.Timeout = 150 * time.Millisecond
+	mute := newUpstream(t, func(_ net.Conn, r *http.Request, _ []byte) bool {
+		<-r.Context().Done() // Never: the request has no context of its own.
+		return false
+	})
+	w := newWorld(t, route, mute)
+	began := time.Now()
+	resp, _, err := w.ask(t, "POST", "x")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusGatewayTimeout)
+	is.True(time.Since(began) < 2*time.Second) // far from any other time-out
+}
