--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 TOOL := $(GO) tool -modfile=tools/go.mod
 
-.PHONY: build demo operating test lint vet docs docs-check unit measure soak
+.PHONY: build demo operating test lint names vet docs docs-check unit measure soak
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -16,7 +16,7 @@
 # test runs all checks.
 test: lint vet build docs-check unit
 
-lint:
+lint: names
 	@unformatted=$$($(TOOL) goimports -local toucanfall -l $$(git ls-files '*.go')); \
 	if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
 	$(TOOL) staticcheck ./...
@@ -24,6 +24,10 @@
 	$(TOOL) godot ./
 	$(TOOL) errcheck -exclude .errcheck-excludes ./...
 
+# names keeps the words of the users' platform in its adapter.
+names:
+	script/names.sh
+
 vet:
 	$(GO) vet ./...
 
--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -36,6 +36,8 @@
 	Peers  Caller
 	Roster *roster.Roster
 	Purse  *shares.Purse
+	// Doubt tells that the VM that Where names did not act as the coordinator.
+	Doubt func()
 	// Where returns the VM that has the duty and its address.
 	Where  func() (fleet.VMID, string, bool)
 	Events *timeline.Recorder
@@ -137,9 +139,11 @@
 	if changed && err == nil {
 		c.cfg.Events.Record(event.CoordinatorFound, nil)
 	}
-	if err == nil {
-		c.learn(out)
+	if err != nil {
+		c.cfg.Doubt()
+		return
 	}
+	c.learn(out)
 }
 
 func (c *Client) message() Sync {
--- a/coordinator/engine_test.go
+++ b/coordinator/engine_test.go
@@ -30,14 +30,12 @@
 }
 
 type fakeEngine struct {
-	seq      int64
-	fence    int64
-	models   map[fleet.ModelID]map[fleet.AdapterID]bool
-	loading  fleet.ModelID
-	until    time.Time
-	inUse    map[fleet.AdapterID]bool
-	lastSeen coordinator.Report
-	seenAt   time.Time
+	seq     int64
+	fence   int64
+	models  map[fleet.ModelID]map[fleet.AdapterID]bool
+	loading fleet.ModelID
+	until   time.Time
+	inUse   map[fleet.AdapterID]bool
 }
 
 // reportLag is how old the reports of the stand-ins are.
--- a/crew/crew.go
+++ b/crew/crew.go
@@ -113,6 +113,8 @@
 	confirmed  time.Duration
 	owners     map[Part]Member
 	ownersOf   int64
+	ownersAt   time.Duration
+	doubted    bool
 	// dutySince is when part 0 was dealt to this VM, 0 if it is not.
 	dutySince time.Duration
 	fence     int64
@@ -195,10 +197,27 @@
 	}
 }
 
-// learnOwners reads who holds which part, once for each generation.
+// Doubt tells that the coordinator did not answer as such: who holds which part
+// is read again.
+func (c *Crew) Doubt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.doubted = true
+}
+
+// ownersEvery bounds how often it is read who holds which part, since each call
+// is priced. A part that is handed over moves without a new generation.
+const ownersEvery = time.Second
+
+// learnOwners reads who holds which part, once for each generation and when in
+// doubt.
 func (c *Crew) learnOwners(ctx context.Context, generation int64) {
+	now := c.cfg.Now()
 	c.mu.Lock()
 	known := c.ownersOf == generation && len(c.owners) > 0
+	if known && c.doubted && now-c.ownersAt >= ownersEvery {
+		known, c.doubted = false, false
+	}
 	c.mu.Unlock()
 	if known {
 		return
@@ -212,7 +231,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.owners, c.ownersOf = owners, generation
+	c.owners, c.ownersOf, c.ownersAt = owners, generation, now
 }
 
 // claim makes the claim on the coordinator's duty when it is this VM's turn.
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"toucanfall/catalogue"
@@ -75,7 +76,7 @@
 		return from, err
 	}
 	if cfg != nil && f.holder.Apply(cfg) {
-		f.events.Record(event.ConfigApplied, timeline.Fields{"version": fmt.Sprint(cfg.Version)})
+		f.events.Record(event.ConfigApplied, timeline.Fields{"version": fmt.Sprint(cfg.Version), "limits": limitsOf(cfg)})
 	}
 	if complete {
 		f.holder.Prove(asked)
@@ -83,6 +84,15 @@
 	return next, nil
 }
 
+// limitsOf lists the limits of the teams for the log.
+func limitsOf(cfg *catalogue.Config) string {
+	var b strings.Builder
+	for _, t := range cfg.Teams {
+		fmt.Fprintf(&b, "%s:%g+%d ", t.ID, float64(t.Rate), t.Burst)
+	}
+	return strings.TrimSpace(b.String())
+}
+
 // note records when the store is lost and found.
 func (f *configFollower) note(err error) {
 	failing := err != nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -96,7 +96,7 @@
 	})
 	g.client = coordinator.NewClient(coordinator.ClientConfig{
 		VM: cfg.VM, Own: g.own, Peers: g.links, Roster: g.roster, Purse: g.purse,
-		Where: g.whereCoordinator, Events: g.events,
+		Where: g.whereCoordinator, Doubt: g.crew.Doubt, Events: g.events,
 	})
 	g.handler = serving.New(g.servingConfig())
 	g.callers = &http.Server{
--- a/shares/pool.go
+++ b/shares/pool.go
@@ -26,7 +26,7 @@
 	defer p.mu.Unlock()
 	clear(p.bursts)
 	for _, t := range cfg.Teams {
-		p.bursts[t.ID] = (1 - keptBurst) * Tokens(t.Burst)
+		p.bursts[t.ID] = partsOf(Tokens(t.Burst)).pool
 	}
 	for id, n := range p.levels {
 		p.levels[id] = min(n, p.bursts[id])
@@ -48,14 +48,19 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	have := p.levels[team]
-	if have < need || need <= 0 {
+	// A request above what the pool can hold is given a full pool, which owes the
+	// rest: it could never run otherwise.
+	if need <= 0 || have < min(need, fullPool*p.bursts[team]) {
 		return 0
 	}
-	given := min(have, max(n, need))
+	given := max(need, min(have, n))
 	p.levels[team] = have - given
 	return given
 }
 
+// fullPool is the part of its bound at which a pool counts as full.
+const fullPool = 0.95
+
 // Reset drops all tokens.
 func (p *Pool) Reset() {
 	p.mu.Lock()
--- a/shares/purse.go
+++ b/shares/purse.go
@@ -20,9 +20,28 @@
 // these.
 type Tokens float64
 
-// Halves of a burst: a VM keeps at most its share of keptBurst of it, and the
-// pool at most the rest, so that all levels together stay within the burst.
-const keptBurst = 0.4
+// split tells where the tokens of a burst may be, so that all levels together
+// stay within it: a VM keeps at most its share of kept, has at most its share
+// of spare on the way to the pool, and the pool holds the rest.
+type split struct{ kept, spare, pool Tokens }
+
+// Parts of a burst.
+const (
+	keptBurst = 0.3
+	// spareBurst is what is minted in some 0.3 s where a burst is a second's
+	// rate; messages to the pool come every 0.2 s.
+	spareBurst = 0.3
+	// smallBurst is the burst below which VMs keep nothing, because the share of
+	// one VM would not do for one request: some 1,000 tokens each, on 7 VMs.
+	smallBurst = 40_000
+)
+
+func partsOf(burst Tokens) split {
+	if burst < smallBurst {
+		return split{spare: spareBurst * burst, pool: (1 - spareBurst) * burst}
+	}
+	return split{kept: keptBurst * burst, spare: spareBurst * burst, pool: (1 - keptBurst - spareBurst) * burst}
+}
 
 // Purse holds this VM's tokens of each team. It is safe for concurrent use.
 type Purse struct {
@@ -99,12 +118,12 @@
 // cap moves what is above this VM's part of the burst to the spare tokens, and
 // drops what is above the share of it there.
 func (p *Purse) cap(l *level) {
-	share := Tokens(p.share)
-	if over := l.have - keptBurst*share*l.burst; over > 0 {
+	share, parts := Tokens(p.share), partsOf(l.burst)
+	if over := l.have - share*parts.kept; over > 0 {
 		l.have -= over
 		l.spare += over
 	}
-	l.spare = min(l.spare, (1-keptBurst)*share*l.burst)
+	l.spare = min(l.spare, share*parts.spare)
 }
 
 // Take takes n tokens of a team, and reports whether they were there.
--- /dev/null
+++ b/shares/shares_test.go
@@ -0,0 +1,120 @@
+package shares_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"toucanfall/catalogue"
+	"toucanfall/fleet"
+	"toucanfall/rate"
+	"toucanfall/shares"
+)
+
+const team fleet.TeamID = "team"
+
+// config returns a configuration with one limited team.
+func config(v catalogue.Version, r fleet.TokensPerSecond, burst fleet.Tokens) *catalogue.Config {
+	return catalogue.NewConfig(v, nil, nil, []*catalogue.Team{{ID: team, Rate: r, Burst: burst}}, catalogue.Limits{})
+}
+
+// fleetOf is a fleet of purses around a pool, under a clock of the test's own.
+type fleetOf struct {
+	now    time.Duration
+	purses []*shares.Purse
+	pool   *shares.Pool
+}
+
+func newFleet(n int) *fleetOf {
+	f := &fleetOf{pool: shares.NewPool()}
+	for range n {
+		f.purses = append(f.purses, shares.NewPurse(func() time.Duration { return f.now }))
+	}
+	return f
+}
+
+func (f *fleetOf) configure(c *catalogue.Config) {
+	for _, p := range f.purses {
+		p.Configure(c)
+	}
+	f.pool.Configure(c)
+}
+
+// admit charges a request at a purse, with tokens of the pool if need be.
+func (f *fleetOf) admit(p *shares.Purse, n shares.Tokens) bool {
+	if p.Take(team, n) {
+		return true
+	}
+	given := f.pool.Take(team, n, 3*n)
+	if given < n {
+		return false
+	}
+	p.Put(team, given-n)
+	return true
+}
+
+// For every interval, what is admitted over all VMs is at most burst and rate
+// times its length, whatever the VMs take, spare, lose and are dealt.
+func TestRandomSharesStayWithinLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const r, burst = 1000, 1500
+		n := rapid.IntRange(1, 7).Draw(t, "vms")
+		f := newFleet(n)
+		f.configure(config(1, r, burst))
+		start := time.Unix(0, 0)
+		checker := rate.NewChecker(start, rate.NewLimit(r, burst))
+		for range rapid.IntRange(20, 200).Draw(t, "steps") {
+			f.now += time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond
+			p := f.purses[rapid.IntRange(0, n-1).Draw(t, "vm")]
+			switch rapid.SampledFrom([]string{"admit", "admit", "admit", "spare", "lost", "deal", "silent"}).Draw(t, "what") {
+			case "admit":
+				want := shares.Tokens(rapid.IntRange(1, 900).Draw(t, "tokens"))
+				if f.admit(p, want) {
+					if err := checker.Record(start.Add(f.now), rate.FromTokens(fleet.Tokens(want))); err != nil {
+						t.Fatal(err)
+					}
+				}
+			case "spare":
+				f.pool.Put(p.Spare())
+			case "lost":
+				p.Spare()
+			case "deal":
+				p.SetShare(1/float64(n), f.now+2500*time.Millisecond)
+			case "silent":
+				p.SetShare(0, 0)
+			}
+		}
+	})
+}
+
+// A lowered limit cuts what was kept of the higher one, at VMs and in the pool.
+func TestLoweredLimitBindsAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1)
+	f.configure(config(1, 1000, 1000))
+	f.purses[0].SetShare(1, time.Hour)
+	f.now = time.Second
+	f.pool.Put(f.purses[0].Spare())
+	f.configure(config(2, 10, 10))
+	var admitted shares.Tokens
+	for f.admit(f.purses[0], 1) {
+		admitted++
+	}
+	is.True(admitted <= 10) // the burst of the new limit
+}
+
+// A share that the store no longer confirms mints nothing more.
+func TestShareEndsWithMembership(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1)
+	f.configure(config(1, 100, 1000))
+	f.purses[0].SetShare(1, time.Second)
+	f.now = time.Minute
+	var admitted shares.Tokens
+	for f.admit(f.purses[0], 1) {
+		admitted++
+	}
+	is.Equal(admitted, shares.Tokens(100))
+}
