Reserve what an order without an answer may still load, and share rates over the pool

Ruled out: fences (one holder), reports of another start (born differs).

Mend: a load without an answer stays reserved until a report counts more orders than it names; it is given again under the same precondition; the only serving copy stays; unreachable upstreams are left alone for a doubling time; VMs that no coordinator answers keep their whole share of the bursts, the pool that of the others only; a successor waits for the lease from the last possible order.

Tests: TestLateOrdersKeepLimits fails without the reservation and without the exact count (both seen); TestOneVMGetsRateOfAll, TestRandomCrew.

--- a/coordinator/account.go
+++ b/coordinator/account.go
@@ -24,6 +24,12 @@
 	// doubt is set after an order without an answer, until a report that was
 	// made later settles it.
 	doubt time.Time
+	// lost are loads without an answer. Each may still be carried out until a
+	// report shows that more orders were accepted than it names, so its memory
+	// stays reserved.
+	lost []Order
+	// orderedAt is when the last order was given.
+	orderedAt time.Time
 	// dropped are the adapters that were given up, and when: a report may still
 	// show them.
 	dropped map[roster.Adapter]time.Time
@@ -59,7 +65,7 @@
 	since := asked.Add(-reportAge)
 	models := make(map[fleet.ModelID]*held, len(r.Holdings))
 	for _, h := range r.Holdings {
-		models[h.Model] = a.applyModel(h, since)
+		models[h.Model] = a.applyModel(h, since, r.Busy)
 	}
 	for _, p := range r.Pending {
 		if m, ok := models[p.Model]; ok && m.adapters[p.Adapter] == nil {
@@ -71,16 +77,23 @@
 			models[id] = old
 		}
 	}
-	a.seq, a.busy = max(a.seq, r.Seq), r.Busy
+	if a.orderedAt.After(since) {
+		a.seq = max(a.seq, r.Seq)
+	} else {
+		a.seq = r.Seq
+	}
+	a.busy = r.Busy
+	a.lost = slices.DeleteFunc(a.lost, func(o Order) bool { return r.Seq > o.Seq })
 	a.known, a.models, a.copies, a.doubt = true, models, r.Copies, time.Time{}
 }
 
-// applyModel returns the state of a model that a report lists.
-func (a *account) applyModel(h roster.Holding, since time.Time) *held {
+// applyModel returns the state of a model that a report lists. One that is to be
+// unloaded stays so while the engine is busy with it.
+func (a *account) applyModel(h roster.Holding, since time.Time, busy bool) *held {
 	m := &held{adapters: make(map[fleet.AdapterID]*heldAdapter, len(h.Adapters))}
 	old := a.models[h.Model]
 	if old != nil {
-		m.unloading = old.unloading
+		m.unloading, m.ordered = old.unloading && (busy || old.ordered.After(since)), old.ordered
 	}
 	for _, id := range h.Adapters {
 		if a.dropped[roster.Adapter{Model: h.Model, Adapter: id}].After(since) {
@@ -110,31 +123,63 @@
 	a.dropped[ad] = now
 }
 
-// memory returns the memory in MB that is held or reserved.
-func (a *account) memory(e *catalogue.Engine) float64 {
+// memory returns the memory in MB that is held or reserved, with one more order
+// to load carried out.
+func (a *account) memory(e *catalogue.Engine, more ...Order) float64 {
 	var sum float64
+	counted := make(map[roster.Adapter]bool)
+	count := func(ad roster.Adapter) {
+		if counted[ad] {
+			return
+		}
+		counted[ad] = true
+		spec, ok := e.Models[ad.Model]
+		switch {
+		case !ok:
+			sum += e.WeightsMB // A model that the configuration does not know: nothing fits.
+		case ad.Adapter == "":
+			sum += spec.WeightsMB
+		default:
+			sum += spec.AdapterMB
+		}
+	}
 	for id, m := range a.models {
-		spec, ok := e.Models[id]
-		if !ok {
-			return e.WeightsMB // A model that the configuration does not know: nothing fits.
+		count(roster.Adapter{Model: id})
+		for ad := range m.adapters {
+			count(roster.Adapter{Model: id, Adapter: ad})
 		}
-		sum += spec.WeightsMB + spec.AdapterMB*float64(len(m.adapters))
+	}
+	for _, o := range slices.Concat(a.lost, more) {
+		count(roster.Adapter{Model: o.Model, Adapter: o.Adapter})
 	}
 	return sum
 }
 
+// fits reports whether there is memory for an order to load.
+func (a *account) fits(e *catalogue.Engine, o Order) bool {
+	return a.memory(e, o) <= e.WeightsMB
+}
+
 // hasPlace reports whether one more adapter of a model fits.
-func (a *account) hasPlace(spec *catalogue.Engine, model fleet.ModelID) bool {
-	return a.adapters() < spec.AdapterSlots && a.memory(spec)+spec.Models[model].AdapterMB <= spec.WeightsMB
+func (a *account) hasPlace(spec *catalogue.Engine, ad roster.Adapter) bool {
+	return a.adapters(ad) <= spec.AdapterSlots && a.fits(spec, Order{Model: ad.Model, Adapter: ad.Adapter})
 }
 
-// adapters returns the number of adapter places that are taken.
-func (a *account) adapters() int {
-	n := 0
-	for _, m := range a.models {
-		n += len(m.adapters)
+// adapters returns the number of adapter places that are taken or reserved, with
+// one more adapter.
+func (a *account) adapters(more roster.Adapter) int {
+	taken := map[roster.Adapter]bool{more: true}
+	for id, m := range a.models {
+		for ad := range m.adapters {
+			taken[roster.Adapter{Model: id, Adapter: ad}] = true
+		}
 	}
-	return n
+	for _, o := range a.lost {
+		if o.Adapter != "" {
+			taken[roster.Adapter{Model: o.Model, Adapter: o.Adapter}] = true
+		}
+	}
+	return len(taken)
 }
 
 // inTransit returns the number of adapters on their way.
--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -20,6 +20,9 @@
 	syncEvery = 200 * time.Millisecond
 	// callTimeout bounds a call: the ways between data centres take 1 to 3 ms.
 	callTimeout = 300 * time.Millisecond
+	// aloneAfter is when a VM keeps its whole share of the bursts itself: later
+	// than the coordinator leaves that share out of the pool.
+	aloneAfter = trafficLife + 500*time.Millisecond
 	// wishTimeout leaves time for an adapter to make room first.
 	wishTimeout = 1500 * time.Millisecond
 )
@@ -52,8 +55,10 @@
 	uses    map[Use]bool
 	version uint64
 	lost    bool
-	wishes  map[wishKey]*pending
-	dry     map[fleet.TeamID]time.Time
+	// answered is when the coordinator answered last.
+	answered time.Time
+	wishes   map[wishKey]*pending
+	dry      map[fleet.TeamID]time.Time
 }
 
 // wishKey tells which requests can share a wish.
@@ -132,7 +137,12 @@
 	c.mu.Lock()
 	changed := (err != nil) != c.lost
 	c.lost = err != nil
+	if err == nil {
+		c.answered = time.Now()
+	}
+	alone := time.Since(c.answered) > aloneAfter
 	c.mu.Unlock()
+	c.cfg.Purse.SetAlone(alone)
 	if changed && err != nil {
 		c.cfg.Events.Record(event.CoordinatorLost, timeline.Fields{"reason": err.Error()})
 	}
@@ -147,7 +157,7 @@
 }
 
 func (c *Client) message() Sync {
-	in := Sync{VM: c.cfg.VM, Spare: c.cfg.Purse.Spare()}
+	in := Sync{VM: c.cfg.VM, Spare: c.cfg.Purse.Spare(), Share: c.cfg.Purse.Share()}
 	for _, u := range c.cfg.Roster.Upstreams() {
 		if own, _ := u.InFlight(); own > 0 {
 			in.Traffic = append(in.Traffic, Traffic{Upstream: u.ID, InFlight: own})
@@ -249,10 +259,7 @@
 // Times of taking tokens.
 const (
 	// dryTime is how long a team is not asked for again that had nothing left.
-	dryTime = 100 * time.Millisecond
-	// takeMore is how many times the need is asked for, so that the next
-	// requests need no call.
-	takeMore = 3
+	dryTime = 40 * time.Millisecond
 )
 
 // Take charges a team, with tokens of the pool where this VM has too few.
@@ -266,7 +273,7 @@
 	c.mu.Unlock()
 	if !dry {
 		var out GrantAnswer
-		err := c.call(ctx, callTimeout, "Grant", Grant{VM: c.cfg.VM, Team: t.ID, Need: need, Want: takeMore * need}, &out)
+		err := c.call(ctx, callTimeout, "Grant", Grant{VM: c.cfg.VM, Team: t.ID, Need: need, Want: need + c.cfg.Purse.Room(t.ID)}, &out)
 		if err == nil && out.Given >= need {
 			c.cfg.Purse.Put(t.ID, out.Given-need)
 			return 0, true
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -66,6 +66,7 @@
 // vmTraffic is what a VM told of its requests in flight.
 type vmTraffic struct {
 	at       time.Time
+	share    float64
 	inFlight map[fleet.UpstreamID]int
 }
 
@@ -135,8 +136,8 @@
 	if err := s.c.begin(); err != nil {
 		return err
 	}
-	s.c.cfg.Tokens.Put(in.Spare)
 	s.c.take(in)
+	s.c.cfg.Tokens.Put(in.Spare)
 	*out = s.c.answer(in)
 	return nil
 }
@@ -167,7 +168,13 @@
 		traffic[t.Upstream] = t.InFlight
 	}
 	c.mu.Lock()
-	c.vms[in.VM] = vmTraffic{at: now, inFlight: traffic}
+	c.vms[in.VM] = vmTraffic{at: now, share: in.Share, inFlight: traffic}
+	reach := 0.0
+	for _, t := range c.vms {
+		if now.Sub(t.at) < trafficLife {
+			reach += t.share
+		}
+	}
 	for _, d := range in.Demand {
 		c.demand.add(now, d)
 	}
@@ -176,6 +183,7 @@
 		used[i] = c.engines[u.Upstream]
 	}
 	c.mu.Unlock()
+	c.cfg.Tokens.SetReach(reach)
 	for i, u := range in.Uses {
 		if used[i] != nil {
 			used[i].use(u.Adapter, now)
@@ -264,7 +272,7 @@
 		return WishAnswer{}, fmt.Errorf("service %q has no model %q", in.Service, in.Adapter.Model)
 	}
 	last := fmt.Errorf("no engine holds model %q", in.Adapter.Model)
-	for _, e := range c.forAdapter(in) {
+	for _, e := range c.forAdapter(in, s.Engine) {
 		ready, err := c.wishAt(ctx, e, s.Engine, in.Adapter)
 		if err == nil {
 			return WishAnswer{Upstream: e.u.ID, ReadyIn: ready}, nil
@@ -281,29 +289,56 @@
 // to another one.
 const turnWait = 100 * time.Millisecond
 
-// wishTries bounds the engines that are tried for one wish.
-const wishTries = 3
+// Weights in the choice of an engine for an adapter, in requests in flight.
+const (
+	// evictWeight is what it costs to take another adapter's place.
+	evictWeight = 3
+	// fullWeight is what an engine costs that has no place now, or is not known.
+	fullWeight = 1000
+)
 
-// forAdapter returns engines that hold the model, the least loaded first.
-func (c *Coordinator) forAdapter(in Wish) []*engine {
-	type loaded struct {
+// forAdapter returns engines that hold the model, the best first.
+func (c *Coordinator) forAdapter(in Wish, spec *catalogue.Engine) []*engine {
+	type rated struct {
 		e    *engine
-		load int
+		cost float64
 	}
-	var list []loaded
+	now := time.Now()
+	var list []rated
 	for _, u := range c.cfg.Roster.Upstreams() {
-		if u.Usable() && u.Service() == in.Service && u.Holds(in.Adapter.Model) && !slices.Contains(in.Avoid, u.ID) {
-			list = append(list, loaded{c.engine(u), c.load(u.ID)})
+		if !u.Usable() || u.Away(now) || u.Service() != in.Service || !u.Holds(in.Adapter.Model) || slices.Contains(in.Avoid, u.ID) {
+			continue
 		}
+		e := c.engine(u)
+		cost := float64(c.load(u.ID))
+		e.with(func(a *account) { cost += a.roomCost(spec, in.Adapter, now) })
+		list = append(list, rated{e, cost})
 	}
-	slices.SortStableFunc(list, func(a, b loaded) int { return cmp.Compare(a.load, b.load) })
-	out := make([]*engine, 0, wishTries)
-	for _, l := range list[:min(len(list), wishTries)] {
+	slices.SortStableFunc(list, func(a, b rated) int { return cmp.Compare(a.cost, b.cost) })
+	out := make([]*engine, 0, len(list))
+	for _, l := range list {
 		out = append(out, l.e)
 	}
 	return out
 }
 
+// roomCost returns what it costs to make room for an adapter.
+func (a *account) roomCost(spec *catalogue.Engine, ad roster.Adapter, now time.Time) float64 {
+	if !a.known {
+		return evictWeight
+	}
+	if !a.doubt.IsZero() || a.busy {
+		return fullWeight
+	}
+	if a.hasPlace(spec, ad) && a.inTransit(now) < maxInTransit {
+		return 0
+	}
+	if _, ok := a.oldestAdapter(now.Add(-adapterRest)); ok {
+		return evictWeight
+	}
+	return fullWeight
+}
+
 func (c *Coordinator) wishAt(ctx context.Context, e *engine, spec *catalogue.Engine, a roster.Adapter) (time.Duration, error) {
 	turn, cancel := context.WithTimeout(ctx, turnWait)
 	defer cancel()
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -109,27 +109,31 @@
 	})
 }
 
-// Lost answers to orders leave room reserved, so that no engine is ordered over
-// its limits.
-func TestLostAnswersKeepLimits(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(spec("a", "b", "c"))
-		w.engines.add(w.roster, "engine-1", "a")
-		w.engines.add(w.roster, "engine-2", "b")
-		w.engines.lose = true
-		done := make(chan error, 1)
-		go func() { done <- w.run(10*time.Second, "c") }()
-		for i := range 40 {
-			in := coordinator.Wish{Service: "texts", Adapter: roster.Adapter{Model: "a", Adapter: fleet.AdapterID(fmt.Sprintf("a%d", i%5))}}
-			var out coordinator.WishAnswer
-			// The answer may be an error: what counts is that no limit breaks.
-			_ = w.c.Service().Wish(in, &out)
-			time.Sleep(200 * time.Millisecond)
-		}
-		is.NoErr(<-done)
-		is.Equal(len(w.engines.broken), 0)
-	})
+// Orders without an answer that are carried out late, or never, leave room
+// reserved, so that no engine is ever ordered over its limits.
+func TestLateOrdersKeepLimits(t *testing.T) {
+	for late := 100 * time.Millisecond; late < 4*time.Second; late += 100 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(spec("a", "b", "c", "d"))
+			w.engines.add(w.roster, "engine-1", "a", "b")
+			w.engines.add(w.roster, "engine-2", "a", "c")
+			w.engines.add(w.roster, "engine-3", "b", "d")
+			w.engines.late = late
+			done := make(chan error, 1)
+			go func() { done <- w.run(20*time.Second, "c") }()
+			for i := range 80 {
+				model := []fleet.ModelID{"a", "b", "c"}[i%3]
+				in := coordinator.Wish{Service: "texts", Adapter: roster.Adapter{Model: model, Adapter: fleet.AdapterID(fmt.Sprintf("a%d", i%5))}}
+				var out coordinator.WishAnswer
+				// The answer may be an error: what counts is that no limit breaks.
+				_ = w.c.Service().Wish(in, &out)
+				time.Sleep(200 * time.Millisecond)
+			}
+			is.NoErr(<-done)
+			is.Equal(len(w.engines.broken), 0)
+		})
+	}
 }
 
 // Adapters take turns in the places of an engine; one that is in use stays.
--- a/coordinator/engine.go
+++ b/coordinator/engine.go
@@ -70,6 +70,9 @@
 // errNotKnown tells that an engine's state is not known for certain.
 var errNotKnown = errors.New("the state of the engine is not known yet")
 
+// errReborn tells that another start of an engine has its address.
+var errReborn = errors.New("the engine at this address was started at another time")
+
 // settle makes the account certain, by a report where it is not. The caller has
 // the turn.
 func (c *Coordinator) settle(ctx context.Context, e *engine) error {
@@ -91,11 +94,15 @@
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	r, err := c.cfg.Engines.Report(ctx, c.cfg.Pool(e.u))
+	if errors.Is(err, courier.ErrNotSent) {
+		e.u.Unreachable()
+	}
 	if err != nil {
 		return fmt.Errorf("report of engine %q: %w", e.u.ID, err)
 	}
 	if born := e.u.Born(); r.Born != 0 && born != 0 && r.Born != born {
-		return fmt.Errorf("the engine at the address of %q was started at another time", e.u.ID)
+		e.u.Unreachable()
+		return fmt.Errorf("engine %q: %w", e.u.ID, errReborn)
 	}
 	e.with(func(a *account) { a.apply(r, asked) })
 	c.touch()
@@ -127,6 +134,10 @@
 
 // ordered takes over the answer to an order.
 func (a *account) ordered(o Order, v Verdict, err error) {
+	a.orderedAt = time.Now()
+	if err != nil && !o.Unload {
+		a.lost = append(a.lost, o)
+	}
 	switch {
 	case err != nil, v == Busy, v == Fenced:
 		a.doubt = time.Now()
@@ -156,12 +167,11 @@
 	if have {
 		return ready, nil
 	}
-	if err := c.makeRoom(ctx, e, spec, ad.Model); err != nil {
+	if err := c.makeRoom(ctx, e, spec, ad); err != nil {
 		return 0, err
 	}
 	v, err := c.order(ctx, e, Order{Model: ad.Model, Adapter: ad.Adapter})
-	if err != nil || v == Accepted || v == AlreadySo {
-		// Reserved also where the answer was lost.
+	if err == nil && (v == Accepted || v == AlreadySo) {
 		e.with(func(a *account) {
 			a.models[ad.Model].adapters[ad.Adapter] = &heldAdapter{ordered: now, ready: now.Add(adapterTime), used: now}
 		})
@@ -188,19 +198,19 @@
 	maxInTransit = 4
 	// adapterRest is how long an adapter must not have been used before it
 	// makes room: longer than VMs take to tell of a use.
-	adapterRest = 500 * time.Millisecond
+	adapterRest = 350 * time.Millisecond
 )
 
 // makeRoom unloads adapters, those that were used longest ago first, until the
 // engine has a free place.
-func (c *Coordinator) makeRoom(ctx context.Context, e *engine, spec *catalogue.Engine, model fleet.ModelID) error {
+func (c *Coordinator) makeRoom(ctx context.Context, e *engine, spec *catalogue.Engine, ad roster.Adapter) error {
 	for {
 		now := time.Now()
 		var victim roster.Adapter
 		var free, found bool
 		var transit int
 		e.with(func(a *account) {
-			free, transit = a.hasPlace(spec, model), a.inTransit(now)
+			free, transit = a.hasPlace(spec, ad), a.inTransit(now)
 			victim, found = a.oldestAdapter(now.Add(-adapterRest))
 		})
 		switch {
--- a/coordinator/engine_test.go
+++ b/coordinator/engine_test.go
@@ -25,8 +25,11 @@
 	byPool map[*courier.Pool]fleet.UpstreamID
 	// broken lists the engines that were ordered over their limits.
 	broken []fleet.UpstreamID
-	// lose makes the answers to orders get lost.
-	lose bool
+	// lateOnes are all orders while late is set.
+	lateOnes []coordinator.Order
+	// late makes orders get no answer and be carried out after a time, if their
+	// precondition still holds then.
+	late time.Duration
 }
 
 type fakeEngine struct {
@@ -110,20 +113,40 @@
 		return coordinator.Fenced, nil
 	}
 	f.fence = o.Fence
+	if e.late > 0 && len(e.lateOnes)%3 < 2 {
+		e.lateOnes = append(e.lateOnes, o)
+		time.AfterFunc(e.late*time.Duration(1+len(e.lateOnes)%4), func() {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			f.settle()
+			e.take(id, f, o)
+		})
+		return coordinator.Refused, errors.New("the answer is lost")
+	}
+	e.lateOnes = append(e.lateOnes, o)
+	return e.take(id, f, o), nil
+}
+
+// take carries an order out if its precondition holds.
+func (e *engines) take(id fleet.UpstreamID, f *fakeEngine, o coordinator.Order) coordinator.Verdict {
 	if o.Seq != f.seq || f.loading != "" {
-		return coordinator.Busy, nil
+		return coordinator.Busy
 	}
 	v := f.carry(o, e.spec.Models[o.Model].Load)
 	if f.over(e.spec) {
 		e.broken = append(e.broken, id)
 	}
-	if e.lose {
-		return coordinator.Refused, errors.New("the answer is lost")
-	}
-	return v, nil
+	return v
 }
 
 func (f *fakeEngine) carry(o coordinator.Order, load time.Duration) coordinator.Verdict {
+	_, held := f.models[o.Model]
+	switch {
+	case o.Adapter == "" && o.Unload != held, o.Adapter != "" && o.Unload != f.models[o.Model][o.Adapter]:
+		return coordinator.AlreadySo // Nothing to do, and nothing counted.
+	case o.Adapter != "" && !held:
+		return coordinator.Refused
+	}
 	f.seq++
 	switch {
 	case o.Adapter != "" && o.Unload && f.inUse[o.Adapter]:
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -96,6 +96,8 @@
 	Demand  []Demand
 	Uses    []Use
 	Spare   map[fleet.TeamID]shares.Tokens
+	// Share is the share of all rates that the VM mints.
+	Share float64
 	// Known is the version of the holdings that the VM has.
 	Known uint64
 }
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 
 	"toucanfall/catalogue"
@@ -25,8 +24,10 @@
 
 // site is an engine as the plan sees it.
 type site struct {
-	id     fleet.UpstreamID
+	id fleet.UpstreamID
+	// models are held or on their way, ready are those that serve requests now.
 	models map[fleet.ModelID]bool
+	ready  map[fleet.ModelID]bool
 	// load is the requests of all VMs at the engine.
 	load int
 	// freeMB is the memory that is not held or reserved.
@@ -45,8 +46,6 @@
 	model     fleet.ModelID
 	evict     fleet.ModelID
 	fromStore bool
-	freeMB    float64
-	holds     map[fleet.ModelID]bool
 }
 
 // planner plans the placement of the models of one service.
@@ -55,14 +54,18 @@
 	sites  []*site
 	demand map[fleet.ModelID]float64
 	copies map[fleet.ModelID]int
+	ready  map[fleet.ModelID]int
 }
 
 func newPlanner(spec *catalogue.Engine, sites []*site, demand map[fleet.ModelID]float64) *planner {
-	p := &planner{spec: spec, sites: sites, demand: demand, copies: make(map[fleet.ModelID]int)}
+	p := &planner{spec: spec, sites: sites, demand: demand, copies: make(map[fleet.ModelID]int), ready: make(map[fleet.ModelID]int)}
 	for _, s := range sites {
 		for m := range s.models {
 			p.copies[m]++
 		}
+		for m := range s.ready {
+			p.ready[m]++
+		}
 	}
 	return p
 }
@@ -136,7 +139,7 @@
 			cost += victimWeight * p.demand[victim] / (p.mean() + 1)
 		}
 		if !found || cost < least {
-			best = move{engine: s.id, model: m, evict: victim, fromStore: s.fromStore[m], freeMB: s.freeMB, holds: maps.Clone(s.models)}
+			best = move{engine: s.id, model: m, evict: victim, fromStore: s.fromStore[m]}
 			least, found = cost, true
 		}
 	}
@@ -166,6 +169,10 @@
 		if !ok || p.copies[v] < 2 || s.freeMB+spec.WeightsMB < need {
 			continue
 		}
+		// A copy that is on its way may not come: one that serves has to stay.
+		if s.ready[v] && p.ready[v] < 2 {
+			continue
+		}
 		// What each copy that is left would have to serve.
 		after := p.demand[v] / float64(p.copies[v]-1)
 		if after*gainNeeded > p.need(m) {
@@ -185,7 +192,11 @@
 		}
 		s.closed = true
 		if mv.evict != "" {
+			if s.ready[mv.evict] {
+				p.ready[mv.evict]--
+			}
 			delete(s.models, mv.evict)
+			delete(s.ready, mv.evict)
 			p.copies[mv.evict]--
 		}
 		s.models[mv.model] = true
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -58,7 +58,7 @@
 		e := byID[mv.engine]
 		e.with(func(a *account) { a.moving = true })
 		c.cfg.Events.Record(event.PlacementChanged, timeline.Fields{
-			"engine": string(mv.engine), "load": string(mv.model), "unload": string(mv.evict), "free_mb": fmt.Sprint(mv.freeMB), "holds": fmt.Sprint(mv.holds),
+			"engine": string(mv.engine), "load": string(mv.model), "unload": string(mv.evict),
 		})
 		go c.carry(ctx, e, s.Engine, mv)
 	}
@@ -68,12 +68,13 @@
 func (c *Coordinator) sites(ctx context.Context, s *catalogue.Service) ([]*site, map[fleet.UpstreamID]*engine) {
 	var out []*site
 	byID := make(map[fleet.UpstreamID]*engine)
+	now := time.Now()
 	for _, u := range c.cfg.Roster.Upstreams() {
-		if u.Service() != s.ID || !u.Usable() {
+		if u.Service() != s.ID || !u.Usable() || u.Away(now) {
 			continue
 		}
 		e := c.engine(u)
-		st := &site{id: u.ID, models: make(map[fleet.ModelID]bool), load: c.load(u.ID)}
+		st := &site{id: u.ID, models: make(map[fleet.ModelID]bool), ready: make(map[fleet.ModelID]bool), load: c.load(u.ID)}
 		st.closed = !c.certain(ctx, e)
 		e.with(func(a *account) { a.view(st, s.Engine) })
 		out = append(out, st)
@@ -100,6 +101,9 @@
 		if !m.unloading {
 			st.models[id] = true
 		}
+		if !m.unloading && !m.loading {
+			st.ready[id] = true
+		}
 	}
 	st.freeMB = spec.WeightsMB - a.memory(spec)
 	st.closed = st.closed || a.moving || a.busy || !a.known
@@ -163,16 +167,16 @@
 	if m == "" {
 		return nil
 	}
-	if err := c.orderModel(ctx, e, Order{Unload: true, Model: m}, (*account).giveUp, nil); err != nil {
-		return err
-	}
-	return c.await(ctx, e, unloadWait, func(a *account) bool { return a.models[m] == nil })
+	gone := func(a *account) bool { return a.models[m] == nil }
+	return c.until(ctx, e, gone, unloadWait, func() error {
+		return c.orderModel(ctx, e, Order{Unload: true, Model: m}, (*account).giveUp, nil)
+	})
 }
 
 // giveUp marks a model that VMs are to send no more requests for.
 func (a *account) giveUp(o Order) {
 	if h := a.models[o.Model]; h != nil {
-		h.unloading = true
+		h.unloading, h.ordered = true, time.Now()
 	}
 }
 
@@ -186,21 +190,56 @@
 	var d time.Duration
 	fits := func(a *account) error {
 		d, _ = a.loadTime(spec.Models[m])
-		if a.memory(spec)+spec.Models[m].WeightsMB > spec.WeightsMB {
+		if !a.fits(spec, Order{Model: m}) {
 			return fmt.Errorf("engine %q has no room for model %q", e.u.ID, m)
 		}
 		return nil
 	}
-	if err := c.orderModel(ctx, e, Order{Model: m}, (*account).expect, fits); err != nil {
-		return err
-	}
-	pause(ctx, d)
-	return c.await(ctx, e, loadPatience*d, func(a *account) bool {
-		h := a.models[m]
-		return h == nil || !h.loading
+	here := func(a *account) bool { return a.models[m] != nil && !a.models[m].loading }
+	return c.until(ctx, e, here, loadPatience*spec.Models[m].Load, func() error {
+		if err := c.orderModel(ctx, e, Order{Model: m}, (*account).expect, fits); err != nil {
+			return err
+		}
+		pause(ctx, d)
+		return nil
 	})
 }
 
+// until gives an order until a report shows that it was carried out. An order
+// whose answer was lost is given again once a report shows that it was not
+// accepted; should the first one still come, the number of orders that it names
+// no longer fits.
+func (c *Coordinator) until(ctx context.Context, e *engine, done func(*account) bool, most time.Duration, give func() error) error {
+	end := time.Now().Add(most)
+	for {
+		var over bool
+		e.with(func(a *account) { over = done(a) })
+		if over {
+			return nil
+		}
+		err := give()
+		var lost *lostError
+		if err != nil && !errors.As(err, &lost) {
+			return err
+		}
+		var accepted bool
+		err = c.await(ctx, e, time.Until(end), func(a *account) bool {
+			accepted = done(a)
+			return accepted || a.doubt.IsZero() && !a.busy && lost != nil
+		})
+		if err != nil || accepted {
+			return err
+		}
+	}
+}
+
+// lostError tells that an order had no answer: it may be carried out, also
+// later.
+type lostError struct{ err error }
+
+// Error returns the reason.
+func (e *lostError) Error() string { return "the order has no answer: " + e.err.Error() }
+
 // orderModel gives an order of a model, after a check of the account. Mark is
 // applied before an unload, and after any order that may have been accepted.
 func (c *Coordinator) orderModel(ctx context.Context, e *engine, o Order, mark func(*account, Order), check func(*account) error) error {
@@ -224,9 +263,13 @@
 	if err == nil && v != Accepted && v != AlreadySo {
 		return fmt.Errorf("engine %q does not %s: %s", e.u.ID, o, v)
 	}
-	// Also where the answer was lost.
-	e.with(func(a *account) { mark(a, o) })
+	if err == nil || o.Unload {
+		e.with(func(a *account) { mark(a, o) })
+	}
 	c.touch()
+	if err != nil {
+		return &lostError{err}
+	}
 	return nil
 }
 
@@ -248,7 +291,11 @@
 			return fmt.Errorf("engine %q has not carried out an order within %s", e.u.ID, most)
 		}
 		pause(ctx, checkEvery)
-		if err := c.look(ctx, e); err != nil {
+		err := c.look(ctx, e)
+		if errors.Is(err, errReborn) {
+			return err
+		}
+		if err != nil {
 			c.cfg.Events.Record(event.MoveFailed, timeline.Fields{"engine": string(e.u.ID), "reason": err.Error()})
 		}
 	}
--- a/crew/crew.go
+++ b/crew/crew.go
@@ -73,17 +73,17 @@
 // Times of membership.
 const (
 	// joinEvery is how often a VM joins again; a call counts as a tenth of one.
-	joinEvery = 500 * time.Millisecond
+	joinEvery = 400 * time.Millisecond
 	// joinTimeout bounds a call to the store, which answers within milliseconds
 	// when it is well.
 	joinTimeout = 800 * time.Millisecond
 	// Life is how long the store keeps the parts of a VM that has not joined
 	// again: time for three lost joins.
-	Life = 2500 * time.Millisecond
+	Life = 2000 * time.Millisecond
 	// dutyLife is how long after the last confirmed join a VM still acts as the
 	// coordinator. It ends well before Life, so that a successor need not wait
 	// for the rest of the lease.
-	dutyLife = 1200 * time.Millisecond
+	dutyLife = 1000 * time.Millisecond
 )
 
 // Config holds the dependencies of a Crew.
@@ -99,7 +99,7 @@
 	Now    func() time.Duration
 	Events *timeline.Recorder
 	// OnShare is told the share of the rates that this VM mints, and until when
-	// on the clock Now.
+	// on the clock Now. It is called under the crew's lock.
 	OnShare func(share float64, until time.Duration)
 }
 
@@ -165,6 +165,10 @@
 // take takes over the parts that the store dealt.
 func (c *Crew) take(d Dealt, asked time.Duration) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leaving {
+		return // The parts were given back while the answer was on its way.
+	}
 	if d.Generation != c.generation {
 		c.cfg.Events.Record(event.PartsDealt, timeline.Fields{
 			"generation": fmt.Sprint(d.Generation), "parts": fmt.Sprint(len(d.Parts)),
@@ -172,9 +176,7 @@
 	}
 	c.generation, c.dealt, c.confirmed = d.Generation, d, asked
 	c.setDuty(holds(d.Parts, 0))
-	share := float64(len(d.Parts)) / float64(c.cfg.Parts)
-	c.mu.Unlock()
-	c.cfg.OnShare(share, asked+Life)
+	c.cfg.OnShare(float64(len(d.Parts))/float64(c.cfg.Parts), asked+Life)
 }
 
 func holds(parts []Part, p Part) bool {
@@ -251,7 +253,7 @@
 		return
 	}
 	own := last.Holder == c.cfg.Self.VM() || last.Holder == ""
-	if !own && !last.Released && c.cfg.Now()-since < c.cfg.Lease {
+	if !own && !last.Released && c.cfg.Now()-since < c.wait(last.Holder) {
 		return
 	}
 	at, err := c.cfg.Store.WriteClaim(ctx, c.cfg.Self.VM(), false, last.Next)
@@ -268,6 +270,20 @@
 	}
 }
 
+// wait returns how long to wait for the lease of the holder before, from when its
+// duty was dealt to this VM. A holder that is no member any more has not joined
+// for its Life, and gave its last order dutyLife after its last join at most.
+func (c *Crew) wait(before fleet.VMID) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range c.owners {
+		if m.VM() == before {
+			return c.cfg.Lease
+		}
+	}
+	return c.cfg.Lease - (Life - dutyLife)
+}
+
 // Duty returns the fencing token under which this VM may give orders now, and
 // false if it may not.
 func (c *Crew) Duty() (int64, bool) {
@@ -315,8 +331,8 @@
 	c.leaving = true
 	fence := c.fence
 	c.fence, c.dutySince = 0, 0
-	c.mu.Unlock()
 	c.cfg.OnShare(0, 0)
+	c.mu.Unlock()
 	var released error
 	if fence != 0 {
 		// The claim stands at fence-1, so its release must stand after it.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,8 +36,9 @@
 const (
 	// eventsKept is how many events the ring for the time line holds.
 	eventsKept = 2048
-	// parts is the number of parts of the rates: several for each of 7 VMs.
-	parts = 24
+	// parts is the number of parts of the rates: several for each of 7 VMs, and
+	// at least one for each of 100.
+	parts = 104
 	// staleMargin is how much sooner than keys must stop working a VM stops
 	// serving them without a proof: the request was sent before it was read.
 	staleMargin = 600 * time.Millisecond
--- a/roster/flight.go
+++ b/roster/flight.go
@@ -36,6 +36,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	f.heard = now
+	u.awayFor = 0
 	if f.first {
 		return
 	}
--- a/roster/upstream.go
+++ b/roster/upstream.go
@@ -44,7 +44,10 @@
 	// failed is a decaying share of requests that failed here.
 	failed   float64
 	failedAt time.Time
-	first    time.Duration
+	// away is until when no connection is tried, awayFor the last such time.
+	away    time.Time
+	awayFor time.Duration
+	first   time.Duration
 	// adapters are those that the coordinator has loaded, with the time after
 	// which they can be used.
 	adapters map[Adapter]time.Time
@@ -185,6 +188,32 @@
 	return out
 }
 
+// Times for which an upstream that could not be connected to is left alone.
+const (
+	firstAway = 400 * time.Millisecond
+	maxAway   = 3 * time.Second
+)
+
+// Unreachable notes that no connection could be made. The upstream is left
+// alone for a time that doubles with each failure.
+func (u *Upstream) Unreachable() {
+	now := time.Now()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if now.Before(u.away) {
+		return
+	}
+	u.awayFor = min(max(2*u.awayFor, firstAway), maxAway)
+	u.away = now.Add(u.awayFor)
+}
+
+// Away reports whether the upstream is left alone.
+func (u *Upstream) Away(now time.Time) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return now.Before(u.away)
+}
+
 // Holds reports whether the upstream can serve the model.
 func (u *Upstream) Holds(m fleet.ModelID) bool {
 	u.mu.Lock()
--- a/serving/call.go
+++ b/serving/call.go
@@ -104,22 +104,33 @@
 	return max(end.Sub(now), time.Millisecond)
 }
 
-// Bounds of how long a request takes, by which a VM that is about to stop
-// refuses what it could not end.
-const (
-	// slowToken is how long a token takes on a loaded engine, from played days.
-	slowToken = 9 * time.Millisecond
-	// slowFirst is how long the first token, or a plain answer, takes there.
-	slowFirst = 1200 * time.Millisecond
+// pace is how long a request takes: its first byte, and each token after it.
+type pace struct{ first, token time.Duration }
+
+// Paces by which a VM that is about to stop refuses what it could not end.
+var (
+	// usualPace is that of a loaded engine on played days. It serves while a
+	// request that is cut in the end was taken in good faith.
+	usualPace = pace{first: 1200 * time.Millisecond, token: 9 * time.Millisecond}
+	// slowPace is that of the most loaded engines. It serves once the balancer
+	// sends nothing more, when whatever is taken has to end.
+	slowPace = pace{first: 1500 * time.Millisecond, token: 25 * time.Millisecond}
 )
 
+// lateStop is how long before its end a VM that stops gets no more connections
+// from the balancer.
+const lateStop = 4600 * time.Millisecond
+
 // endsBy refuses a call that may not be over when the process ends.
 func (c *Call) endsBy(end time.Time) error {
 	if end.IsZero() {
 		return nil
 	}
-	need := slowFirst + time.Duration(c.TokensOut)*slowToken
-	if time.Until(end) > need {
+	left, p := time.Until(end), usualPace
+	if left < lateStop {
+		p = slowPace
+	}
+	if left > p.first+time.Duration(c.TokensOut)*p.token {
 		return nil
 	}
 	return fault.New(fault.Stopping, "this VM stops before the request could end").After(stopRetry)
--- /dev/null
+++ b/serving/choose.go
@@ -0,0 +1,82 @@
+package serving
+
+import (
+	"context"
+	"time"
+
+	"toucanfall/fault"
+	"toucanfall/roster"
+)
+
+// Bounds of the choice of an upstream.
+const (
+	// holdPart is the part of the objective for which a request waits for a
+	// model or an adapter before it is refused: refusing later serves nobody.
+	holdPart  = 8
+	minHold   = 40 * time.Millisecond
+	holdCheck = 20 * time.Millisecond
+	// spreadGap is by how many requests the engines that have an adapter must be
+	// more loaded than another one for the adapter to be brought there too.
+	spreadGap = 8
+	// loadRetry is when to come back for a model that is being loaded, which
+	// takes some 4 s from the weight store by the deployments' sheets.
+	loadRetry = 2500 * time.Millisecond
+	// adapterComeBack is when to come back for an adapter that found no place.
+	adapterComeBack = 600 * time.Millisecond
+)
+
+// choose finds an upstream. Where none can serve the call yet, it looks again
+// for a small part of the objective.
+func (t *tries) choose(ctx context.Context) (*roster.Upstream, error) {
+	hold := max(t.c.Route.Objective/holdPart, minHold)
+	for {
+		u, err := t.find(ctx)
+		if err == nil || time.Since(t.c.received) > hold || ctx.Err() != nil {
+			return u, err
+		}
+		time.Sleep(holdCheck)
+	}
+}
+
+// find looks for an upstream once, bringing the adapter to an engine if needed.
+func (t *tries) find(ctx context.Context) (*roster.Upstream, error) {
+	list := t.h.pick.candidates(t.service, t.c, t.unreachable)
+	if len(list) == 0 {
+		return nil, fault.New(fault.NoUpstream, "no upstream of service %q holds model %q", t.service, t.c.Model).After(loadRetry)
+	}
+	best := t.h.pick.best(list, t.tried)
+	if t.c.Adapter == "" {
+		return best, nil
+	}
+	ready := withAdapter(list, t.c)
+	if len(ready) == 0 {
+		return t.load(ctx, nil)
+	}
+	having := t.h.pick.best(ready, t.tried)
+	_, there := having.InFlight()
+	_, here := best.InFlight()
+	if there-here < spreadGap {
+		return having, nil
+	}
+	if u, err := t.load(ctx, ready); err == nil {
+		return u, nil
+	}
+	return having, nil
+}
+
+// load brings the call's adapter to an engine, other than those that have it.
+func (t *tries) load(ctx context.Context, having []*roster.Upstream) (*roster.Upstream, error) {
+	avoid := t.unreachable
+	for _, u := range having {
+		avoid = append(avoid[:len(avoid):len(avoid)], u.ID)
+	}
+	id, err := t.h.cfg.Loader.Load(ctx, t.service, roster.Adapter{Model: t.c.Model, Adapter: t.c.Adapter}, avoid)
+	if err != nil {
+		return nil, fault.New(fault.NoUpstream, "adapter %q of model %q: %w", t.c.Adapter, t.c.Model, err).After(adapterComeBack)
+	}
+	u, ok := t.h.cfg.Roster.Get(id)
+	if !ok || !u.Usable() {
+		return nil, fault.New(fault.NoUpstream, "the engine %q that has the adapter cannot be used", id)
+	}
+	return u, nil
+}
--- a/serving/picker.go
+++ b/serving/picker.go
@@ -56,15 +56,25 @@
 }
 
 // candidates returns the usable upstreams of a service that hold the call's
-// model, if it names one, but for those to avoid.
+// model, if it names one, but for those to avoid. Those that could not be
+// connected to lately are left out if there are others.
 func (p *picker) candidates(s catalogue.ServiceID, c *Call, avoid []fleet.UpstreamID) []*roster.Upstream {
-	var out []*roster.Upstream
+	now := time.Now()
+	var here, away []*roster.Upstream
 	for _, u := range p.roster.Upstreams() {
-		if !slices.Contains(avoid, u.ID) && u.Usable() && u.Service() == s && (c.Model == "" || u.Holds(c.Model)) {
-			out = append(out, u)
+		if !u.Usable() || u.Service() != s || c.Model != "" && !u.Holds(c.Model) || slices.Contains(avoid, u.ID) {
+			continue
+		}
+		if u.Away(now) {
+			away = append(away, u)
+		} else {
+			here = append(here, u)
 		}
 	}
-	return out
+	if len(here) == 0 {
+		return away
+	}
+	return here
 }
 
 // withAdapter returns those that have the call's adapter now.
--- a/serving/run.go
+++ b/serving/run.go
@@ -92,29 +92,6 @@
 	}
 }
 
-// choose finds an upstream, bringing the adapter to an engine if needed.
-func (t *tries) choose(ctx context.Context) (*roster.Upstream, error) {
-	list := t.h.pick.candidates(t.service, t.c, t.unreachable)
-	if len(list) == 0 {
-		return nil, fault.New(fault.NoUpstream, "no upstream of service %q holds model %q", t.service, t.c.Model)
-	}
-	if t.c.Adapter == "" {
-		return t.h.pick.best(list, t.tried), nil
-	}
-	if ready := withAdapter(list, t.c); len(ready) > 0 {
-		return t.h.pick.best(ready, t.tried), nil
-	}
-	id, err := t.h.cfg.Loader.Load(ctx, t.service, roster.Adapter{Model: t.c.Model, Adapter: t.c.Adapter}, t.unreachable)
-	if err != nil {
-		return nil, fault.New(fault.NoUpstream, "adapter %q of model %q: %w", t.c.Adapter, t.c.Model, err)
-	}
-	u, ok := t.h.cfg.Roster.Get(id)
-	if !ok || !u.Usable() {
-		return nil, fault.New(fault.NoUpstream, "the engine %q that has the adapter cannot be used", id)
-	}
-	return u, nil
-}
-
 // mayRepeat reports whether one more send is allowed by the route, the budget
 // and the time that is left.
 func (t *tries) mayRepeat(ctx context.Context) bool {
@@ -193,6 +170,7 @@
 		"request": string(t.c.ID), "upstream": string(u.ID), "reason": err.Error(), "sends": strconv.Itoa(t.sends),
 	})
 	if errors.Is(err, courier.ErrNotSent) {
+		u.Unreachable()
 		t.unreachable = append(t.unreachable, u.ID)
 		return true, fault.New(fault.NoUpstream, "upstream %q cannot be reached: %w", u.ID, err)
 	}
--- a/shares/pool.go
+++ b/shares/pool.go
@@ -13,6 +13,9 @@
 	mu     sync.Mutex
 	levels map[fleet.TeamID]Tokens
 	bursts map[fleet.TeamID]Tokens
+	// reach is the share of the rates that is minted by VMs that tell the
+	// coordinator so. The other VMs keep their shares of the bursts themselves.
+	reach float64
 }
 
 // NewPool returns an empty pool.
@@ -26,10 +29,28 @@
 	defer p.mu.Unlock()
 	clear(p.bursts)
 	for _, t := range cfg.Teams {
-		p.bursts[t.ID] = partsOf(Tokens(t.Burst)).pool
+		p.bursts[t.ID] = partsOf(Tokens(t.Burst), false).pool
 	}
+	p.cut()
+}
+
+// SetReach takes over the share of the rates whose VMs speak to the coordinator.
+func (p *Pool) SetReach(reach float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reach = min(max(reach, 0), 1)
+	p.cut()
+}
+
+// limit returns the most that the pool holds of a team's tokens.
+func (p *Pool) limit(team fleet.TeamID) Tokens {
+	return Tokens(p.reach) * p.bursts[team]
+}
+
+// cut drops what is above the limits.
+func (p *Pool) cut() {
 	for id, n := range p.levels {
-		p.levels[id] = min(n, p.bursts[id])
+		p.levels[id] = min(n, p.limit(id))
 	}
 }
 
@@ -38,7 +59,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, n := range spare {
-		p.levels[id] = min(p.levels[id]+max(n, 0), p.bursts[id])
+		p.levels[id] = min(p.levels[id]+max(n, 0), p.limit(id))
 	}
 }
 
@@ -50,7 +71,7 @@
 	have := p.levels[team]
 	// A request above what the pool can hold is given a full pool, which owes the
 	// rest: it could never run otherwise.
-	if need <= 0 || have < min(need, fullPool*p.bursts[team]) {
+	if need <= 0 || have < min(need, fullPool*p.limit(team)) {
 		return 0
 	}
 	given := max(need, min(have, n))
--- a/shares/purse.go
+++ b/shares/purse.go
@@ -36,7 +36,12 @@
 	smallBurst = 40_000
 )
 
-func partsOf(burst Tokens) split {
+// partsOf returns the parts of a burst. A VM that is alone keeps its whole share,
+// as the pool keeps none of it then.
+func partsOf(burst Tokens, alone bool) split {
+	if alone {
+		return split{kept: burst}
+	}
 	if burst < smallBurst {
 		return split{spare: spareBurst * burst, pool: (1 - spareBurst) * burst}
 	}
@@ -53,6 +58,8 @@
 	until   time.Duration
 	levels  map[fleet.TeamID]*level
 	version catalogue.Version
+	// alone is set while no coordinator answers, so that there is no pool.
+	alone bool
 }
 
 // level is the state of one team.
@@ -106,6 +113,42 @@
 	}
 }
 
+// SetAlone tells whether no coordinator answers.
+func (p *Purse) SetAlone(alone bool) {
+	now := p.now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.levels {
+		p.mint(l, now)
+	}
+	p.alone = alone
+	for _, l := range p.levels {
+		p.cap(l)
+	}
+}
+
+// Share returns the share of the rates that this VM mints now.
+func (p *Purse) Share() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.now() >= p.until {
+		return 0
+	}
+	return p.share
+}
+
+// Room returns how many more tokens of a team this VM can keep.
+func (p *Purse) Room(team fleet.TeamID) Tokens {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, ok := p.levels[team]
+	if !ok {
+		return 0
+	}
+	p.mint(l, p.now())
+	return max(Tokens(p.share)*partsOf(l.burst, p.alone).kept-l.have, 0)
+}
+
 // mint adds what was minted since the last time. The caller holds the lock.
 func (p *Purse) mint(l *level, now time.Duration) {
 	if d := min(now, p.until) - l.minted; d > 0 {
@@ -118,7 +161,7 @@
 // cap moves what is above this VM's part of the burst to the spare tokens, and
 // drops what is above the share of it there.
 func (p *Purse) cap(l *level) {
-	share, parts := Tokens(p.share), partsOf(l.burst)
+	share, parts := Tokens(p.share), partsOf(l.burst, p.alone)
 	if over := l.have - share*parts.kept; over > 0 {
 		l.have -= over
 		l.spare += over
--- a/shares/shares_test.go
+++ b/shares/shares_test.go
@@ -40,6 +40,7 @@
 		p.Configure(c)
 	}
 	f.pool.Configure(c)
+	f.pool.SetReach(1)
 }
 
 // admit charges a request at a purse, with tokens of the pool if need be.
@@ -47,7 +48,7 @@
 	if p.Take(team, n) {
 		return true
 	}
-	given := f.pool.Take(team, n, 3*n)
+	given := f.pool.Take(team, n, n+p.Room(team))
 	if given < n {
 		return false
 	}
@@ -89,6 +90,29 @@
 	})
 }
 
+// A fleet of VMs of which one takes all requests admits what the limit allows:
+// tokens reach it over the pool, and few are dropped on the way.
+func TestOneVMGetsRateOfAll(t *testing.T) {
+	is := is.New(t)
+	const r = 22_000
+	f := newFleet(7)
+	f.configure(config(1, r, r))
+	var admitted shares.Tokens
+	for range 10 * 20 { // 10 s in steps of 50 ms, messages each 200 ms.
+		f.now += 50 * time.Millisecond
+		for _, p := range f.purses {
+			p.SetShare(1.0/7, f.now+time.Second)
+			if f.now%(200*time.Millisecond) == 0 {
+				f.pool.Put(p.Spare())
+			}
+		}
+		for f.admit(f.purses[0], 1000) {
+			admitted += 1000
+		}
+	}
+	is.True(admitted >= 0.95*10*r)
+}
+
 // A lowered limit cuts what was kept of the higher one, at VMs and in the pool.
 func TestLoweredLimitBindsAtOnce(t *testing.T) {
 	is := is.New(t)
