Take the duty of a dead coordinator at once, and shut down behind the last answer

Mend: where engines check fences, only the duty of a VM that is still a member is waited for; a member that has not joined for 1.5 s has given no order for 0.6 s. The directory is read every 0.6 s.

--- a/crew/crew.go
+++ b/crew/crew.go
@@ -6,8 +6,8 @@
 // part 0 is to be the coordinator. The store takes a part from a VM only once
 // that VM has heard so, or has not joined for the life of a membership. The
 // coordinator gives orders under a claim in the store, whose offset is the
-// fencing token; the claim is made after the lease of the one before has run
-// out.
+// fencing token; while the one before may live, the claim is made after its lease
+// has run out.
 package crew
 
 import (
@@ -73,17 +73,16 @@
 // Times of membership.
 const (
 	// joinEvery is how often a VM joins again; a call counts as a tenth of one.
-	joinEvery = 400 * time.Millisecond
+	joinEvery = 300 * time.Millisecond
 	// joinTimeout bounds a call to the store, which answers within milliseconds
 	// when it is well.
-	joinTimeout = 800 * time.Millisecond
+	joinTimeout = 600 * time.Millisecond
 	// Life is how long the store keeps the parts of a VM that has not joined
 	// again: time for three lost joins.
-	Life = 2000 * time.Millisecond
+	Life = 1500 * time.Millisecond
 	// dutyLife is how long after the last confirmed join a VM still acts as the
-	// coordinator. It ends well before Life, so that a successor need not wait
-	// for the rest of the lease.
-	dutyLife = 1000 * time.Millisecond
+	// coordinator. It ends well before Life, when a successor may be named.
+	dutyLife = 900 * time.Millisecond
 )
 
 // Config holds the dependencies of a Crew.
@@ -93,8 +92,11 @@
 	// Parts is the number of parts that are dealt; several for each VM, so that
 	// VMs differ little.
 	Parts int
-	// Lease is how long a successor waits after it was dealt the duty.
+	// Lease is how long nobody else may give orders after a coordinator that
+	// lives.
 	Lease time.Duration
+	// Fenced is set where engines check fencing tokens.
+	Fenced bool
 	// Now is a clock that goes on while the machine sleeps.
 	Now    func() time.Duration
 	Events *timeline.Recorder
@@ -270,18 +272,23 @@
 	}
 }
 
-// wait returns how long to wait for the lease of the holder before, from when its
-// duty was dealt to this VM. A holder that is no member any more has not joined
-// for its Life, and gave its last order dutyLife after its last join at most.
+// wait returns how long to wait after the duty was dealt to this VM, until its
+// claim. A holder that is no member any more has not joined for its Life and has
+// given no order for some time: it was stopped, or is out of touch, and engines
+// that check fencing tokens refuse what it may still send. One that is still a
+// member has lost its duty to a new deal, and its lease has to run out.
 func (c *Crew) wait(before fleet.VMID) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.cfg.Fenced {
+		return c.cfg.Lease
+	}
 	for _, m := range c.owners {
 		if m.VM() == before {
 			return c.cfg.Lease
 		}
 	}
-	return c.cfg.Lease - (Life - dutyLife)
+	return 0
 }
 
 // Duty returns the fencing token under which this VM may give orders now, and
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -24,8 +24,8 @@
 	// connection.
 	configTimeout = configWait + 600*time.Millisecond
 	// directoryEvery is how often the directory is read. The many heartbeats
-	// are read together; it is a fifth of the shortest drain time, 2 s.
-	directoryEvery   = 400 * time.Millisecond
+	// are read together; it is under a third of the shortest drain time, 2 s.
+	directoryEvery   = 600 * time.Millisecond
 	directoryTimeout = 800 * time.Millisecond
 	// storeRetry is the pause after a failed question.
 	storeRetry = 100 * time.Millisecond
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,7 +68,8 @@
 	callers   *http.Server
 	// stopping is when the process ends, nil while no stop is planned.
 	stopping atomic.Pointer[time.Time]
-	open     atomic.Int64
+	// asked is when the last request came, on the clock that counts sleep.
+	asked atomic.Int64
 }
 
 // New returns a gateway that does not listen yet.
@@ -88,7 +89,7 @@
 	g.catalogue.OnChange(pool.Configure)
 	g.crew = crew.New(crew.Config{
 		Self: crew.NewMember(cfg.VM, cfg.Peers), Store: g.store, Parts: parts,
-		Lease: time.Duration(cfg.Lease), Now: bootclock.Now, Events: g.events, OnShare: g.purse.SetShare,
+		Lease: time.Duration(cfg.Lease), Fenced: cfg.Fenced, Now: bootclock.Now, Events: g.events, OnShare: g.purse.SetShare,
 	})
 	g.own = coordinator.New(coordinator.Config{
 		VM: cfg.VM, Catalogue: g.catalogue, Roster: g.roster, Engines: platform.Engines{},
@@ -101,7 +102,7 @@
 	})
 	g.handler = serving.New(g.servingConfig())
 	g.callers = &http.Server{
-		Handler: http.HandlerFunc(g.count), ReadHeaderTimeout: headerTimeout, IdleTimeout: callersIdle,
+		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: callersIdle,
 	}
 	return g, g.peers.Register(coordinator.ServiceName, g.own.Service())
 }
@@ -137,10 +138,9 @@
 	return time.Time{}
 }
 
-// count serves a request and counts it as open meanwhile.
-func (g *Gateway) count(w http.ResponseWriter, r *http.Request) {
-	g.open.Add(1)
-	defer g.open.Add(-1)
+// serve serves a request and notes when it came.
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
+	g.asked.Store(int64(bootclock.Now()))
 	g.handler.ServeHTTP(w, r)
 }
 
@@ -177,7 +177,7 @@
 		return nil
 	}, func(error) {})
 	err = all.Run()
-	g.events.Record(event.ProcessStopped, timeline.Fields{"cut": fmt.Sprint(g.open.Load())})
+	g.events.Record(event.ProcessStopped, nil)
 	return err
 }
 
@@ -195,12 +195,18 @@
 }
 
 func (g *Gateway) addServer(all *run.Group, s *http.Server, l net.Listener) {
+	interrupted := make(chan struct{})
 	all.Add(func() error {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
+		// Serve returns when a shutdown begins; requests are still answered.
+		<-interrupted
 		return nil
-	}, func(error) { _ = s.Close() })
+	}, func(error) {
+		_ = s.Close()
+		close(interrupted)
+	})
 }
 
 // operations answers the platform's questions for readiness.
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"toucanfall/event"
+	"toucanfall/internal/bootclock"
 	"toucanfall/timeline"
 )
 
@@ -18,6 +19,12 @@
 	// endMargin is how long before the process would be killed it ends.
 	endMargin = 400 * time.Millisecond
 	idleCheck = 50 * time.Millisecond
+	// quiet is how long no request must have come before the listener closes:
+	// the balancer sends connections to VMs that are not ready while too few
+	// others are.
+	quiet = 800 * time.Millisecond
+	// closing is how long before the end the listener closes in any case.
+	closing = 1500 * time.Millisecond
 )
 
 // stop ends the gateway without cutting requests that can still end by
@@ -32,7 +39,13 @@
 		g.events.Record(event.JoinFailed, timeline.Fields{"reason": "leave: " + err.Error()})
 	}
 	cancel()
-	for time.Now().Before(end) && g.open.Load() > 0 {
+	for time.Until(end) > closing && bootclock.Now()-time.Duration(g.asked.Load()) < quiet {
 		time.Sleep(idleCheck)
 	}
+	ctx, cancel = context.WithDeadline(context.Background(), end)
+	defer cancel()
+	// Shutdown answers what was read, also on connections that came last.
+	if err := g.callers.Shutdown(ctx); err != nil {
+		g.events.Record(event.StopForced, timeline.Fields{"reason": err.Error()})
+	}
 }
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -28,6 +28,8 @@
 	StopWithin Span `json:"stop_within"`
 	// Lease is how long nobody else may give orders after a coordinator.
 	Lease Span `json:"lease"`
+	// Fenced is set where engines check the fencing tokens of orders.
+	Fenced bool `json:"fenced"`
 	// RepeatRatio, RepeatSlack and RepeatWindow bound repeated sends over the
 	// fleet: in any window, the ratio of the requests and the slack.
 	RepeatRatio  float64 `json:"repeat_ratio"`
