Let ranks of routes reach the engines, and drain models before they are unloaded

Ruled out: a wrong count of orders (seq stood and was right in the end).

Mend: the rank is the team's first and the route's within it; VMs stop sending for a model before its unload is ordered, while the engine still takes adapters; wishes pass over engines that carry out a model's order; loads go where few adapters are in use.

--- a/coordinator/account.go
+++ b/coordinator/account.go
@@ -24,6 +24,9 @@
 	// doubt is set after an order without an answer, until a report that was
 	// made later settles it.
 	doubt time.Time
+	// giving is when an adapter was last ordered to go that is still in use; the
+	// zero time if none is.
+	giving time.Time
 	// lost are loads without an answer. Each may still be carried out until a
 	// report shows that more orders were accepted than it names, so its memory
 	// stays reserved.
@@ -33,8 +36,10 @@
 	// dropped are the adapters that were given up, and when: a report may still
 	// show them.
 	dropped map[roster.Adapter]time.Time
-	// moving is set while a model is brought to the engine.
-	moving bool
+	// moving is set while a model is brought to the engine, and ordering while
+	// an order of a model is under way: the engine takes no other order then.
+	moving   bool
+	ordering bool
 }
 
 // held is a model that an engine holds, or is loading.
@@ -45,6 +50,8 @@
 	// unloading is set from the order until a report shows the model gone.
 	unloading bool
 	ordered   time.Time
+	// used is when a VM last told of a request for the model or an adapter.
+	used time.Time
 }
 
 // heldAdapter is an adapter that an engine holds, or that is on its way.
@@ -85,6 +92,14 @@
 	a.busy = r.Busy
 	a.lost = slices.DeleteFunc(a.lost, func(o Order) bool { return r.Seq > o.Seq })
 	a.known, a.models, a.copies, a.doubt = true, models, r.Copies, time.Time{}
+	a.giving = time.Time{}
+	for _, m := range models {
+		for _, ad := range m.adapters {
+			if ad.unloading {
+				a.giving = asked
+			}
+		}
+	}
 }
 
 // applyModel returns the state of a model that a report lists. One that is to be
@@ -93,6 +108,7 @@
 	m := &held{adapters: make(map[fleet.AdapterID]*heldAdapter, len(h.Adapters))}
 	old := a.models[h.Model]
 	if old != nil {
+		m.used = old.used
 		m.unloading, m.ordered = old.unloading && (busy || old.ordered.After(since)), old.ordered
 	}
 	for _, id := range h.Adapters {
@@ -182,6 +198,19 @@
 	return len(taken)
 }
 
+// busyAdapters returns the number of adapters that were used since a time.
+func (a *account) busyAdapters(since time.Time) int {
+	n := 0
+	for _, m := range a.models {
+		for _, ad := range m.adapters {
+			if ad.used.After(since) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // inTransit returns the number of adapters on their way.
 func (a *account) inTransit(now time.Time) int {
 	n := 0
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -49,7 +49,8 @@
 
 // Coordinator acts for the fleet while its VM has the duty.
 type Coordinator struct {
-	cfg Config
+	cfg   Config
+	moves sync.WaitGroup
 
 	mu      sync.Mutex
 	term    int64
@@ -194,8 +195,13 @@
 // use notes the use of an adapter.
 func (e *engine) use(a roster.Adapter, now time.Time) {
 	e.with(func(acc *account) {
-		if m, ok := acc.models[a.Model]; ok && m.adapters[a.Adapter] != nil {
-			m.adapters[a.Adapter].used = now
+		m, ok := acc.models[a.Model]
+		if !ok {
+			return
+		}
+		m.used = now
+		if ad := m.adapters[a.Adapter]; ad != nil {
+			ad.used = now
 		}
 	})
 }
@@ -327,7 +333,7 @@
 	if !a.known {
 		return evictWeight
 	}
-	if !a.doubt.IsZero() || a.busy {
+	if !a.doubt.IsZero() || a.busy || a.ordering {
 		return fullWeight
 	}
 	if a.hasPlace(spec, ad) && a.inTransit(now) < maxInTransit {
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -59,7 +59,8 @@
 func (w *world) run(d time.Duration, asked fleet.ModelID) error {
 	ctx, cancel := context.WithTimeout(context.Background(), d)
 	defer cancel()
-	go func() { _ = w.c.Run(ctx) }()
+	ended := make(chan error, 1)
+	go func() { ended <- w.c.Run(ctx) }()
 	for ctx.Err() == nil {
 		in := coordinator.Sync{VM: "vm-1"}
 		if asked != "" {
@@ -71,7 +72,7 @@
 		}
 		time.Sleep(200 * time.Millisecond)
 	}
-	synctest.Wait()
+	<-ended
 	return nil
 }
 
--- a/coordinator/engine.go
+++ b/coordinator/engine.go
@@ -78,8 +78,9 @@
 func (c *Coordinator) settle(ctx context.Context, e *engine) error {
 	var known bool
 	var doubt time.Time
-	e.with(func(a *account) { known, doubt = a.known && !a.busy, a.doubt })
-	if known && doubt.IsZero() {
+	var giving time.Time
+	e.with(func(a *account) { known, doubt, giving = a.known && !a.busy, a.doubt, a.giving })
+	if known && doubt.IsZero() && (giving.IsZero() || time.Since(giving) < reportAge) {
 		return nil
 	}
 	if time.Since(doubt) < reportAge {
@@ -150,10 +151,11 @@
 // The caller has the turn.
 func (c *Coordinator) loadAdapter(ctx context.Context, e *engine, spec *catalogue.Engine, ad roster.Adapter) (time.Duration, error) {
 	now := time.Now()
-	var have, held bool
+	var have, held, ordering bool
 	var ready time.Duration
 	e.with(func(a *account) {
 		m := a.models[ad.Model]
+		ordering = a.ordering
 		if held = m != nil && !m.loading && !m.unloading; !held {
 			return
 		}
@@ -167,6 +169,9 @@
 	if have {
 		return ready, nil
 	}
+	if ordering {
+		return 0, fmt.Errorf("engine %q is carrying out the order of a model", e.u.ID)
+	}
 	if err := c.makeRoom(ctx, e, spec, ad); err != nil {
 		return 0, err
 	}
@@ -238,7 +243,7 @@
 	}
 	e.with(func(a *account) {
 		a.models[victim.Model].adapters[victim.Adapter].unloading = true
-		a.doubt = time.Now()
+		a.giving = time.Now()
 	})
 	return fmt.Errorf("engine %q is still giving up adapter %q: %s", e.u.ID, victim.Adapter, v)
 }
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -30,6 +30,8 @@
 	ready  map[fleet.ModelID]bool
 	// load is the requests of all VMs at the engine.
 	load int
+	// busyAdapters counts the adapters that were used lately.
+	busyAdapters int
 	// freeMB is the memory that is not held or reserved.
 	freeMB float64
 	// closed engines take no change now.
@@ -134,7 +136,7 @@
 		if !ok {
 			continue
 		}
-		cost := s.loadSeconds[m] + float64(s.load)*loadWeight
+		cost := s.loadSeconds[m] + float64(s.load)*loadWeight + float64(s.busyAdapters)*adapterWeight
 		if victim != "" {
 			cost += victimWeight * p.demand[victim] / (p.mean() + 1)
 		}
@@ -150,6 +152,9 @@
 const (
 	// loadWeight is what each request at the engine costs.
 	loadWeight = 0.02
+	// adapterWeight is what each adapter costs that is in use: while a model is
+	// loaded the engine takes no adapters.
+	adapterWeight = 0.15
 	// victimWeight is what it costs to take away a model with the mean demand
 	// of an engine.
 	victimWeight = 2
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -27,8 +27,10 @@
 	loadPatience = 4
 )
 
-// Run plans the placement of models while this VM has the duty, until ctx ends.
+// Run plans the placement of models while this VM has the duty, until ctx ends
+// and the moves that it has begun have stopped.
 func (c *Coordinator) Run(ctx context.Context) error {
+	defer c.moves.Wait()
 	loop.Every(ctx, planEvery, func(ctx context.Context) {
 		if c.begin() != nil {
 			return
@@ -60,7 +62,7 @@
 		c.cfg.Events.Record(event.PlacementChanged, timeline.Fields{
 			"engine": string(mv.engine), "load": string(mv.model), "unload": string(mv.evict),
 		})
-		go c.carry(ctx, e, s.Engine, mv)
+		c.moves.Go(func() { c.carry(ctx, e, s.Engine, mv) })
 	}
 }
 
@@ -105,6 +107,7 @@
 			st.ready[id] = true
 		}
 	}
+	st.busyAdapters = a.busyAdapters(time.Now().Add(-time.Second))
 	st.freeMB = spec.WeightsMB - a.memory(spec)
 	st.closed = st.closed || a.moving || a.busy || !a.known
 	st.loadSeconds = make(map[fleet.ModelID]float64, len(spec.Models))
@@ -145,7 +148,7 @@
 	if err == nil {
 		err = c.loadModel(ctx, e, spec, mv.model)
 	}
-	e.with(func(a *account) { a.moving = false })
+	e.with(func(a *account) { a.moving, a.ordering = false, false })
 	c.touch()
 	if err != nil {
 		c.cfg.Events.Record(event.MoveFailed, timeline.Fields{"engine": string(e.u.ID), "reason": err.Error()})
@@ -168,11 +171,41 @@
 		return nil
 	}
 	gone := func(a *account) bool { return a.models[m] == nil }
+	c.drain(ctx, e, m)
 	return c.until(ctx, e, gone, unloadWait, func() error {
 		return c.orderModel(ctx, e, Order{Unload: true, Model: m}, (*account).giveUp, nil)
 	})
 }
 
+// Times of draining a model before it is unloaded.
+const (
+	// drainQuiet is how long no VM must have told of a request for the model:
+	// more than two of their messages.
+	drainQuiet = 450 * time.Millisecond
+	// drainMost bounds the drain; the runs that are left are waited for by the
+	// engine, which takes no other order meanwhile.
+	drainMost = 4 * time.Second
+)
+
+// drain makes VMs send no more requests for a model and waits for those that
+// run.
+func (c *Coordinator) drain(ctx context.Context, e *engine, m fleet.ModelID) {
+	e.with(func(a *account) { a.giveUp(Order{Model: m}) })
+	c.touch()
+	end := time.Now().Add(drainMost)
+	for time.Now().Before(end) && ctx.Err() == nil {
+		pause(ctx, checkEvery)
+		quiet := false
+		e.with(func(a *account) {
+			h := a.models[m]
+			quiet = h == nil || time.Since(h.used) > drainQuiet
+		})
+		if quiet {
+			return
+		}
+	}
+}
+
 // giveUp marks a model that VMs are to send no more requests for.
 func (a *account) giveUp(o Order) {
 	if h := a.models[o.Model]; h != nil {
@@ -260,6 +293,7 @@
 		return failed
 	}
 	v, err := c.order(ctx, e, o)
+	e.with(func(a *account) { a.ordering = err != nil || v == Accepted })
 	if err == nil && v != Accepted && v != AlreadySo {
 		return fmt.Errorf("engine %q does not %s: %s", e.u.ID, o, v)
 	}
@@ -281,7 +315,11 @@
 	end := time.Now().Add(most)
 	for {
 		var over bool
-		e.with(func(a *account) { over = done(a) })
+		e.with(func(a *account) {
+			if over = done(a); over {
+				a.ordering = false
+			}
+		})
 		switch {
 		case over:
 			return nil
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -136,17 +136,27 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	c.Route, c.received, c.Priority = route, received, route.Priority
+	c.Route, c.received, c.Priority = route, received, rank(route, team)
 	if team != nil {
 		c.Team = team.ID
-		if team.HasPriority {
-			c.Priority = team.Priority
-		}
 	}
 	c.Body, err = readBody(r, cfg.Limits.BodyBytes)
 	return c, team, err
 }
 
+// teamRanks is how many ranks of routes lie between two ranks of teams.
+const teamRanks = 3
+
+// rank returns the rank of a request among those that wait at engines: by the
+// team's priority first, and among teams that are alike by the route's.
+func rank(route *catalogue.Route, team *catalogue.Team) int {
+	r := min(max(route.Priority, 0), teamRanks-1)
+	if team != nil && team.HasPriority {
+		r += teamRanks * max(team.Priority, 0)
+	}
+	return r
+}
+
 func staleError(age time.Duration) error {
 	return fault.New(fault.ConfigStale, "the configuration was last proved to be the newest %s ago", age.Round(time.Millisecond))
 }
