Count a move as a copy from its start, spread only copies, and end soon after the listener closes

Models lost with an engine all came back on the empty one, which then stood idle with rare models only. Found in placement_viewed, a new event that shows each second what the coordinator goes by.

Tests: TestLostModelIsLoadedOnce, TestLostModelsLeaveRoomForBusyOnes (both seen to fail without), TestServingCopyStays, TestWavesMoveNothing.

--- a/coordinator/account.go
+++ b/coordinator/account.go
@@ -40,6 +40,8 @@
 	// an order of a model is under way: the engine takes no other order then.
 	moving   bool
 	ordering bool
+	// coming is the model that a move brings.
+	coming fleet.ModelID
 }
 
 // held is a model that an engine holds, or is loading.
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -62,6 +62,8 @@
 	// are under way.
 	loads   loadBudget
 	loading int
+	// viewed is when the log last showed what the plan goes by.
+	viewed time.Time
 }
 
 // vmTraffic is what a VM told of its requests in flight.
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"testing"
@@ -72,7 +73,9 @@
 		}
 		time.Sleep(200 * time.Millisecond)
 	}
-	<-ended
+	if err := <-ended; !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
 	return nil
 }
 
@@ -110,6 +113,20 @@
 	})
 }
 
+// A model that was lost is loaded once, though the plan is made several times
+// while it is on its way.
+func TestLostModelIsLoadedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(spec("a", "b", "c"))
+		for i := range 4 {
+			w.engines.add(w.roster, fleet.UpstreamID(fmt.Sprintf("engine-%d", i)), "a", "c")
+		}
+		is.NoErr(w.run(9*time.Second, ""))
+		is.Equal(len(w.engines.holders("b")), 1)
+	})
+}
+
 // Orders without an answer that are carried out late, or never, leave room
 // reserved, so that no engine is ever ordered over its limits.
 func TestLateOrdersKeepLimits(t *testing.T) {
--- a/coordinator/engine.go
+++ b/coordinator/engine.go
@@ -150,48 +150,45 @@
 // loadAdapter brings an adapter to an engine and returns how long that takes.
 // The caller has the turn.
 func (c *Coordinator) loadAdapter(ctx context.Context, e *engine, spec *catalogue.Engine, ad roster.Adapter) (time.Duration, error) {
-	now := time.Now()
-	var have, held, ordering bool
-	var ready time.Duration
-	e.with(func(a *account) {
-		m := a.models[ad.Model]
-		ordering = a.ordering
-		if held = m != nil && !m.loading && !m.unloading; !held {
-			return
-		}
-		if h := m.adapters[ad.Adapter]; h != nil && !h.unloading {
-			have, h.used, ready = true, now, max(h.ready.Sub(now), 0)
-		}
-	})
-	if !held {
-		return 0, fmt.Errorf("engine %q does not hold model %q", e.u.ID, ad.Model)
-	}
-	if have {
-		return ready, nil
-	}
-	if ordering {
-		return 0, fmt.Errorf("engine %q is carrying out the order of a model", e.u.ID)
+	ready, have, err := e.useAdapter(ad)
+	if have || err != nil {
+		return ready, err
 	}
 	if err := c.makeRoom(ctx, e, spec, ad); err != nil {
 		return 0, err
 	}
 	v, err := c.order(ctx, e, Order{Model: ad.Model, Adapter: ad.Adapter})
-	if err == nil && (v == Accepted || v == AlreadySo) {
-		e.with(func(a *account) {
-			a.models[ad.Model].adapters[ad.Adapter] = &heldAdapter{ordered: now, ready: now.Add(adapterTime), used: now}
-		})
-		c.touch()
-	}
 	if err != nil {
 		return 0, err
 	}
-	switch v {
-	case Accepted:
-		return adapterTime, nil
-	case AlreadySo:
-		return 0, nil
+	if v != Accepted && v != AlreadySo {
+		return 0, fmt.Errorf("engine %q did not take the order: %s", e.u.ID, v)
 	}
-	return 0, fmt.Errorf("engine %q did not take the order: %s", e.u.ID, v)
+	now := time.Now()
+	e.with(func(a *account) {
+		a.models[ad.Model].adapters[ad.Adapter] = &heldAdapter{ordered: now, ready: now.Add(adapterTime), used: now}
+	})
+	c.touch()
+	return adapterTime, nil
+}
+
+// useAdapter notes the use of an adapter and returns how long it still takes to
+// come, if the engine has it. The error tells why the engine cannot get it.
+func (e *engine) useAdapter(ad roster.Adapter) (ready time.Duration, have bool, err error) {
+	now := time.Now()
+	e.with(func(a *account) {
+		m := a.models[ad.Model]
+		if m == nil || m.loading || m.unloading {
+			err = fmt.Errorf("engine %q does not hold model %q", e.u.ID, ad.Model)
+			return
+		}
+		if h := m.adapters[ad.Adapter]; h != nil && !h.unloading {
+			have, h.used, ready = true, now, max(h.ready.Sub(now), 0)
+		} else if a.ordering {
+			err = fmt.Errorf("engine %q is carrying out the order of a model", e.u.ID)
+		}
+	})
+	return ready, have, err
 }
 
 // Bounds of adapters.
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -137,8 +137,11 @@
 			continue
 		}
 		cost := s.loadSeconds[m] + float64(s.load)*loadWeight + float64(s.busyAdapters)*adapterWeight
+		if p.copies[m] == 0 {
+			cost += p.onlyCopies(s) * onlyWeight
+		}
 		if victim != "" {
-			cost += victimWeight * p.demand[victim] / (p.mean() + 1)
+			cost += victimWeight * p.need(victim) / (p.mean() + 1)
 		}
 		if !found || cost < least {
 			best = move{engine: s.id, model: m, evict: victim, fromStore: s.fromStore[m]}
@@ -155,11 +158,26 @@
 	// adapterWeight is what each adapter costs that is in use: while a model is
 	// loaded the engine takes no adapters.
 	adapterWeight = 0.15
-	// victimWeight is what it costs to take away a model with the mean demand
-	// of an engine.
+	// onlyWeight is what each model costs that an engine holds the only copy of,
+	// when another such model is to come: an engine with nothing but rare models
+	// stands idle while the busy ones wait.
+	onlyWeight = 2.5
+	// victimWeight is what it costs to take away a copy that serves the mean
+	// demand of an engine.
 	victimWeight = 2
 )
 
+// onlyCopies returns the number of models that an engine holds the only copy of.
+func (p *planner) onlyCopies(s *site) float64 {
+	n := 0
+	for m := range s.models {
+		if p.copies[m] < 2 {
+			n++
+		}
+	}
+	return float64(n)
+}
+
 // victim returns the model that makes room for m at an engine, "" if there is
 // room.
 func (p *planner) victim(s *site, m fleet.ModelID) (fleet.ModelID, bool) {
--- /dev/null
+++ b/coordinator/plan_test.go
@@ -0,0 +1,98 @@
+package coordinator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"toucanfall/catalogue"
+	"toucanfall/fleet"
+)
+
+// planSpec is a service whose engines have room for three models.
+func planSpec(models ...fleet.ModelID) *catalogue.Engine {
+	e := &catalogue.Engine{WeightsMB: 310, AdapterSlots: 8, Models: make(map[fleet.ModelID]*catalogue.Model)}
+	for _, m := range models {
+		e.Models[m] = &catalogue.Model{ID: m, WeightsMB: 100, Load: 4 * time.Second}
+	}
+	return e
+}
+
+func planSite(id int, spec *catalogue.Engine, models ...fleet.ModelID) *site {
+	s := &site{
+		id: fleet.UpstreamID(fmt.Sprintf("engine-%d", id)), models: make(map[fleet.ModelID]bool), ready: make(map[fleet.ModelID]bool),
+		freeMB: spec.WeightsMB - 100*float64(len(models)), loadSeconds: make(map[fleet.ModelID]float64), fromStore: make(map[fleet.ModelID]bool),
+	}
+	for _, m := range models {
+		s.models[m], s.ready[m] = true, true
+	}
+	for m := range spec.Models {
+		s.loadSeconds[m] = 4
+	}
+	return s
+}
+
+// all returns the moves of a plan.
+func all(p *planner) []move {
+	var out []move
+	for {
+		mv, ok := p.next()
+		if !ok {
+			return out
+		}
+		out = append(out, mv)
+	}
+}
+
+// carryOut ends all moves.
+func carryOut(spec *catalogue.Engine, sites []*site) {
+	for _, s := range sites {
+		s.closed = false
+		s.freeMB = spec.WeightsMB
+		for m := range s.models {
+			s.ready[m] = true
+			s.freeMB -= spec.Models[m].WeightsMB
+		}
+	}
+}
+
+// Models that were lost with an engine do not all come back on the empty one,
+// which would stand idle then while the busy models wait.
+func TestLostModelsLeaveRoomForBusyOnes(t *testing.T) {
+	is := is.New(t)
+	spec := planSpec("busy1", "busy2", "r1", "r2", "r3", "r4", "r5", "r6")
+	sites := []*site{
+		planSite(0, spec, "busy1", "busy2", "r1"), planSite(1, spec, "busy1", "busy2", "r2"),
+		planSite(2, spec, "busy1", "busy2", "r3"), planSite(3, spec),
+	}
+	for range 8 {
+		newPlanner(spec, sites, map[fleet.ModelID]float64{"busy1": 40000, "busy2": 20000, "r1": 500, "r4": 500}).next()
+		carryOut(spec, sites)
+	}
+	for _, s := range sites {
+		is.True(s.models["busy1"] || s.models["busy2"]) // stands idle
+	}
+}
+
+// The only copy that serves stays, though others are on their way.
+func TestServingCopyStays(t *testing.T) {
+	is := is.New(t)
+	spec := planSpec("old", "new", "r1", "r2", "r3", "r4")
+	sites := []*site{planSite(0, spec, "old", "r1", "r2"), planSite(1, spec, "old", "r3", "r4")}
+	delete(sites[1].ready, "old")
+	sites[1].closed = true
+	all(newPlanner(spec, sites, map[fleet.ModelID]float64{"new": 40000, "old": 10}))
+	is.True(sites[0].models["old"])
+}
+
+// Waves of demand move nothing: a copy is worth its load only where much more
+// is asked for than where it would be taken from.
+func TestWavesMoveNothing(t *testing.T) {
+	is := is.New(t)
+	spec := planSpec("a", "b", "r1", "r2")
+	sites := []*site{planSite(0, spec, "a", "b", "r1"), planSite(1, spec, "a", "b", "r2"), planSite(2, spec, "a", "a", "b")}
+	sites[2].freeMB = 0
+	is.Equal(len(all(newPlanner(spec, sites, map[fleet.ModelID]float64{"a": 20000, "b": 26000}))), 0)
+}
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -4,6 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"toucanfall/catalogue"
@@ -51,14 +54,19 @@
 // place begins the moves that are worth their loads.
 func (c *Coordinator) place(ctx context.Context, s *catalogue.Service) {
 	sites, byID := c.sites(ctx, s)
-	p := newPlanner(s.Engine, sites, c.demandOf(s))
+	demand := c.demandOf(s)
+	c.tell(sites, demand)
+	p := newPlanner(s.Engine, sites, demand)
 	for {
 		mv, ok := p.next()
-		if !ok || !c.mayLoad(mv, s.Engine) {
+		if !ok {
 			return
 		}
+		if !c.mayLoad(mv, s.Engine) {
+			continue // Others may come from memory or disk.
+		}
 		e := byID[mv.engine]
-		e.with(func(a *account) { a.moving = true })
+		e.with(func(a *account) { a.moving, a.coming = true, mv.model })
 		c.cfg.Events.Record(event.PlacementChanged, timeline.Fields{
 			"engine": string(mv.engine), "load": string(mv.model), "unload": string(mv.evict),
 		})
@@ -66,6 +74,46 @@
 	}
 }
 
+// viewEvery is how often the log shows what the coordinator goes by.
+const viewEvery = time.Second
+
+// tell writes to the log what the plan goes by.
+func (c *Coordinator) tell(sites []*site, demand map[fleet.ModelID]float64) {
+	now := time.Now()
+	c.mu.Lock()
+	due := now.Sub(c.viewed) >= viewEvery
+	if due {
+		c.viewed = now
+	}
+	c.mu.Unlock()
+	if !due {
+		return
+	}
+	var engines, asked strings.Builder
+	for _, s := range sites {
+		fmt.Fprintf(&engines, "%s=%d%s ", s.id, s.load, s.holdings())
+	}
+	for _, m := range slices.Sorted(maps.Keys(demand)) {
+		if demand[m] >= 1 {
+			fmt.Fprintf(&asked, "%s=%.0f ", m, demand[m])
+		}
+	}
+	c.cfg.Events.Record(event.PlacementViewed, timeline.Fields{"engines": engines.String(), "demand": asked.String()})
+}
+
+// holdings lists the models of an engine for the log.
+func (s *site) holdings() string {
+	var b strings.Builder
+	for _, m := range slices.Sorted(maps.Keys(s.models)) {
+		sep := ","
+		if !s.ready[m] {
+			sep = "+"
+		}
+		b.WriteString(sep + string(m))
+	}
+	return b.String()
+}
+
 // sites returns the engines of a service as the plan sees them.
 func (c *Coordinator) sites(ctx context.Context, s *catalogue.Service) ([]*site, map[fleet.UpstreamID]*engine) {
 	var out []*site
@@ -107,6 +155,9 @@
 			st.ready[id] = true
 		}
 	}
+	if a.coming != "" {
+		st.models[a.coming] = true
+	}
 	st.busyAdapters = a.busyAdapters(time.Now().Add(-time.Second))
 	st.freeMB = spec.WeightsMB - a.memory(spec)
 	st.closed = st.closed || a.moving || a.busy || !a.known
@@ -148,7 +199,7 @@
 	if err == nil {
 		err = c.loadModel(ctx, e, spec, mv.model)
 	}
-	e.with(func(a *account) { a.moving, a.ordering = false, false })
+	e.with(func(a *account) { a.moving, a.ordering, a.coming = false, false, "" })
 	c.touch()
 	if err != nil {
 		c.cfg.Events.Record(event.MoveFailed, timeline.Fields{"engine": string(e.u.ID), "reason": err.Error()})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,6 +68,8 @@
 	callers   *http.Server
 	// stopping is when the process ends, nil while no stop is planned.
 	stopping atomic.Pointer[time.Time]
+	// open counts the requests that are being served.
+	open atomic.Int64
 	// asked is when the last request came, on the clock that counts sleep.
 	asked atomic.Int64
 }
@@ -138,8 +140,10 @@
 	return time.Time{}
 }
 
-// serve serves a request and notes when it came.
+// serve serves a request, counts it as open meanwhile, and notes when it came.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
+	g.open.Add(1)
+	defer g.open.Add(-1)
 	g.asked.Store(int64(bootclock.Now()))
 	g.handler.ServeHTTP(w, r)
 }
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -19,12 +19,14 @@
 	// endMargin is how long before the process would be killed it ends.
 	endMargin = 400 * time.Millisecond
 	idleCheck = 50 * time.Millisecond
-	// quiet is how long no request must have come before the listener closes:
-	// the balancer sends connections to VMs that are not ready while too few
-	// others are.
+	// quiet is how long no request must have come before the process ends: the
+	// balancer sends connections to VMs that are not ready while too few others
+	// are.
 	quiet = 800 * time.Millisecond
-	// closing is how long before the end the listener closes in any case.
-	closing = 1500 * time.Millisecond
+	// closing is how long before the end the listener closes in any case. A
+	// connection that is being opened just then is answered by nobody, so the
+	// process ends soon after.
+	closing = 150 * time.Millisecond
 )
 
 // stop ends the gateway without cutting requests that can still end by
@@ -39,7 +41,8 @@
 		g.events.Record(event.JoinFailed, timeline.Fields{"reason": "leave: " + err.Error()})
 	}
 	cancel()
-	for time.Until(end) > closing && bootclock.Now()-time.Duration(g.asked.Load()) < quiet {
+	g.callers.SetKeepAlivesEnabled(false)
+	for time.Until(end) > closing && (g.open.Load() > 0 || bootclock.Now()-time.Duration(g.asked.Load()) < quiet) {
 		time.Sleep(idleCheck)
 	}
 	ctx, cancel = context.WithDeadline(context.Background(), end)
