Keep requests in their data centre, and copies in each

Ruled out: the coordinator (it was on either side of the cut); limits.

Mend: another data centre costs six requests in flight, where it cost half of one; a rising model goes to the data centre with fewest copies; an upstream from which three or more requests hear nothing for 0.3 s gets no more.

Tests: TestRequestsStayInTheirDataCentre, TestSilentUpstreamGetsNothing, TestUnreachableUpstreamIsLeftAlone, TestCopiesSpreadOverDataCentres.

--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -25,6 +25,8 @@
 // site is an engine as the plan sees it.
 type site struct {
 	id fleet.UpstreamID
+	// dataCentre is where the engine is.
+	dataCentre fleet.DataCentre
 	// models are held or on their way, ready are those that serve requests now.
 	models map[fleet.ModelID]bool
 	ready  map[fleet.ModelID]bool
@@ -137,6 +139,7 @@
 			continue
 		}
 		cost := s.loadSeconds[m] + float64(s.load)*loadWeight + float64(s.busyAdapters)*adapterWeight
+		cost += float64(p.copiesIn(s.dataCentre, m)) * nearWeight
 		if p.copies[m] == 0 {
 			cost += p.onlyCopies(s) * onlyWeight
 		}
@@ -158,6 +161,9 @@
 	// adapterWeight is what each adapter costs that is in use: while a model is
 	// loaded the engine takes no adapters.
 	adapterWeight = 0.15
+	// nearWeight is what each copy of the model in the same data centre costs:
+	// each data centre is to have copies, for it may be cut off.
+	nearWeight = 0.8
 	// onlyWeight is what each model costs that an engine holds the only copy of,
 	// when another such model is to come: an engine with nothing but rare models
 	// stands idle while the busy ones wait.
@@ -167,6 +173,17 @@
 	victimWeight = 2
 )
 
+// copiesIn returns the number of copies of a model in a data centre.
+func (p *planner) copiesIn(dc fleet.DataCentre, m fleet.ModelID) int {
+	n := 0
+	for _, s := range p.sites {
+		if s.dataCentre == dc && s.models[m] {
+			n++
+		}
+	}
+	return n
+}
+
 // onlyCopies returns the number of models that an engine holds the only copy of.
 func (p *planner) onlyCopies(s *site) float64 {
 	n := 0
--- a/coordinator/plan_test.go
+++ b/coordinator/plan_test.go
@@ -76,6 +76,32 @@
 	}
 }
 
+// A rising model gets copies in all data centres, since each may be cut off.
+func TestCopiesSpreadOverDataCentres(t *testing.T) {
+	is := is.New(t)
+	spec := planSpec("rising", "falling", "r1", "r2", "r3", "r4", "r5", "r6")
+	var sites []*site
+	for i := range 6 {
+		s := planSite(i, spec, "falling", fleet.ModelID(fmt.Sprintf("r%d", i+1)))
+		s.freeMB = 0
+		s.dataCentre = fleet.DataCentre(fmt.Sprintf("dc-%d", i/2))
+		sites = append(sites, s)
+	}
+	sites[0].models["rising"], sites[0].ready["rising"] = true, true
+	p := newPlanner(spec, sites, map[fleet.ModelID]float64{"rising": 30000})
+	places := make(map[fleet.DataCentre]bool)
+	for range 2 {
+		mv, ok := p.next()
+		is.True(ok)
+		for _, s := range sites {
+			if s.id == mv.engine {
+				places[s.dataCentre] = true
+			}
+		}
+	}
+	is.True(places["dc-1"] && places["dc-2"])
+}
+
 // The only copy that serves stays, though others are on their way.
 func TestServingCopyStays(t *testing.T) {
 	is := is.New(t)
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -124,7 +124,7 @@
 			continue
 		}
 		e := c.engine(u)
-		st := &site{id: u.ID, models: make(map[fleet.ModelID]bool), ready: make(map[fleet.ModelID]bool), load: c.load(u.ID)}
+		st := &site{id: u.ID, dataCentre: u.Entry().DataCentre, models: make(map[fleet.ModelID]bool), ready: make(map[fleet.ModelID]bool), load: c.load(u.ID)}
 		st.closed = !c.certain(ctx, e)
 		e.with(func(a *account) { a.view(st, s.Engine) })
 		out = append(out, st)
--- a/roster/upstream.go
+++ b/roster/upstream.go
@@ -15,6 +15,10 @@
 	// nothing before others are preferred: a few times the longest pause
 	// between events in the sheets, 200 ms.
 	silentAfter = 700 * time.Millisecond
+	// quietAfter is the same for an upstream where manyQuiet requests or more hear
+	// nothing at the same time: events come each 50 ms or so on loaded engines.
+	quietAfter = 300 * time.Millisecond
+	manyQuiet  = 3
 	// failureMemory is how fast the share of failed requests is forgotten.
 	failureMemory = 3 * time.Second
 	// failureWeight is how much one answer counts in the share.
@@ -295,16 +299,21 @@
 	return u.first
 }
 
-// Silent reports whether a request in flight has waited too long for a first
-// byte, while nothing else came from here either.
+// Silent reports whether nothing comes from the upstream that owes something:
+// every request that waits for its first byte has waited too long, or many
+// requests have heard nothing for longer than events take.
 func (u *Upstream) Silent(now time.Time) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	waits := 0
+	late, quiet := 0, 0
 	for f := range u.waiting {
 		if now.Sub(f.heard) > silentAfter {
-			waits++
+			late++
+		}
+		if now.Sub(f.heard) > quietAfter {
+			quiet++
 		}
 	}
-	return waits > 0 && waits == len(u.waiting)
+	n := len(u.waiting)
+	return late > 0 && late == n || quiet >= manyQuiet && quiet == n
 }
--- a/serving/picker.go
+++ b/serving/picker.go
@@ -14,7 +14,7 @@
 const (
 	// farWeight is what another data centre costs: bytes between data centres
 	// are priced, and the way is longer.
-	farWeight = 0.5
+	farWeight = 6
 	// failingWeight is what an upstream costs whose requests all failed lately.
 	failingWeight = 60
 	// silentWeight is what an upstream costs that owes first bytes for too long.
--- /dev/null
+++ b/serving/picker_test.go
@@ -0,0 +1,82 @@
+package serving
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"toucanfall/fleet"
+	"toucanfall/roster"
+)
+
+// newPicker returns a picker in dc-0 with two upstreams in each of three data
+// centres.
+func newPicker() (*picker, []*roster.Upstream) {
+	r := roster.New()
+	for i := range 6 {
+		r.Put(roster.Entry{
+			ID: fleet.UpstreamID(fmt.Sprintf("u-%d", i)), Service: "s", Address: "192.0.2.1:80",
+			DataCentre: fleet.DataCentre(fmt.Sprintf("dc-%d", i/2)),
+		})
+	}
+	return &picker{roster: r, dataCentre: "dc-0"}, r.Upstreams()
+}
+
+// Requests stay in their data centre while it has room, and spread over all when
+// it has not.
+func TestRequestsStayInTheirDataCentre(t *testing.T) {
+	is := is.New(t)
+	p, all := newPicker()
+	for range 10 {
+		p.best(p.candidates("s", &Call{}, nil), nil).Begin(roster.Adapter{}, 0)
+	}
+	for _, u := range all[2:] {
+		own, _ := u.InFlight()
+		is.Equal(own, 0)
+	}
+	for range 60 {
+		p.best(p.candidates("s", &Call{}, nil), nil).Begin(roster.Adapter{}, 0)
+	}
+	for _, u := range all[2:] {
+		own, _ := u.InFlight()
+		is.True(own > 0)
+	}
+}
+
+// An upstream on the far side of a cut falls silent for all its requests at once
+// and gets no more, long before the requests give up.
+func TestSilentUpstreamGetsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, all := newPicker()
+		for range 4 {
+			all[0].Begin(roster.Adapter{}, 0).Heard()
+		}
+		for range 20 {
+			all[1].Begin(roster.Adapter{}, 0).Heard()
+		}
+		is.Equal(p.best(all[:2], nil), all[0])
+		time.Sleep(310 * time.Millisecond)
+		all[1].Begin(roster.Adapter{}, 0).Heard()
+		is.Equal(p.best(all[:2], nil), all[1])
+	})
+}
+
+// An upstream that cannot be connected to is left alone while there are others.
+func TestUnreachableUpstreamIsLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, all := newPicker()
+		all[0].Unreachable()
+		is.Equal(len(p.candidates("s", &Call{}, nil)), 5)
+		time.Sleep(time.Second)
+		is.Equal(len(p.candidates("s", &Call{}, nil)), 6)
+		for _, u := range all {
+			u.Unreachable()
+		}
+		is.Equal(len(p.candidates("s", &Call{}, nil)), 6)
+	})
+}
