End a move with the duty, not in a loop

The VM had given the coordinator's duty back in the middle of a move; the order then failed without going out, was taken for one without an answer and given again at once, for ever: a loop that took the VM's processor time.

Ruled out: bytes left unread when the connection closes (net/http reads them; TestRefusalIsReadBehindBody passes without the change that reads them here, which is kept since a closing connection skips that); the limits' call (the request was refused before it); links (the same VM answered others).

Mend: an order that is refused for want of the duty ends the move.

Before: TestMoveEndsWithDuty runs into its time-out (seen). After: passes.

Conclusion: an error that says that nothing was sent must not be repeated.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,7 +38,7 @@
 	engines *engines
 	roster  *roster.Roster
 	c       *coordinator.Coordinator
-	fence   int64
+	fence   atomic.Int64
 }
 
 func newWorld(e *catalogue.Engine) *world {
@@ -46,11 +47,12 @@
 	start := time.Now()
 	holder := catalogue.NewHolder(func() time.Duration { return time.Since(start) })
 	holder.Apply(catalogue.NewConfig(1, nil, []*catalogue.Service{{ID: "texts", Engine: e}}, nil, catalogue.Limits{}))
-	w := &world{engines: newEngines(e), roster: roster.New(), fence: 1}
+	w := &world{engines: newEngines(e), roster: roster.New()}
+	w.fence.Store(1)
 	w.c = coordinator.New(coordinator.Config{
 		VM: "vm-1", Catalogue: holder, Roster: w.roster, Engines: w.engines, Pool: w.engines.pool,
-		Duty:   func() (int64, bool) { return w.fence, w.fence != 0 },
-		Fenced: func(int64) { w.fence = 0 },
+		Duty:   func() (int64, bool) { f := w.fence.Load(); return f, f != 0 },
+		Fenced: func(int64) { w.fence.Store(0) },
 		Tokens: shares.NewPool(), Events: timeline.New("test", 16, logger),
 	})
 	return w
@@ -69,6 +71,8 @@
 		}
 		var out coordinator.SyncAnswer
 		if err := w.c.Service().Sync(in, &out); err != nil {
+			cancel()
+			<-ended
 			return err
 		}
 		time.Sleep(200 * time.Millisecond)
@@ -127,6 +131,19 @@
 	})
 }
 
+// A coordinator that loses its duty in the middle of a move gives the move up.
+func TestMoveEndsWithDuty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(spec("a", "b", "c"))
+		w.engines.add(w.roster, "engine-1", "a", "c")
+		w.engines.add(w.roster, "engine-2", "a", "c")
+		time.AfterFunc(400*time.Millisecond, func() { w.fence.Store(0) })
+		is.Equal(w.run(5*time.Second, ""), coordinator.ErrNoDuty)
+		is.Equal(len(w.engines.holders("b")), 0)
+	})
+}
+
 // Orders without an answer that are carried out late, or never, leave room
 // reserved, so that no engine is ever ordered over its limits.
 func TestLateOrdersKeepLimits(t *testing.T) {
@@ -177,7 +194,7 @@
 		is := is.New(t)
 		w := newWorld(spec("a"))
 		w.engines.add(w.roster, "engine-1", "a")
-		w.fence = 0
+		w.fence.Store(0)
 		var out coordinator.WishAnswer
 		err := w.c.Service().Wish(coordinator.Wish{Service: "texts", Adapter: roster.Adapter{Model: "a", Adapter: "a1"}}, &out)
 		is.Equal(err, coordinator.ErrNoDuty)
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -344,6 +344,9 @@
 		return failed
 	}
 	v, err := c.order(ctx, e, o)
+	if errors.Is(err, ErrNoDuty) {
+		return err
+	}
 	e.with(func(a *account) { a.ordering = err != nil || v == Accepted })
 	if err == nil && v != Accepted && v != AlreadySo {
 		return fmt.Errorf("engine %q does not %s: %s", e.u.ID, o, v)
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -92,6 +92,9 @@
 // maxBodyBytes bounds bodies while the configuration sets no limit.
 const maxBodyBytes = 4 << 20
 
+// maxUnread bounds what is read of a body after its request was refused.
+const maxUnread = 1 << 20
+
 // ServeHTTP serves one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	received := time.Now()
@@ -237,6 +240,9 @@
 	if errors.Is(err, errBegun) {
 		panic(http.ErrAbortHandler)
 	}
+	// A connection that is closed with unread bytes is reset, and the answer is
+	// lost with it. What cannot be read is the client's own loss.
+	_, _ = io.CopyN(io.Discard, r.Body, maxUnread)
 	status, after, body := fault.Describe(err, string(id))
 	if after > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
