Take the number of partitions from the settings, and send less in large fleets

Ruled out: levels kept over a lowered limit (tests hold); a part held by two VMs (the parts of all VMs add up to 208 in one generation).

Conclusion: no figure of a deployment belongs into a constant.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -17,7 +17,11 @@
 
 // Times of messages to the coordinator.
 const (
+	// syncEvery is how often a VM of a small fleet sends what it does. In a
+	// larger one the messages are fewer, so that the coordinator gets no more
+	// than syncFleet VMs would send it at that interval.
 	syncEvery = 200 * time.Millisecond
+	syncFleet = 16
 	// callTimeout bounds a call: the ways between data centres take 1 to 3 ms.
 	callTimeout = 300 * time.Millisecond
 	// aloneAfter is when a VM keeps its whole share of the bursts itself: later
@@ -41,6 +45,8 @@
 	Purse  *shares.Purse
 	// Doubt tells that the VM that Where names did not act as the coordinator.
 	Doubt func()
+	// Size returns the number of VMs of the fleet.
+	Size func() int
 	// Where returns the VM that has the duty and its address.
 	Where  func() (fleet.VMID, string, bool)
 	Events *timeline.Recorder
@@ -121,6 +127,7 @@
 	defer t.Stop()
 	for {
 		c.sync(ctx)
+		t.Reset(syncEvery * time.Duration(max(c.cfg.Size(), syncFleet)) / syncFleet)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -273,7 +280,7 @@
 	c.mu.Unlock()
 	if !dry {
 		var out GrantAnswer
-		err := c.call(ctx, callTimeout, "Grant", Grant{VM: c.cfg.VM, Team: t.ID, Need: need, Want: need + c.cfg.Purse.Room(t.ID)}, &out)
+		err := c.call(ctx, callTimeout, "Grant", Grant{VM: c.cfg.VM, Team: t.ID, Need: need, Want: need + c.cfg.Purse.Room(t.ID), Spare: c.cfg.Purse.Spare()}, &out)
 		if err == nil && out.Given >= need {
 			c.cfg.Purse.Put(t.ID, out.Given-need)
 			return 0, true
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -29,7 +29,7 @@
 
 // trafficLife is how long what a VM has in flight counts after its message:
 // several messages.
-const trafficLife = time.Second
+const trafficLife = 2500 * time.Millisecond
 
 // Config holds the dependencies of a Coordinator.
 type Config struct {
@@ -56,6 +56,8 @@
 	term    int64
 	engines map[fleet.UpstreamID]*engine
 	vms     map[fleet.VMID]vmTraffic
+	// total adds the requests of all VMs up, by upstream.
+	total   map[fleet.UpstreamID]int
 	demand  *demand
 	version uint64
 	// loads bounds the loads from the weight store, loading counts those that
@@ -85,6 +87,7 @@
 	c.term = term
 	c.engines = make(map[fleet.UpstreamID]*engine)
 	c.vms = make(map[fleet.VMID]vmTraffic)
+	c.total = make(map[fleet.UpstreamID]int)
 	c.demand = newDemand()
 	c.version++
 	c.loads, c.loading = loadBudget{}, 0
@@ -150,6 +153,7 @@
 	if err := s.c.begin(); err != nil {
 		return err
 	}
+	s.c.cfg.Tokens.Put(in.Spare)
 	out.Given = s.c.cfg.Tokens.Take(in.Team, in.Need, in.Want)
 	return nil
 }
@@ -171,12 +175,18 @@
 		traffic[t.Upstream] = t.InFlight
 	}
 	c.mu.Lock()
+	c.forget(in.VM)
 	c.vms[in.VM] = vmTraffic{at: now, share: in.Share, inFlight: traffic}
+	for u, n := range traffic {
+		c.total[u] += n
+	}
 	reach := 0.0
-	for _, t := range c.vms {
-		if now.Sub(t.at) < trafficLife {
-			reach += t.share
+	for id, t := range c.vms {
+		if now.Sub(t.at) > trafficLife {
+			c.forget(id)
+			continue
 		}
+		reach += t.share
 	}
 	for _, d := range in.Demand {
 		c.demand.add(now, d)
@@ -230,28 +240,27 @@
 	return out
 }
 
-// others adds up the requests of all VMs but one.
+// forget takes a VM's requests out of the sums. The caller holds the lock.
+func (c *Coordinator) forget(vm fleet.VMID) {
+	for u, n := range c.vms[vm].inFlight {
+		if c.total[u] -= n; c.total[u] <= 0 {
+			delete(c.total, u)
+		}
+	}
+	delete(c.vms, vm)
+}
+
+// others returns the requests of all VMs but one.
 func (c *Coordinator) others(vm fleet.VMID) []Traffic {
-	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	sum := make(map[fleet.UpstreamID]int)
-	for id, t := range c.vms {
-		if now.Sub(t.at) > trafficLife {
-			delete(c.vms, id)
-			continue
-		}
-		if id == vm {
-			continue
-		}
-		for u, n := range t.inFlight {
-			sum[u] += n
+	own := c.vms[vm].inFlight
+	out := make([]Traffic, 0, len(c.total))
+	for u, n := range c.total {
+		if n -= own[u]; n > 0 {
+			out = append(out, Traffic{Upstream: u, InFlight: n})
 		}
 	}
-	out := make([]Traffic, 0, len(sum))
-	for u, n := range sum {
-		out = append(out, Traffic{Upstream: u, InFlight: n})
-	}
 	return out
 }
 
@@ -259,11 +268,7 @@
 func (c *Coordinator) load(u fleet.UpstreamID) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n := 0
-	for _, t := range c.vms {
-		n += t.inFlight[u]
-	}
-	return n
+	return c.total[u]
 }
 
 // wish brings an adapter to the least loaded engine that can take it.
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -123,6 +123,8 @@
 	VM         fleet.VMID
 	Team       fleet.TeamID
 	Need, Want shares.Tokens
+	// Spare are the VM's own spare tokens of all teams.
+	Spare map[fleet.TeamID]shares.Tokens
 }
 
 // GrantAnswer gives tokens.
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -19,13 +19,14 @@
 	// configWait is how long the store keeps a question for a newer
 	// configuration. Each answer proves the one in force, so that its proof is
 	// at most twice as old, well within the time in which keys are withdrawn.
-	configWait = 1000 * time.Millisecond
+	configWait = 1300 * time.Millisecond
 	// configTimeout is when a question is given up and asked on a new
 	// connection.
 	configTimeout = configWait + 600*time.Millisecond
-	// directoryEvery is how often the directory is read. The many heartbeats
-	// are read together; it is under a third of the shortest drain time, 2 s.
-	directoryEvery   = 600 * time.Millisecond
+	// directoryReads is how often the directory is read within the time in which
+	// a leaving upstream has to be left alone. The many heartbeats are read
+	// together, since each would otherwise wake every VM.
+	directoryReads   = 2
 	directoryTimeout = 800 * time.Millisecond
 	// storeRetry is the pause after a failed question.
 	storeRetry = 100 * time.Millisecond
@@ -118,6 +119,7 @@
 	roster *roster.Roster
 	now    func() time.Duration
 	events *timeline.Recorder
+	every  time.Duration
 
 	cursor   platform.Cursor
 	answered time.Duration
@@ -131,7 +133,7 @@
 
 // run follows the directory until ctx ends.
 func (f *directoryFollower) run(ctx context.Context) error {
-	t := time.NewTicker(directoryEvery)
+	t := time.NewTicker(f.every)
 	defer t.Stop()
 	for {
 		f.turn(ctx)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,9 +36,10 @@
 const (
 	// eventsKept is how many events the ring for the time line holds.
 	eventsKept = 2048
-	// parts is the number of parts of the rates: several for each of 7 VMs, and
-	// at least one for each of 100.
-	parts = 104
+	// topics is how many topics' partitions are the parts of the rates: at 8
+	// partitions each, 104 parts are several for each of 7 VMs, and at least one
+	// for each of 100.
+	topics = 13
 	// staleMargin is how much sooner than keys must stop working a VM stops
 	// serving them without a proof: the request was sent before it was read.
 	staleMargin = 600 * time.Millisecond
@@ -81,7 +82,7 @@
 		events:    timeline.New(string(cfg.VM), eventsKept, logger),
 		catalogue: catalogue.NewHolder(bootclock.Now),
 		roster:    roster.New(),
-		store:     platform.NewStore(cfg.Store),
+		store:     platform.NewStore(cfg.Store, cfg.StorePartitions),
 		purse:     shares.NewPurse(bootclock.Now),
 		links:     peer.NewLinks(nil),
 		peers:     peer.NewServer(),
@@ -90,7 +91,7 @@
 	g.catalogue.OnChange(g.purse.Configure)
 	g.catalogue.OnChange(pool.Configure)
 	g.crew = crew.New(crew.Config{
-		Self: crew.NewMember(cfg.VM, cfg.Peers), Store: g.store, Parts: parts,
+		Self: crew.NewMember(cfg.VM, cfg.Peers), Store: g.store, Parts: topics * cfg.StorePartitions,
 		Lease: time.Duration(cfg.Lease), Fenced: cfg.Fenced, Now: bootclock.Now, Events: g.events, OnShare: g.purse.SetShare,
 	})
 	g.own = coordinator.New(coordinator.Config{
@@ -100,7 +101,7 @@
 	})
 	g.client = coordinator.NewClient(coordinator.ClientConfig{
 		VM: cfg.VM, Own: g.own, Peers: g.links, Roster: g.roster, Purse: g.purse,
-		Where: g.whereCoordinator, Doubt: g.crew.Doubt, Events: g.events,
+		Where: g.whereCoordinator, Doubt: g.crew.Doubt, Size: g.crew.Size, Events: g.events,
 	})
 	g.handler = serving.New(g.servingConfig())
 	g.callers = &http.Server{
@@ -191,7 +192,7 @@
 // addLoops adds what runs all the time.
 func (g *Gateway) addLoops(all *run.Group) {
 	config := &configFollower{store: g.store, holder: g.catalogue, now: bootclock.Now, events: g.events}
-	directory := &directoryFollower{store: g.store, roster: g.roster, now: bootclock.Now, events: g.events}
+	directory := &directoryFollower{store: g.store, roster: g.roster, now: bootclock.Now, events: g.events, every: time.Duration(g.cfg.DrainWithin) / directoryReads}
 	for _, loop := range []func(context.Context) error{config.run, directory.run, g.crew.Run, g.client.Run, g.own.Run} {
 		ctx, cancel := context.WithCancel(context.Background())
 		all.Add(func() error { return loop(ctx) }, func(error) { cancel() })
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -22,8 +22,12 @@
 	Peers   string `json:"peers"`
 	// Store is the address of the platform's store.
 	Store string `json:"store"`
+	// StorePartitions is the number of partitions of each of its topics.
+	StorePartitions int `json:"store_partitions"`
 	// RevokeWithin is when a withdrawn key must have stopped working.
 	RevokeWithin Span `json:"revoke_within"`
+	// DrainWithin is when a leaving upstream must get nothing new any more.
+	DrainWithin Span `json:"drain_within"`
 	// StopWithin is how long after SIGTERM the process is killed.
 	StopWithin Span `json:"stop_within"`
 	// Lease is how long nobody else may give orders after a coordinator.
@@ -79,12 +83,15 @@
 		path  string
 		value Span
 	}{
-		{"revoke_within", g.RevokeWithin}, {"stop_within", g.StopWithin}, {"lease", g.Lease}, {"repeat_window", g.RepeatWindow},
+		{"revoke_within", g.RevokeWithin}, {"drain_within", g.DrainWithin}, {"stop_within", g.StopWithin}, {"lease", g.Lease}, {"repeat_window", g.RepeatWindow},
 	} {
 		if d.value <= 0 {
 			return &FieldError{Path: d.path, Value: time.Duration(d.value).String(), Reason: "must be above 0"}
 		}
 	}
+	if g.StorePartitions <= 0 {
+		return &FieldError{Path: "store_partitions", Value: fmt.Sprint(g.StorePartitions), Reason: "must be above 0"}
+	}
 	if g.RepeatRatio < 0 || g.RepeatSlack < 0 {
 		return &FieldError{Path: "repeat_ratio", Value: fmt.Sprint(g.RepeatRatio), Reason: "must not be negative"}
 	}
