--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,7 @@
 
 demo: build
 	script/demo.sh
+	script/platform-demo.sh
 
 # operating runs the commands of docs/OPERATING.md.
 operating: build
--- a/crew/crew.go
+++ b/crew/crew.go
@@ -121,6 +121,7 @@
 	dutySince time.Duration
 	fence     int64
 	leaving   bool
+	failing   bool
 }
 
 // New returns a crew that has not joined yet.
@@ -155,8 +156,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, joinTimeout)
 	dealt, err := c.cfg.Store.Join(callCtx, c.cfg.Self, c.cfg.Parts, Life, generation)
 	cancel()
-	if err != nil {
-		c.cfg.Events.Record(event.JoinFailed, timeline.Fields{"reason": err.Error()})
+	if c.note(err); err != nil {
 		return
 	}
 	c.take(dealt, asked)
@@ -164,6 +164,17 @@
 	c.claim(ctx)
 }
 
+// note records the first of several joins that fail.
+func (c *Crew) note(err error) {
+	c.mu.Lock()
+	first := err != nil && !c.failing
+	c.failing = err != nil
+	c.mu.Unlock()
+	if first {
+		c.cfg.Events.Record(event.JoinFailed, timeline.Fields{"reason": err.Error()})
+	}
+}
+
 // take takes over the parts that the store dealt.
 func (c *Crew) take(d Dealt, asked time.Duration) {
 	c.mu.Lock()
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -57,6 +57,9 @@
 		if errors.Is(err, platform.ErrExpired) {
 			next, err = f.turn(ctx, platform.Cursor{})
 		}
+		if ctx.Err() != nil {
+			break
+		}
 		f.note(err)
 		if err != nil {
 			pause(ctx, storeRetry)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -115,14 +115,11 @@
 		DataCentre: g.cfg.DataCentre, Wire: platform.Wire{}, Catalogue: g.catalogue, Roster: g.roster,
 		Rates: g.client, Loader: g.client, Events: g.events,
 		StaleAfter: g.staleAfter(),
-		Budget:     serving.NewBudget(g.cfg.RepeatRatio, g.cfg.RepeatSlack, time.Duration(g.cfg.RepeatWindow), budgetVMs),
+		Budget:     serving.NewBudget(g.cfg.RepeatRatio, g.cfg.RepeatSlack, time.Duration(g.cfg.RepeatWindow), g.crew.Size),
 		Stopping:   g.stopsAt,
 	}
 }
 
-// budgetVMs is among how many VMs the slack of the repeats is divided.
-const budgetVMs = 8
-
 func (g *Gateway) staleAfter() time.Duration {
 	return time.Duration(g.cfg.RevokeWithin) - staleMargin
 }
--- a/serving/budget.go
+++ b/serving/budget.go
@@ -12,6 +12,7 @@
 	ratio    float64
 	slack    float64
 	window   time.Duration
+	vms      func() int
 	requests []time.Time
 	repeats  []time.Time
 }
@@ -23,10 +24,14 @@
 	slackUsed = 0.5
 )
 
+// minVMs is among how many VMs the slack is divided at least: a VM that has just
+// started does not know the others yet.
+const minVMs = 8
+
 // NewBudget returns a budget of ratio repeats for each request within a window,
-// and slack more over a number of VMs.
-func NewBudget(ratio, slack float64, window time.Duration, vms int) *Budget {
-	return &Budget{ratio: ratio * ratioUsed, slack: slack * slackUsed / float64(max(vms, 1)), window: window}
+// and slack more over the number of VMs that vms returns.
+func NewBudget(ratio, slack float64, window time.Duration, vms func() int) *Budget {
+	return &Budget{ratio: ratio * ratioUsed, slack: slack * slackUsed, window: window, vms: vms}
 }
 
 // Request counts a request.
@@ -45,7 +50,7 @@
 
 func (b *Budget) allows() bool {
 	b.requests, b.repeats = b.recent(b.requests), b.recent(b.repeats)
-	return float64(len(b.repeats)) < b.ratio*float64(len(b.requests))+b.slack
+	return float64(len(b.repeats)) < b.ratio*float64(len(b.requests))+b.slack/float64(max(b.vms(), minVMs))
 }
 
 // Repeat reports whether a request may be sent once more, and counts it.
--- a/serving/picker_test.go
+++ b/serving/picker_test.go
@@ -80,3 +80,36 @@
 		is.Equal(len(p.candidates("s", &Call{}, nil)), 6)
 	})
 }
+
+// An upstream that leaves, or whose entry is gone, gets nothing more; one whose
+// entry vanished around an outage of the store is kept for a while.
+func TestLeavingUpstreamGetsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, all := newPicker()
+		e := all[0].Entry()
+		e.Draining = true
+		p.roster.Put(e)
+		p.roster.Remove("u-1", false)
+		p.roster.Remove("u-2", true)
+		is.Equal(len(p.candidates("s", &Call{}, nil)), 4)
+		time.Sleep(3 * time.Second)
+		p.roster.Expire(time.Now())
+		is.Equal(len(p.candidates("s", &Call{}, nil)), 3)
+	})
+}
+
+// An upstream that was started anew under its id is another one.
+func TestUpstreamStartedAnewKnowsNothing(t *testing.T) {
+	is := is.New(t)
+	p, all := newPicker()
+	all[0].AddAdapter(roster.Adapter{Model: "m", Adapter: "a"}, time.Time{})
+	e := all[0].Entry()
+	e.Born = 7
+	p.roster.Put(e)
+	u, ok := p.roster.Get("u-0")
+	is.True(ok)
+	is.True(u != all[0])
+	is.True(!u.HasAdapter(roster.Adapter{Model: "m", Adapter: "a"}, time.Now()))
+	is.True(!all[0].Usable())
+}
