Let the coordinator vouch for what the store says, and believe vanished entries at once

Ruled out: late reads (the first request came 3,018 ms after the entry went: 1.0 s to the read and 2 s of doubt).

Mend: the coordinator's answers carry the version that it has proved and the fingerprint of its roster, with their ages. A VM that has the same asks the store for changes only; one that has not, or hears nothing, asks at once. A VM is ready only while the store answers its own joins. An outage is counted from the interval of reading. One dialer and one pause for all (internal/tcp, internal/loop); the moves have a file of their own.

--- a/catalogue/holder.go
+++ b/catalogue/holder.go
@@ -52,6 +52,27 @@
 	h.proved = max(h.proved, asked)
 }
 
+// Proof returns the version in force and when it was last known to be the newest
+// one, and false if there is none.
+func (h *Holder) Proof() (Version, time.Duration, bool) {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	if h.cfg == nil {
+		return 0, 0, false
+	}
+	return h.cfg.Version, h.proved, true
+}
+
+// ProveVersion is like [Holder.Prove] for a proof that another VM has of a
+// version. It counts for nothing if this VM does not have that version.
+func (h *Holder) ProveVersion(v Version, proved time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.cfg != nil && h.cfg.Version >= v {
+		h.proved = max(h.proved, proved)
+	}
+}
+
 // Current returns the configuration in force, nil if there is none, and how
 // long ago it was known to be the newest one.
 func (h *Holder) Current() (*Config, time.Duration) {
--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -45,6 +45,10 @@
 	Purse  *shares.Purse
 	// Doubt tells that the VM that Where names did not act as the coordinator.
 	Doubt func()
+	// Vouched takes what another VM knows from the store, in answer to a message
+	// of the time sent on the clock Now.
+	Vouched func(v Vouch, sent time.Duration)
+	Now     func() time.Duration
 	// Size returns the number of VMs of the fleet.
 	Size func() int
 	// Where returns the VM that has the duty and its address.
@@ -139,6 +143,7 @@
 // sync sends what happened since the last message.
 func (c *Client) sync(ctx context.Context) {
 	in := c.message()
+	sent := c.cfg.Now()
 	var out SyncAnswer
 	err := c.call(ctx, callTimeout, "Sync", in, &out)
 	c.mu.Lock()
@@ -161,6 +166,9 @@
 		return
 	}
 	c.learn(out)
+	if vm, _, ok := c.cfg.Where(); ok && vm != c.cfg.VM {
+		c.cfg.Vouched(out.Vouch, sent)
+	}
 }
 
 func (c *Client) message() Sync {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -44,6 +44,8 @@
 	// Fenced tells that a fencing token was refused.
 	Fenced func(fence int64)
 	Tokens *shares.Pool
+	// Vouch returns what this VM knows from the store.
+	Vouch  func() Vouch
 	Events *timeline.Recorder
 }
 
@@ -219,7 +221,7 @@
 }
 
 func (c *Coordinator) answer(in Sync) SyncAnswer {
-	out := SyncAnswer{Others: c.others(in.VM)}
+	out := SyncAnswer{Others: c.others(in.VM), Vouch: c.cfg.Vouch()}
 	c.mu.Lock()
 	out.Version = c.version
 	engines := make([]*engine, 0, len(c.engines))
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -53,7 +53,7 @@
 		VM: "vm-1", Catalogue: holder, Roster: w.roster, Engines: w.engines, Pool: w.engines.pool,
 		Duty:   func() (int64, bool) { f := w.fence.Load(); return f, f != 0 },
 		Fenced: func(int64) { w.fence.Store(0) },
-		Tokens: shares.NewPool(), Events: timeline.New("test", 16, logger),
+		Tokens: shares.NewPool(), Vouch: func() coordinator.Vouch { return coordinator.Vouch{} }, Events: timeline.New("test", 16, logger),
 	})
 	return w
 }
@@ -72,7 +72,9 @@
 		var out coordinator.SyncAnswer
 		if err := w.c.Service().Sync(in, &out); err != nil {
 			cancel()
-			<-ended
+			if e := <-ended; !errors.Is(e, context.Canceled) {
+				return e
+			}
 			return err
 		}
 		time.Sleep(200 * time.Millisecond)
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -116,6 +116,18 @@
 	// Version numbers the holdings; these are left out if the VM has them.
 	Version  uint64
 	Holdings []EngineHoldings
+	Vouch    Vouch
+}
+
+// Vouch is what the coordinator knows from the store, so that VMs which know the
+// same need not ask it themselves.
+type Vouch struct {
+	// Config is the newest configuration when the store was asked ConfigAge ago.
+	Config    catalogue.Version
+	ConfigAge time.Duration
+	// Directory is the fingerprint of the roster that was read DirectoryAge ago.
+	Directory    uint64
+	DirectoryAge time.Duration
 }
 
 // Grant asks for tokens of the pool.
--- a/courier/conn.go
+++ b/courier/conn.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"time"
 
+	"toucanfall/internal/tcp"
+
 	"golang.org/x/sys/unix"
 )
 
@@ -23,26 +25,13 @@
 
 // dial opens a connection whose loss is noticed within lossTimeout.
 func dial(ctx context.Context, address string) (*conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, Control: setUserTimeout}
-	c, err := d.DialContext(ctx, "tcp", address)
+	c, err := tcp.NewDialer(dialTimeout, lossTimeout).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	return &conn{Conn: c, br: bufio.NewReaderSize(c, readBuffer)}, nil
 }
 
-// setUserTimeout bounds how long sent bytes may stay without an acknowledgement.
-func setUserTimeout(_, _ string, rc syscall.RawConn) error {
-	var failed error
-	err := rc.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(lossTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return failed
-}
-
 // clean reports whether an idle connection can carry another request: it was
 // not closed, and no bytes came that belong to no request.
 func (c *conn) clean(now time.Time) bool {
--- a/crew/crew.go
+++ b/crew/crew.go
@@ -14,12 +14,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"toucanfall/event"
 	"toucanfall/fleet"
+	"toucanfall/internal/loop"
 	"toucanfall/timeline"
 )
 
@@ -131,16 +133,8 @@
 
 // Run joins until ctx ends.
 func (c *Crew) Run(ctx context.Context) error {
-	t := time.NewTicker(joinEvery)
-	defer t.Stop()
-	for {
-		c.turn(ctx)
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-t.C:
-		}
-	}
+	loop.Every(ctx, joinEvery, c.turn)
+	return ctx.Err()
 }
 
 // turn joins once, and does what follows from the answer.
@@ -188,19 +182,10 @@
 		})
 	}
 	c.generation, c.dealt, c.confirmed = d.Generation, d, asked
-	c.setDuty(holds(d.Parts, 0))
+	c.setDuty(slices.Contains(d.Parts, 0))
 	c.cfg.OnShare(float64(len(d.Parts))/float64(c.cfg.Parts), asked+Life)
 }
 
-func holds(parts []Part, p Part) bool {
-	for _, q := range parts {
-		if q == p {
-			return true
-		}
-	}
-	return false
-}
-
 // setDuty notes whether this VM is to be the coordinator. The caller holds the
 // lock.
 func (c *Crew) setDuty(mine bool) {
@@ -324,6 +309,18 @@
 	}
 }
 
+// touchLife is how long ago the store must have answered a join for this VM to
+// be in touch with it: three fifths of the 5 s in which withdrawn keys have to
+// stop, after which requests with keys are worth nothing here.
+const touchLife = 3 * time.Second
+
+// InTouch reports whether the store has answered this VM lately.
+func (c *Crew) InTouch() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leaving || c.cfg.Now()-c.confirmed < touchLife
+}
+
 // Coordinator returns the member that is to be the coordinator.
 func (c *Crew) Coordinator() (Member, bool) {
 	c.mu.Lock()
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -5,10 +5,12 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"toucanfall/catalogue"
 	"toucanfall/event"
+	"toucanfall/internal/loop"
 	"toucanfall/platform"
 	"toucanfall/roster"
 	"toucanfall/timeline"
@@ -20,9 +22,16 @@
 	// configuration. Each answer proves the one in force, so that its proof is
 	// at most twice as old, well within the time in which keys are withdrawn.
 	configWait = 1300 * time.Millisecond
-	// configTimeout is when a question is given up and asked on a new
-	// connection.
-	configTimeout = configWait + 600*time.Millisecond
+	// leaderWait is the same at the coordinator, whose proof others go by.
+	leaderWait = 600 * time.Millisecond
+	// vouchedWait is the same while the coordinator vouches for the configuration
+	// in force: the question is asked for what changes only.
+	vouchedWait = 10 * time.Second
+	// configMargin is how much later than that a question is given up and asked
+	// on a new connection.
+	configMargin = 600 * time.Millisecond
+	// vouchCheck is how often it is checked that the coordinator still vouches.
+	vouchCheck = 200 * time.Millisecond
 	// directoryReads is how often the directory is read within the time in which
 	// a leaving upstream has to be left alone. The many heartbeats are read
 	// together, since each would otherwise wake every VM.
@@ -30,9 +39,10 @@
 	directoryTimeout = 800 * time.Millisecond
 	// storeRetry is the pause after a failed question.
 	storeRetry = 100 * time.Millisecond
-	// outage is how long the store must have been away for vanished entries to
-	// be doubted: longer than any answer takes while the store is well.
-	outage = 1200 * time.Millisecond
+	// outage is how much longer than planned the directory must not have been
+	// read for vanished entries to be doubted: longer than any answer takes while
+	// the store is well.
+	outage = 700 * time.Millisecond
 )
 
 // ConfigStore gives the operators' configuration.
@@ -42,13 +52,33 @@
 
 // configFollower keeps the catalogue up to date.
 type configFollower struct {
-	store   ConfigStore
-	holder  *catalogue.Holder
-	now     func() time.Duration
-	events  *timeline.Recorder
+	store  ConfigStore
+	holder *catalogue.Holder
+	now    func() time.Duration
+	events *timeline.Recorder
+	// vouched tells whether the coordinator vouches for the configuration in
+	// force, leads whether this VM is the coordinator.
+	vouched func() bool
+	leads   func() bool
+	// hurried is set after the coordinator stopped vouching.
+	hurried bool
 	failing bool
 }
 
+// wait returns how long the store is to keep the next question.
+func (f *configFollower) wait() time.Duration {
+	switch {
+	case f.hurried:
+		f.hurried = false
+		return 0
+	case f.vouched():
+		return vouchedWait
+	case f.leads():
+		return leaderWait
+	}
+	return configWait
+}
+
 // run follows the configuration until ctx ends.
 func (f *configFollower) run(ctx context.Context) error {
 	var cursor platform.Cursor
@@ -62,7 +92,7 @@
 		}
 		f.note(err)
 		if err != nil {
-			pause(ctx, storeRetry)
+			loop.Pause(ctx, storeRetry)
 			continue
 		}
 		cursor = next
@@ -72,10 +102,17 @@
 
 // turn asks once, and takes over what is newer.
 func (f *configFollower) turn(ctx context.Context, from platform.Cursor) (platform.Cursor, error) {
-	asked := f.now()
-	ctx, cancel := context.WithTimeout(ctx, configTimeout)
+	asked, wait := f.now(), f.wait()
+	ctx, cancel := context.WithTimeout(ctx, wait+configMargin)
 	defer cancel()
-	cfg, next, complete, err := f.store.ReadConfig(ctx, from, configWait)
+	if wait == vouchedWait {
+		go f.whileVouched(ctx, cancel)
+	}
+	cfg, next, complete, err := f.store.ReadConfig(ctx, from, wait)
+	if wait == vouchedWait && errors.Is(ctx.Err(), context.Canceled) {
+		f.hurried = true
+		return from, nil // Nobody vouches any more: it is asked again at once.
+	}
 	if err != nil {
 		return from, err
 	}
@@ -88,6 +125,21 @@
 	return next, nil
 }
 
+// whileVouched cancels a long question once the coordinator no longer vouches for
+// the configuration in force.
+func (f *configFollower) whileVouched(ctx context.Context, cancel func()) {
+	t := time.NewTicker(vouchCheck)
+	defer t.Stop()
+	for f.vouched() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+	cancel()
+}
+
 // limitsOf lists the limits of the teams for the log.
 func limitsOf(cfg *catalogue.Config) string {
 	var b strings.Builder
@@ -124,29 +176,50 @@
 	events *timeline.Recorder
 	every  time.Duration
 
-	cursor   platform.Cursor
-	answered time.Duration
+	// vouched tells when the coordinator read the same as this VM knows, 0 if it
+	// did not, and whether it knows something else.
+	vouched func() (read time.Duration, other bool)
+
+	cursor platform.Cursor
 	// doubtUntil is until when vanished entries are doubted.
 	doubtUntil time.Duration
+	// answered is when the directory was last known to be read.
+	answered atomic.Int64
 }
 
 // doubtFor is how long after an outage of the store vanished entries are
 // doubted: upstreams that live are back within about two seconds.
 const doubtFor = 2 * time.Second
 
+// directoryChecks is how many times it is looked, between two reads, whether the
+// coordinator knows other upstreams.
+const directoryChecks = 4
+
 // run follows the directory until ctx ends.
 func (f *directoryFollower) run(ctx context.Context) error {
-	t := time.NewTicker(f.every)
-	defer t.Stop()
-	for {
-		f.turn(ctx)
-		f.roster.Expire(time.Now())
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-t.C:
+	loop.Every(ctx, f.every/directoryChecks, func(ctx context.Context) {
+		if f.due() {
+			f.turn(ctx)
 		}
+		f.roster.Expire(time.Now())
+	})
+	return ctx.Err()
+}
+
+// due reports whether the directory is to be read now: at the usual interval, or
+// half as often again where the coordinator reads it and knows the same.
+func (f *directoryFollower) due() bool {
+	read, other := f.vouched()
+	if read == 0 {
+		return other || f.age() >= f.every-f.every/(2*directoryChecks)
 	}
+	f.answered.Store(max(f.answered.Load(), int64(read)))
+	return f.age() >= f.every*3/2
+}
+
+// age returns how long ago the directory was read.
+func (f *directoryFollower) age() time.Duration {
+	return f.now() - time.Duration(f.answered.Load())
 }
 
 func (f *directoryFollower) turn(ctx context.Context) {
@@ -160,10 +233,11 @@
 		return // The configuration's follower tells that the store is lost.
 	}
 	now := f.now()
-	if f.answered != 0 && now-f.answered > outage {
+	if f.answered.Load() != 0 && f.age() > f.every+outage {
 		f.doubtUntil = now + doubtFor
 	}
-	f.answered, f.cursor = now, next
+	f.answered.Store(int64(now))
+	f.cursor = next
 	f.take(changes, now < f.doubtUntil)
 }
 
@@ -182,13 +256,3 @@
 		f.roster.Remove(id, doubtful)
 	}
 }
-
-// pause waits for d, or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- /dev/null
+++ b/gateway/follow_test.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"toucanfall/fleet"
+	"toucanfall/platform"
+	"toucanfall/roster"
+	"toucanfall/timeline"
+)
+
+// directory is a directory with one upstream until it is removed.
+type directory struct {
+	down    bool
+	removed bool
+}
+
+func (d *directory) ReadDirectory(context.Context, platform.Cursor) (platform.Changes, platform.Cursor, error) {
+	switch {
+	case d.down:
+		return platform.Changes{}, platform.Cursor{}, errors.New("the store is down")
+	case d.removed:
+		return platform.Changes{Removed: []fleet.UpstreamID{"u"}}, platform.Cursor{}, nil
+	}
+	return platform.Changes{Entries: []roster.Entry{{ID: "u", Address: "192.0.2.1:80"}}}, platform.Cursor{}, nil
+}
+
+// A vanished entry is believed at once, however seldom the directory is read,
+// unless the store was away just before.
+func TestVanishedEntryIsBelieved(t *testing.T) {
+	for _, every := range []time.Duration{time.Second, 1500 * time.Millisecond, 4 * time.Second} {
+		for _, outage := range []bool{false, true} {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				logger := logrus.New()
+				logger.SetOutput(io.Discard)
+				d, start := &directory{}, time.Now()
+				f := &directoryFollower{
+					store: d, roster: roster.New(), events: timeline.New("test", 16, logger), every: every,
+					now:     func() time.Duration { return time.Since(start) + time.Hour },
+					vouched: func() (time.Duration, bool) { return 0, false },
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				ended := make(chan error, 1)
+				go func() { ended <- f.run(ctx) }()
+				time.Sleep(5 * every)
+				is.Equal(len(f.roster.Upstreams()), 1)
+				d.down = outage
+				time.Sleep(2*every + time.Second)
+				d.down, d.removed = false, true
+				if outage {
+					time.Sleep(every/2 + time.Millisecond) // It is read as soon as it can be.
+					is.Equal(len(f.roster.Upstreams()), 1)
+					time.Sleep(doubtFor)
+				}
+				time.Sleep(every + every/4)
+				is.Equal(len(f.roster.Upstreams()), 0)
+				cancel()
+				is.Equal(<-ended, context.Canceled)
+			})
+		}
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,6 +59,8 @@
 	catalogue *catalogue.Holder
 	roster    *roster.Roster
 	store     *platform.Store
+	directory *directoryFollower
+	voucher   *voucher
 	crew      *crew.Crew
 	purse     *shares.Purse
 	own       *coordinator.Coordinator
@@ -87,6 +89,14 @@
 		links:     peer.NewLinks(nil),
 		peers:     peer.NewServer(),
 	}
+	g.voucher = &voucher{
+		now: bootclock.Now, holder: g.catalogue, roster: g.roster,
+		readAge: func() time.Duration { return g.directory.age() },
+	}
+	g.directory = &directoryFollower{
+		store: g.store, roster: g.roster, now: bootclock.Now, events: g.events,
+		every: time.Duration(cfg.DrainWithin) / directoryReads, vouched: g.voucher.directory,
+	}
 	pool := shares.NewPool()
 	g.catalogue.OnChange(g.purse.Configure)
 	g.catalogue.OnChange(pool.Configure)
@@ -97,11 +107,12 @@
 	g.own = coordinator.New(coordinator.Config{
 		VM: cfg.VM, Catalogue: g.catalogue, Roster: g.roster, Engines: platform.Engines{},
 		Pool: func(u *roster.Upstream) *courier.Pool { return g.handler.Pool(u) },
-		Duty: g.crew.Duty, Fenced: g.crew.Refused, Tokens: pool, Events: g.events,
+		Duty: g.crew.Duty, Fenced: g.crew.Refused, Tokens: pool, Vouch: g.voucher.own, Events: g.events,
 	})
 	g.client = coordinator.NewClient(coordinator.ClientConfig{
 		VM: cfg.VM, Own: g.own, Peers: g.links, Roster: g.roster, Purse: g.purse,
-		Where: g.whereCoordinator, Doubt: g.crew.Doubt, Size: g.crew.Size, Events: g.events,
+		Where: g.whereCoordinator, Doubt: g.crew.Doubt, Size: g.crew.Size,
+		Vouched: g.voucher.take, Now: bootclock.Now, Events: g.events,
 	})
 	g.handler = serving.New(g.servingConfig())
 	g.callers = &http.Server{
@@ -124,6 +135,12 @@
 	return time.Duration(g.cfg.RevokeWithin) - staleMargin
 }
 
+// leads reports whether this VM is the coordinator.
+func (g *Gateway) leads() bool {
+	_, ok := g.crew.Duty()
+	return ok
+}
+
 func (g *Gateway) whereCoordinator() (fleet.VMID, string, bool) {
 	m, ok := g.crew.Coordinator()
 	return m.VM(), m.Address(), ok
@@ -149,7 +166,7 @@
 // ready reports whether the VM is to get new connections.
 func (g *Gateway) ready() bool {
 	cfg, age := g.catalogue.Current()
-	return cfg != nil && age < g.staleAfter() && g.stopsAt().IsZero() && len(g.roster.Upstreams()) > 0
+	return cfg != nil && age < g.staleAfter() && g.crew.InTouch() && g.stopsAt().IsZero() && len(g.roster.Upstreams()) > 0
 }
 
 // Run serves until ctx ends, and then stops without cutting requests.
@@ -188,9 +205,8 @@
 
 // addLoops adds what runs all the time.
 func (g *Gateway) addLoops(all *run.Group) {
-	config := &configFollower{store: g.store, holder: g.catalogue, now: bootclock.Now, events: g.events}
-	directory := &directoryFollower{store: g.store, roster: g.roster, now: bootclock.Now, events: g.events, every: time.Duration(g.cfg.DrainWithin) / directoryReads}
-	for _, loop := range []func(context.Context) error{config.run, directory.run, g.crew.Run, g.client.Run, g.own.Run} {
+	config := &configFollower{store: g.store, holder: g.catalogue, now: bootclock.Now, events: g.events, vouched: g.voucher.config, leads: g.leads}
+	for _, loop := range []func(context.Context) error{config.run, g.directory.run, g.crew.Run, g.client.Run, g.own.Run} {
 		ctx, cancel := context.WithCancel(context.Background())
 		all.Add(func() error { return loop(ctx) }, func(error) { cancel() })
 	}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -32,3 +32,13 @@
 		}
 	}
 }
+
+// Pause waits for d, or until ctx ends.
+func Pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -5,10 +5,13 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"toucanfall/catalogue"
 	"toucanfall/fleet"
 )
@@ -143,6 +146,18 @@
 	return r.byID
 }
 
+// Fingerprint returns a number that is the same for two VMs which know the same
+// upstreams, in the same states.
+func (r *Roster) Fingerprint() uint64 {
+	h := xxhash.New()
+	for _, u := range r.Upstreams() {
+		e := u.Entry()
+		// A hash takes every write.
+		_, _ = fmt.Fprintf(h, "%s %s %s %d %t\n", e.ID, e.Service, e.Address, e.Born, e.Draining)
+	}
+	return h.Sum64()
+}
+
 // Get returns the upstream with an id.
 func (r *Roster) Get(id fleet.UpstreamID) (*Upstream, bool) {
 	r.mu.RLock()
