--- /dev/null
+++ b/coordinator/demand_test.go
@@ -0,0 +1,53 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// In any 5 s no more loads begin than the weight store allows in that time, and
+// the few that may begin at once.
+func TestLoadsStayWithinCeiling(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		perSecond := rapid.Float64Range(0.5, 16).Draw(t, "per second")
+		var b loadBudget
+		var begun []time.Time
+		now := time.Unix(0, 0)
+		for range 300 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			if !b.take(now, perSecond) {
+				continue
+			}
+			begun = append(begun, now)
+			in := 0
+			for _, at := range begun {
+				if now.Sub(at) < 5*time.Second {
+					in++
+				}
+			}
+			if float64(in) > 5*perSecond+3 {
+				t.Fatalf("%d loads within 5 s at %v a second", in, perSecond)
+			}
+		}
+	})
+}
+
+// Demand that has moved is forgotten within two seconds or so.
+func TestDemandFollowsShift(t *testing.T) {
+	is := is.New(t)
+	d, now := newDemand(), time.Unix(0, 0)
+	old, rising := modelKey{"s", "old"}, modelKey{"s", "rising"}
+	for range 50 {
+		now = now.Add(100 * time.Millisecond)
+		d.add(now, Demand{Service: "s", Model: "old", Tokens: 1000})
+	}
+	is.True(d.rate(now, old) > 8000) // of 10,000 a second
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		d.add(now, Demand{Service: "s", Model: "rising", Tokens: 1000})
+	}
+	is.True(d.rate(now, rising) > 2*d.rate(now, old))
+}
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,15 +20,15 @@
 
 // directory is a directory with one upstream until it is removed.
 type directory struct {
-	down    bool
-	removed bool
+	down    atomic.Bool
+	removed atomic.Bool
 }
 
 func (d *directory) ReadDirectory(context.Context, platform.Cursor) (platform.Changes, platform.Cursor, error) {
 	switch {
-	case d.down:
+	case d.down.Load():
 		return platform.Changes{}, platform.Cursor{}, errors.New("the store is down")
-	case d.removed:
+	case d.removed.Load():
 		return platform.Changes{Removed: []fleet.UpstreamID{"u"}}, platform.Cursor{}, nil
 	}
 	return platform.Changes{Entries: []roster.Entry{{ID: "u", Address: "192.0.2.1:80"}}}, platform.Cursor{}, nil
@@ -53,9 +54,10 @@
 				go func() { ended <- f.run(ctx) }()
 				time.Sleep(5 * every)
 				is.Equal(len(f.roster.Upstreams()), 1)
-				d.down = outage
+				d.down.Store(outage)
 				time.Sleep(2*every + time.Second)
-				d.down, d.removed = false, true
+				d.down.Store(false)
+				d.removed.Store(true)
 				if outage {
 					time.Sleep(every/2 + time.Millisecond) // It is read as soon as it can be.
 					is.Equal(len(f.roster.Upstreams()), 1)
