Take no pause of this VM for an outage of the store

Ruled out: the coordinator's word (the same happens without it); a late read (the VM read the removal within a second).

Mend: an outage is a time in which reads failed.

Before: TestVanishedEntryIsBelieved fails for a freeze with the interval alone (seen).

Conclusion: silence of one's own clock says nothing about others.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -39,9 +39,8 @@
 	directoryTimeout = 800 * time.Millisecond
 	// storeRetry is the pause after a failed question.
 	storeRetry = 100 * time.Millisecond
-	// outage is how much longer than planned the directory must not have been
-	// read for vanished entries to be doubted: longer than any answer takes while
-	// the store is well.
+	// outage is how long reads must have failed for vanished entries to be doubted
+	// after them: longer than any answer takes while the store is well.
 	outage = 700 * time.Millisecond
 )
 
@@ -181,6 +180,9 @@
 	vouched func() (read time.Duration, other bool)
 
 	cursor platform.Cursor
+	// failing is when the first of the reads failed that have failed since the
+	// last one that did not, 0 if none has. A pause of this VM is no failure.
+	failing time.Duration
 	// doubtUntil is until when vanished entries are doubted.
 	doubtUntil time.Duration
 	// answered is when the directory was last known to be read.
@@ -229,13 +231,18 @@
 	if errors.Is(err, platform.ErrExpired) {
 		changes, next, err = f.store.ReadDirectory(ctx, platform.Cursor{})
 	}
+	now := f.now()
 	if err != nil {
-		return // The configuration's follower tells that the store is lost.
+		// The configuration's follower tells that the store is lost.
+		if f.failing == 0 {
+			f.failing = now
+		}
+		return
 	}
-	now := f.now()
-	if f.answered.Load() != 0 && f.age() > f.every+outage {
+	if f.failing != 0 && now-f.failing > outage {
 		f.doubtUntil = now + doubtFor
 	}
+	f.failing = 0
 	f.answered.Store(int64(now))
 	f.cursor = next
 	f.take(changes, now < f.doubtUntil)
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -34,19 +34,21 @@
 	return platform.Changes{Entries: []roster.Entry{{ID: "u", Address: "192.0.2.1:80"}}}, platform.Cursor{}, nil
 }
 
-// A vanished entry is believed at once, however seldom the directory is read,
-// unless the store was away just before.
+// A vanished entry is believed at once, however seldom the directory is read and
+// though this VM was frozen, unless the store was away just before.
 func TestVanishedEntryIsBelieved(t *testing.T) {
 	for _, every := range []time.Duration{time.Second, 1500 * time.Millisecond, 4 * time.Second} {
-		for _, outage := range []bool{false, true} {
+		for _, before := range []string{"nothing", "outage", "freeze"} {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				logger := logrus.New()
 				logger.SetOutput(io.Discard)
 				d, start := &directory{}, time.Now()
+				var frozen atomic.Int64
+				outage := before == "outage"
 				f := &directoryFollower{
 					store: d, roster: roster.New(), events: timeline.New("test", 16, logger), every: every,
-					now:     func() time.Duration { return time.Since(start) + time.Hour },
+					now:     func() time.Duration { return time.Since(start) + time.Hour + time.Duration(frozen.Load()) },
 					vouched: func() (time.Duration, bool) { return 0, false },
 				}
 				ctx, cancel := context.WithCancel(t.Context())
@@ -56,6 +58,9 @@
 				is.Equal(len(f.roster.Upstreams()), 1)
 				d.down.Store(outage)
 				time.Sleep(2*every + time.Second)
+				if before == "freeze" {
+					frozen.Store(int64(4 * time.Second))
+				}
 				d.down.Store(false)
 				d.removed.Store(true)
 				if outage {
