Drop what the gateway decodes but never uses

Cause: reading the change as a newcomer: fields of configuration, reports and replies that nothing reads, and a mean that nothing asks for.

Ruled out: their use by tests only (none).

Conclusion: fields come back with their first use.

--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -43,8 +43,6 @@
 	// Objective is the latency that the operators aim at: to the answer, or to
 	// the first event of a stream.
 	Objective time.Duration
-	// GapObjective is the longest pause between events that is still in time.
-	GapObjective time.Duration
 	// Attempts bounds the upstreams to which one request is sent.
 	Attempts int
 	// Priority is the rank of the route; 0 is the most urgent.
@@ -70,8 +68,6 @@
 // Service is a group of upstreams that are alike.
 type Service struct {
 	ID ServiceID
-	// MaxConns bounds the connections to one upstream over all VMs.
-	MaxConns int
 	// Engine is nil for plain services.
 	Engine *Engine
 }
@@ -80,10 +76,6 @@
 type Engine struct {
 	// Slots is how many requests an engine works on at once.
 	Slots int
-	// KVCapacity is the room for running requests and cached prompts.
-	KVCapacity fleet.Tokens
-	// Stride is how many tokens one event of a stream holds.
-	Stride int
 	// WeightsMB is the memory for weights and adapters.
 	WeightsMB float64
 	// AdapterSlots bounds the adapters of an engine.
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -18,10 +18,6 @@
 	Busy     bool
 	Seq      int64
 	Born     int64
-	Queued   int
-	Active   int
-	KVUsed   fleet.Tokens
-	KVTotal  fleet.Tokens
 }
 
 // Order is an order to an engine to load or unload a model or an adapter.
--- a/crew/crew.go
+++ b/crew/crew.go
@@ -113,7 +113,6 @@
 
 	mu         sync.Mutex
 	generation int64
-	dealt      Dealt
 	confirmed  time.Duration
 	owners     map[Part]Member
 	ownersOf   int64
@@ -181,7 +180,7 @@
 			"generation": fmt.Sprint(d.Generation), "parts": fmt.Sprint(len(d.Parts)),
 		})
 	}
-	c.generation, c.dealt, c.confirmed = d.Generation, d, asked
+	c.generation, c.confirmed = d.Generation, asked
 	c.setDuty(slices.Contains(d.Parts, 0))
 	c.cfg.OnShare(float64(len(d.Parts))/float64(c.cfg.Parts), asked+Life)
 }
--- a/event/event.go
+++ b/event/event.go
@@ -29,7 +29,7 @@
 	ShareMinted, ShareLost, ShareTakeover,
 	PlacerClaimed, PlacerReplaced, PlacementIntended, PlacementRejected, OrderFailed, PlacementBroken,
 	KeyHeardWithdrawn, OperatorCommand, WithdrawalAppended,
-	ConfigApplied, StoreLost, StoreFound, EntryOdd, UpstreamListed,
+	ConfigApplied, StoreLost, StoreFound, EntryOdd,
 	JoinFailed, PartsDealt, ClaimFailed, DutyTaken, CoordinatorLost, CoordinatorFound,
 	EngineOrdered, PlacementChanged, MoveFailed, PlacementViewed, SettingsReloaded, SettingsRefused, GatewayFault,
 	FakeStarted, FakeServed,
--- a/event/gateway.go
+++ b/event/gateway.go
@@ -8,7 +8,6 @@
 	StoreLost        = Event{802, "store_lost", logrus.WarnLevel, "The platform's store does not answer. Requests with keys are refused once the configuration is no longer proved."}
 	StoreFound       = Event{803, "store_found", logrus.InfoLevel, "The platform's store answers again."}
 	EntryOdd         = Event{804, "entry_odd", logrus.WarnLevel, "An entry of the directory cannot be understood; it names no upstream. The field reason says why."}
-	UpstreamListed   = Event{805, "upstream_listed", logrus.InfoLevel, "An upstream is new in the directory, or leaves."}
 	JoinFailed       = Event{811, "join_failed", logrus.WarnLevel, "This VM could not renew its membership. Its share of the rates ends when the membership does."}
 	PartsDealt       = Event{812, "parts_dealt", logrus.InfoLevel, "The store has dealt the parts of the rates anew."}
 	ClaimFailed      = Event{813, "claim_failed", logrus.WarnLevel, "The claim on the coordinator's duty could not be made; it is tried again."}
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -39,40 +39,42 @@
 func TestVanishedEntryIsBelieved(t *testing.T) {
 	for _, every := range []time.Duration{time.Second, 1500 * time.Millisecond, 4 * time.Second} {
 		for _, before := range []string{"nothing", "outage", "freeze"} {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				logger := logrus.New()
-				logger.SetOutput(io.Discard)
-				d, start := &directory{}, time.Now()
-				var frozen atomic.Int64
-				outage := before == "outage"
-				f := &directoryFollower{
-					store: d, roster: roster.New(), events: timeline.New("test", 16, logger), every: every,
-					now:     func() time.Duration { return time.Since(start) + time.Hour + time.Duration(frozen.Load()) },
-					vouched: func() (time.Duration, bool) { return 0, false },
-				}
-				ctx, cancel := context.WithCancel(t.Context())
-				ended := make(chan error, 1)
-				go func() { ended <- f.run(ctx) }()
-				time.Sleep(5 * every)
-				is.Equal(len(f.roster.Upstreams()), 1)
-				d.down.Store(outage)
-				time.Sleep(2*every + time.Second)
-				if before == "freeze" {
-					frozen.Store(int64(4 * time.Second))
-				}
-				d.down.Store(false)
-				d.removed.Store(true)
-				if outage {
-					time.Sleep(every/2 + time.Millisecond) // It is read as soon as it can be.
-					is.Equal(len(f.roster.Upstreams()), 1)
-					time.Sleep(doubtFor)
-				}
-				time.Sleep(every + every/4)
-				is.Equal(len(f.roster.Upstreams()), 0)
-				cancel()
-				is.Equal(<-ended, context.Canceled)
-			})
+			synctest.Test(t, func(t *testing.T) { vanish(t, every, before) })
 		}
 	}
 }
+
+// vanish lets an entry vanish after something else has happened.
+func vanish(t *testing.T, every time.Duration, before string) {
+	is := is.New(t)
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	d, start := &directory{}, time.Now()
+	var frozen atomic.Int64
+	f := &directoryFollower{
+		store: d, roster: roster.New(), events: timeline.New("test", 16, logger), every: every,
+		now:     func() time.Duration { return time.Since(start) + time.Hour + time.Duration(frozen.Load()) },
+		vouched: func() (time.Duration, bool) { return 0, false },
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- f.run(ctx) }()
+	time.Sleep(5 * every)
+	is.Equal(len(f.roster.Upstreams()), 1)
+	d.down.Store(before == "outage")
+	time.Sleep(2*every + time.Second)
+	if before == "freeze" {
+		frozen.Store(int64(4 * time.Second))
+	}
+	d.down.Store(false)
+	d.removed.Store(true)
+	if before == "outage" {
+		time.Sleep(every/2 + time.Millisecond) // It is read as soon as it can be.
+		is.Equal(len(f.roster.Upstreams()), 1)
+		time.Sleep(doubtFor)
+	}
+	time.Sleep(every + every/4)
+	is.Equal(len(f.roster.Upstreams()), 0)
+	cancel()
+	is.Equal(<-ended, context.Canceled)
+}
--- a/roster/flight.go
+++ b/roster/flight.go
@@ -2,28 +2,22 @@
 
 import (
 	"time"
-
-	"toucanfall/fleet"
 )
 
 // Flight is a request in flight at an upstream. It must be ended.
 type Flight struct {
-	u      *Upstream
-	what   Adapter
-	tokens fleet.Tokens
-	sent   time.Time
-	heard  time.Time
-	first  bool
+	u     *Upstream
+	what  Adapter
+	heard time.Time
 }
 
 // Begin counts a request in flight. What is empty at plain services.
-func (u *Upstream) Begin(what Adapter, tokens fleet.Tokens) *Flight {
+func (u *Upstream) Begin(what Adapter) *Flight {
 	now := time.Now()
-	f := &Flight{u: u, what: what, tokens: tokens, sent: now, heard: now}
+	f := &Flight{u: u, what: what, heard: now}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.inFlight++
-	u.tokens += tokens
 	u.running[what]++
 	u.waiting[f] = struct{}{}
 	return f
@@ -37,15 +31,6 @@
 	defer u.mu.Unlock()
 	f.heard = now
 	u.awayFor = 0
-	if f.first {
-		return
-	}
-	f.first = true
-	d := now.Sub(f.sent)
-	if u.first == 0 {
-		u.first = d
-	}
-	u.first += time.Duration(firstMemory * float64(d-u.first))
 }
 
 // End takes the request out and counts whether it failed.
@@ -55,7 +40,6 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.inFlight--
-	u.tokens -= f.tokens
 	u.running[f.what]--
 	if u.running[f.what] == 0 {
 		delete(u.running, f.what)
--- a/roster/upstream.go
+++ b/roster/upstream.go
@@ -23,8 +23,6 @@
 	failureMemory = 3 * time.Second
 	// failureWeight is how much one answer counts in the share.
 	failureWeight = 0.2
-	// firstMemory is the weight of a new time to the first byte in its mean.
-	firstMemory = 0.15
 )
 
 // Upstream is one start of an upstream as this VM sees it.
@@ -36,10 +34,8 @@
 	gone    bool
 	doubted time.Time
 	onGone  []func()
-	// inFlight and tokens are this VM's own requests here, and the tokens that
-	// they take at most.
+	// inFlight counts this VM's own requests here.
 	inFlight int
-	tokens   fleet.Tokens
 	running  map[Adapter]int
 	// others is what the other VMs have in flight here, as the coordinator
 	// told last.
@@ -51,7 +47,6 @@
 	// away is until when no connection is tried, awayFor the last such time.
 	away    time.Time
 	awayFor time.Duration
-	first   time.Duration
 	// adapters are those that the coordinator has loaded, with the time after
 	// which they can be used.
 	adapters map[Adapter]time.Time
@@ -291,14 +286,6 @@
 	return u.failed * (1 - float64(age)/float64(failureMemory))
 }
 
-// FirstByte returns the mean time to the first byte of an answer, 0 if none
-// came yet.
-func (u *Upstream) FirstByte() time.Duration {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.first
-}
-
 // Silent reports whether nothing comes from the upstream that owes something:
 // every request that waits for its first byte has waited too long, or many
 // requests have heard nothing for longer than events take.
--- a/serving/call.go
+++ b/serving/call.go
@@ -64,9 +64,6 @@
 // Reply is what the head of an upstream's answer tells.
 type Reply struct {
 	Status int
-	// Sealed answers are the upstream's own, made by running the request or by
-	// failing to.
-	Sealed bool
 	// NotRun is set if the upstream says that it did not run the request.
 	NotRun bool
 	// Mistaken is set if the request came to another upstream than it names, or
--- a/serving/picker_test.go
+++ b/serving/picker_test.go
@@ -31,14 +31,14 @@
 	is := is.New(t)
 	p, all := newPicker()
 	for range 10 {
-		p.best(p.candidates("s", &Call{}, nil), nil).Begin(roster.Adapter{}, 0)
+		p.best(p.candidates("s", &Call{}, nil), nil).Begin(roster.Adapter{})
 	}
 	for _, u := range all[2:] {
 		own, _ := u.InFlight()
 		is.Equal(own, 0)
 	}
 	for range 60 {
-		p.best(p.candidates("s", &Call{}, nil), nil).Begin(roster.Adapter{}, 0)
+		p.best(p.candidates("s", &Call{}, nil), nil).Begin(roster.Adapter{})
 	}
 	for _, u := range all[2:] {
 		own, _ := u.InFlight()
@@ -53,14 +53,14 @@
 		is := is.New(t)
 		p, all := newPicker()
 		for range 4 {
-			all[0].Begin(roster.Adapter{}, 0).Heard()
+			all[0].Begin(roster.Adapter{}).Heard()
 		}
 		for range 20 {
-			all[1].Begin(roster.Adapter{}, 0).Heard()
+			all[1].Begin(roster.Adapter{}).Heard()
 		}
 		is.Equal(p.best(all[:2], nil), all[0])
 		time.Sleep(310 * time.Millisecond)
-		all[1].Begin(roster.Adapter{}, 0).Heard()
+		all[1].Begin(roster.Adapter{}).Heard()
 		is.Equal(p.best(all[:2], nil), all[1])
 	})
 }
--- a/serving/run.go
+++ b/serving/run.go
@@ -127,7 +127,7 @@
 	if t.c.Adapter != "" {
 		t.h.cfg.Loader.Used(u.ID, roster.Adapter{Model: t.c.Model, Adapter: t.c.Adapter})
 	}
-	flight := u.Begin(roster.Adapter{Model: t.c.Model, Adapter: t.c.Adapter}, t.c.TokensIn+t.c.TokensOut)
+	flight := u.Begin(roster.Adapter{Model: t.c.Model, Adapter: t.c.Adapter})
 	w := t.watch(cancel)
 	defer w.stop()
 	req := &courier.Request{
--- a/shares/purse.go
+++ b/shares/purse.go
@@ -54,10 +54,9 @@
 
 	mu sync.Mutex
 	// share is the part of each rate that this VM mints until the time until.
-	share   float64
-	until   time.Duration
-	levels  map[fleet.TeamID]*level
-	version catalogue.Version
+	share  float64
+	until  time.Duration
+	levels map[fleet.TeamID]*level
 	// alone is set while no coordinator answers, so that there is no pool.
 	alone bool
 }
@@ -95,7 +94,7 @@
 		p.cap(l)
 		next[t.ID] = l
 	}
-	p.levels, p.version = next, cfg.Version
+	p.levels = next
 }
 
 // SetShare takes over this VM's share of all rates, which it mints until a
