--- a/entry/not_run_test.go
+++ b/entry/not_run_test.go
@@ -75,7 +75,10 @@
 
 // notRefused lists the kinds that say not run and that no request meets: a
 // leaving VM serves until the balancer has moved on.
-var notRefused = []fault.Kind{fault.Stopping}
+//
+// ConfigStale is a refusal of the gateway only, which has its own check of the
+// same strictness: TestStaleConfigurationRefusesWithoutKnowledge in platform.
+var notRefused = []fault.Kind{fault.Stopping, fault.ConfigStale}
 
 // TestPromiseNotRunIsTrue meets every kind that says not run, and counts what
 // reached the upstreams, also later.
