--- a/crew/crew_test.go
+++ b/crew/crew_test.go
@@ -302,6 +302,38 @@
 	})
 }
 
+// After all VMs have died at once, those that are started mint all of the rates
+// again and have a coordinator, as soon as the memberships of the dead have ended.
+func TestFleetStartsAgainAfterAllDied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet()
+		defer f.close()
+		for range 4 {
+			f.add()
+		}
+		time.Sleep(2 * lease)
+		for _, v := range f.vms {
+			v.stop()
+			v.cut.Store(true)
+		}
+		for range 4 {
+			f.add()
+		}
+		time.Sleep(crew.Life + 2*time.Second)
+		var sum float64
+		has := 0
+		for _, v := range f.vms[4:] {
+			sum += v.minting(f.now())
+			if _, ok := v.crew.Duty(); ok {
+				has++
+			}
+		}
+		is.Equal(sum, 1.0)
+		is.Equal(has, 1)
+	})
+}
+
 // Whatever joins, leaves, is killed or cut, the shares never add up to more than
 // all, and never two VMs have the duty.
 func TestRandomCrew(t *testing.T) {
