Say once what stood several times, and decode only what is read

Ruled out: answering by httpx.AnswerFault (whole seconds, and through echo); dialect's dialer (keep-alive probes, another mechanism); the pairs of ledger and event tables (alike in shape, not in logic).

--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -74,8 +74,6 @@
 
 // Engine describes the model engines of a service.
 type Engine struct {
-	// Slots is how many requests an engine works on at once.
-	Slots int
 	// WeightsMB is the memory for weights and adapters.
 	WeightsMB float64
 	// AdapterSlots bounds the adapters of an engine.
@@ -118,12 +116,9 @@
 	HasPriority bool
 }
 
-// Limits bound what a client may send, and how long it may take or stay idle.
+// Limits bound what a client may send.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	BodyBytes int64
 }
 
 // Config is one version of the configuration.
--- a/coordinator/carry.go
+++ b/coordinator/carry.go
@@ -159,7 +159,8 @@
 func (e *lostError) Error() string { return "the order has no answer: " + e.err.Error() }
 
 // orderModel gives an order of a model, after a check of the account. Mark is
-// applied before an unload, and after any order that may have been accepted.
+// applied once the order was accepted, and after an unload without an answer; a
+// load without one is kept among the lost orders.
 func (c *Coordinator) orderModel(ctx context.Context, e *engine, o Order, mark func(*account, Order), check func(*account) error) error {
 	if err := e.take(ctx); err != nil {
 		return err
--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -61,7 +61,7 @@
 	cfg ClientConfig
 
 	mu      sync.Mutex
-	demand  map[Demand]Demand
+	demand  map[modelKey]fleet.Tokens
 	uses    map[Use]bool
 	version uint64
 	lost    bool
@@ -88,7 +88,7 @@
 // NewClient returns a client.
 func NewClient(cfg ClientConfig) *Client {
 	return &Client{
-		cfg: cfg, demand: make(map[Demand]Demand), uses: make(map[Use]bool),
+		cfg: cfg, demand: make(map[modelKey]fleet.Tokens), uses: make(map[Use]bool),
 		wishes: make(map[wishKey]*pending), dry: make(map[fleet.TeamID]time.Time),
 	}
 }
@@ -183,8 +183,8 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, d := range c.demand {
-		in.Demand = append(in.Demand, d)
+	for k, tokens := range c.demand {
+		in.Demand = append(in.Demand, Demand{Service: k.service, Model: k.model, Tokens: tokens})
 	}
 	for u := range c.uses {
 		in.Uses = append(in.Uses, u)
@@ -202,8 +202,6 @@
 	}
 	for _, u := range c.cfg.Roster.Upstreams() {
 		u.SetOthers(others[u.ID])
-	}
-	for _, u := range c.cfg.Roster.Upstreams() {
 		u.Confirm()
 	}
 	for _, e := range out.Holdings {
@@ -218,15 +216,10 @@
 }
 
 // Asked counts a request for a model, whether it is served or not.
-func (c *Client) Asked(s catalogue.ServiceID, m fleet.ModelID, a fleet.AdapterID, tokens fleet.Tokens) {
-	k := Demand{Service: s, Model: m, Adapter: a}
+func (c *Client) Asked(s catalogue.ServiceID, m fleet.ModelID, tokens fleet.Tokens) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	d := c.demand[k]
-	d.Service, d.Model, d.Adapter = s, m, a
-	d.Count++
-	d.Tokens += tokens
-	c.demand[k] = d
+	c.demand[modelKey{s, m}] += tokens
 }
 
 // Used notes the use of an adapter at an engine.
@@ -271,11 +264,8 @@
 	close(p.done)
 }
 
-// Times of taking tokens.
-const (
-	// dryTime is how long a team is not asked for again that had nothing left.
-	dryTime = 40 * time.Millisecond
-)
+// dryTime is how long a team is not asked for again that had nothing left.
+const dryTime = 40 * time.Millisecond
 
 // Take charges a team, with tokens of the pool where this VM has too few.
 func (c *Client) Take(ctx context.Context, t *catalogue.Team, n fleet.Tokens) (time.Duration, bool) {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -12,6 +12,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -224,14 +225,11 @@
 	out := SyncAnswer{Others: c.others(in.VM), Vouch: c.cfg.Vouch()}
 	c.mu.Lock()
 	out.Version = c.version
-	engines := make([]*engine, 0, len(c.engines))
-	for _, e := range c.engines {
-		engines = append(engines, e)
+	var engines []*engine
+	if out.Version != in.Known {
+		engines = slices.Collect(maps.Values(c.engines))
 	}
 	c.mu.Unlock()
-	if out.Version == in.Known {
-		return out
-	}
 	for _, e := range engines {
 		e.with(func(a *account) {
 			if a.known {
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -24,7 +24,7 @@
 // spec is a service whose engines have room for two of its models.
 func spec(models ...fleet.ModelID) *catalogue.Engine {
 	e := &catalogue.Engine{
-		Slots: 8, WeightsMB: 210, AdapterSlots: 2, LoadsPerSecond: 10, LoadsAtOnce: 8,
+		WeightsMB: 210, AdapterSlots: 2, LoadsPerSecond: 10, LoadsAtOnce: 8,
 		Models: make(map[fleet.ModelID]*catalogue.Model),
 	}
 	for _, m := range models {
@@ -67,7 +67,7 @@
 	for ctx.Err() == nil {
 		in := coordinator.Sync{VM: "vm-1"}
 		if asked != "" {
-			in.Demand = append(in.Demand, coordinator.Demand{Service: "texts", Model: asked, Count: 10, Tokens: 10000})
+			in.Demand = append(in.Demand, coordinator.Demand{Service: "texts", Model: asked, Tokens: 10000})
 		}
 		var out coordinator.SyncAnswer
 		if err := w.c.Service().Sync(in, &out); err != nil {
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -67,8 +67,6 @@
 type Demand struct {
 	Service catalogue.ServiceID
 	Model   fleet.ModelID
-	Adapter fleet.AdapterID
-	Count   int
 	Tokens  fleet.Tokens
 }
 
--- a/courier/exchange.go
+++ b/courier/exchange.go
@@ -183,22 +183,18 @@
 
 // Get fetches a path of an upstream for the VM's own use.
 func (p *Pool) Get(ctx context.Context, path string) (int, []byte, error) {
-	return p.own(ctx, http.MethodGet, path, nil)
+	return p.own(ctx, http.MethodGet, path, nil, nil)
 }
 
 // Post sends a JSON body to a path of an upstream for the VM's own use.
 func (p *Pool) Post(ctx context.Context, path string, extra http.Header, in []byte) (int, []byte, error) {
-	return p.ownWith(ctx, http.MethodPost, path, extra, in)
-}
-
-func (p *Pool) own(ctx context.Context, method, path string, in []byte) (int, []byte, error) {
-	return p.ownWith(ctx, method, path, nil, in)
+	return p.own(ctx, http.MethodPost, path, extra, in)
 }
 
 // maxOwnAnswer bounds the answers to the VM's own requests.
 const maxOwnAnswer = 1 << 20
 
-func (p *Pool) ownWith(ctx context.Context, method, path string, extra http.Header, in []byte) (int, []byte, error) {
+func (p *Pool) own(ctx context.Context, method, path string, extra http.Header, in []byte) (int, []byte, error) {
 	var head bytes.Buffer
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", method, path, p.address)
 	_ = extra.Write(&head)
--- a/crew/crew.go
+++ b/crew/crew.go
@@ -58,7 +58,6 @@
 type Claim struct {
 	Holder   fleet.VMID
 	Released bool
-	Offset   int64
 	// Next is the offset at which the next claim has to stand.
 	Next int64
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -22,22 +22,17 @@
 	Service    catalogue.ServiceID
 	Address    string
 	DataCentre fleet.DataCentre
-	Slots      int
 	// Draining upstreams get nothing new.
 	Draining bool
 	// Born is the start of the upstream's process in Unix milliseconds. An
 	// upstream with another Born knows nothing of what was before.
-	Born int64
-	// Seq counts the orders that the upstream has accepted.
-	Seq      int64
+	Born     int64
 	Holdings []Holding
-	Copies   Copies
 }
 
 // Holding is a model that an engine holds, with its adapters.
 type Holding struct {
 	Model    fleet.ModelID
-	Version  int64
 	Adapters []fleet.AdapterID
 }
 
@@ -57,6 +52,9 @@
 	mu   sync.RWMutex
 	all  map[fleet.UpstreamID]*Upstream
 	byID []*Upstream
+	// print is the fingerprint while printed is set.
+	print   uint64
+	printed bool
 }
 
 // New returns an empty roster.
@@ -69,6 +67,7 @@
 func (r *Roster) Put(e Entry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.printed = false
 	u, ok := r.all[e.ID]
 	if ok && u.Born() == e.Born && u.Address() == e.Address {
 		u.update(e)
@@ -126,6 +125,7 @@
 func (r *Roster) drop(id fleet.UpstreamID, u *Upstream) {
 	u.retire()
 	delete(r.all, id)
+	r.printed = false
 	r.index()
 }
 
@@ -149,13 +149,19 @@
 // Fingerprint returns a number that is the same for two VMs which know the same
 // upstreams, in the same states.
 func (r *Roster) Fingerprint() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.printed {
+		return r.print
+	}
 	h := xxhash.New()
-	for _, u := range r.Upstreams() {
+	for _, u := range r.byID {
 		e := u.Entry()
 		// A hash takes every write.
 		_, _ = fmt.Fprintf(h, "%s %s %s %d %t\n", e.ID, e.Service, e.Address, e.Born, e.Draining)
 	}
-	return h.Sum64()
+	r.print, r.printed = h.Sum64(), true
+	return r.print
 }
 
 // Get returns the upstream with an id.
--- a/serving/call.go
+++ b/serving/call.go
@@ -10,6 +10,7 @@
 	"toucanfall/catalogue"
 	"toucanfall/fault"
 	"toucanfall/fleet"
+	"toucanfall/roster"
 )
 
 // Call is a client's request.
@@ -31,7 +32,6 @@
 	TokensOut fleet.Tokens
 	// Counted is set if the client gave its token counts.
 	Counted bool
-	Prefix  []Part
 	// LastEvent is the event after which a stream is to go on.
 	LastEvent string
 
@@ -45,12 +45,6 @@
 	charged  fleet.Tokens
 }
 
-// Part is a part of a prompt that requests may share.
-type Part struct {
-	ID     string
-	Tokens fleet.Tokens
-}
-
 // Attempt is what is particular to one sending of a call.
 type Attempt struct {
 	Upstream fleet.UpstreamID
@@ -75,7 +69,12 @@
 
 // Load is what an upstream says of its load.
 type Load struct {
-	Running, Waiting, Slots int
+	Running, Waiting int
+}
+
+// wanted names the model and adapter of the call, nothing at plain services.
+func (c *Call) wanted() roster.Adapter {
+	return roster.Adapter{Model: c.Model, Adapter: c.Adapter}
 }
 
 // deadline returns when the call has to be answered, the zero time if there is
--- a/serving/choose.go
+++ b/serving/choose.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"toucanfall/fault"
+	"toucanfall/internal/loop"
 	"toucanfall/roster"
 )
 
@@ -34,7 +36,7 @@
 		if err == nil || time.Since(t.c.received) > hold || ctx.Err() != nil {
 			return u, err
 		}
-		time.Sleep(holdCheck)
+		loop.Pause(ctx, holdCheck)
 	}
 }
 
@@ -66,11 +68,11 @@
 
 // load brings the call's adapter to an engine, other than those that have it.
 func (t *tries) load(ctx context.Context, having []*roster.Upstream) (*roster.Upstream, error) {
-	avoid := t.unreachable
+	avoid := slices.Clone(t.unreachable)
 	for _, u := range having {
-		avoid = append(avoid[:len(avoid):len(avoid)], u.ID)
+		avoid = append(avoid, u.ID)
 	}
-	id, err := t.h.cfg.Loader.Load(ctx, t.service, roster.Adapter{Model: t.c.Model, Adapter: t.c.Adapter}, avoid)
+	id, err := t.h.cfg.Loader.Load(ctx, t.service, t.c.wanted(), avoid)
 	if err != nil {
 		return nil, fault.New(fault.NoUpstream, "adapter %q of model %q: %w", t.c.Adapter, t.c.Model, err).After(adapterComeBack)
 	}
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -46,7 +46,7 @@
 	// Used notes the use of an adapter at an engine.
 	Used(u fleet.UpstreamID, a roster.Adapter)
 	// Asked counts a request for a model, whether it is served or not.
-	Asked(s catalogue.ServiceID, m fleet.ModelID, a fleet.AdapterID, tokens fleet.Tokens)
+	Asked(s catalogue.ServiceID, m fleet.ModelID, tokens fleet.Tokens)
 }
 
 // Config holds the dependencies and bounds of a Handler.
--- a/serving/picker.go
+++ b/serving/picker.go
@@ -80,10 +80,9 @@
 // withAdapter returns those that have the call's adapter now.
 func withAdapter(list []*roster.Upstream, c *Call) []*roster.Upstream {
 	now := time.Now()
-	a := roster.Adapter{Model: c.Model, Adapter: c.Adapter}
 	var out []*roster.Upstream
 	for _, u := range list {
-		if u.HasAdapter(a, now) {
+		if u.HasAdapter(c.wanted(), now) {
 			out = append(out, u)
 		}
 	}
--- a/serving/run.go
+++ b/serving/run.go
@@ -12,6 +12,7 @@
 	"toucanfall/event"
 	"toucanfall/fault"
 	"toucanfall/fleet"
+	"toucanfall/internal/loop"
 	"toucanfall/roster"
 	"toucanfall/timeline"
 )
@@ -46,7 +47,7 @@
 	}
 	h.cfg.Budget.Request()
 	if c.Model != "" {
-		h.cfg.Loader.Asked(service, c.Model, c.Adapter, c.TokensIn+c.TokensOut)
+		h.cfg.Loader.Asked(service, c.Model, c.TokensIn+c.TokensOut)
 	}
 	if end := c.deadline(); !end.IsZero() {
 		var cancel context.CancelFunc
@@ -125,9 +126,9 @@
 	defer cancel()
 	t.sends++
 	if t.c.Adapter != "" {
-		t.h.cfg.Loader.Used(u.ID, roster.Adapter{Model: t.c.Model, Adapter: t.c.Adapter})
+		t.h.cfg.Loader.Used(u.ID, t.c.wanted())
 	}
-	flight := u.Begin(roster.Adapter{Model: t.c.Model, Adapter: t.c.Adapter})
+	flight := u.Begin(t.c.wanted())
 	w := t.watch(cancel)
 	defer w.stop()
 	req := &courier.Request{
@@ -141,7 +142,7 @@
 	}
 	defer got.Body.Close()
 	flight.Heard()
-	again, err = t.answered(u, got, flight, w)
+	again, err = t.answered(ctx, u, got, flight, w)
 	flight.End(err != nil && ctx.Err() == nil || w.fired())
 	return again, err
 }
@@ -164,11 +165,16 @@
 	return w
 }
 
-// unanswered judges an attempt that brought no answer.
-func (t *tries) unanswered(u *roster.Upstream, err error) (again bool, _ error) {
+// failed records that an attempt failed.
+func (t *tries) failed(u *roster.Upstream, err error) {
 	t.h.cfg.Events.Record(event.AttemptFailed, timeline.Fields{
 		"request": string(t.c.ID), "upstream": string(u.ID), "reason": err.Error(), "sends": strconv.Itoa(t.sends),
 	})
+}
+
+// unanswered judges an attempt that brought no answer.
+func (t *tries) unanswered(u *roster.Upstream, err error) (again bool, _ error) {
+	t.failed(u, err)
 	if errors.Is(err, courier.ErrNotSent) {
 		u.Unreachable()
 		t.unreachable = append(t.unreachable, u.ID)
@@ -180,14 +186,14 @@
 }
 
 // answered judges the head of an answer and hands the answer on.
-func (t *tries) answered(u *roster.Upstream, got *courier.Answer, f *roster.Flight, w *watchdog) (again bool, err error) {
+func (t *tries) answered(ctx context.Context, u *roster.Upstream, got *courier.Answer, f *roster.Flight, w *watchdog) (again bool, err error) {
 	reply := t.h.cfg.Wire.ReadReply(got.Status, got.Header)
 	if reply.HasLoad {
 		own, _ := u.InFlight()
 		u.SetOthers(max(reply.Load.Running+reply.Load.Waiting-own, 0))
 	}
 	if reply.NotRun {
-		return t.notRun(u, reply)
+		return t.notRun(ctx, u, reply)
 	}
 	t.ran = true
 	t.tried = append(t.tried, u.ID)
@@ -203,9 +209,7 @@
 		t.h.cfg.Events.Record(event.RequestAnswered, timeline.Fields{"request": string(t.c.ID), "upstream": string(u.ID)})
 		return false, nil
 	}
-	t.h.cfg.Events.Record(event.AttemptFailed, timeline.Fields{
-		"request": string(t.c.ID), "upstream": string(u.ID), "reason": err.Error(), "sends": strconv.Itoa(t.sends),
-	})
+	t.failed(u, err)
 	var gone *clientGone
 	// Only a stream of events can go on after a part of it went to the client.
 	whole := !t.out.begun || t.c.Route.Kind == catalogue.Stream
@@ -214,16 +218,14 @@
 
 // notRun judges an answer that says that the request did not run. An adapter
 // that is on its way is waited for at the same engine.
-func (t *tries) notRun(u *roster.Upstream, reply Reply) (again bool, err error) {
+func (t *tries) notRun(ctx context.Context, u *roster.Upstream, reply Reply) (again bool, err error) {
 	err = fault.New(fault.Overloaded, "upstream %q took no request: status %d", u.ID, reply.Status)
-	t.h.cfg.Events.Record(event.AttemptFailed, timeline.Fields{
-		"request": string(t.c.ID), "upstream": string(u.ID), "reason": err.Error(), "sends": strconv.Itoa(t.sends),
-	})
+	t.failed(u, err)
 	if t.c.Adapter != "" {
 		if reply.Mistaken {
-			u.DropAdapter(roster.Adapter{Model: t.c.Model, Adapter: t.c.Adapter})
+			u.DropAdapter(t.c.wanted())
 		}
-		time.Sleep(adapterRetry)
+		loop.Pause(ctx, adapterRetry)
 		return t.sends < 2, err
 	}
 	if len(t.tried)+1 >= t.c.Route.Attempts && !reply.Mistaken {
