Plan placement by the demand to come, and leave busy copies to busy models

Change: demand is foreseen 4 s ahead by its trend, where that is more than chance; a model without a copy counts four times its demand.

--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -79,7 +79,7 @@
 func (p *planner) next() (move, bool) {
 	for _, m := range p.byNeed() {
 		if p.copies[m] > 0 && p.need(m) < max(worthCopy*p.mean(), minDemand) {
-			return move{}, false
+			continue
 		}
 		if mv, ok := p.place(m); ok {
 			p.apply(mv)
@@ -105,13 +105,19 @@
 	return list
 }
 
-// noCopy is the need of a model that no engine holds, above that of any other.
-const noCopy = 1e12
+// Weights of a model that no engine holds.
+const (
+	// noCopyWeight is how many times the demand for it counts: all of it is
+	// refused, where that for a copy too few is only late.
+	noCopyWeight = 4
+	// noCopyNeed is its need where nobody asks for it.
+	noCopyNeed = 500
+)
 
 // need returns the demand for each copy of a model.
 func (p *planner) need(m fleet.ModelID) float64 {
 	if p.copies[m] == 0 {
-		return noCopy + p.demand[m]
+		return noCopyWeight*p.demand[m] + noCopyNeed
 	}
 	return p.demand[m] / float64(p.copies[m])
 }
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -157,14 +157,14 @@
 	}
 }
 
-// demandOf returns the demand for the models of a service.
+// demandOf returns the demand to come for the models of a service.
 func (c *Coordinator) demandOf(s *catalogue.Service) map[fleet.ModelID]float64 {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	out := make(map[fleet.ModelID]float64, len(s.Engine.Models))
 	for id := range s.Engine.Models {
-		out[id] = c.demand.rate(now, modelKey{s.ID, id})
+		out[id] = c.demand.ahead(now, modelKey{s.ID, id})
 	}
 	return out
 }
