Tell VMs only what has changed at engines, and plan on while engines give no report

From second 14 on the coordinator answered hardly any VM: each change at one of 112 engines, 50 a second, made it send the lists of all engines to each of 59 VMs, 80 times a second, over the line of a small VM (10 Mbit/s), so that calls timed out after 300 ms. Its plan stood still for 11 to 18 s: it asked 28 crashed engines for reports one after the other, 400 ms each. Ruled out: processor time (0.07 of a core at most), the duty (the claim stood), rates dealt wrongly (the VMs' own shares were minted). Change: the coordinator numbers changes of each engine and tells those that a VM does not know; another term tells all. A VM keeps what it was told for engines that it hears of later. Accounts in doubt are settled beside the plan. Engines that have left are forgotten. Tests that fail before: TestDarkEnginesDoNotHoldUpThePlan, TestOnlyChangesAreTold.

--- a/coordinator/account.go
+++ b/coordinator/account.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"toucanfall/catalogue"
 	"toucanfall/fleet"
 	"toucanfall/roster"
@@ -283,3 +285,19 @@
 	}
 	return out
 }
+
+// fingerprint returns a number that is the same for accounts which list the same
+// models and adapters, 0 while nothing is known.
+func (a *account) fingerprint() uint64 {
+	if !a.known {
+		return 0
+	}
+	sum := uint64(1)
+	for _, m := range a.servable() {
+		sum += xxhash.Sum64String(string(m))
+	}
+	for _, ad := range a.list() {
+		sum += xxhash.Sum64String(string(ad.Model) + "/" + string(ad.Adapter))
+	}
+	return sum
+}
--- a/coordinator/carry.go
+++ b/coordinator/carry.go
@@ -34,7 +34,7 @@
 		err = c.loadModel(ctx, e, spec, mv.model)
 	}
 	e.with(func(a *account) { a.moving, a.ordering, a.coming = false, false, "" })
-	c.touch()
+	c.show(e)
 	if err != nil {
 		c.cfg.Events.Record(event.MoveFailed, timeline.Fields{"engine": string(e.u.ID), "reason": err.Error()})
 	}
@@ -76,7 +76,7 @@
 // run.
 func (c *Coordinator) drain(ctx context.Context, e *engine, m fleet.ModelID) {
 	e.with(func(a *account) { a.giveUp(Order{Model: m}) })
-	c.touch()
+	c.show(e)
 	end := time.Now().Add(drainMost)
 	for time.Now().Before(end) && ctx.Err() == nil {
 		loop.Pause(ctx, checkEvery)
@@ -189,7 +189,7 @@
 	if err == nil || o.Unload {
 		e.with(func(a *account) { mark(a, o) })
 	}
-	c.touch()
+	c.show(e)
 	if err != nil {
 		return &lostError{err}
 	}
--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -60,11 +61,14 @@
 type Client struct {
 	cfg ClientConfig
 
-	mu      sync.Mutex
-	demand  map[modelKey]fleet.Tokens
-	uses    map[Use]bool
-	version uint64
-	lost    bool
+	mu     sync.Mutex
+	demand map[modelKey]fleet.Tokens
+	uses   map[Use]bool
+	known  Known
+	// held is what the coordinator told of each engine. This VM may hear only
+	// later that the engine was started.
+	held map[fleet.UpstreamID]EngineHoldings
+	lost bool
 	// answered is when the coordinator answered last.
 	answered time.Time
 	wishes   map[wishKey]*pending
@@ -89,7 +93,7 @@
 func NewClient(cfg ClientConfig) *Client {
 	return &Client{
 		cfg: cfg, demand: make(map[modelKey]fleet.Tokens), uses: make(map[Use]bool),
-		wishes: make(map[wishKey]*pending), dry: make(map[fleet.TeamID]time.Time),
+		held: make(map[fleet.UpstreamID]EngineHoldings), wishes: make(map[wishKey]*pending), dry: make(map[fleet.TeamID]time.Time),
 	}
 }
 
@@ -191,7 +195,7 @@
 	}
 	clear(c.demand)
 	clear(c.uses)
-	in.Known = c.version
+	in.Known = c.known
 	return in
 }
 
@@ -200,19 +204,29 @@
 	for _, t := range out.Others {
 		others[t.Upstream] = t.InFlight
 	}
-	for _, u := range c.cfg.Roster.Upstreams() {
-		u.SetOthers(others[u.ID])
-		u.Confirm()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if out.Known.Term != c.known.Term {
+		clear(c.held)
 	}
+	c.known = out.Known
+	changed := make(map[fleet.UpstreamID]bool, len(out.Holdings))
 	for _, e := range out.Holdings {
-		if u, ok := c.cfg.Roster.Get(e.Upstream); ok {
-			u.SetAdapters(e.Adapters)
-			u.SetModels(e.Models)
+		c.held[e.Upstream], changed[e.Upstream] = e, true
+	}
+	for _, u := range c.cfg.Roster.Upstreams() {
+		u.SetOthers(others[u.ID])
+		if e, ok := c.held[u.ID]; ok && e.Born == u.Born() {
+			if !u.Confirm() || changed[u.ID] {
+				u.SetAdapters(e.Adapters)
+				u.SetModels(e.Models)
+			}
 		}
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.version = out.Version
+	maps.DeleteFunc(c.held, func(id fleet.UpstreamID, _ EngineHoldings) bool {
+		_, ok := c.cfg.Roster.Get(id)
+		return !ok
+	})
 }
 
 // Asked counts a request for a model, whether it is served or not.
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -111,11 +111,19 @@
 	return nil
 }
 
-// touch tells that the adapters of an engine have changed.
-func (c *Coordinator) touch() {
+// show numbers a change of what an engine can serve. VMs are told of engines that
+// have changed only: over all engines of a large fleet the lists would fill the
+// line of a small VM.
+func (c *Coordinator) show(e *engine) {
+	var now uint64
+	e.with(func(a *account) { now = a.fingerprint() })
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if now == e.shown {
+		return
+	}
 	c.version++
+	e.shown, e.changed = now, c.version
 }
 
 // engine returns the account of an upstream, a new one if the upstream was
@@ -127,7 +135,6 @@
 	if !ok || e.u != u {
 		e = newEngine(u)
 		c.engines[u.ID] = e
-		c.version++
 	}
 	return e
 }
@@ -224,22 +231,34 @@
 func (c *Coordinator) answer(in Sync) SyncAnswer {
 	out := SyncAnswer{Others: c.others(in.VM), Vouch: c.cfg.Vouch()}
 	c.mu.Lock()
-	out.Version = c.version
+	out.Known = Known{Term: c.term, Version: c.version}
 	var engines []*engine
-	if out.Version != in.Known {
-		engines = slices.Collect(maps.Values(c.engines))
+	for _, e := range c.engines {
+		if in.Known.Term != c.term || e.changed > in.Known.Version {
+			engines = append(engines, e)
+		}
 	}
 	c.mu.Unlock()
 	for _, e := range engines {
 		e.with(func(a *account) {
 			if a.known {
-				out.Holdings = append(out.Holdings, EngineHoldings{Upstream: e.u.ID, Models: a.servable(), Adapters: a.list()})
+				out.Holdings = append(out.Holdings, EngineHoldings{Upstream: e.u.ID, Born: e.u.Born(), Models: a.servable(), Adapters: a.list()})
 			}
 		})
 	}
 	return out
 }
 
+// prune forgets engines that have left.
+func (c *Coordinator) prune() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	maps.DeleteFunc(c.engines, func(id fleet.UpstreamID, _ *engine) bool {
+		_, ok := c.cfg.Roster.Get(id)
+		return !ok
+	})
+}
+
 // forget takes a VM's requests out of the sums. The caller holds the lock.
 func (c *Coordinator) forget(vm fleet.VMID) {
 	for u, n := range c.vms[vm].inFlight {
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -202,3 +202,47 @@
 		is.Equal(err, coordinator.ErrNoDuty)
 	})
 }
+
+// A VM that knows the holdings of all engines is told of those that have changed
+// only, and of all again by another coordinator.
+func TestOnlyChangesAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(spec("a"))
+		for i := range 40 {
+			w.engines.add(w.roster, fleet.UpstreamID(fmt.Sprintf("engine-%d", i)), "a")
+		}
+		is.NoErr(w.run(2*time.Second, ""))
+		ask := func(known coordinator.Known) (out coordinator.SyncAnswer) {
+			is.NoErr(w.c.Service().Sync(coordinator.Sync{VM: "vm-2", Known: known}, &out))
+			return out
+		}
+		all := ask(coordinator.Known{})
+		is.Equal(len(all.Holdings), 40)
+		is.Equal(len(ask(all.Known).Holdings), 0)
+		var wish coordinator.WishAnswer
+		in := coordinator.Wish{Service: "texts", Adapter: roster.Adapter{Model: "a", Adapter: "a1"}}
+		is.NoErr(w.c.Service().Wish(in, &wish))
+		news := ask(all.Known)
+		is.Equal(len(news.Holdings), 1)
+		is.Equal(news.Holdings[0].Upstream, wish.Upstream)
+		w.fence.Store(2)
+		is.NoErr(w.run(2*time.Second, ""))
+		is.Equal(len(ask(news.Known).Holdings), 40)
+	})
+}
+
+// Engines that give no report do not hold up the plan for the others.
+func TestDarkEnginesDoNotHoldUpThePlan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(spec("a", "b"))
+		for i := range 40 {
+			id := fleet.UpstreamID(fmt.Sprintf("engine-%d", i))
+			w.engines.add(w.roster, id, "a")
+			w.engines.all[id].dark = i != 39
+		}
+		is.NoErr(w.run(6*time.Second, "b"))
+		is.Equal(w.engines.holders("b"), []fleet.UpstreamID{"engine-39"})
+	})
+}
--- a/coordinator/engine.go
+++ b/coordinator/engine.go
@@ -40,6 +40,10 @@
 
 	mu  sync.Mutex
 	acc *account
+
+	// shown is the fingerprint of what VMs were last told of the engine, changed
+	// the version at which that was new. The coordinator's lock guards both.
+	shown, changed uint64
 }
 
 func newEngine(u *roster.Upstream) *engine {
@@ -73,16 +77,22 @@
 // errReborn tells that another start of an engine has its address.
 var errReborn = errors.New("the engine at this address was started at another time")
 
+// settled reports whether the account is certain.
+func (e *engine) settled() (ok bool) {
+	e.with(func(a *account) {
+		ok = a.known && !a.busy && a.doubt.IsZero() && (a.giving.IsZero() || time.Since(a.giving) < reportAge)
+	})
+	return ok
+}
+
 // settle makes the account certain, by a report where it is not. The caller has
 // the turn.
 func (c *Coordinator) settle(ctx context.Context, e *engine) error {
-	var known bool
-	var doubt time.Time
-	var giving time.Time
-	e.with(func(a *account) { known, doubt, giving = a.known && !a.busy, a.doubt, a.giving })
-	if known && doubt.IsZero() && (giving.IsZero() || time.Since(giving) < reportAge) {
+	if e.settled() {
 		return nil
 	}
+	var doubt time.Time
+	e.with(func(a *account) { doubt = a.doubt })
 	if time.Since(doubt) < reportAge {
 		return errNotKnown
 	}
@@ -106,7 +116,7 @@
 		return fmt.Errorf("engine %q: %w", e.u.ID, errReborn)
 	}
 	e.with(func(a *account) { a.apply(r, asked) })
-	c.touch()
+	c.show(e)
 	return nil
 }
 
@@ -168,7 +178,7 @@
 	e.with(func(a *account) {
 		a.models[ad.Model].adapters[ad.Adapter] = &heldAdapter{ordered: now, ready: now.Add(adapterTime), used: now}
 	})
-	c.touch()
+	c.show(e)
 	return adapterTime, nil
 }
 
@@ -233,7 +243,7 @@
 // it is free only when a report shows it.
 func (c *Coordinator) unloadAdapter(ctx context.Context, e *engine, victim roster.Adapter) error {
 	v, err := c.order(ctx, e, Order{Unload: true, Model: victim.Model, Adapter: victim.Adapter})
-	c.touch()
+	c.show(e)
 	if err == nil && v == AlreadySo {
 		e.with(func(a *account) { a.drop(victim, time.Now()) })
 		return nil
--- a/coordinator/engine_test.go
+++ b/coordinator/engine_test.go
@@ -39,6 +39,8 @@
 	loading fleet.ModelID
 	until   time.Time
 	inUse   map[fleet.AdapterID]bool
+	// dark engines give no report.
+	dark bool
 }
 
 // reportLag is how old the reports of the stand-ins are.
@@ -74,12 +76,16 @@
 }
 
 // Report returns the state of reportLag ago.
-func (e *engines) Report(_ context.Context, p *courier.Pool) (coordinator.Report, error) {
+func (e *engines) Report(ctx context.Context, p *courier.Pool) (coordinator.Report, error) {
 	e.mu.Lock()
 	f := e.all[e.byPool[p]]
 	f.settle()
-	r := f.report()
+	r, dark := f.report(), f.dark
 	e.mu.Unlock()
+	if dark {
+		<-ctx.Done()
+		return coordinator.Report{}, ctx.Err()
+	}
 	time.Sleep(reportLag)
 	return r, nil
 }
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -92,13 +92,22 @@
 	Spare   map[fleet.TeamID]shares.Tokens
 	// Share is the share of all rates that the VM mints.
 	Share float64
-	// Known is the version of the holdings that the VM has.
-	Known uint64
+	// Known is what the VM was told last.
+	Known Known
+}
+
+// Known numbers what a VM was told of the engines' holdings: a version of the
+// coordinator of a term, which is its fencing token.
+type Known struct {
+	Term    int64
+	Version uint64
 }
 
 // EngineHoldings are the models and adapters that an engine can serve.
 type EngineHoldings struct {
 	Upstream fleet.UpstreamID
+	// Born is the start of the engine that is meant.
+	Born     int64
 	Models   []fleet.ModelID
 	Adapters []roster.Adapter
 }
@@ -107,8 +116,8 @@
 type SyncAnswer struct {
 	// Others are the requests of all other VMs.
 	Others []Traffic
-	// Version numbers the holdings; these are left out if the VM has them.
-	Version  uint64
+	// Known numbers the holdings; those that the VM was told before are left out.
+	Known    Known
 	Holdings []EngineHoldings
 	Vouch    Vouch
 }
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -26,6 +27,7 @@
 		if c.begin() != nil {
 			return
 		}
+		c.prune()
 		cfg, _ := c.cfg.Catalogue.Current()
 		if cfg == nil {
 			return
@@ -121,16 +123,26 @@
 	return out, byID
 }
 
-// certain settles the account of an engine that nobody speaks to, and reports
-// whether it could.
+// certain reports whether the account of an engine that nobody speaks to is
+// certain. One that is not is settled while the plan goes on without it: reports
+// of many lost engines would hold it up.
 func (c *Coordinator) certain(ctx context.Context, e *engine) bool {
 	select {
 	case e.turn <- struct{}{}:
 	default:
 		return false
 	}
-	defer e.give()
-	return c.settle(ctx, e) == nil
+	if e.settled() {
+		e.give()
+		return true
+	}
+	c.moves.Go(func() {
+		defer e.give()
+		if err := c.settle(ctx, e); err != nil && !errors.Is(err, errNotKnown) {
+			c.cfg.Events.Record(event.ReportFailed, timeline.Fields{"engine": string(e.u.ID), "reason": err.Error()})
+		}
+	})
+	return false
 }
 
 // view fills in what the plan needs of an engine.
--- a/event/gateway.go
+++ b/event/gateway.go
@@ -18,6 +18,7 @@
 	PlacementChanged = Event{822, "placement_changed", logrus.InfoLevel, "A model is to be loaded on an engine, or to make room there."}
 	MoveFailed       = Event{823, "move_failed", logrus.WarnLevel, "A model could not be brought to an engine, or its report not be had; the placement is planned anew."}
 	PlacementViewed  = Event{824, "placement_viewed", logrus.InfoLevel, "What the coordinator goes by, once a second: for each engine its requests in flight and models (+ where it is on its way), and for each model with demand the tokens a second that are asked for."}
+	ReportFailed     = Event{825, "report_failed", logrus.InfoLevel, "An engine gave no report, so that it gets no order; it is asked again with the next plan."}
 	SettingsReloaded = Event{831, "settings_reloaded", logrus.InfoLevel, "The settings file was read again; the fields are what has changed."}
 	SettingsRefused  = Event{832, "settings_refused", logrus.ErrorLevel, "The changed settings file cannot be used; the settings before stay in force."}
 	GatewayFault     = Event{833, "gateway_fault", logrus.ErrorLevel, "A part of the gateway failed; the field reason says how."}
--- a/roster/upstream.go
+++ b/roster/upstream.go
@@ -172,13 +172,16 @@
 	u.models, u.toldAt = list, time.Now()
 }
 
-// Confirm tells that the coordinator's account has not changed.
-func (u *Upstream) Confirm() {
+// Confirm tells that the coordinator's account has not changed, and reports
+// whether it was ever told.
+func (u *Upstream) Confirm() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if !u.toldAt.IsZero() {
-		u.toldAt = time.Now()
+	if u.toldAt.IsZero() {
+		return false
 	}
+	u.toldAt = time.Now()
+	return true
 }
 
 // Running returns the models and adapters of this VM's requests here.
