Ask the store less: pauses that grow while it refuses, owners only where needed

While the store turned 23 of 65 VMs away they asked it for the configuration 300 times a second; each VM that came or went made all others read the owners. Ruled out: joining more seldom (three lost joins within a membership's life are what crew.Life is for). Change: the pause after a failed question doubles from 100 ms to 800 ms; VMs read the owners when they doubt the coordinator, the coordinator for each generation, and tells the others how many VMs there are. Tests: TestStoreThatTurnsAwayIsAskedSeldom (600 questions a minute before), TestNewGenerationsCostNoReads.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -44,8 +44,8 @@
 	Peers  Caller
 	Roster *roster.Roster
 	Purse  *shares.Purse
-	// Doubt tells that the VM that Where names did not act as the coordinator.
-	Doubt func()
+	// Heard tells whether the VM that Where names has answered as the coordinator.
+	Heard func(answered bool)
 	// Vouched takes what another VM knows from the store, in answer to a message
 	// of the time sent on the clock Now.
 	Vouched func(v Vouch, sent time.Duration)
@@ -165,8 +165,8 @@
 	if changed && err == nil {
 		c.cfg.Events.Record(event.CoordinatorFound, nil)
 	}
+	c.cfg.Heard(err == nil)
 	if err != nil {
-		c.cfg.Doubt()
 		return
 	}
 	c.learn(out)
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -131,6 +131,8 @@
 	// Directory is the fingerprint of the roster that was read DirectoryAge ago.
 	Directory    uint64
 	DirectoryAge time.Duration
+	// Size is the number of VMs of the fleet.
+	Size int
 }
 
 // Grant asks for tokens of the pool.
--- a/crew/crew.go
+++ b/crew/crew.go
@@ -116,7 +116,10 @@
 	owners     map[Part]Member
 	ownersOf   int64
 	ownersAt   time.Duration
-	doubted    bool
+	// doubted asks for the owners to be read again, lost is set while no VM
+	// answers as the coordinator.
+	doubted bool
+	lost    bool
 	// dutySince is when part 0 was dealt to this VM, 0 if it is not.
 	dutySince time.Duration
 	fence     int64
@@ -195,24 +198,28 @@
 	}
 }
 
-// Doubt tells that the coordinator did not answer as such: who holds which part
-// is read again.
-func (c *Crew) Doubt() {
+// Heard tells whether the VM that is to be the coordinator has answered as such.
+// If it has not, it is read again who holds which part.
+func (c *Crew) Heard(answered bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.doubted = true
+	c.lost = !answered
+	c.doubted = c.doubted || !answered
 }
 
 // ownersEvery bounds how often it is read who holds which part, since each call
 // is priced. A part that is handed over moves without a new generation.
 const ownersEvery = time.Second
 
-// learnOwners reads who holds which part, once for each generation and when in
-// doubt.
+// learnOwners reads who holds which part: when in doubt, and once for each
+// generation where this VM is to be the coordinator or hears of none. The others
+// need no more than the coordinator's address, and that has not changed while it
+// answers.
 func (c *Crew) learnOwners(ctx context.Context, generation int64) {
 	now := c.cfg.Now()
 	c.mu.Lock()
-	known := c.ownersOf == generation && len(c.owners) > 0
+	settled := c.dutySince == 0 && !c.lost
+	known := len(c.owners) > 0 && (c.ownersOf == generation || settled)
 	if known && c.doubted && now-c.ownersAt >= ownersEvery {
 		known, c.doubted = false, false
 	}
--- a/crew/crew_test.go
+++ b/crew/crew_test.go
@@ -67,6 +67,7 @@
 }
 
 func (s *store) Owners(context.Context, int) (map[crew.Part]crew.Member, error) {
+	s.vm.reads.Add(1)
 	if s.vm.cut.Load() {
 		return nil, errCut
 	}
@@ -108,8 +109,10 @@
 
 // vm is a VM with its crew.
 type vm struct {
-	id    fleet.VMID
-	cut   atomic.Bool
+	id  fleet.VMID
+	cut atomic.Bool
+	// reads counts the questions for the owners of parts.
+	reads atomic.Int64
 	crew  *crew.Crew
 	stop  context.CancelFunc
 	mu    sync.Mutex
@@ -216,7 +219,7 @@
 			sum += v.minting(f.now())
 		}
 		is.Equal(sum, 1.0)
-		f.vms[4].crew.Doubt() // As its client does whose call was refused.
+		f.vms[4].crew.Heard(false) // As its client does whose call was refused.
 		time.Sleep(2 * time.Second)
 		_, has := f.coordinator(f.vms[4]).crew.Duty()
 		is.True(has)
@@ -234,7 +237,7 @@
 			f.add()
 		}
 		time.Sleep(2 * lease)
-		f.vms[0].crew.Doubt()
+		f.vms[0].crew.Heard(false)
 		time.Sleep(2 * time.Second)
 		dead := f.coordinator(f.vms[0])
 		before, ok := dead.crew.Duty()
@@ -292,7 +295,7 @@
 		defer f.close()
 		first := f.addAs("vm-9")
 		time.Sleep(2 * time.Second)
-		first.crew.Doubt()
+		first.crew.Heard(false)
 		second := f.addAs("vm-1")
 		var lost, taken time.Duration
 		for f.now() < 20*time.Second {
@@ -376,3 +379,43 @@
 		}
 	})
 }
+
+// While the coordinator answers, VMs that come and go cost the others no question
+// for the owners of parts.
+func TestNewGenerationsCostNoReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet()
+		defer f.close()
+		for range 3 {
+			f.add()
+		}
+		time.Sleep(2 * lease)
+		f.vms[0].crew.Heard(false)
+		f.vms[1].crew.Heard(false)
+		f.vms[2].crew.Heard(false)
+		time.Sleep(2 * time.Second)
+		for _, v := range f.vms {
+			v.crew.Heard(true)
+		}
+		coordinator := f.coordinator(f.vms[0])
+		reads := func() (n int64) {
+			for _, v := range f.vms[:3] {
+				if v != coordinator { // It tells the others how many VMs there are.
+					n += v.reads.Load()
+				}
+			}
+			return n
+		}
+		before := reads()
+		for range 5 {
+			v := f.add()
+			time.Sleep(time.Second)
+			is.NoErr(v.crew.Leave(t.Context()))
+			time.Sleep(time.Second)
+		}
+		_, still := coordinator.crew.Duty()
+		is.True(still)
+		is.Equal(reads(), before)
+	})
+}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -37,8 +37,11 @@
 	// together, since each would otherwise wake every VM.
 	directoryReads   = 2
 	directoryTimeout = 800 * time.Millisecond
-	// storeRetry is the pause after a failed question.
+	// storeRetry is the pause after a failed question. It doubles with each one
+	// that fails, up to slowRetry: the store prices refused calls too, and may turn
+	// some VMs away for long.
 	storeRetry = 100 * time.Millisecond
+	slowRetry  = 800 * time.Millisecond
 	// outage is how long reads must have failed for vanished entries to be doubted
 	// after them: longer than any answer takes while the store is well.
 	outage = 700 * time.Millisecond
@@ -61,7 +64,8 @@
 	leads   func() bool
 	// hurried is set after the coordinator stopped vouching.
 	hurried bool
-	failing bool
+	// failures counts the questions that have failed since the last answer.
+	failures int
 }
 
 // wait returns how long the store is to keep the next question.
@@ -91,7 +95,7 @@
 		}
 		f.note(err)
 		if err != nil {
-			loop.Pause(ctx, storeRetry)
+			loop.Pause(ctx, min(storeRetry<<min(f.failures-1, maxDoublings), slowRetry))
 			continue
 		}
 		cursor = next
@@ -150,18 +154,23 @@
 
 // note records when the store is lost and found.
 func (f *configFollower) note(err error) {
-	failing := err != nil
-	if failing == f.failing {
-		return
+	before := f.failures
+	if err == nil {
+		f.failures = 0
+	} else {
+		f.failures++
 	}
-	f.failing = failing
-	if failing {
+	switch {
+	case err != nil && before == 0:
 		f.events.Record(event.StoreLost, timeline.Fields{"reason": err.Error()})
-		return
+	case err == nil && before > 0:
+		f.events.Record(event.StoreFound, nil)
 	}
-	f.events.Record(event.StoreFound, nil)
 }
 
+// maxDoublings keeps the pause within its type; slowRetry bounds it before.
+const maxDoublings = 6
+
 // DirectoryStore gives the entries of upstreams.
 type DirectoryStore interface {
 	ReadDirectory(ctx context.Context, from platform.Cursor) (platform.Changes, platform.Cursor, error)
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
+	"toucanfall/catalogue"
 	"toucanfall/fleet"
 	"toucanfall/platform"
 	"toucanfall/roster"
@@ -78,3 +79,30 @@
 	cancel()
 	is.Equal(<-ended, context.Canceled)
 }
+
+// away is a store that answers nothing.
+type away struct{ asked atomic.Int64 }
+
+func (a *away) ReadConfig(context.Context, platform.Cursor, time.Duration) (*catalogue.Config, platform.Cursor, bool, error) {
+	a.asked.Add(1)
+	return nil, platform.Cursor{}, false, errors.New("the store turns this VM away")
+}
+
+// A store that turns a VM away for long is asked ever more seldom, down to some
+// once a second.
+func TestStoreThatTurnsAwayIsAskedSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		logger := logrus.New()
+		logger.SetOutput(io.Discard)
+		a, start := &away{}, time.Now()
+		f := &configFollower{
+			store: a, events: timeline.New("test", 16, logger), now: func() time.Duration { return time.Since(start) },
+			vouched: func() bool { return false }, leads: func() bool { return false },
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		is.Equal(f.run(ctx), context.DeadlineExceeded)
+		is.True(a.asked.Load() <= 80)
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,7 +91,7 @@
 	}
 	g.voucher = &voucher{
 		now: bootclock.Now, holder: g.catalogue, roster: g.roster,
-		readAge: func() time.Duration { return g.directory.age() },
+		readAge: func() time.Duration { return g.directory.age() }, members: func() int { return g.crew.Size() },
 	}
 	g.directory = &directoryFollower{
 		store: g.store, roster: g.roster, now: bootclock.Now, events: g.events,
@@ -111,7 +111,7 @@
 	})
 	g.client = coordinator.NewClient(coordinator.ClientConfig{
 		VM: cfg.VM, Own: g.own, Peers: g.links, Roster: g.roster, Purse: g.purse,
-		Where: g.whereCoordinator, Doubt: g.crew.Doubt, Size: g.crew.Size,
+		Where: g.whereCoordinator, Heard: g.crew.Heard, Size: g.voucher.size,
 		Vouched: g.voucher.take, Now: bootclock.Now, Events: g.events,
 	})
 	g.handler = serving.New(g.servingConfig())
@@ -126,7 +126,7 @@
 		DataCentre: g.cfg.DataCentre, Wire: platform.Wire{}, Catalogue: g.catalogue, Roster: g.roster,
 		Rates: g.client, Loader: g.client, Events: g.events,
 		StaleAfter: g.staleAfter(),
-		Budget:     serving.NewBudget(g.cfg.RepeatRatio, g.cfg.RepeatSlack, time.Duration(g.cfg.RepeatWindow), g.crew.Size),
+		Budget:     serving.NewBudget(g.cfg.RepeatRatio, g.cfg.RepeatSlack, time.Duration(g.cfg.RepeatWindow), g.voucher.size),
 		Sharers:    g.sharers,
 		Stopping:   g.stopsAt,
 	}
@@ -139,7 +139,7 @@
 // sharers returns how many VMs choose among the same upstreams as this one: those
 // of its data centre, if each has as many.
 func (g *Gateway) sharers() float64 {
-	return float64(g.crew.Size()) / float64(max(g.roster.DataCentres(), 1))
+	return float64(g.voucher.size()) / float64(max(g.roster.DataCentres(), 1))
 }
 
 // leads reports whether this VM is the coordinator.
--- a/gateway/vouch.go
+++ b/gateway/vouch.go
@@ -25,6 +25,8 @@
 	holder  *catalogue.Holder
 	roster  *roster.Roster
 	readAge func() time.Duration
+	// members returns the number of VMs as this one has read it last.
+	members func() int
 
 	mu   sync.Mutex
 	last coordinator.Vouch
@@ -36,7 +38,7 @@
 	version, proved, _ := v.holder.Proof()
 	return coordinator.Vouch{
 		Config: version, ConfigAge: v.now() - proved,
-		Directory: v.roster.Fingerprint(), DirectoryAge: v.readAge(),
+		Directory: v.roster.Fingerprint(), DirectoryAge: v.readAge(), Size: v.members(),
 	}
 }
 
@@ -73,6 +75,16 @@
 	return v.sent - v.last.DirectoryAge, false
 }
 
+// size returns the number of VMs of the fleet.
+func (v *voucher) size() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.fresh() {
+		return max(v.last.Size, 1)
+	}
+	return v.members()
+}
+
 func (v *voucher) fresh() bool {
 	return v.sent != 0 && v.now()-v.sent < vouchLife
 }
--- a/gateway/vouch_test.go
+++ b/gateway/vouch_test.go
@@ -18,7 +18,7 @@
 	h, r := catalogue.NewHolder(clock), roster.New()
 	h.Apply(catalogue.NewConfig(3, nil, nil, nil, catalogue.Limits{}))
 	r.Put(roster.Entry{ID: "u", Address: "192.0.2.1:80"})
-	return &voucher{now: clock, holder: h, roster: r, readAge: func() time.Duration { return 0 }}, h, r
+	return &voucher{now: clock, holder: h, roster: r, readAge: func() time.Duration { return 0 }, members: func() int { return 1 }}, h, r
 }
 
 // The coordinator's proof counts from when it was asked, less its age, and only
