Let VMs keep their shares of the bursts while there is no coordinator

The coordinator was cut from the store and gave up its duty, and 3.4 s passed again when it came back and its successor's lease had to run out. In that time every VM sent its spare tokens with each message that was refused, and lost them, and kept a third of its share of the burst: less than two requests on seven VMs. It kept the whole share only after 3 s. Change: a VM that is told that there is no coordinator keeps its share at once, and takes its spare tokens back; a VM without the duty drops its pool.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"net/rpc"
 	"sync"
 	"time"
 
@@ -156,8 +157,12 @@
 	if err == nil {
 		c.answered = time.Now()
 	}
-	alone := time.Since(c.answered) > aloneAfter
+	// A VM that refuses has no pool; one that cannot be reached may have one.
+	alone := time.Since(c.answered) > aloneAfter || refused(err)
 	c.mu.Unlock()
+	if refused(err) {
+		c.keep(in.Spare)
+	}
 	c.cfg.Purse.SetAlone(alone)
 	if changed && err != nil {
 		c.cfg.Events.Record(event.CoordinatorLost, timeline.Fields{"reason": err.Error()})
@@ -175,6 +180,19 @@
 	}
 }
 
+// refused reports whether a VM has answered that it is not the coordinator.
+func refused(err error) bool {
+	var answer rpc.ServerError
+	return errors.Is(err, ErrNoDuty) || errors.As(err, &answer) && string(answer) == ErrNoDuty.Error()
+}
+
+// keep takes back spare tokens that nobody took.
+func (c *Client) keep(spare map[fleet.TeamID]shares.Tokens) {
+	for team, n := range spare {
+		c.cfg.Purse.Put(team, n)
+	}
+}
+
 func (c *Client) message() Sync {
 	in := Sync{VM: c.cfg.VM, Spare: c.cfg.Purse.Spare(), Share: c.cfg.Purse.Share()}
 	for _, u := range c.cfg.Roster.Upstreams() {
@@ -291,8 +309,12 @@
 	dry := time.Since(c.dry[t.ID]) < dryTime
 	c.mu.Unlock()
 	if !dry {
+		in := Grant{VM: c.cfg.VM, Team: t.ID, Need: need, Want: need + c.cfg.Purse.Room(t.ID), Spare: c.cfg.Purse.Spare()}
 		var out GrantAnswer
-		err := c.call(ctx, callTimeout, "Grant", Grant{VM: c.cfg.VM, Team: t.ID, Need: need, Want: need + c.cfg.Purse.Room(t.ID), Spare: c.cfg.Purse.Spare()}, &out)
+		err := c.call(ctx, callTimeout, "Grant", in, &out)
+		if refused(err) {
+			c.keep(in.Spare)
+		}
 		if err == nil && out.Given >= need {
 			c.cfg.Purse.Put(t.ID, out.Given-need)
 			return 0, true
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -101,6 +101,8 @@
 func (c *Coordinator) begin() error {
 	fence, ok := c.cfg.Duty()
 	if !ok {
+		// VMs that are refused keep their shares of the bursts themselves.
+		c.cfg.Tokens.Reset()
 		return ErrNoDuty
 	}
 	c.mu.Lock()
