--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -32,6 +32,11 @@
 	Stream
 )
 
+// String returns the name of the kind.
+func (k Kind) String() string {
+	return [...]string{"unsafe", "safe", "stream"}[k]
+}
+
 // Route says where requests of a host and path prefix go.
 type Route struct {
 	Name   fleet.RouteID
--- a/event/event.go
+++ b/event/event.go
@@ -31,7 +31,7 @@
 	KeyHeardWithdrawn, OperatorCommand, WithdrawalAppended,
 	ConfigApplied, StoreLost, StoreFound, EntryOdd,
 	JoinFailed, PartsDealt, ClaimFailed, DutyTaken, CoordinatorLost, CoordinatorFound,
-	EngineOrdered, PlacementChanged, MoveFailed, PlacementViewed, ReportFailed, SettingsReloaded, SettingsRefused, GatewayFault, RequestServed,
+	EngineOrdered, PlacementChanged, MoveFailed, PlacementViewed, ReportFailed, SettingsReloaded, SettingsRefused, GatewayFault, LinesLeftOut, RequestServed,
 	FakeStarted, FakeServed,
 }
 
--- a/event/gateway.go
+++ b/event/gateway.go
@@ -22,5 +22,6 @@
 	SettingsReloaded = Event{831, "settings_reloaded", logrus.InfoLevel, "The settings file was read again; the fields are what has changed."}
 	SettingsRefused  = Event{832, "settings_refused", logrus.ErrorLevel, "The changed settings file cannot be used; the settings before stay in force."}
 	GatewayFault     = Event{833, "gateway_fault", logrus.ErrorLevel, "A part of the gateway failed; the field reason says how."}
+	LinesLeftOut     = Event{834, "lines_left_out", logrus.WarnLevel, "The log was over its bound, or its reader stood still; the field lines counts what was left out before this line."}
 	RequestServed    = Event{841, "request_served", logrus.InfoLevel, "An upstream's answer went to the caller as a whole. The fields are what decided it, the requests in flight at the upstream (own, and of all VMs), the time to the first piece and the longest pause after it."}
 )
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"toucanfall/fleet"
 	"toucanfall/internal/bootclock"
 	"toucanfall/internal/httpx"
+	"toucanfall/metric"
 	"toucanfall/peer"
 	"toucanfall/platform"
 	"toucanfall/roster"
@@ -55,6 +56,7 @@
 type Gateway struct {
 	cfg    *settings.Gateway
 	events *timeline.Recorder
+	meters *metric.Set
 
 	catalogue *catalogue.Holder
 	roster    *roster.Roster
@@ -79,12 +81,14 @@
 
 // New returns a gateway that does not listen yet.
 func New(cfg *settings.Gateway, logger *logrus.Logger) (*Gateway, error) {
+	meters := metric.New()
 	g := &Gateway{
 		cfg:       cfg,
+		meters:    meters,
 		events:    timeline.New(string(cfg.VM), eventsKept, logger),
 		catalogue: catalogue.NewHolder(bootclock.Now),
 		roster:    roster.New(),
-		store:     platform.NewStore(cfg.Store, cfg.StorePartitions),
+		store:     platform.NewStore(cfg.Store, cfg.StorePartitions, meters.StoreCall),
 		purse:     shares.NewPurse(bootclock.Now),
 		links:     peer.NewLinks(nil),
 		peers:     peer.NewServer(),
@@ -118,13 +122,14 @@
 	g.callers = &http.Server{
 		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: callersIdle,
 	}
+	g.meters.Watch(g.gauges())
 	return g, g.peers.Register(coordinator.ServiceName, g.own.Service())
 }
 
 func (g *Gateway) servingConfig() serving.Config {
 	return serving.Config{
 		DataCentre: g.cfg.DataCentre, Wire: platform.Wire{}, Catalogue: g.catalogue, Roster: g.roster,
-		Rates: g.client, Loader: g.client, Events: g.events,
+		Rates: g.client, Loader: g.client, Events: g.events, Metrics: g.meters,
 		StaleAfter: g.staleAfter(),
 		Budget:     serving.NewBudget(g.cfg.RepeatRatio, g.cfg.RepeatSlack, time.Duration(g.cfg.RepeatWindow), g.voucher.size),
 		Sharers:    g.sharers,
@@ -196,6 +201,13 @@
 	g.addLoops(&all)
 	g.addServer(&all, g.callers, callers)
 	g.addServer(&all, httpx.NewServer(g.operations()), readiness)
+	if g.cfg.Metrics != "" {
+		meters, err := listen.Listen(ctx, "tcp", g.cfg.Metrics)
+		if err != nil {
+			return fmt.Errorf("metrics' listener: %w", err)
+		}
+		g.addServer(&all, httpx.NewServer(g.meters.Handler()), meters)
+	}
 	all.Add(func() error { return g.peers.Serve(peers) }, func(error) { _ = peers.Close(); g.peers.Close() })
 	all.Add(func() error {
 		<-ctx.Done()
--- /dev/null
+++ b/gateway/gauges.go
@@ -0,0 +1,26 @@
+package gateway
+
+import "toucanfall/metric"
+
+// gauges returns what the metrics show of the state of this VM.
+func (g *Gateway) gauges() metric.Gauges {
+	return metric.Gauges{
+		Open: func() float64 { return float64(g.open.Load()) },
+		ConfigAge: func() float64 {
+			_, age := g.catalogue.Current()
+			return age.Seconds()
+		},
+		ConfigVersion: func() float64 {
+			version, _, _ := g.catalogue.Proof()
+			return float64(version)
+		},
+		Share: g.purse.Share,
+		Duty: func() float64 {
+			if g.leads() {
+				return 1
+			}
+			return 0
+		},
+		Upstreams: func() float64 { return float64(len(g.roster.Upstreams())) },
+	}
+}
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -8,11 +8,14 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/sirupsen/logrus"
 
+	"toucanfall/event"
 	"toucanfall/internal/cli"
+	"toucanfall/internal/logline"
 	"toucanfall/settings"
 )
 
@@ -38,7 +41,7 @@
 	if opts.Gateway.Check {
 		return cli.ExitOK
 	}
-	if err := serve(cfg, opts.Gateway.Settings, stdout); err != nil {
+	if err := serve(cfg, opts.Gateway.Settings, stdout, stderr); err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
 		return cli.ExitFailure
 	}
@@ -49,10 +52,23 @@
 // garbage is collected more often; the rest is for stacks and sockets.
 const memoryUsed = 0.6
 
-func serve(cfg *settings.Gateway, file string, stdout io.Writer) error {
+// leftOut makes the line that tells how many lines of the log were left out.
+func leftOut(cfg *settings.Gateway, n int) []byte {
+	ev := event.LinesLeftOut
+	return fmt.Appendf(nil, `{"event":%d,"level":%q,"lines":"%d","msg":%q,"process":%q,"time":%q}`+"\n",
+		ev.Number, ev.Level, n, ev.Name, cfg.VM, time.Now().Format(time.RFC3339))
+}
+
+func serve(cfg *settings.Gateway, file string, stdout, stderr io.Writer) error {
 	logger := logrus.New()
-	logger.SetOutput(stdout)
 	logger.SetFormatter(&logrus.JSONFormatter{})
+	log := logline.New(stdout, func(n int) []byte { return leftOut(cfg, n) })
+	logger.SetOutput(log)
+	defer func() {
+		if err := log.Close(); err != nil {
+			_, _ = fmt.Fprintln(stderr, err)
+		}
+	}()
 	if level, err := logrus.ParseLevel(cfg.LogLevel); err == nil {
 		logger.SetLevel(level)
 	}
--- a/internal/docgen/pages.go
+++ b/internal/docgen/pages.go
@@ -6,6 +6,7 @@
 
 	"toucanfall/event"
 	"toucanfall/fault"
+	"toucanfall/metric"
 	"toucanfall/settings"
 )
 
@@ -19,6 +20,7 @@
 	{"docs/ERRORS.md", errorsPage},
 	{"docs/EVENTS.md", eventsPage},
 	{"docs/SETTINGS.md", settingsPage},
+	{"docs/METRICS.md", metricsPage},
 }
 
 const notice = "This page is made from the code by `make docs`; edit the table there.\n\n"
@@ -54,6 +56,17 @@
 	return b.String()
 }
 
+func metricsPage() string {
+	var b strings.Builder
+	b.WriteString("# Metrics of the gateway\n\n" + notice)
+	b.WriteString("The gateway shows them as text on the address of its setting `metrics`, at any path. Labels whose values others choose have a bounded number of them; the rest counts as `other`.\n\n")
+	b.WriteString("| Name | Kind | Labels | Meaning |\n|---|---|---|---|\n")
+	for _, d := range metric.Registry {
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", d.Name, d.Kind, strings.Join(d.Labels, ", "), d.Text)
+	}
+	return b.String()
+}
+
 func settingsPage() string {
 	var b strings.Builder
 	b.WriteString("# Settings tree\n\n" + notice)
--- /dev/null
+++ b/metric/metric_test.go
@@ -0,0 +1,50 @@
+package metric_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"toucanfall/fleet"
+	"toucanfall/metric"
+)
+
+// page returns the metrics as text.
+func page(s *metric.Set) string {
+	w := httptest.NewRecorder()
+	s.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/", nil))
+	return w.Body.String()
+}
+
+// Every metric of the registry is there once something was counted.
+func TestAllMetricsAreShown(t *testing.T) {
+	is := is.New(t)
+	s := metric.New()
+	one := func() float64 { return 1 }
+	s.Watch(metric.Gauges{Open: one, ConfigAge: one, ConfigVersion: one, Share: one, Duty: one, Upstreams: one})
+	s.Served("stream", "team", 30*time.Millisecond, time.Second)
+	s.Refused("", "", "not_found")
+	s.Attempt("u", true)
+	s.StoreCall("read", nil)
+	text := page(s)
+	for _, d := range metric.Registry {
+		is.True(strings.Contains(text, "\n# TYPE "+d.Name+" "+string(d.Kind)+"\n") || strings.HasPrefix(text, "# TYPE "+d.Name))
+	}
+	is.True(strings.Contains(text, `toucanfall_requests_total{kind="stream",outcome="served",team="team"} 1`))
+}
+
+// Names that others choose do not make the page grow without end.
+func TestLabelsAreBounded(t *testing.T) {
+	is := is.New(t)
+	s := metric.New()
+	for i := range 10_000 {
+		s.Attempt(fleet.UpstreamID(fmt.Sprint(i)), false)
+		s.Refused("stream", fleet.TeamID(fmt.Sprint(i)), "rate_limited")
+	}
+	is.True(strings.Count(page(s), "\n") < 600)
+}
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -15,6 +15,7 @@
 	"toucanfall/event"
 	"toucanfall/fault"
 	"toucanfall/fleet"
+	"toucanfall/metric"
 	"toucanfall/roster"
 	"toucanfall/timeline"
 )
@@ -22,6 +23,7 @@
 // Wire translates between calls and the headers of requests and answers.
 type Wire interface {
 	Key(r *http.Request) string
+	ID(r *http.Request) fleet.RequestID
 	ReadCall(r *http.Request) (*Call, error)
 	Head(c *Call, a Attempt) []byte
 	Own(c *Call, status int, h http.Header) bool
@@ -58,6 +60,7 @@
 	Rates      Rates
 	Loader     Loader
 	Events     *timeline.Recorder
+	Metrics    *metric.Set
 	// StaleAfter is how old the proof of the configuration may be for requests
 	// with a key.
 	StaleAfter time.Duration
@@ -231,13 +234,16 @@
 // refuse answers with an error, or cuts the connection if an answer has begun.
 func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, c *Call, err error) {
 	kind := fault.KindOf(err)
-	id := fleet.RequestID("")
+	id := h.cfg.Wire.ID(r)
+	var route string
+	var team fleet.TeamID
 	if c != nil {
-		id = c.ID
+		route, team = c.Route.Kind.String(), c.Team
 		if fault.Lookup(kind).NotRun && c.charged > 0 {
 			h.cfg.Rates.Refund(c.Team, c.charged)
 		}
 	}
+	h.cfg.Metrics.Refused(route, team, string(kind))
 	h.cfg.Events.Record(event.RequestRefused, timeline.Fields{"request": string(id), "kind": string(kind), "reason": err.Error(), "host": r.Host})
 	if errors.Is(err, errBegun) {
 		panic(http.ErrAbortHandler)
--- a/serving/run.go
+++ b/serving/run.go
@@ -167,6 +167,7 @@
 
 // failed records that an attempt failed.
 func (t *tries) failed(u *roster.Upstream, err error) {
+	t.h.cfg.Metrics.Attempt(u.ID, true)
 	t.h.cfg.Events.Record(event.AttemptFailed, timeline.Fields{
 		"request": string(t.c.ID), "upstream": string(u.ID), "reason": err.Error(), "sends": strconv.Itoa(t.sends),
 	})
@@ -176,6 +177,8 @@
 func (t *tries) served(u *roster.Upstream, status int) {
 	own, all := u.InFlight()
 	p := t.out.pacing
+	t.h.cfg.Metrics.Attempt(u.ID, false)
+	t.h.cfg.Metrics.Served(t.c.Route.Kind.String(), t.c.Team, p.first, p.longest)
 	t.h.cfg.Events.Record(event.RequestServed, timeline.Fields{
 		"request": string(t.c.ID), "route": string(t.c.Route.Name), "team": string(t.c.Team),
 		"upstream": string(u.ID), "own": strconv.Itoa(own), "all": strconv.Itoa(all),
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -20,6 +20,8 @@
 	Callers string `json:"callers"`
 	Ready   string `json:"ready"`
 	Peers   string `json:"peers"`
+	// Metrics is the address of the listener for metrics; none if it is empty.
+	Metrics string `json:"metrics"`
 	// Store is the address of the platform's store.
 	Store string `json:"store"`
 	// StorePartitions is the number of partitions of each of its topics.
@@ -79,6 +81,9 @@
 			return &FieldError{Path: a.path, Value: a.value, Reason: "must be IP:PORT"}
 		}
 	}
+	if host, _, err := net.SplitHostPort(g.Metrics); g.Metrics != "" && (err != nil || net.ParseIP(host) == nil) {
+		return &FieldError{Path: "metrics", Value: g.Metrics, Reason: "must be IP:PORT"}
+	}
 	for _, d := range []struct {
 		path  string
 		value Span
