Count errors that engines answer against them, longer the more come in a row

An error that was handed on counted as a success of its engine, since only attempts that could be repeated were judged by their status. Ruled out: the way to the engine (no connection failed), double runs (TWICE holds). Change: an answer of 5xx counts as a failure; failures in a row are remembered for 3, 6, then 9 s.

--- a/roster/flight.go
+++ b/roster/flight.go
@@ -60,6 +60,9 @@
 	share := u.failing(now) * (1 - failureWeight)
 	if failed {
 		share += failureWeight
+		u.failures++
+	} else {
+		u.failures = 0
 	}
 	u.failed, u.failedAt = share, now
 }
--- a/roster/upstream.go
+++ b/roster/upstream.go
@@ -19,8 +19,12 @@
 	// nothing at the same time: events come each 50 ms or so on loaded engines.
 	quietAfter = 300 * time.Millisecond
 	manyQuiet  = 3
-	// failureMemory is how fast the share of failed requests is forgotten.
+	// failureMemory is how fast the share of failed requests is forgotten. It
+	// grows by as much with each failure in a row, up to longMemory: an upstream
+	// that fails everything is tried by each VM once in that time, and one that is
+	// well again is missed for as long.
 	failureMemory = 3 * time.Second
+	longMemory    = 9 * time.Second
 	// failureWeight is how much one answer counts in the share.
 	failureWeight = 0.2
 )
@@ -49,6 +53,8 @@
 	// failed is a decaying share of requests that failed here.
 	failed   float64
 	failedAt time.Time
+	// failures counts the requests that failed here one after the other.
+	failures int
 	// away is until when no connection is tried, awayFor the last such time.
 	away    time.Time
 	awayFor time.Duration
@@ -295,11 +301,12 @@
 }
 
 func (u *Upstream) failing(now time.Time) float64 {
+	memory := min(failureMemory*time.Duration(max(u.failures, 1)), longMemory)
 	age := now.Sub(u.failedAt)
-	if u.failed == 0 || age >= failureMemory {
+	if u.failed == 0 || age >= memory {
 		return 0
 	}
-	return u.failed * (1 - float64(age)/float64(failureMemory))
+	return u.failed * (1 - float64(age)/float64(memory))
 }
 
 // Silent reports whether nothing comes from the upstream that owes something:
--- a/serving/run.go
+++ b/serving/run.go
@@ -143,7 +143,8 @@
 	defer got.Body.Close()
 	flight.Heard()
 	again, err = t.answered(ctx, u, got, flight, w)
-	flight.End(err != nil && ctx.Err() == nil || w.fired())
+	broken := got.Status >= http.StatusInternalServerError
+	flight.End(err != nil && ctx.Err() == nil || broken || w.fired())
 	return again, err
 }
 
