--- a/coordinator/carry.go
+++ b/coordinator/carry.go
@@ -27,8 +27,8 @@
 
 // carry carries a move out.
 func (c *Coordinator) carry(ctx context.Context, e *engine, spec *catalogue.Engine, mv move) {
-	c.count(mv, 1)
-	defer c.count(mv, -1)
+	end := c.count(mv)
+	defer end()
 	err := c.unloadModel(ctx, e, mv.evict)
 	if err == nil {
 		err = c.loadModel(ctx, e, spec, mv.model)
@@ -40,13 +40,23 @@
 	}
 }
 
-func (c *Coordinator) count(mv move, n int) {
+// count counts a load from the weight store, and returns what ends it. A load that
+// ends in a later term was forgotten with its own.
+func (c *Coordinator) count(mv move) (end func()) {
 	if !mv.fromStore {
-		return
+		return func() {}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.loading += n
+	term := c.term
+	c.loading++
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.term == term {
+			c.loading--
+		}
+	}
 }
 
 // unloadModel makes room by unloading a model, "" for none, and waits until it
--- a/coordinator/plan_test.go
+++ b/coordinator/plan_test.go
@@ -9,6 +9,7 @@
 
 	"toucanfall/catalogue"
 	"toucanfall/fleet"
+	"toucanfall/shares"
 )
 
 // planSpec is a service whose engines have room for three models.
@@ -122,3 +123,19 @@
 	sites[2].freeMB = 0
 	is.Equal(len(all(newPlanner(spec, sites, map[fleet.ModelID]float64{"a": 20000, "b": 26000}))), 0)
 }
+
+// A load that outlives its coordinator's term is not taken off the loads of the
+// next one.
+func TestLoadsAreCountedByTerm(t *testing.T) {
+	is := is.New(t)
+	c := New(Config{Tokens: shares.NewPool()})
+	c.reset(1)
+	end := c.count(move{fromStore: true})
+	is.Equal(c.loading, 1)
+	c.reset(2)
+	next := c.count(move{fromStore: true})
+	end()
+	is.Equal(c.loading, 1)
+	next()
+	is.Equal(c.loading, 0)
+}
