--- a/coordinator/account.go
+++ b/coordinator/account.go
@@ -23,6 +23,8 @@
 	// needs is not in the report, so an order of another coordinator cannot be
 	// accounted for until it is over.
 	busy bool
+	// reported is when the last report was asked for.
+	reported time.Time
 	// doubt is set after an order without an answer, until a report that was
 	// made later settles it.
 	doubt time.Time
@@ -96,6 +98,7 @@
 	a.busy = r.Busy
 	a.lost = slices.DeleteFunc(a.lost, func(o Order) bool { return r.Seq > o.Seq })
 	a.known, a.models, a.copies, a.doubt = true, models, r.Copies, time.Time{}
+	a.reported = asked
 	a.giving = time.Time{}
 	for _, m := range models {
 		for _, ad := range m.adapters {
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -39,23 +39,30 @@
 	roster  *roster.Roster
 	c       *coordinator.Coordinator
 	fence   atomic.Int64
+	holder  *catalogue.Holder
 }
 
 func newWorld(e *catalogue.Engine) *world {
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
 	start := time.Now()
 	holder := catalogue.NewHolder(func() time.Duration { return time.Since(start) })
 	holder.Apply(catalogue.NewConfig(1, nil, []*catalogue.Service{{ID: "texts", Engine: e}}, nil, catalogue.Limits{}))
-	w := &world{engines: newEngines(e), roster: roster.New()}
+	w := &world{engines: newEngines(e), roster: roster.New(), holder: holder}
 	w.fence.Store(1)
-	w.c = coordinator.New(coordinator.Config{
-		VM: "vm-1", Catalogue: holder, Roster: w.roster, Engines: w.engines, Pool: w.engines.pool,
-		Duty:   func() (int64, bool) { f := w.fence.Load(); return f, f != 0 },
-		Fenced: func(int64) { w.fence.Store(0) },
+	w.c = w.another(&w.fence)
+	return w
+}
+
+// another returns a coordinator in front of the same engines, with a duty of its
+// own: a fencing token, or 0.
+func (w *world) another(fence *atomic.Int64) *coordinator.Coordinator {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return coordinator.New(coordinator.Config{
+		VM: "vm-1", Catalogue: w.holder, Roster: w.roster, Engines: w.engines, Pool: w.engines.pool,
+		Duty:   func() (int64, bool) { f := fence.Load(); return f, f != 0 },
+		Fenced: func(int64) { fence.Store(0) },
 		Tokens: shares.NewPool(), Vouch: func() coordinator.Vouch { return coordinator.Vouch{} }, Events: timeline.New("test", 16, logger),
 	})
-	return w
 }
 
 // run runs the coordinator for a time while a model is asked for.
@@ -246,3 +253,24 @@
 		is.Equal(w.engines.holders("b"), []fleet.UpstreamID{"engine-39"})
 	})
 }
+
+// An engine that a late order of another coordinator has changed is noticed, though
+// this coordinator had settled its account and orders nothing there.
+func TestChangeByALateOrderIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(spec("a", "b", "c"))
+		w.engines.add(w.roster, "engine-1", "a", "b")
+		w.engines.add(w.roster, "engine-2", "a", "c")
+		time.AfterFunc(2*time.Second, func() {
+			w.engines.mu.Lock()
+			defer w.engines.mu.Unlock()
+			f := w.engines.all["engine-1"]
+			delete(f.models, "b")
+			f.seq++
+		})
+		is.NoErr(w.run(20*time.Second, ""))
+		is.Equal(len(w.engines.holders("b")), 1)
+		is.Equal(len(w.engines.broken), 0)
+	})
+}
--- a/coordinator/engine.go
+++ b/coordinator/engine.go
@@ -22,6 +22,10 @@
 	// reportAge is how old a report may be: an order that it does not show may
 	// still have been accepted that long before it was asked for.
 	reportAge = 300 * time.Millisecond
+	// reportLife is how long a report holds where nothing is ordered: an order of a
+	// coordinator before, or one that its engine was slow to carry out, changes an
+	// engine without this one's knowledge. Reports are priced like health checks.
+	reportLife = 6 * time.Second
 )
 
 // Engines speaks to engines.
@@ -80,7 +84,7 @@
 // settled reports whether the account is certain.
 func (e *engine) settled() (ok bool) {
 	e.with(func(a *account) {
-		ok = a.known && !a.busy && a.doubt.IsZero() && (a.giving.IsZero() || time.Since(a.giving) < reportAge)
+		ok = a.known && time.Since(a.reported) < reportLife && !a.busy && a.doubt.IsZero() && (a.giving.IsZero() || time.Since(a.giving) < reportAge)
 	})
 	return ok
 }
--- a/coordinator/engine_test.go
+++ b/coordinator/engine_test.go
@@ -41,6 +41,7 @@
 	inUse   map[fleet.AdapterID]bool
 	// dark engines give no report.
 	dark bool
+	born int64
 }
 
 // reportLag is how old the reports of the stand-ins are.
@@ -52,7 +53,7 @@
 
 // add adds an engine that holds models, and its entry in the roster.
 func (e *engines) add(r *roster.Roster, id fleet.UpstreamID, models ...fleet.ModelID) {
-	f := &fakeEngine{models: make(map[fleet.ModelID]map[fleet.AdapterID]bool), inUse: make(map[fleet.AdapterID]bool)}
+	f := &fakeEngine{models: make(map[fleet.ModelID]map[fleet.AdapterID]bool), inUse: make(map[fleet.AdapterID]bool), born: 1}
 	entry := roster.Entry{ID: id, Service: "texts", Address: "192.0.2.1:80", Born: 1}
 	for _, m := range models {
 		f.models[m] = make(map[fleet.AdapterID]bool)
@@ -98,7 +99,7 @@
 }
 
 func (f *fakeEngine) report() coordinator.Report {
-	r := coordinator.Report{Seq: f.seq, Busy: f.loading != "", Born: 1}
+	r := coordinator.Report{Seq: f.seq, Busy: f.loading != "", Born: f.born}
 	for m, adapters := range f.models {
 		h := roster.Holding{Model: m}
 		for a := range adapters {
@@ -121,9 +122,13 @@
 	f.fence = o.Fence
 	if e.late > 0 && len(e.lateOnes)%3 < 2 {
 		e.lateOnes = append(e.lateOnes, o)
+		born := f.born
 		time.AfterFunc(e.late*time.Duration(1+len(e.lateOnes)%4), func() {
 			e.mu.Lock()
 			defer e.mu.Unlock()
+			if f.born != born || o.Fence < f.fence {
+				return // It was started anew, or has seen a higher token.
+			}
 			f.settle()
 			e.take(id, f, o)
 		})
