--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -201,13 +201,7 @@
 	g.addLoops(&all)
 	g.addServer(&all, g.callers, callers)
 	g.addServer(&all, httpx.NewServer(g.operations()), readiness)
-	if g.cfg.Metrics != "" {
-		meters, err := listen.Listen(ctx, "tcp", g.cfg.Metrics)
-		if err != nil {
-			return fmt.Errorf("metrics' listener: %w", err)
-		}
-		g.addServer(&all, httpx.NewServer(g.meters.Handler()), meters)
-	}
+	g.addMetrics(ctx, &all)
 	all.Add(func() error { return g.peers.Serve(peers) }, func(error) { _ = peers.Close(); g.peers.Close() })
 	all.Add(func() error {
 		<-ctx.Done()
@@ -231,6 +225,20 @@
 	}
 }
 
+// addMetrics serves the metrics. Without them everything else goes on.
+func (g *Gateway) addMetrics(ctx context.Context, all *run.Group) {
+	if g.cfg.Metrics == "" {
+		return
+	}
+	listen := net.ListenConfig{KeepAliveConfig: keepAlive}
+	l, err := listen.Listen(ctx, "tcp", g.cfg.Metrics)
+	if err != nil {
+		g.events.Record(event.GatewayFault, timeline.Fields{"reason": "metrics' listener: " + err.Error()})
+		return
+	}
+	g.addServer(all, httpx.NewServer(g.meters.Handler()), l)
+}
+
 func (g *Gateway) addServer(all *run.Group, s *http.Server, l net.Listener) {
 	interrupted := make(chan struct{})
 	all.Add(func() error {
--- a/serving/picker.go
+++ b/serving/picker.go
@@ -20,7 +20,7 @@
 	// silentWeight is what an upstream costs that owes first bytes for too long.
 	silentWeight = 100
 	// promptWeight is what each prompt token costs that the upstream was sent
-	// lately: some 700 of them, the mean of the sheets, count as four requests.
+	// lately: 700 of them, the mean of the sheets, as much as two requests.
 	promptWeight = 2.0 / 700
 	// triedWeight is what an upstream costs that has failed the request already.
 	triedWeight = 1000
--- a/serving/run.go
+++ b/serving/run.go
@@ -178,7 +178,7 @@
 func (t *tries) served(u *roster.Upstream, status int) {
 	own, all := u.InFlight()
 	p := t.out.pacing
-	t.h.cfg.Metrics.Attempt(u.ID, false)
+	t.h.cfg.Metrics.Attempt(u.ID, status >= http.StatusInternalServerError)
 	t.h.cfg.Metrics.Served(t.c.Route.Kind.String(), t.c.Team, p.first, p.longest)
 	t.h.cfg.Events.Record(event.RequestServed, timeline.Fields{
 		"request": string(t.c.ID), "route": string(t.c.Route.Name), "team": string(t.c.Team),
