Give no order to an engine that carries out one which is not known

The report that settled this showed the engine busy, not with what; settle took that for certain, the load of m6 was given, got no answer, and was carried out once m5 was there: three models where two fit. Ruled out: the reservation of lost orders (it held), fences (the late order had the newest). Change: an engine that is busy with what is not known gets no order.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -109,6 +109,27 @@
 	}
 }
 
+// The same where orders of this coordinator get no answer and are carried out once
+// that of the one before is over.
+func TestLateLoadBehindAnotherIsNotOvercommitted(t *testing.T) {
+	for at := 50 * time.Millisecond; at < 1200*time.Millisecond; at += 50 * time.Millisecond {
+		for late := 100 * time.Millisecond; late < 2*time.Second; late += 100 * time.Millisecond {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(spec("a", "b", "c", "d"))
+				w.engines.add(w.roster, "engine-1", "a", "d")
+				w.engines.add(w.roster, "engine-2", "a", "d")
+				w.engines.late = late
+				for _, f := range w.engines.all {
+					time.AfterFunc(at, func() { w.engines.lateOrders(f, "d", "b", 1500*time.Millisecond) })
+				}
+				is.NoErr(w.run(8*time.Second, "c"))
+				is.Equal(len(w.engines.broken), 0) // ordered over the limit
+			})
+		}
+	}
+}
+
 // A shift of demand is followed: the model that is asked for gets copies where
 // copies of silent ones made room, and each model keeps one.
 func TestPlacementFollowsShift(t *testing.T) {
--- a/coordinator/engine.go
+++ b/coordinator/engine.go
@@ -78,6 +78,10 @@
 // errNotKnown tells that an engine's state is not known for certain.
 var errNotKnown = errors.New("the state of the engine is not known yet")
 
+// errBusy tells that an engine carries out an order of a model that this
+// coordinator does not know.
+var errBusy = errors.New("the engine is carrying out an order")
+
 // errReborn tells that another start of an engine has its address.
 var errReborn = errors.New("the engine at this address was started at another time")
 
@@ -100,7 +104,17 @@
 	if time.Since(doubt) < reportAge {
 		return errNotKnown
 	}
-	return c.refresh(ctx, e)
+	if err := c.refresh(ctx, e); err != nil {
+		return err
+	}
+	// What an order under way needs is not in the report. An order that is given
+	// now may be lost, and be carried out once that one is over.
+	var busy bool
+	e.with(func(a *account) { busy = a.busy })
+	if busy {
+		return errBusy
+	}
+	return nil
 }
 
 // refresh asks for a report and takes it over. The caller has the turn.
--- a/coordinator/engine_test.go
+++ b/coordinator/engine_test.go
@@ -138,6 +138,19 @@
 	return e.take(id, f, o), nil
 }
 
+// lateOrders carries out what another coordinator has ordered: a model makes room
+// for another one, whose load takes a time yet.
+func (e *engines) lateOrders(f *fakeEngine, gone, coming fleet.ModelID, left time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, held := f.models[gone]; !held || f.loading != "" {
+		return
+	}
+	delete(f.models, gone)
+	f.seq += 2
+	f.loading, f.until = coming, time.Now().Add(left)
+}
+
 // take carries an order out if its precondition holds.
 func (e *engines) take(id fleet.UpstreamID, f *fakeEngine, o coordinator.Order) coordinator.Verdict {
 	if o.Seq != f.seq || f.loading != "" {
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -139,7 +139,7 @@
 	}
 	c.moves.Go(func() {
 		defer e.give()
-		if err := c.settle(ctx, e); err != nil && !errors.Is(err, errNotKnown) {
+		if err := c.settle(ctx, e); err != nil && !errors.Is(err, errNotKnown) && !errors.Is(err, errBusy) {
 			c.cfg.Events.Record(event.ReportFailed, timeline.Fields{"engine": string(e.u.ID), "reason": err.Error()})
 		}
 	})
