--- a/script/unit.sh
+++ b/script/unit.sh
@@ -13,7 +13,7 @@
 fi
 packages=$(go list ./...)
 # The flags of rapid exist only in test binaries that import it.
-rapid=$(go list -f '{{range .TestImports}}{{if eq . "pgregory.net/rapid"}}{{$.ImportPath}}{{end}}{{end}}{{range .XTestImports}}{{if eq . "pgregory.net/rapid"}}{{$.ImportPath}}{{end}}{{end}}' ./... | grep . | sort -u)
+rapid=$(go list -f '{{range .TestImports}}{{if eq . "pgregory.net/rapid"}}{{println $.ImportPath}}{{end}}{{end}}{{range .XTestImports}}{{if eq . "pgregory.net/rapid"}}{{println $.ImportPath}}{{end}}{{end}}' ./... | grep . | sort -u)
 plain=$(comm -23 <(sort <<<"$packages") <(sort <<<"$rapid"))
 code=0
 if [ -n "$rapid" ]; then
