Number each change of an account where it is made

Found when the whole change was read once more: since VMs are told only what has changed, unloadAdapter numbered the change before it made it, so VMs went on sending requests for an adapter that was being given up until the next report of its engine. Changing an account and telling of it were two calls at six places; they are one now, change, and hold both locks, so that two changes cannot be told in the wrong order. Test: TestGivenUpAdapterIsTold fails before.

--- a/coordinator/carry.go
+++ b/coordinator/carry.go
@@ -34,7 +34,6 @@
 		err = c.loadModel(ctx, e, spec, mv.model)
 	}
 	e.with(func(a *account) { a.moving, a.ordering, a.coming = false, false, "" })
-	c.show(e)
 	if err != nil {
 		c.cfg.Events.Record(event.MoveFailed, timeline.Fields{"engine": string(e.u.ID), "reason": err.Error()})
 	}
@@ -85,8 +84,7 @@
 // drain makes VMs send no more requests for a model and waits for those that
 // run.
 func (c *Coordinator) drain(ctx context.Context, e *engine, m fleet.ModelID) {
-	e.with(func(a *account) { a.giveUp(Order{Model: m}) })
-	c.show(e)
+	c.change(e, func(a *account) { a.giveUp(Order{Model: m}) })
 	end := time.Now().Add(drainMost)
 	for time.Now().Before(end) && ctx.Err() == nil {
 		loop.Pause(ctx, checkEvery)
@@ -197,9 +195,8 @@
 		return fmt.Errorf("engine %q does not %s: %s", e.u.ID, o, v)
 	}
 	if err == nil || o.Unload {
-		e.with(func(a *account) { mark(a, o) })
+		c.change(e, func(a *account) { mark(a, o) })
 	}
-	c.show(e)
 	if err != nil {
 		return &lostError{err}
 	}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -110,19 +110,21 @@
 	return nil
 }
 
-// show numbers a change of what an engine can serve. VMs are told of engines that
-// have changed only: over all engines of a large fleet the lists would fill the
-// line of a small VM.
-func (c *Coordinator) show(e *engine) {
-	var now uint64
-	e.with(func(a *account) { now = a.fingerprint() })
+// change calls f with the account of an engine, and numbers the change if VMs are to
+// learn of it. They are told of engines that have changed only: over all engines of
+// a large fleet the lists would fill the line of a small VM.
+func (c *Coordinator) change(e *engine, f func(a *account)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now == e.shown {
-		return
-	}
-	c.version++
-	e.shown, e.changed = now, c.version
+	e.with(func(a *account) {
+		f(a)
+		now := a.fingerprint()
+		if now == e.shown {
+			return
+		}
+		c.version++
+		e.shown, e.changed = now, c.version
+	})
 }
 
 // engine returns the account of an upstream, a new one if the upstream was
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -260,6 +260,31 @@
 	})
 }
 
+// VMs learn at once that an adapter is to be given up, though it is still in use: the
+// engine refuses new requests for it.
+func TestGivenUpAdapterIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(spec("a"))
+		w.engines.add(w.roster, "engine-1", "a")
+		wish := func(a fleet.AdapterID) error {
+			in := coordinator.Wish{Service: "texts", Adapter: roster.Adapter{Model: "a", Adapter: a}}
+			return w.c.Service().Wish(in, &coordinator.WishAnswer{})
+		}
+		for _, a := range []fleet.AdapterID{"a1", "a2"} {
+			is.NoErr(wish(a))
+			time.Sleep(time.Second)
+		}
+		var before, after coordinator.SyncAnswer
+		is.NoErr(w.c.Service().Sync(coordinator.Sync{VM: "vm-2"}, &before))
+		w.engines.all["engine-1"].inUse["a1"] = true
+		is.True(wish("a3") != nil) // Its place is not free yet.
+		is.NoErr(w.c.Service().Sync(coordinator.Sync{VM: "vm-2", Known: before.Known}, &after))
+		is.Equal(len(after.Holdings), 1)
+		is.Equal(after.Holdings[0].Adapters, []roster.Adapter{{Model: "a", Adapter: "a2"}})
+	})
+}
+
 // Engines that give no report do not hold up the plan for the others.
 func TestDarkEnginesDoNotHoldUpThePlan(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/coordinator/engine.go
+++ b/coordinator/engine.go
@@ -133,8 +133,7 @@
 		e.u.Unreachable()
 		return fmt.Errorf("engine %q: %w", e.u.ID, errReborn)
 	}
-	e.with(func(a *account) { a.apply(r, asked) })
-	c.show(e)
+	c.change(e, func(a *account) { a.apply(r, asked) })
 	return nil
 }
 
@@ -193,10 +192,9 @@
 		return 0, fmt.Errorf("engine %q did not take the order: %s", e.u.ID, v)
 	}
 	now := time.Now()
-	e.with(func(a *account) {
+	c.change(e, func(a *account) {
 		a.models[ad.Model].adapters[ad.Adapter] = &heldAdapter{ordered: now, ready: now.Add(adapterTime), used: now}
 	})
-	c.show(e)
 	return adapterTime, nil
 }
 
@@ -261,12 +259,11 @@
 // it is free only when a report shows it.
 func (c *Coordinator) unloadAdapter(ctx context.Context, e *engine, victim roster.Adapter) error {
 	v, err := c.order(ctx, e, Order{Unload: true, Model: victim.Model, Adapter: victim.Adapter})
-	c.show(e)
 	if err == nil && v == AlreadySo {
-		e.with(func(a *account) { a.drop(victim, time.Now()) })
+		c.change(e, func(a *account) { a.drop(victim, time.Now()) })
 		return nil
 	}
-	e.with(func(a *account) {
+	c.change(e, func(a *account) {
 		a.models[victim.Model].adapters[victim.Adapter].unloading = true
 		a.giving = time.Now()
 	})
