Take repeated work out of the choice of an engine and out of the plan

Each choice asked twice for each candidate how many VMs share the engines; at the coordinator that made a set of all owners of parts each time, and every request's budget did the same. It is asked once a choice now, and the members are counted when the owners are read. Each plan filled two maps with the load times of all models for each engine (46,000 entries at 206 models and 112 engines, five times a second), of which it used those of the few models that it placed; the engine's copies are kept instead. Nothing is decided otherwise.

--- a/coordinator/account.go
+++ b/coordinator/account.go
@@ -250,13 +250,13 @@
 	return best, found
 }
 
-// loadTime returns how long a load of a model takes, and whether it comes from
-// the weight store.
-func (a *account) loadTime(m *catalogue.Model) (time.Duration, bool) {
+// loadTime returns how long a load of a model takes at an engine with copies, and
+// whether it comes from the weight store.
+func loadTime(c roster.Copies, m *catalogue.Model) (time.Duration, bool) {
 	switch {
-	case slices.Contains(a.copies.InMemory, m.ID):
+	case slices.Contains(c.InMemory, m.ID):
 		return m.WarmLoad, false
-	case slices.Contains(a.copies.OnDisk, m.ID):
+	case slices.Contains(c.OnDisk, m.ID):
 		return m.DiskLoad, false
 	}
 	return m.Load, true
--- a/coordinator/carry.go
+++ b/coordinator/carry.go
@@ -115,7 +115,7 @@
 func (c *Coordinator) loadModel(ctx context.Context, e *engine, spec *catalogue.Engine, m fleet.ModelID) error {
 	var d time.Duration
 	fits := func(a *account) error {
-		d, _ = a.loadTime(spec.Models[m])
+		d, _ = loadTime(a.copies, spec.Models[m])
 		if !a.fits(spec, Order{Model: m}) {
 			return fmt.Errorf("engine %q has no room for model %q", e.u.ID, m)
 		}
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -7,6 +7,7 @@
 
 	"toucanfall/catalogue"
 	"toucanfall/fleet"
+	"toucanfall/roster"
 )
 
 // Weights of a placement.
@@ -39,10 +40,8 @@
 	freeMB float64
 	// closed engines take no change now.
 	closed bool
-	// loadSeconds is how long a load of each model takes here, and fromStore
-	// whether it comes from the weight store.
-	loadSeconds map[fleet.ModelID]float64
-	fromStore   map[fleet.ModelID]bool
+	// copies are the models that load without the weight store here.
+	copies roster.Copies
 }
 
 // move brings a model to an engine, after another has made room if it is set.
@@ -143,7 +142,8 @@
 		if !ok {
 			continue
 		}
-		cost := s.loadSeconds[m] + float64(s.load)*loadWeight + float64(s.busyAdapters)*adapterWeight
+		load, fromStore := loadTime(s.copies, p.spec.Models[m])
+		cost := load.Seconds() + float64(s.load)*loadWeight + float64(s.busyAdapters)*adapterWeight
 		cost += float64(p.copiesIn(s.dataCentre, m)) * nearWeight
 		if p.copies[m] == 0 {
 			cost += p.onlyCopies(s) * onlyWeight
@@ -152,7 +152,7 @@
 			cost += victimWeight * p.need(victim) / (p.mean + 1)
 		}
 		if !found || cost < least {
-			best = move{engine: s.id, model: m, evict: victim, fromStore: s.fromStore[m]}
+			best = move{engine: s.id, model: m, evict: victim, fromStore: fromStore}
 			least, found = cost, true
 		}
 	}
--- a/coordinator/plan_test.go
+++ b/coordinator/plan_test.go
@@ -24,14 +24,11 @@
 func planSite(id int, spec *catalogue.Engine, models ...fleet.ModelID) *site {
 	s := &site{
 		id: fleet.UpstreamID(fmt.Sprintf("engine-%d", id)), models: make(map[fleet.ModelID]bool), ready: make(map[fleet.ModelID]bool),
-		freeMB: spec.WeightsMB - 100*float64(len(models)), loadSeconds: make(map[fleet.ModelID]float64), fromStore: make(map[fleet.ModelID]bool),
+		freeMB: spec.WeightsMB - 100*float64(len(models)),
 	}
 	for _, m := range models {
 		s.models[m], s.ready[m] = true, true
 	}
-	for m := range spec.Models {
-		s.loadSeconds[m] = 4
-	}
 	return s
 }
 
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -162,12 +162,7 @@
 	st.busyAdapters = a.busyAdapters(time.Now().Add(-time.Second))
 	st.freeMB = spec.WeightsMB - a.memory(spec)
 	st.closed = st.closed || a.moving || a.busy || !a.known
-	st.loadSeconds = make(map[fleet.ModelID]float64, len(spec.Models))
-	st.fromStore = make(map[fleet.ModelID]bool, len(spec.Models))
-	for id, m := range spec.Models {
-		d, fromStore := a.loadTime(m)
-		st.loadSeconds[id], st.fromStore[id] = d.Seconds(), fromStore
-	}
+	st.copies = a.copies
 }
 
 // demandOf returns the demand to come for the models of a service.
--- a/crew/crew.go
+++ b/crew/crew.go
@@ -114,8 +114,10 @@
 	generation int64
 	confirmed  time.Duration
 	owners     map[Part]Member
-	ownersOf   int64
-	ownersAt   time.Duration
+	// size counts the members among the owners, for every request asks for it.
+	size     int
+	ownersOf int64
+	ownersAt time.Duration
 	// doubted asks for the owners to be read again, lost is set while no VM
 	// answers as the coordinator.
 	doubted bool
@@ -237,6 +239,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.owners, c.ownersOf, c.ownersAt = owners, generation, now
+	members := make(map[Member]bool)
+	for _, m := range owners {
+		members[m] = true
+	}
+	c.size = len(members)
 }
 
 // claim makes the claim on the coordinator's duty when it is this VM's turn.
@@ -338,11 +345,7 @@
 func (c *Crew) Size() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	seen := make(map[Member]bool)
-	for _, m := range c.owners {
-		seen[m] = true
-	}
-	return max(len(seen), 1)
+	return max(c.size, 1)
 }
 
 // Leave gives duty and parts back.
--- a/serving/picker.go
+++ b/serving/picker.go
@@ -103,9 +103,9 @@
 func (p *Picker) Best(list []*roster.Upstream, tried []fleet.UpstreamID) *roster.Upstream {
 	var best *roster.Upstream
 	var least float64
-	now := time.Now()
+	now, sharers := time.Now(), p.sharers()
 	for _, u := range list {
-		c := p.cost(u, tried, now)
+		c := p.cost(u, tried, now, sharers)
 		if best == nil || c < least {
 			best, least = u, c
 		}
@@ -113,17 +113,17 @@
 	return best
 }
 
-func (p *Picker) cost(u *roster.Upstream, tried []fleet.UpstreamID, now time.Time) float64 {
+func (p *Picker) cost(u *roster.Upstream, tried []fleet.UpstreamID, now time.Time, sharers float64) float64 {
 	_, all := u.InFlight()
 	// The random part spreads VMs that know the same.
 	c := float64(all) + rand.Float64()*0.4
 	// The others choose by the same rule and tell of it only later.
-	c += (p.sharers() - 1) * float64(u.Begun())
+	c += (sharers - 1) * float64(u.Begun())
 	if u.Entry().DataCentre != p.dataCentre {
 		c += farWeight
 	}
 	c += failingWeight * u.Failing(now)
-	c += promptWeight * u.Reading(now) * p.sharers()
+	c += promptWeight * u.Reading(now) * sharers
 	if u.Silent(now) {
 		c += silentWeight
 	}
