--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -87,9 +87,6 @@
 	var cursor platform.Cursor
 	for ctx.Err() == nil {
 		next, err := f.turn(ctx, cursor)
-		if errors.Is(err, platform.ErrExpired) {
-			next, err = f.turn(ctx, platform.Cursor{})
-		}
 		if ctx.Err() != nil {
 			break
 		}
@@ -237,9 +234,6 @@
 	ctx, cancel := context.WithTimeout(ctx, directoryTimeout)
 	defer cancel()
 	changes, next, err := f.store.ReadDirectory(ctx, f.cursor)
-	if errors.Is(err, platform.ErrExpired) {
-		changes, next, err = f.store.ReadDirectory(ctx, platform.Cursor{})
-	}
 	now := f.now()
 	if err != nil {
 		// The configuration's follower tells that the store is lost.
