Say once what the gateway wrote again

Found when the whole change was read once more: the JSON logger of toucand and the stand-ins (cli.NewLogger serves all three now), the line that counts left-out lines, which copied the logger's format by hand, the settings of a listener, the loop that forgets what belongs to upstreams that have left (roster.Retain), and how the crew's tests wait for a coordinator. Assertions and behaviour are as they were.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"net/rpc"
 	"sync"
 	"time"
@@ -241,10 +240,7 @@
 			}
 		}
 	}
-	maps.DeleteFunc(c.held, func(id fleet.UpstreamID, _ EngineHoldings) bool {
-		_, ok := c.cfg.Roster.Get(id)
-		return !ok
-	})
+	roster.Retain(c.cfg.Roster, c.held)
 }
 
 // Asked counts a request for a model, whether it is served or not.
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -10,7 +10,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"sync"
 	"time"
 
@@ -254,10 +253,7 @@
 func (c *Coordinator) prune() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	maps.DeleteFunc(c.engines, func(id fleet.UpstreamID, _ *engine) bool {
-		_, ok := c.cfg.Roster.Get(id)
-		return !ok
-	})
+	roster.Retain(c.cfg.Roster, c.engines)
 }
 
 // forget takes a VM's requests out of the sums. The caller holds the lock.
--- a/crew/crew_test.go
+++ b/crew/crew_test.go
@@ -51,12 +51,7 @@
 		is := is.New(t)
 		f := newFleet()
 		defer f.close()
-		for range 3 {
-			f.add()
-		}
-		time.Sleep(2 * lease)
-		f.vms[0].crew.Heard(false)
-		time.Sleep(2 * time.Second)
+		f.settle(3)
 		dead := f.coordinator(f.vms[0])
 		before, ok := dead.crew.Duty()
 		is.True(ok)
@@ -205,17 +200,7 @@
 		is := is.New(t)
 		f := newFleet()
 		defer f.close()
-		for range 3 {
-			f.add()
-		}
-		time.Sleep(2 * lease)
-		f.vms[0].crew.Heard(false)
-		f.vms[1].crew.Heard(false)
-		f.vms[2].crew.Heard(false)
-		time.Sleep(2 * time.Second)
-		for _, v := range f.vms {
-			v.crew.Heard(true)
-		}
+		f.settle(3)
 		coordinator := f.coordinator(f.vms[0])
 		reads := func() (n int64) {
 			for _, v := range f.vms[:3] {
--- a/crew/fleet_test.go
+++ b/crew/fleet_test.go
@@ -158,6 +158,21 @@
 	return v
 }
 
+// settle adds VMs and waits until one of them is the coordinator and all know of it.
+func (f *fleetOf) settle(n int) {
+	for range n {
+		f.add()
+	}
+	time.Sleep(2 * lease)
+	for _, v := range f.vms {
+		v.crew.Heard(false) // As its client does whose call was refused.
+	}
+	time.Sleep(2 * time.Second)
+	for _, v := range f.vms {
+		v.crew.Heard(true)
+	}
+}
+
 // coordinator returns the VM that another one takes for the coordinator.
 func (f *fleetOf) coordinator(seenBy *vm) *vm {
 	m, _ := seenBy.crew.Coordinator()
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -6,8 +6,6 @@
 	"os"
 	"os/signal"
 
-	"github.com/sirupsen/logrus"
-
 	"toucanfall/internal/cli"
 	"toucanfall/settings"
 )
@@ -36,7 +34,7 @@
 }
 
 func serve(cfg *settings.Process, stderr io.Writer) int {
-	logger := newLogger(cfg, stderr)
+	logger := cli.NewLogger(stderr, cfg.LogLevel) // The level was checked with the settings.
 	d, err := New(cfg, NewTCP(), logger)
 	if err != nil {
 		logger.WithError(err).Error("cannot start")
@@ -50,15 +48,3 @@
 	}
 	return cli.ExitOK
 }
-
-// newLogger returns a logger that writes JSON lines. The level was checked with
-// the settings.
-func newLogger(cfg *settings.Process, w io.Writer) *logrus.Logger {
-	logger := logrus.New()
-	logger.SetOutput(w)
-	logger.SetFormatter(&logrus.JSONFormatter{})
-	if level, err := logrus.ParseLevel(cfg.LogLevel); err == nil {
-		logger.SetLevel(level)
-	}
-	return logger
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -183,7 +183,6 @@
 
 // Run serves until ctx ends, and then stops without cutting requests.
 func (g *Gateway) Run(ctx context.Context) error {
-	listen := net.ListenConfig{KeepAliveConfig: keepAlive}
 	callers, err := listen.Listen(ctx, "tcp", g.cfg.Callers)
 	if err != nil {
 		return fmt.Errorf("callers' listener: %w", err)
@@ -213,8 +212,9 @@
 	return err
 }
 
-// keepAlive finds connections that went silent for good.
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3}
+// listen opens listeners whose connections are found out when they went silent for
+// good.
+var listen = net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3}}
 
 // addLoops adds what runs all the time.
 func (g *Gateway) addLoops(all *run.Group) {
@@ -230,7 +230,6 @@
 	if g.cfg.Metrics == "" {
 		return
 	}
-	listen := net.ListenConfig{KeepAliveConfig: keepAlive}
 	l, err := listen.Listen(ctx, "tcp", g.cfg.Metrics)
 	if err != nil {
 		g.events.Record(event.GatewayFault, timeline.Fields{"reason": "metrics' listener: " + err.Error()})
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"toucanfall/event"
+	"toucanfall/fleet"
 	"toucanfall/internal/cli"
 	"toucanfall/internal/logline"
 	"toucanfall/settings"
@@ -52,30 +54,29 @@
 // garbage is collected more often; the rest is for stacks and sockets.
 const memoryUsed = 0.6
 
-// leftOut makes the line that tells how many lines of the log were left out.
-func leftOut(cfg *settings.Gateway, n int) []byte {
+// leftOut makes the line that tells how many lines of the log were left out. It
+// cannot go through the logger, whose output waits for it.
+func leftOut(vm fleet.VMID, n int) []byte {
 	ev := event.LinesLeftOut
-	return fmt.Appendf(nil, `{"event":%d,"level":%q,"lines":"%d","msg":%q,"process":%q,"time":%q}`+"\n",
-		ev.Number, ev.Level, n, ev.Name, cfg.VM, time.Now().Format(time.RFC3339))
+	// Strings and numbers can always be encoded.
+	b, _ := (&logrus.JSONFormatter{}).Format(&logrus.Entry{
+		Time: time.Now(), Level: ev.Level, Message: ev.Name,
+		Data: logrus.Fields{"event": int(ev.Number), "process": string(vm), "lines": strconv.Itoa(n)},
+	})
+	return b
 }
 
 func serve(cfg *settings.Gateway, file string, stdout, stderr io.Writer) error {
-	logger := logrus.New()
-	logger.SetFormatter(&logrus.JSONFormatter{})
-	log := logline.New(stdout, func(n int) []byte { return leftOut(cfg, n) })
-	logger.SetOutput(log)
+	log := logline.New(stdout, func(n int) []byte { return leftOut(cfg.VM, n) })
 	defer func() {
 		if err := log.Close(); err != nil {
 			_, _ = fmt.Fprintln(stderr, err)
 		}
 	}()
-	if level, err := logrus.ParseLevel(cfg.LogLevel); err == nil {
-		logger.SetLevel(level)
-	}
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(cfg.MemoryMB<<20) * memoryUsed))
 	}
-	g, err := New(cfg, logger)
+	g, err := New(cfg, cli.NewLogger(log, cfg.LogLevel))
 	if err != nil {
 		return err
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -179,6 +180,14 @@
 	return u, ok
 }
 
+// Retain drops from m what belongs to upstreams that are not known any more.
+func Retain[V any](r *Roster, m map[fleet.UpstreamID]V) {
+	maps.DeleteFunc(m, func(id fleet.UpstreamID, _ V) bool {
+		_, ok := r.Get(id)
+		return !ok
+	})
+}
+
 // DataCentres returns in how many data centres there are upstreams.
 func (r *Roster) DataCentres() int {
 	r.mu.RLock()
--- a/standin/main.go
+++ b/standin/main.go
@@ -76,10 +76,7 @@
 }
 
 func serve(opts options, stderr io.Writer) error {
-	logger := logrus.New()
-	logger.SetOutput(stderr)
-	logger.SetFormatter(&logrus.JSONFormatter{})
-	rec := timeline.New(opts.Name, timelineSize, logger)
+	rec := timeline.New(opts.Name, timelineSize, cli.NewLogger(stderr, logrus.InfoLevel.String()))
 	h, err := newHandler(opts, rec)
 	if err != nil {
 		return err
