Choose the engine after the wait for a less loaded one, and wait shortly

Its adapter was there, but on busy engines, so one more engine was asked for it; the coordinator had been killed at 3.0 s, the call for it gave up after 1.5 s, and the calls then went to the engine that had been chosen before the wait. Change: the wait for a better place is bounded as all others are, and the engine is chosen after it. Test: TestEngineThatLeavesDuringAWaitGetsNothing fails before.

--- a/serving/choose.go
+++ b/serving/choose.go
@@ -30,16 +30,20 @@
 // choose finds an upstream. Where none can serve the call yet, it looks again
 // for a small part of the objective.
 func (t *tries) choose(ctx context.Context) (*roster.Upstream, error) {
-	hold := max(t.c.Route.Objective/holdPart, minHold)
 	for {
 		u, err := t.find(ctx)
-		if err == nil || time.Since(t.c.received) > hold || ctx.Err() != nil {
+		if err == nil || time.Since(t.c.received) > t.hold() || ctx.Err() != nil {
 			return u, err
 		}
 		loop.Pause(ctx, holdCheck)
 	}
 }
 
+// hold returns how long the call may wait for a better place.
+func (t *tries) hold() time.Duration {
+	return max(t.c.Route.Objective/holdPart, minHold)
+}
+
 // find looks for an upstream once, bringing the adapter to an engine if needed.
 func (t *tries) find(ctx context.Context) (*roster.Upstream, error) {
 	list := t.h.pick.Candidates(t.service, t.c, t.unreachable)
@@ -60,10 +64,24 @@
 	if there-here < spreadGap {
 		return having, nil
 	}
-	if u, err := t.load(ctx, ready); err == nil {
+	return t.spread(ctx, ready)
+}
+
+// spread brings the adapter to one more engine than those that are ready with it. If
+// that takes long, the call goes to one of these; which one is chosen after the wait,
+// for an engine may have left meanwhile.
+func (t *tries) spread(ctx context.Context, ready []*roster.Upstream) (*roster.Upstream, error) {
+	soon, cancel := context.WithTimeout(ctx, t.hold())
+	defer cancel()
+	u, err := t.load(soon, ready)
+	if err == nil {
 		return u, nil
 	}
-	return having, nil
+	ready = withAdapter(t.h.pick.Candidates(t.service, t.c, t.unreachable), t.c)
+	if len(ready) == 0 {
+		return nil, err
+	}
+	return t.h.pick.Best(ready, t.tried), nil
 }
 
 // load brings the call's adapter to an engine, other than those that have it.
