Log when a VM learns that an upstream leaves, and place each attempt

No logic is changed.

- 805 upstream_leaving: how it leaves, for how long it is used all the same, why the directory was read, how old it was before.
- 806, 807: the directory is older than upstreams may leave in, and in time again.
- 404 and 841: when the upstream was chosen, when the first byte was written, how old the directory was then.
- Two metrics: the age of the directory, and its distribution at sends.

--- a/courier/exchange.go
+++ b/courier/exchange.go
@@ -31,6 +31,9 @@
 	Body []byte
 	// Own reports whether the headers are those of an answer to this request.
 	Own func(status int, h http.Header) bool
+	// Connected, if it is set, is called once there is a connection, right before
+	// the first byte is written.
+	Connected func()
 }
 
 // Answer is the answer to a request. Its body must be closed.
@@ -50,6 +53,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	if r.Connected != nil {
+		r.Connected()
+	}
 	x := &exchange{pool: p, conn: c, sent: make(chan error, 1)}
 	x.release = context.AfterFunc(ctx, func() { _ = c.Close() })
 	go x.send(r)
--- a/event/event.go
+++ b/event/event.go
@@ -29,7 +29,7 @@
 	ShareMinted, ShareLost, ShareTakeover,
 	PlacerClaimed, PlacerReplaced, PlacementIntended, PlacementRejected, OrderFailed, PlacementBroken,
 	KeyHeardWithdrawn, OperatorCommand, WithdrawalAppended,
-	ConfigApplied, StoreLost, StoreFound, EntryOdd,
+	ConfigApplied, StoreLost, StoreFound, EntryOdd, UpstreamLeaving, DirectoryLate, DirectoryInTime,
 	JoinFailed, PartsDealt, ClaimFailed, DutyTaken, CoordinatorLost, CoordinatorFound,
 	EngineOrdered, PlacementChanged, MoveFailed, PlacementViewed, ReportFailed, SettingsReloaded, SettingsRefused, GatewayFault, LinesLeftOut, RequestServed,
 	FakeStarted, FakeServed,
--- a/event/gateway.go
+++ b/event/gateway.go
@@ -8,6 +8,9 @@
 	StoreLost        = Event{802, "store_lost", logrus.WarnLevel, "The platform's store does not answer. Requests with keys are refused once the configuration is no longer proved."}
 	StoreFound       = Event{803, "store_found", logrus.InfoLevel, "The platform's store answers again."}
 	EntryOdd         = Event{804, "entry_odd", logrus.WarnLevel, "An entry of the directory cannot be understood; it names no upstream. The field reason says why."}
+	UpstreamLeaving  = Event{805, "upstream_leaving", logrus.InfoLevel, "This VM has read that an upstream gets nothing new any more. The field how is `draining` or `removed` (also where it was started anew), doubted_ms how long it is still used all the same; cause tells why the directory was read, asked_ms how long ago the store was asked, before_ms how old the directory was before."}
+	DirectoryLate    = Event{806, "directory_late", logrus.WarnLevel, "The directory was read longer ago than upstreams may leave in. The field reason is why the last read failed, if it did."}
+	DirectoryInTime  = Event{807, "directory_in_time", logrus.InfoLevel, "The directory is read in time again; the field late_ms is how old it had become."}
 	JoinFailed       = Event{811, "join_failed", logrus.WarnLevel, "This VM could not renew its membership. Its share of the rates ends when the membership does."}
 	PartsDealt       = Event{812, "parts_dealt", logrus.InfoLevel, "The store has dealt the parts of the rates anew."}
 	ClaimFailed      = Event{813, "claim_failed", logrus.WarnLevel, "The claim on the coordinator's duty could not be made; it is tried again."}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -191,6 +193,15 @@
 	failing time.Duration
 	// doubtUntil is until when vanished entries are doubted.
 	doubtUntil time.Duration
+	// within is how old the directory may become, late how old it has become above
+	// that, 0 while it is in time. Why is the error of the last read, cause why the
+	// directory is read now.
+	within time.Duration
+	late   time.Duration
+	why    error
+	cause  string
+	// told holds the leaving upstreams that the log names already.
+	told map[*roster.Upstream]bool
 	// answered is when the directory was last known to be read.
 	answered atomic.Int64
 }
@@ -209,6 +220,7 @@
 		if f.due() {
 			f.turn(ctx)
 		}
+		f.watch()
 		f.roster.Expire(time.Now())
 	})
 	return ctx.Err()
@@ -218,6 +230,10 @@
 // half as often again where the coordinator reads it and knows the same.
 func (f *directoryFollower) due() bool {
 	read, other := f.vouched()
+	f.cause = "interval"
+	if other {
+		f.cause = "coordinator"
+	}
 	if read == 0 {
 		return other || f.age() >= f.every-f.every/(2*directoryChecks)
 	}
@@ -230,11 +246,35 @@
 	return f.now() - time.Duration(f.answered.Load())
 }
 
+// watch records when the directory becomes too old, and when it is in time again.
+func (f *directoryFollower) watch() {
+	age := f.age()
+	switch {
+	case f.answered.Load() == 0:
+		// It was never read.
+	case age > f.within:
+		if f.late == 0 {
+			f.events.Record(event.DirectoryLate, timeline.Fields{"age_ms": millis(age), "reason": fmt.Sprint(f.why)})
+		}
+		f.late = max(f.late, age)
+	case f.late != 0:
+		f.events.Record(event.DirectoryInTime, timeline.Fields{"late_ms": millis(f.late)})
+		f.late = 0
+	}
+}
+
+// millis writes a duration in milliseconds for the log.
+func millis(d time.Duration) string {
+	return strconv.FormatInt(d.Milliseconds(), 10)
+}
+
 func (f *directoryFollower) turn(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, directoryTimeout)
 	defer cancel()
+	asked, before := f.now(), f.age()
 	changes, next, err := f.store.ReadDirectory(ctx, f.cursor)
 	now := f.now()
+	f.why = err
 	if err != nil {
 		// The configuration's follower tells that the store is lost.
 		if f.failing == 0 {
@@ -248,7 +288,28 @@
 	f.failing = 0
 	f.answered.Store(int64(now))
 	f.cursor = next
+	known := f.roster.Upstreams()
 	f.take(changes, now < f.doubtUntil)
+	f.tell(known, now-asked, before)
+}
+
+// tell records which of the upstreams that were known get nothing new any more.
+func (f *directoryFollower) tell(known []*roster.Upstream, asked, before time.Duration) {
+	for _, u := range known {
+		how, doubted := u.Leaving()
+		if how == "" || f.told[u] {
+			continue
+		}
+		f.told[u] = true
+		f.events.Record(event.UpstreamLeaving, timeline.Fields{
+			"upstream": string(u.ID), "how": how, "doubted_ms": millis(doubted), "cause": f.cause,
+			"asked_ms": millis(asked), "before_ms": millis(before),
+		})
+	}
+	maps.DeleteFunc(f.told, func(u *roster.Upstream, _ bool) bool {
+		now, ok := f.roster.Get(u.ID)
+		return !ok || now != u
+	})
 }
 
 func (f *directoryFollower) take(c platform.Changes, doubtful bool) {
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"toucanfall/catalogue"
+	"toucanfall/event"
 	"toucanfall/fleet"
 	"toucanfall/platform"
 	"toucanfall/roster"
@@ -55,7 +56,7 @@
 	f := &directoryFollower{
 		store: d, roster: roster.New(), events: timeline.New("test", 16, logger), every: every,
 		now:     func() time.Duration { return time.Since(start) + time.Hour + time.Duration(frozen.Load()) },
-		vouched: func() (time.Duration, bool) { return 0, false },
+		vouched: func() (time.Duration, bool) { return 0, false }, told: make(map[*roster.Upstream]bool),
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
@@ -106,3 +107,42 @@
 		is.True(a.asked.Load() <= 80)
 	})
 }
+
+// The log tells when this VM has read that an upstream leaves, and how old what it
+// knew was; and when the directory is older than upstreams may leave in.
+func TestLogTellsWhenLeavingWasRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		logger := logrus.New()
+		logger.SetOutput(io.Discard)
+		d, events, start := &directory{}, timeline.New("test", 16, logger), time.Now()
+		f := &directoryFollower{
+			store: d, roster: roster.New(), events: events, every: time.Second, within: 2 * time.Second,
+			now:     func() time.Duration { return time.Since(start) + time.Hour },
+			vouched: func() (time.Duration, bool) { return 0, false }, told: make(map[*roster.Upstream]bool),
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		ended := make(chan error, 1)
+		go func() { ended <- f.run(ctx) }()
+		time.Sleep(1500 * time.Millisecond)
+		d.removed.Store(true)
+		time.Sleep(time.Second)
+		told := events.Entries(timeline.Filter{Name: event.UpstreamLeaving.Name})
+		is.Equal(len(told), 1)
+		is.Equal(told[0].Fields["upstream"], "u")
+		is.Equal(told[0].Fields["how"], "removed")
+		is.Equal(told[0].Fields["before_ms"], "1000")
+		is.Equal(told[0].Fields["cause"], "interval")
+		d.down.Store(true)
+		time.Sleep(3 * time.Second)
+		late := events.Entries(timeline.Filter{Name: event.DirectoryLate.Name})
+		is.Equal(len(late), 1)
+		is.Equal(late[0].Fields["reason"], "the store is down")
+		d.down.Store(false)
+		time.Sleep(time.Second)
+		is.Equal(len(events.Entries(timeline.Filter{Name: event.DirectoryInTime.Name})), 1)
+		cancel()
+		is.Equal(<-ended, context.Canceled)
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -100,6 +100,7 @@
 	g.directory = &directoryFollower{
 		store: g.store, roster: g.roster, now: bootclock.Now, events: g.events,
 		every: time.Duration(cfg.DrainWithin) / directoryReads, vouched: g.voucher.directory,
+		within: time.Duration(cfg.DrainWithin), told: make(map[*roster.Upstream]bool),
 	}
 	pool := shares.NewPool()
 	g.catalogue.OnChange(g.purse.Configure)
@@ -133,7 +134,7 @@
 		StaleAfter: g.staleAfter(),
 		Budget:     serving.NewBudget(g.cfg.RepeatRatio, g.cfg.RepeatSlack, time.Duration(g.cfg.RepeatWindow), g.voucher.size),
 		Sharers:    g.sharers,
-		Stopping:   g.stopsAt,
+		Stopping:   g.stopsAt, DirectoryAge: g.directory.age,
 	}
 }
 
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -40,6 +40,8 @@
 	storeCalls    = Definition{"toucanfall_store_calls_total", Counter, []string{"call", "outcome"}, "Calls to the platform's store by outcome: `answered` or `failed`."}
 	open          = Definition{"toucanfall_open_requests", Gauge, nil, "Requests that are being served."}
 	configAge     = Definition{"toucanfall_config_proof_age_seconds", Gauge, nil, "How long ago the configuration in force was proved to be the newest."}
+	directoryAge  = Definition{"toucanfall_directory_age_seconds", Gauge, nil, "How long ago the directory of upstreams was read."}
+	directorySent = Definition{"toucanfall_directory_age_at_send_seconds", Histogram, nil, "How old the directory was when a request was written to an upstream."}
 	configVersion = Definition{"toucanfall_config_version", Gauge, nil, "Version of the configuration in force."}
 	share         = Definition{"toucanfall_rate_share", Gauge, nil, "Share of all rates that this VM mints."}
 	duty          = Definition{"toucanfall_coordinator", Gauge, nil, "1 while this VM is the coordinator."}
@@ -47,7 +49,7 @@
 )
 
 // Registry lists all metrics.
-var Registry = []Definition{requests, firstPiece, longestPause, attempts, storeCalls, open, configAge, configVersion, share, duty, upstreams}
+var Registry = []Definition{requests, firstPiece, longestPause, attempts, storeCalls, open, configAge, directoryAge, directorySent, configVersion, share, duty, upstreams}
 
 // maxValues bounds the values of a label whose values others choose; further ones
 // count as otherValue. The largest sheet has 16 teams and 118 upstreams.
@@ -58,7 +60,7 @@
 
 // Gauges are what is read when somebody asks.
 type Gauges struct {
-	Open, ConfigAge, ConfigVersion, Share, Duty, Upstreams func() float64
+	Open, ConfigAge, DirectoryAge, ConfigVersion, Share, Duty, Upstreams func() float64
 }
 
 // Set holds the metrics of a process. It is safe for concurrent use.
@@ -67,10 +69,12 @@
 	requests     *prometheus.CounterVec
 	firstPiece   *prometheus.HistogramVec
 	longestPause *prometheus.HistogramVec
-	attempts     *prometheus.CounterVec
-	storeCalls   *prometheus.CounterVec
-	teams        values
-	upstreams    values
+	// directorySent has no labels.
+	directorySent *prometheus.HistogramVec
+	attempts      *prometheus.CounterVec
+	storeCalls    *prometheus.CounterVec
+	teams         values
+	upstreams     values
 }
 
 // buckets are the bounds of the histograms in seconds: objectives lie at 0.1 to
@@ -81,7 +85,7 @@
 func New() *Set {
 	s := &Set{all: prometheus.NewRegistry()}
 	s.requests, s.attempts, s.storeCalls = s.counter(requests), s.counter(attempts), s.counter(storeCalls)
-	s.firstPiece, s.longestPause = s.histogram(firstPiece), s.histogram(longestPause)
+	s.firstPiece, s.longestPause, s.directorySent = s.histogram(firstPiece), s.histogram(longestPause), s.histogram(directorySent)
 	return s
 }
 
@@ -100,7 +104,7 @@
 // Watch adds the gauges. It must be called once.
 func (s *Set) Watch(g Gauges) {
 	for d, f := range map[*Definition]func() float64{
-		&open: g.Open, &configAge: g.ConfigAge, &configVersion: g.ConfigVersion, &share: g.Share, &duty: g.Duty, &upstreams: g.Upstreams,
+		&open: g.Open, &configAge: g.ConfigAge, &directoryAge: g.DirectoryAge, &configVersion: g.ConfigVersion, &share: g.Share, &duty: g.Duty, &upstreams: g.Upstreams,
 	} {
 		s.all.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: d.Name, Help: d.Text}, f))
 	}
@@ -133,6 +137,12 @@
 	s.attempts.WithLabelValues(s.upstreams.bound(string(u)), outcome).Inc()
 }
 
+// Written counts a request that is written to an upstream, by the age of the
+// directory.
+func (s *Set) Written(directory time.Duration) {
+	s.directorySent.WithLabelValues().Observe(directory.Seconds())
+}
+
 // StoreCall counts a call to the platform's store.
 func (s *Set) StoreCall(call string, err error) {
 	outcome := "answered"
--- a/metric/metric_test.go
+++ b/metric/metric_test.go
@@ -26,11 +26,12 @@
 	is := is.New(t)
 	s := metric.New()
 	one := func() float64 { return 1 }
-	s.Watch(metric.Gauges{Open: one, ConfigAge: one, ConfigVersion: one, Share: one, Duty: one, Upstreams: one})
+	s.Watch(metric.Gauges{Open: one, ConfigAge: one, DirectoryAge: one, ConfigVersion: one, Share: one, Duty: one, Upstreams: one})
 	s.Served("stream", "team", 30*time.Millisecond, time.Second)
 	s.Refused("", "", "not_found")
 	s.Attempt("u", true)
 	s.StoreCall("read", nil)
+	s.Written(time.Second)
 	text := page(s)
 	for _, d := range metric.Registry {
 		is.True(strings.Contains(text, "\n# TYPE "+d.Name+" "+string(d.Kind)+"\n") || strings.HasPrefix(text, "# TYPE "+d.Name))
--- a/roster/upstream.go
+++ b/roster/upstream.go
@@ -167,6 +167,22 @@
 	return !u.gone && !u.entry.Draining
 }
 
+// Leaving returns how the upstream is known to leave, "" if it is not, and for how
+// long it is used all the same.
+func (u *Upstream) Leaving() (how string, doubted time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	switch {
+	case u.entry.Draining:
+		return "draining", 0
+	case u.gone:
+		return "removed", 0
+	case !u.doubted.IsZero():
+		return "removed", time.Until(u.doubted)
+	}
+	return "", 0
+}
+
 // toldFor is how long the coordinator's account goes before the entry: several
 // messages of the coordinator, and longer than the directory lags.
 const toldFor = 2 * time.Second
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -71,6 +71,8 @@
 	// Stopping tells when a planned stop ends the process, the zero time while
 	// there is none.
 	Stopping func() time.Time
+	// DirectoryAge returns how long ago the directory of upstreams was read.
+	DirectoryAge func() time.Duration
 }
 
 // Handler serves clients' requests.
--- a/serving/run.go
+++ b/serving/run.go
@@ -71,6 +71,8 @@
 	unreachable []fleet.UpstreamID
 	// ran is set once an attempt may have run.
 	ran bool
+	// way is how the last attempt went out.
+	way way
 	// last is why the last attempt failed.
 	last error
 }
@@ -114,6 +116,21 @@
 	return err
 }
 
+// way is how an attempt went out, for the log: when its upstream was chosen, when
+// its first byte was written (0 if none was), and how old the directory was then.
+type way struct {
+	chosen, written, directory time.Duration
+}
+
+// fields adds the way to the fields of an event.
+func (w way) fields(f timeline.Fields) timeline.Fields {
+	f["chosen_ms"] = millis(w.chosen)
+	if w.written != 0 {
+		f["written_ms"], f["directory_ms"] = millis(w.written), millis(w.directory)
+	}
+	return f
+}
+
 // once makes one attempt. Again tells that another one is allowed by what
 // happened in it.
 func (t *tries) once(ctx context.Context, u *roster.Upstream) (again bool, err error) {
@@ -125,6 +142,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	t.sends++
+	t.way = way{chosen: now.Sub(t.c.received)}
 	if t.c.Adapter != "" {
 		t.h.cfg.Loader.Used(u.ID, t.c.wanted())
 	}
@@ -133,7 +151,8 @@
 	defer w.stop()
 	req := &courier.Request{
 		Method: t.c.Method, Head: t.h.cfg.Wire.Head(t.c, a), Body: t.c.Body,
-		Own: func(status int, hd http.Header) bool { return t.h.cfg.Wire.Own(t.c, status, hd) },
+		Own:       func(status int, hd http.Header) bool { return t.h.cfg.Wire.Own(t.c, status, hd) },
+		Connected: t.written,
 	}
 	got, err := t.h.pools.of(u).Do(ctx, req)
 	if err != nil {
@@ -148,6 +167,12 @@
 	return again, err
 }
 
+// written notes that the first byte of an attempt is about to be written.
+func (t *tries) written() {
+	t.way.written, t.way.directory = time.Since(t.c.received), t.h.cfg.DirectoryAge()
+	t.h.cfg.Metrics.Written(t.way.directory)
+}
+
 // lowestPriority is the last rank at engines.
 const lowestPriority = 9
 
@@ -169,9 +194,9 @@
 // failed records that an attempt failed.
 func (t *tries) failed(u *roster.Upstream, err error) {
 	t.h.cfg.Metrics.Attempt(u.ID, true)
-	t.h.cfg.Events.Record(event.AttemptFailed, timeline.Fields{
+	t.h.cfg.Events.Record(event.AttemptFailed, t.way.fields(timeline.Fields{
 		"request": string(t.c.ID), "upstream": string(u.ID), "reason": err.Error(), "sends": strconv.Itoa(t.sends),
-	})
+	}))
 }
 
 // served records what decided how the caller was served.
@@ -180,14 +205,14 @@
 	p := t.out.pacing
 	t.h.cfg.Metrics.Attempt(u.ID, status >= http.StatusInternalServerError)
 	t.h.cfg.Metrics.Served(t.c.Route.Kind.String(), t.c.Team, p.first, p.longest)
-	t.h.cfg.Events.Record(event.RequestServed, timeline.Fields{
+	t.h.cfg.Events.Record(event.RequestServed, t.way.fields(timeline.Fields{
 		"request": string(t.c.ID), "route": string(t.c.Route.Name), "team": string(t.c.Team),
 		"upstream": string(u.ID), "own": strconv.Itoa(own), "all": strconv.Itoa(all),
 		"model": string(t.c.Model), "adapter": string(t.c.Adapter), "priority": strconv.Itoa(t.c.Priority),
 		"tokens_in": strconv.Itoa(int(t.c.TokensIn)), "tokens_out": strconv.Itoa(int(t.c.TokensOut)),
 		"status": strconv.Itoa(status), "sends": strconv.Itoa(t.sends), "pieces": strconv.Itoa(p.pieces),
 		"first_ms": millis(p.first), "longest_pause_ms": millis(p.longest), "paused_until_ms": millis(p.longestAt), "total_ms": millis(time.Since(p.began)),
-	})
+	}))
 }
 
 // millis writes a duration in milliseconds for the log.
