--- a/gateway/main.go
+++ b/gateway/main.go
@@ -59,7 +59,7 @@
 func leftOut(vm fleet.VMID, n int) []byte {
 	ev := event.LinesLeftOut
 	// Strings and numbers can always be encoded.
-	b, _ := (&logrus.JSONFormatter{}).Format(&logrus.Entry{
+	b, _ := cli.NewFormatter().Format(&logrus.Entry{
 		Time: time.Now(), Level: ev.Level, Message: ev.Name,
 		Data: logrus.Fields{"event": int(ev.Number), "process": string(vm), "lines": strconv.Itoa(n)},
 	})
--- a/gateway/main_test.go
+++ b/gateway/main_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -19,4 +21,7 @@
 	is.Equal(got["level"], "warning")
 	is.Equal(got["process"], "vm-1")
 	is.Equal(got["lines"], "12")
+	at, err := time.Parse("2006-01-02T15:04:05.000Z07:00", fmt.Sprint(got["time"]))
+	is.NoErr(err) // milliseconds put the lines of several VMs in order
+	is.True(time.Since(at) < time.Hour)
 }
