Doubt vanished upstreams for 2 s after the store's return, not from each read

Callers saw: requests at an upstream whose entry had been removed up to 2.7 s before, from a VM in touch. The upstream may be gone by then, and what may run once fails.

Cause: after reads that failed, entries that vanish may have vanished only because the store was away. Each was doubted for 2 s from when its removal was read, as long as that was within 2 s of the return: up to 4 s after it, when the VM is long in touch. Doubt counts from the return now, for all entries alike, and the choice of an upstream goes by it; before, only a look every quarter second ended it.

Evidence: the log of both reproduced cases (805 removed, doubted_ms 1999, then 841 at the same upstream). Ruled out for them: an old directory (841 with directory_ms 127 and 893), a wait before the send (written_ms 0).

Tests: TestDoubtEndsAfterOutage failed before.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -206,8 +206,9 @@
 	answered atomic.Int64
 }
 
-// doubtFor is how long after an outage of the store vanished entries are
-// doubted: upstreams that live are back within about two seconds.
+// doubtFor is how long after the store's return vanished entries are doubted:
+// upstreams that live are back within about two seconds. It counts from the return
+// for all entries, for one that vanishes later is not due to the outage.
 const doubtFor = 2 * time.Second
 
 // directoryChecks is how many times it is looked, between two reads, whether the
@@ -289,7 +290,7 @@
 	f.answered.Store(int64(now))
 	f.cursor = next
 	known := f.roster.Upstreams()
-	f.take(changes, now < f.doubtUntil)
+	f.take(changes, f.doubtUntil-now)
 	f.tell(known, now-asked, before)
 }
 
@@ -312,18 +313,20 @@
 	})
 }
 
-func (f *directoryFollower) take(c platform.Changes, doubtful bool) {
+// take takes over what was read. Entries that have vanished are doubted for a time,
+// if it is above 0.
+func (f *directoryFollower) take(c platform.Changes, doubt time.Duration) {
 	for _, err := range c.Odd {
 		f.events.Record(event.EntryOdd, timeline.Fields{"reason": err.Error()})
 	}
 	if c.Whole {
-		f.roster.Replace(c.Entries, doubtful)
+		f.roster.Replace(c.Entries, doubt)
 		return
 	}
 	for _, e := range c.Entries {
 		f.roster.Put(e)
 	}
 	for _, id := range c.Removed {
-		f.roster.Remove(id, doubtful)
+		f.roster.Remove(id, doubt)
 	}
 }
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -20,20 +20,25 @@
 	"toucanfall/timeline"
 )
 
-// directory is a directory with one upstream until it is removed.
+// directory is a directory with one upstream until it is removed. It tells each
+// change once, as the store does to those that read on.
 type directory struct {
 	down    atomic.Bool
 	removed atomic.Bool
+	// told counts the changes that were read.
+	told atomic.Int64
 }
 
 func (d *directory) ReadDirectory(context.Context, platform.Cursor) (platform.Changes, platform.Cursor, error) {
 	switch {
 	case d.down.Load():
 		return platform.Changes{}, platform.Cursor{}, errors.New("the store is down")
-	case d.removed.Load():
+	case d.removed.Load() && d.told.CompareAndSwap(1, 2):
 		return platform.Changes{Removed: []fleet.UpstreamID{"u"}}, platform.Cursor{}, nil
+	case d.told.CompareAndSwap(0, 1):
+		return platform.Changes{Entries: []roster.Entry{{ID: "u", Address: "192.0.2.1:80"}}}, platform.Cursor{}, nil
 	}
-	return platform.Changes{Entries: []roster.Entry{{ID: "u", Address: "192.0.2.1:80"}}}, platform.Cursor{}, nil
+	return platform.Changes{}, platform.Cursor{}, nil
 }
 
 // A vanished entry is believed at once, however seldom the directory is read and
@@ -146,3 +151,54 @@
 		is.Equal(<-ended, context.Canceled)
 	})
 }
+
+// followed is a follower of a directory, under the paused clock.
+type followed struct {
+	*directoryFollower
+	d      *directory
+	frozen atomic.Int64
+}
+
+// follow starts a follower that nobody vouches to. Its VM may be frozen.
+func follow(ctx context.Context) *followed {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	f, start := &followed{d: &directory{}}, time.Now()
+	f.directoryFollower = &directoryFollower{
+		store: f.d, roster: roster.New(), events: timeline.New("test", 64, logger), every: time.Second, within: 2 * time.Second,
+		now:     func() time.Duration { return time.Since(start) + time.Hour + time.Duration(f.frozen.Load()) },
+		vouched: func() (time.Duration, bool) { return 0, false }, told: make(map[*roster.Upstream]bool),
+	}
+	go func() { _ = f.run(ctx) }() // It ends with ctx.
+	return f
+}
+
+// usable reports whether requests may be sent to the upstream.
+func (f *followed) usable() bool {
+	u, ok := f.roster.Get("u")
+	return ok && u.Usable()
+}
+
+// Guards against a removed upstream that is used for long because the VM was cut from
+// the store before: what is missing 2 s after the store's return is gone.
+func TestDoubtEndsAfterOutage(t *testing.T) {
+	for _, removed := range []time.Duration{0, 500 * time.Millisecond, 1500 * time.Millisecond, 1900 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			f := follow(ctx)
+			time.Sleep(3 * time.Second)
+			f.d.down.Store(true)
+			time.Sleep(3 * time.Second)
+			f.d.down.Store(false)
+			time.Sleep(removed)
+			f.d.removed.Store(true)
+			// The return is noticed within a quarter of a second, the removal within a
+			// read's interval.
+			time.Sleep(max(doubtFor+300*time.Millisecond-removed, 1300*time.Millisecond))
+			is.True(!f.usable())
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -43,11 +43,6 @@
 	OnDisk   []fleet.ModelID
 }
 
-// doubtTime is how long an upstream whose entry vanished around an outage of
-// the store is still used: upstreams that live are back within about two
-// seconds of the store's return.
-const doubtTime = 2 * time.Second
-
 // Roster is the set of known upstreams. It is safe for concurrent use.
 type Roster struct {
 	mu   sync.RWMutex
@@ -83,25 +78,26 @@
 	r.index()
 }
 
-// Remove takes out the upstream of an entry that is gone. If doubtful, the
-// entry may have vanished only because the store was away, and the upstream
-// is kept for doubtTime.
-func (r *Roster) Remove(id fleet.UpstreamID, doubtful bool) {
+// Remove takes out the upstream of an entry that is gone. The entry may have
+// vanished only because the store was away: the upstream is used for as long as
+// doubt says, if that is above 0.
+func (r *Roster) Remove(id fleet.UpstreamID, doubt time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	u, ok := r.all[id]
 	if !ok {
 		return
 	}
-	if doubtful {
-		u.doubt(time.Now().Add(doubtTime))
+	if doubt > 0 {
+		u.doubt(time.Now().Add(doubt))
 		return
 	}
 	r.drop(id, u)
 }
 
-// Replace takes over all entries at once. Upstreams without one are removed.
-func (r *Roster) Replace(entries []Entry, doubtful bool) {
+// Replace takes over all entries at once. Upstreams without one are removed, as
+// [Roster.Remove] does.
+func (r *Roster) Replace(entries []Entry, doubt time.Duration) {
 	listed := make(map[fleet.UpstreamID]bool, len(entries))
 	for _, e := range entries {
 		listed[e.ID] = true
@@ -109,7 +105,7 @@
 	}
 	for _, u := range r.Upstreams() {
 		if !listed[u.ID] {
-			r.Remove(u.ID, doubtful)
+			r.Remove(u.ID, doubt)
 		}
 	}
 }
--- a/roster/upstream.go
+++ b/roster/upstream.go
@@ -36,6 +36,7 @@
 	mu      sync.Mutex
 	entry   Entry
 	gone    bool
+	// doubted is until when the upstream is used though its entry is gone.
 	doubted time.Time
 	onGone  []func()
 	// inFlight counts this VM's own requests here.
@@ -164,7 +165,7 @@
 func (u *Upstream) Usable() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return !u.gone && !u.entry.Draining
+	return !u.gone && !u.entry.Draining && (u.doubted.IsZero() || time.Now().Before(u.doubted))
 }
 
 // Leaving returns how the upstream is known to leave, "" if it is not, and for how
--- a/serving/picker_test.go
+++ b/serving/picker_test.go
@@ -90,8 +90,8 @@
 		e := all[0].Entry()
 		e.Draining = true
 		p.roster.Put(e)
-		p.roster.Remove("u-1", false)
-		p.roster.Remove("u-2", true)
+		p.roster.Remove("u-1", 0)
+		p.roster.Remove("u-2", 2*time.Second)
 		is.Equal(len(p.Candidates("s", &Call{}, nil)), 4)
 		time.Sleep(3 * time.Second)
 		p.roster.Expire(time.Now())
