--- a/roster/upstream.go
+++ b/roster/upstream.go
@@ -33,9 +33,9 @@
 type Upstream struct {
 	ID fleet.UpstreamID
 
-	mu      sync.Mutex
-	entry   Entry
-	gone    bool
+	mu    sync.Mutex
+	entry Entry
+	gone  bool
 	// doubted is until when the upstream is used though its entry is gone.
 	doubted time.Time
 	onGone  []func()
