Take two pauses of a VM in a row for no outage of the store

A read that ends later than its time-out, and a look that comes late, begin the count anew.

Test: TestPausesAreNoOutage failed before.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -47,6 +47,8 @@
 	// outage is how long reads must have failed for vanished entries to be doubted
 	// after them: longer than any answer takes while the store is well.
 	outage = 700 * time.Millisecond
+	// stall is by how much something comes too late where this VM has stood still.
+	stall = 200 * time.Millisecond
 )
 
 // ConfigStore gives the operators' configuration.
@@ -189,8 +191,10 @@
 
 	cursor platform.Cursor
 	// failing is when the first of the reads failed that have failed since the
-	// last one that did not, 0 if none has. A pause of this VM is no failure.
+	// last one that did not, 0 if none has, or if this VM has stood still since.
 	failing time.Duration
+	// looked is when it was last looked whether the directory is to be read.
+	looked time.Duration
 	// doubtUntil is until when vanished entries are doubted.
 	doubtUntil time.Duration
 	// within is how old the directory may become, late how old it has become above
@@ -218,11 +222,15 @@
 // run follows the directory until ctx ends.
 func (f *directoryFollower) run(ctx context.Context) error {
 	loop.Every(ctx, f.every/directoryChecks, func(ctx context.Context) {
+		if f.now()-f.looked > f.every/directoryChecks+stall {
+			f.failing = 0
+		}
 		if f.due() {
 			f.turn(ctx)
 		}
 		f.watch()
 		f.roster.Expire(time.Now())
+		f.looked = f.now()
 	})
 	return ctx.Err()
 }
@@ -278,7 +286,10 @@
 	f.why = err
 	if err != nil {
 		// The configuration's follower tells that the store is lost.
-		if f.failing == 0 {
+		switch {
+		case now-asked > directoryTimeout+stall:
+			f.failing = 0
+		case f.failing == 0:
 			f.failing = now
 		}
 		return
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -27,10 +27,15 @@
 	removed atomic.Bool
 	// told counts the changes that were read.
 	told atomic.Int64
+	// silent is set while reads get no answer.
+	silent atomic.Bool
 }
 
-func (d *directory) ReadDirectory(context.Context, platform.Cursor) (platform.Changes, platform.Cursor, error) {
+func (d *directory) ReadDirectory(ctx context.Context, _ platform.Cursor) (platform.Changes, platform.Cursor, error) {
 	switch {
+	case d.silent.Load():
+		<-ctx.Done()
+		return platform.Changes{}, platform.Cursor{}, ctx.Err()
 	case d.down.Load():
 		return platform.Changes{}, platform.Cursor{}, errors.New("the store is down")
 	case d.removed.Load() && d.told.CompareAndSwap(1, 2):
@@ -202,3 +207,26 @@
 		})
 	}
 }
+
+// Guards against a removed upstream that is used for long because the VM stood still
+// twice: the time of a pause is none in which the store failed.
+func TestPausesAreNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		f := follow(ctx)
+		time.Sleep(3100 * time.Millisecond)
+		f.d.silent.Store(true)
+		time.Sleep(1400 * time.Millisecond)
+		f.frozen.Add(int64(2 * time.Second)) // in the middle of a read
+		time.Sleep(400 * time.Millisecond)
+		f.d.silent.Store(false)
+		f.frozen.Add(int64(2 * time.Second)) // before the next one
+		time.Sleep(300 * time.Millisecond)
+		f.d.removed.Store(true)
+		time.Sleep(1300 * time.Millisecond)
+		is.True(!f.usable())
+		cancel()
+		synctest.Wait()
+	})
+}
