Vouch for the directory as it was read, without doubted upstreams

The fingerprint is that of the entries read now; a VM that has the upstream still reads for itself.

Test: TestDoubtedUpstreamIsNotVouchedFor failed before.

--- a/gateway/vouch_test.go
+++ b/gateway/vouch_test.go
@@ -74,3 +74,22 @@
 	now += 1400 * time.Millisecond
 	is.True(f.due()) // what was read is too old by now
 }
+
+// Guards against a VM that goes on using a removed upstream because the coordinator
+// doubts its removal: what the coordinator vouches for is the directory.
+func TestDoubtedUpstreamIsNotVouchedFor(t *testing.T) {
+	is := is.New(t)
+	now := 10 * time.Second
+	doubting, _, coordinators := newVoucher(&now)
+	v, _, r := newVoucher(&now)
+	v.take(doubting.own(), now)
+	_, other := v.directory()
+	is.True(!other)
+	coordinators.Remove("u", 2*time.Second)
+	v.take(doubting.own(), now)
+	_, other = v.directory()
+	is.True(other) // reads for itself
+	r.Remove("u", 0)
+	_, other = v.directory()
+	is.True(!other)
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -90,6 +90,7 @@
 	}
 	if doubt > 0 {
 		u.doubt(time.Now().Add(doubt))
+		r.printed = false
 		return
 	}
 	r.drop(id, u)
@@ -150,8 +151,8 @@
 	return r.byID
 }
 
-// Fingerprint returns a number that is the same for two VMs which know the same
-// upstreams, in the same states.
+// Fingerprint returns a number that is the same for two VMs which have read the same
+// entries. Doubted upstreams have none.
 func (r *Roster) Fingerprint() uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -160,6 +161,9 @@
 	}
 	h := xxhash.New()
 	for _, u := range r.byID {
+		if u.isDoubted() {
+			continue
+		}
 		e := u.Entry()
 		// A hash takes every write.
 		_, _ = fmt.Fprintf(h, "%s %s %s %d %t\n", e.ID, e.Service, e.Address, e.Born, e.Draining)
