Count the age of the directory from the question, and keep its proof with the roster

The roster holds what the directory was and when that was known, under one lock, and takes another VM's proof only for the same entries. A VM that has read later than the coordinator does not read again because the coordinator lags behind.

Test: TestDirectoryAgeCountsFromQuestion failed before (1 ms instead of 301 ms). The window between age and fingerprint has no test that failed: it is microseconds wide.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -7,7 +7,6 @@
 	"maps"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"toucanfall/catalogue"
@@ -185,9 +184,9 @@
 	events *timeline.Recorder
 	every  time.Duration
 
-	// vouched tells when the coordinator read the same as this VM knows, 0 if it
-	// did not, and whether it knows something else.
-	vouched func() (read time.Duration, other bool)
+	// vouched tells whether the coordinator has read the same as this VM, and whether
+	// it has read something else, later.
+	vouched func() (same, newer bool)
 
 	cursor platform.Cursor
 	// failing is when the first of the reads failed that have failed since the
@@ -206,8 +205,6 @@
 	cause  string
 	// told holds the leaving upstreams that the log names already.
 	told map[*roster.Upstream]bool
-	// answered is when the directory was last known to be read.
-	answered atomic.Int64
 }
 
 // doubtFor is how long after the store's return vanished entries are doubted:
@@ -238,28 +235,29 @@
 // due reports whether the directory is to be read now: at the usual interval, or
 // half as often again where the coordinator reads it and knows the same.
 func (f *directoryFollower) due() bool {
-	read, other := f.vouched()
+	same, newer := f.vouched()
 	f.cause = "interval"
-	if other {
+	if newer {
 		f.cause = "coordinator"
 	}
-	if read == 0 {
-		return other || f.age() >= f.every-f.every/(2*directoryChecks)
+	if same {
+		return f.age() >= f.every*3/2
 	}
-	f.answered.Store(max(f.answered.Load(), int64(read)))
-	return f.age() >= f.every*3/2
+	return newer || f.age() >= f.every-f.every/(2*directoryChecks)
 }
 
-// age returns how long ago the directory was read.
+// age returns how long ago the directory is known to have been what the roster is.
 func (f *directoryFollower) age() time.Duration {
-	return f.now() - time.Duration(f.answered.Load())
+	_, proved := f.roster.Proof()
+	return f.now() - proved
 }
 
 // watch records when the directory becomes too old, and when it is in time again.
 func (f *directoryFollower) watch() {
-	age := f.age()
+	_, proved := f.roster.Proof()
+	age := f.now() - proved
 	switch {
-	case f.answered.Load() == 0:
+	case proved == 0:
 		// It was never read.
 	case age > f.within:
 		if f.late == 0 {
@@ -298,10 +296,10 @@
 		f.doubtUntil = now + doubtFor
 	}
 	f.failing = 0
-	f.answered.Store(int64(now))
 	f.cursor = next
 	known := f.roster.Upstreams()
 	f.take(changes, f.doubtUntil-now)
+	f.roster.Prove(asked)
 	f.tell(known, now-asked, before)
 }
 
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -29,21 +29,33 @@
 	told atomic.Int64
 	// silent is set while reads get no answer.
 	silent atomic.Bool
+	// slow is how long answers take. They tell what stood there when they began.
+	slow atomic.Int64
 }
 
 func (d *directory) ReadDirectory(ctx context.Context, _ platform.Cursor) (platform.Changes, platform.Cursor, error) {
+	changes, err := d.changes(ctx)
+	select {
+	case <-time.After(time.Duration(d.slow.Load())):
+		return changes, platform.Cursor{}, err
+	case <-ctx.Done():
+		return platform.Changes{}, platform.Cursor{}, ctx.Err()
+	}
+}
+
+func (d *directory) changes(ctx context.Context) (platform.Changes, error) {
 	switch {
 	case d.silent.Load():
 		<-ctx.Done()
-		return platform.Changes{}, platform.Cursor{}, ctx.Err()
+		return platform.Changes{}, ctx.Err()
 	case d.down.Load():
-		return platform.Changes{}, platform.Cursor{}, errors.New("the store is down")
+		return platform.Changes{}, errors.New("the store is down")
 	case d.removed.Load() && d.told.CompareAndSwap(1, 2):
-		return platform.Changes{Removed: []fleet.UpstreamID{"u"}}, platform.Cursor{}, nil
+		return platform.Changes{Removed: []fleet.UpstreamID{"u"}}, nil
 	case d.told.CompareAndSwap(0, 1):
-		return platform.Changes{Entries: []roster.Entry{{ID: "u", Address: "192.0.2.1:80"}}}, platform.Cursor{}, nil
+		return platform.Changes{Entries: []roster.Entry{{ID: "u", Address: "192.0.2.1:80"}}}, nil
 	}
-	return platform.Changes{}, platform.Cursor{}, nil
+	return platform.Changes{}, nil
 }
 
 // A vanished entry is believed at once, however seldom the directory is read and
@@ -66,7 +78,7 @@
 	f := &directoryFollower{
 		store: d, roster: roster.New(), events: timeline.New("test", 16, logger), every: every,
 		now:     func() time.Duration { return time.Since(start) + time.Hour + time.Duration(frozen.Load()) },
-		vouched: func() (time.Duration, bool) { return 0, false }, told: make(map[*roster.Upstream]bool),
+		vouched: func() (bool, bool) { return false, false }, told: make(map[*roster.Upstream]bool),
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
@@ -129,7 +141,7 @@
 		f := &directoryFollower{
 			store: d, roster: roster.New(), events: events, every: time.Second, within: 2 * time.Second,
 			now:     func() time.Duration { return time.Since(start) + time.Hour },
-			vouched: func() (time.Duration, bool) { return 0, false }, told: make(map[*roster.Upstream]bool),
+			vouched: func() (bool, bool) { return false, false }, told: make(map[*roster.Upstream]bool),
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
@@ -172,7 +184,7 @@
 	f.directoryFollower = &directoryFollower{
 		store: f.d, roster: roster.New(), events: timeline.New("test", 64, logger), every: time.Second, within: 2 * time.Second,
 		now:     func() time.Duration { return time.Since(start) + time.Hour + time.Duration(f.frozen.Load()) },
-		vouched: func() (time.Duration, bool) { return 0, false }, told: make(map[*roster.Upstream]bool),
+		vouched: func() (bool, bool) { return false, false }, told: make(map[*roster.Upstream]bool),
 	}
 	go func() { _ = f.run(ctx) }() // It ends with ctx.
 	return f
@@ -230,3 +242,18 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a directory that is taken for younger than it is: an answer tells
+// what held when the question was asked, not when it arrived.
+func TestDirectoryAgeCountsFromQuestion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		f := follow(ctx)
+		f.d.slow.Store(int64(300 * time.Millisecond))
+		time.Sleep(301 * time.Millisecond)
+		is.Equal(f.age(), 301*time.Millisecond)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,7 +95,7 @@
 	}
 	g.voucher = &voucher{
 		now: bootclock.Now, holder: g.catalogue, roster: g.roster,
-		readAge: func() time.Duration { return g.directory.age() }, members: func() int { return g.crew.Size() },
+		members: func() int { return g.crew.Size() },
 	}
 	g.directory = &directoryFollower{
 		store: g.store, roster: g.roster, now: bootclock.Now, events: g.events,
--- a/gateway/vouch.go
+++ b/gateway/vouch.go
@@ -21,34 +21,37 @@
 
 // voucher keeps what the coordinator knows from the store.
 type voucher struct {
-	now     func() time.Duration
-	holder  *catalogue.Holder
-	roster  *roster.Roster
-	readAge func() time.Duration
+	now    func() time.Duration
+	holder *catalogue.Holder
+	roster *roster.Roster
 	// members returns the number of VMs as this one has read it last.
 	members func() int
 
 	mu   sync.Mutex
 	last coordinator.Vouch
 	sent time.Duration
+	// same is set if the coordinator had read the same directory.
+	same bool
 }
 
 // own returns what this VM knows from the store.
 func (v *voucher) own() coordinator.Vouch {
 	version, proved, _ := v.holder.Proof()
+	directory, read := v.roster.Proof()
 	return coordinator.Vouch{
 		Config: version, ConfigAge: v.now() - proved,
-		Directory: v.roster.Fingerprint(), DirectoryAge: v.readAge(), Size: v.members(),
+		Directory: directory, DirectoryAge: v.now() - read, Size: v.members(),
 	}
 }
 
 // take takes the coordinator's word over. Its ages count from when it was asked,
 // which is before it looked.
 func (v *voucher) take(w coordinator.Vouch, sent time.Duration) {
-	v.mu.Lock()
-	v.last, v.sent = w, sent
-	v.mu.Unlock()
 	v.holder.ProveVersion(w.Config, sent-w.ConfigAge)
+	same := v.roster.ProvePrint(w.Directory, sent-w.DirectoryAge)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.last, v.sent, v.same = w, sent, same
 }
 
 // config reports whether the coordinator vouches for the configuration in force.
@@ -59,20 +62,16 @@
 	return ok && v.fresh() && v.last.Config == version && v.last.ConfigAge < vouchedAge
 }
 
-// directory returns when the roster that this VM has was last known to be that
-// of the directory, 0 if the coordinator does not say so, and whether the
-// coordinator knows another one.
-func (v *voucher) directory() (read time.Duration, other bool) {
-	mine := v.roster.Fingerprint()
+// directory reports whether the coordinator has read the same directory as this VM,
+// and whether it has read another one, later.
+func (v *voucher) directory() (same, newer bool) {
+	_, read := v.roster.Proof()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if !v.fresh() {
-		return 0, false
-	}
-	if v.last.Directory != mine {
-		return 0, true
+		return false, false
 	}
-	return v.sent - v.last.DirectoryAge, false
+	return v.same, !v.same && v.sent-v.last.DirectoryAge > read
 }
 
 // size returns the number of VMs of the fleet.
--- a/gateway/vouch_test.go
+++ b/gateway/vouch_test.go
@@ -18,7 +18,7 @@
 	h, r := catalogue.NewHolder(clock), roster.New()
 	h.Apply(catalogue.NewConfig(3, nil, nil, nil, catalogue.Limits{}))
 	r.Put(roster.Entry{ID: "u", Address: "192.0.2.1:80"})
-	return &voucher{now: clock, holder: h, roster: r, readAge: func() time.Duration { return 0 }, members: func() int { return 1 }}, h, r
+	return &voucher{now: clock, holder: h, roster: r, members: func() int { return 1 }}, h, r
 }
 
 // The coordinator's proof counts from when it was asked, less its age, and only
@@ -50,8 +50,8 @@
 	is.True(v.config())
 	now += 2 * time.Second
 	is.True(!v.config())
-	read, other := v.directory()
-	is.True(read == 0 && !other)
+	same, newer := v.directory()
+	is.True(!same && !newer)
 }
 
 // A VM that knows other upstreams than the coordinator reads the directory.
@@ -60,18 +60,24 @@
 	now := 10 * time.Second
 	v, _, r := newVoucher(&now)
 	f := &directoryFollower{roster: r, now: v.now, every: time.Second, vouched: v.directory}
-	f.answered.Store(int64(now))
-	word := coordinator.Vouch{Config: 3, Directory: r.Fingerprint(), DirectoryAge: 200 * time.Millisecond}
+	r.Prove(now)
+	print, _ := r.Proof()
+	word := coordinator.Vouch{Config: 3, Directory: print, DirectoryAge: 200 * time.Millisecond}
 	now += 1200 * time.Millisecond
 	is.True(f.due()) // nobody vouches
 	v.take(word, now)
 	is.True(!f.due())
 	is.Equal(f.age(), 200*time.Millisecond)
-	r.Put(roster.Entry{ID: "u", Address: "192.0.2.1:80", Draining: true})
+	now += 100 * time.Millisecond
+	word.Directory++
+	v.take(word, now)
+	is.Equal(f.age(), 300*time.Millisecond) // another directory proves nothing
 	is.True(f.due())
-	r.Put(roster.Entry{ID: "u", Address: "192.0.2.1:80"})
-	is.True(!f.due())
-	now += 1400 * time.Millisecond
+	r.Prove(now)
+	is.True(!f.due()) // this VM has read later than the coordinator
+	now += 1600 * time.Millisecond
+	word.Directory--
+	v.take(word, now-1500*time.Millisecond)
 	is.True(f.due()) // what was read is too old by now
 }
 
@@ -83,13 +89,17 @@
 	doubting, _, coordinators := newVoucher(&now)
 	v, _, r := newVoucher(&now)
 	v.take(doubting.own(), now)
-	_, other := v.directory()
-	is.True(!other)
+	same, _ := v.directory()
+	is.True(same)
+	now += time.Second
 	coordinators.Remove("u", 2*time.Second)
+	coordinators.Prove(now)
 	v.take(doubting.own(), now)
-	_, other = v.directory()
-	is.True(other) // reads for itself
+	same, newer := v.directory()
+	is.True(!same && newer) // reads for itself
 	r.Remove("u", 0)
-	_, other = v.directory()
-	is.True(!other)
+	r.Prove(now)
+	v.take(doubting.own(), now)
+	same, newer = v.directory()
+	is.True(same && !newer)
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -53,6 +53,8 @@
 	// print is the fingerprint while printed is set.
 	print   uint64
 	printed bool
+	// proved is when the directory was last known to hold what the roster does.
+	proved time.Duration
 }
 
 // New returns an empty roster.
@@ -151,11 +153,36 @@
 	return r.byID
 }
 
-// Fingerprint returns a number that is the same for two VMs which have read the same
-// entries. Doubted upstreams have none.
-func (r *Roster) Fingerprint() uint64 {
+// Prove records that the directory held what the roster does, without doubted
+// upstreams, when it was asked for at the time asked.
+func (r *Roster) Prove(asked time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.proved = max(r.proved, asked)
+}
+
+// Proof returns a number that is the same for two VMs which have read the same
+// entries, and when the directory was last known to hold these, 0 if never.
+func (r *Roster) Proof() (print uint64, proved time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fingerprint(), r.proved
+}
+
+// ProvePrint is like [Roster.Prove] for a proof that another VM has, and reports
+// whether that VM has read the same entries. It counts for nothing otherwise.
+func (r *Roster) ProvePrint(print uint64, proved time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.fingerprint() != print {
+		return false
+	}
+	r.proved = max(r.proved, proved)
+	return true
+}
+
+// fingerprint is kept until an entry changes. The caller holds the lock.
+func (r *Roster) fingerprint() uint64 {
 	if r.printed {
 		return r.print
 	}
