Send by a directory that was proved within the bound, and wait for it otherwise

Callers saw: requests at upstreams that left longer ago than the bound.

Cause: the bound was met by the sum of intervals in good times and checked nowhere. A VM read at 1 to 1.75 s against 2 s, with a time-out of 0.8 s, so that one lost answer was over it; after a read that failed nothing ended the use of what was known. And a single read that failed counted as an outage where the coordinator's word then put the next read off by more than 0.7 s: removed upstreams were doubted for 2 s by a VM that had been in touch all the while.

Change: the age of the directory is checked where an upstream is chosen. Requests wait for the next answer while it is older than the bound less 0.3 s for the way; two questions fit in before. Only when the store has not answered either (or for 0.8 s) does a VM go by what it knows, so that an outage is served through. A read that failed is repeated at once, and what the coordinator tells since ends the count of failures. The coordinator reads four times within the bound, its news are read at once.

Ruled out: refusing while the store is away (callers would be refused for nothing), a long poll (the heartbeats would wake each VM 12 times a second), doubling the time-out after the first failure (the second question would end after the bound).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -97,11 +97,10 @@
 		now: bootclock.Now, holder: g.catalogue, roster: g.roster,
 		members: func() int { return g.crew.Size() },
 	}
-	g.directory = &directoryFollower{
-		store: g.store, roster: g.roster, now: bootclock.Now, events: g.events,
-		every: time.Duration(cfg.DrainWithin) / directoryReads, vouched: g.voucher.directory,
-		within: time.Duration(cfg.DrainWithin), told: make(map[*roster.Upstream]bool),
-	}
+	g.directory = newDirectoryFollower(directoryConfig{
+		Store: g.store, Roster: g.roster, Now: bootclock.Now, Within: time.Duration(cfg.DrainWithin),
+		Vouched: g.voucher.directory, Leads: g.leads, Events: g.events,
+	})
 	pool := shares.NewPool()
 	g.catalogue.OnChange(g.purse.Configure)
 	g.catalogue.OnChange(pool.Configure)
@@ -117,7 +116,7 @@
 	g.client = coordinator.NewClient(coordinator.ClientConfig{
 		VM: cfg.VM, Own: g.own, Peers: g.links, Roster: g.roster, Purse: g.purse,
 		Where: g.whereCoordinator, Heard: g.crew.Heard, Size: g.voucher.size,
-		Vouched: g.voucher.take, Now: bootclock.Now, Events: g.events,
+		Vouched: g.vouched, Now: bootclock.Now, Events: g.events,
 	})
 	g.handler = serving.New(g.servingConfig())
 	g.callers = &http.Server{
@@ -134,7 +133,7 @@
 		StaleAfter: g.staleAfter(),
 		Budget:     serving.NewBudget(g.cfg.RepeatRatio, g.cfg.RepeatSlack, time.Duration(g.cfg.RepeatWindow), g.voucher.size),
 		Sharers:    g.sharers,
-		Stopping:   g.stopsAt, DirectoryAge: g.directory.age,
+		Stopping:   g.stopsAt, Directory: g.directory,
 	}
 }
 
@@ -148,6 +147,15 @@
 	return float64(g.voucher.size()) / float64(max(g.roster.DataCentres(), 1))
 }
 
+// vouched takes the coordinator's word over, and has the directory read where that
+// tells of a newer one.
+func (g *Gateway) vouched(w coordinator.Vouch, sent time.Duration) {
+	g.voucher.take(w, sent)
+	if _, newer := g.voucher.directory(); newer {
+		g.directory.hurry()
+	}
+}
+
 // leads reports whether this VM is the coordinator.
 func (g *Gateway) leads() bool {
 	_, ok := g.crew.Duty()
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -10,7 +10,7 @@
 			_, age := g.catalogue.Current()
 			return age.Seconds()
 		},
-		DirectoryAge: func() float64 { return g.directory.age().Seconds() },
+		DirectoryAge: func() float64 { return g.directory.Age().Seconds() },
 		ConfigVersion: func() float64 {
 			version, _, _ := g.catalogue.Proof()
 			return float64(version)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -163,7 +163,7 @@
 
 // Proof returns a number that is the same for two VMs which have read the same
 // entries, and when the directory was last known to hold these, 0 if never.
-func (r *Roster) Proof() (print uint64, proved time.Duration) {
+func (r *Roster) Proof() (fingerprint uint64, proved time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.fingerprint(), r.proved
@@ -171,10 +171,10 @@
 
 // ProvePrint is like [Roster.Prove] for a proof that another VM has, and reports
 // whether that VM has read the same entries. It counts for nothing otherwise.
-func (r *Roster) ProvePrint(print uint64, proved time.Duration) bool {
+func (r *Roster) ProvePrint(fingerprint uint64, proved time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.fingerprint() != print {
+	if r.fingerprint() != fingerprint {
 		return false
 	}
 	r.proved = max(r.proved, proved)
--- a/serving/choose.go
+++ b/serving/choose.go
@@ -27,10 +27,14 @@
 	adapterComeBack = 600 * time.Millisecond
 )
 
-// choose finds an upstream. Where none can serve the call yet, it looks again
-// for a small part of the objective.
+// choose finds an upstream by a directory that is not too old. Where none can serve
+// the call yet, it looks again for a small part of the objective.
 func (t *tries) choose(ctx context.Context) (*roster.Upstream, error) {
 	for {
+		t.h.cfg.Directory.Await(ctx)
+		if err := ctx.Err(); err != nil {
+			return nil, err
+		}
 		u, err := t.find(ctx)
 		if err == nil || time.Since(t.c.received) > t.hold() || ctx.Err() != nil {
 			return u, err
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -51,6 +51,16 @@
 	Asked(s catalogue.ServiceID, m fleet.ModelID, tokens fleet.Tokens)
 }
 
+// Directory tells how far what is known of the upstreams can be trusted.
+type Directory interface {
+	// Age returns how long ago the directory is known to have been what the roster is.
+	Age() time.Duration
+	// InTime reports whether requests may be sent by it.
+	InTime() bool
+	// Await waits until that is so, or until ctx ends.
+	Await(ctx context.Context)
+}
+
 // Config holds the dependencies and bounds of a Handler.
 type Config struct {
 	DataCentre fleet.DataCentre
@@ -70,9 +80,8 @@
 	Sharers func() float64
 	// Stopping tells when a planned stop ends the process, the zero time while
 	// there is none.
-	Stopping func() time.Time
-	// DirectoryAge returns how long ago the directory of upstreams was read.
-	DirectoryAge func() time.Duration
+	Stopping  func() time.Time
+	Directory Directory
 }
 
 // Handler serves clients' requests.
--- a/serving/run.go
+++ b/serving/run.go
@@ -41,6 +41,12 @@
 
 // run makes the attempts of a call.
 func (h *Handler) run(ctx context.Context, c *Call, out *answer) error {
+	if end := c.deadline(); !end.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, end.Add(answerGrace))
+		defer cancel()
+	}
+	h.cfg.Directory.Await(ctx)
 	service, ok := h.pick.service(c.Route)
 	if !ok {
 		return fault.New(fault.NoUpstream, "no upstream of route %q can be used", c.Route.Name)
@@ -49,11 +55,6 @@
 	if c.Model != "" {
 		h.cfg.Loader.Asked(service, c.Model, c.TokensIn+c.TokensOut)
 	}
-	if end := c.deadline(); !end.IsZero() {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, end.Add(answerGrace))
-		defer cancel()
-	}
 	t := &tries{h: h, c: c, out: out, service: service}
 	return t.all(ctx)
 }
@@ -169,7 +170,7 @@
 
 // written notes that the first byte of an attempt is about to be written.
 func (t *tries) written() {
-	t.way.written, t.way.directory = time.Since(t.c.received), t.h.cfg.DirectoryAge()
+	t.way.written, t.way.directory = time.Since(t.c.received), t.h.cfg.Directory.Age()
 	t.h.cfg.Metrics.Written(t.way.directory)
 }
 
