Look at the upstream again right before a request is written

Callers saw: requests at upstreams that had left, chosen before a wait.

Cause: what was checked at the choice was not checked at the use. Now the last step before the first byte looks whether the upstream has left and whether the directory is still young enough. If not, nothing is sent, which costs neither an attempt of the route nor the budget of repeats, the connection goes back to its pool, and another upstream is chosen. Event 407 tells of it.

Test: TestUpstreamThatLeavesDuringConnectGetsNothing failed before.

--- a/courier/exchange.go
+++ b/courier/exchange.go
@@ -15,6 +15,9 @@
 // ErrNotSent marks failures before any byte of the request was sent.
 var ErrNotSent = errors.New("the request was not sent")
 
+// ErrWithheld marks requests that were not sent because [Request.Check] said so.
+var ErrWithheld = errors.New("the request was withheld")
+
 // maxForeign is how many answers to other requests are read past before the
 // connection is given up.
 const maxForeign = 2
@@ -31,9 +34,9 @@
 	Body []byte
 	// Own reports whether the headers are those of an answer to this request.
 	Own func(status int, h http.Header) bool
-	// Connected, if it is set, is called once there is a connection, right before
-	// the first byte is written.
-	Connected func()
+	// Check, if it is set, is called once there is a connection, right before the
+	// first byte is written. On an error nothing is.
+	Check func() error
 }
 
 // Answer is the answer to a request. Its body must be closed.
@@ -46,15 +49,18 @@
 }
 
 // Do sends the request once and returns the answer's head. Once ctx ends the
-// connection is closed, also while the body is read. The error is ErrNotSent
-// if nothing can have reached the upstream.
+// connection is closed, also while the body is read. The error is ErrNotSent or
+// ErrWithheld if nothing can have reached the upstream.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Answer, error) {
 	c, err := p.get(ctx)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	if r.Connected != nil {
-		r.Connected()
+	if r.Check != nil {
+		if err := r.Check(); err != nil {
+			p.put(c)
+			return nil, fmt.Errorf("%w: %w", ErrWithheld, err)
+		}
 	}
 	x := &exchange{pool: p, conn: c, sent: make(chan error, 1)}
 	x.release = context.AfterFunc(ctx, func() { _ = c.Close() })
--- a/event/event.go
+++ b/event/event.go
@@ -25,7 +25,7 @@
 	LogUnreachable, LogReachable, RecordSkipped, RecordApplied, RecordRejected,
 	StateIncomplete, SnapshotLoaded, SnapshotWritten, SnapshotFailed, RecordsMissing, RelayFailed, StateDiverged,
 	PeerJoined, PeerSilent, PeerLeaving, ListUnreachable, PeerRestarted, VMCutOff, VMReconnected,
-	RequestReceived, RequestRefused, AttemptStarted, AttemptFailed, RequestAnswered, CallerCut,
+	RequestReceived, RequestRefused, AttemptStarted, AttemptFailed, RequestAnswered, CallerCut, AttemptWithheld,
 	ShareMinted, ShareLost, ShareTakeover,
 	PlacerClaimed, PlacerReplaced, PlacementIntended, PlacementRejected, OrderFailed, PlacementBroken,
 	KeyHeardWithdrawn, OperatorCommand, WithdrawalAppended,
@@ -79,6 +79,7 @@
 	AttemptStarted  = Event{403, "attempt_started", logrus.DebugLevel, "The request is sent to an upstream."}
 	AttemptFailed   = Event{404, "attempt_failed", logrus.InfoLevel, "An upstream failed; the field reason says how."}
 	RequestAnswered = Event{405, "request_answered", logrus.DebugLevel, "The whole answer went to the caller."}
+	AttemptWithheld = Event{407, "attempt_withheld", logrus.InfoLevel, "The upstream turned out to leave, or the directory to be too old, when the request was about to be written. Nothing was sent; another upstream is chosen."}
 	CallerCut       = Event{406, "caller_cut", logrus.InfoLevel, "A connected caller was cut off; the field reason says why."}
 )
 
--- a/roster/flight.go
+++ b/roster/flight.go
@@ -45,18 +45,31 @@
 	u.awayFor = 0
 }
 
-// End takes the request out and counts whether it failed.
-func (f *Flight) End(failed bool) {
-	now := time.Now()
+// Drop takes out a request that was not sent.
+func (f *Flight) Drop() {
+	f.u.mu.Lock()
+	defer f.u.mu.Unlock()
+	f.out()
+}
+
+// out takes the request out. The caller holds the lock.
+func (f *Flight) out() {
 	u := f.u
-	u.mu.Lock()
-	defer u.mu.Unlock()
 	u.inFlight--
 	u.running[f.what]--
 	if u.running[f.what] == 0 {
 		delete(u.running, f.what)
 	}
 	delete(u.waiting, f)
+}
+
+// End takes the request out and counts whether it failed.
+func (f *Flight) End(failed bool) {
+	now := time.Now()
+	u := f.u
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	f.out()
 	share := u.failing(now) * (1 - failureWeight)
 	if failed {
 		share += failureWeight
--- a/serving/run.go
+++ b/serving/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -89,6 +90,9 @@
 		if err == nil {
 			return nil
 		}
+		if errors.Is(err, courier.ErrWithheld) {
+			continue // Nothing was sent.
+		}
 		t.last = err
 		if !again || !t.mayRepeat(ctx) {
 			return t.giveUp(ctx, err)
@@ -152,10 +156,15 @@
 	defer w.stop()
 	req := &courier.Request{
 		Method: t.c.Method, Head: t.h.cfg.Wire.Head(t.c, a), Body: t.c.Body,
-		Own:       func(status int, hd http.Header) bool { return t.h.cfg.Wire.Own(t.c, status, hd) },
-		Connected: t.written,
+		Own:   func(status int, hd http.Header) bool { return t.h.cfg.Wire.Own(t.c, status, hd) },
+		Check: func() error { return t.check(u) },
 	}
 	got, err := t.h.pools.of(u).Do(ctx, req)
+	if errors.Is(err, courier.ErrWithheld) {
+		flight.Drop()
+		t.withheld(u, err)
+		return true, err
+	}
 	if err != nil {
 		flight.End(!errors.Is(ctx.Err(), context.Canceled) || w.fired())
 		return t.unanswered(u, err)
@@ -168,10 +177,19 @@
 	return again, err
 }
 
-// written notes that the first byte of an attempt is about to be written.
-func (t *tries) written() {
-	t.way.written, t.way.directory = time.Since(t.c.received), t.h.cfg.Directory.Age()
-	t.h.cfg.Metrics.Written(t.way.directory)
+// check is called right before an attempt is written. The upstream may have left while
+// the connection was made, and this VM may have stood still.
+func (t *tries) check(u *roster.Upstream) error {
+	age := t.h.cfg.Directory.Age()
+	if !t.h.cfg.Directory.InTime() {
+		return fmt.Errorf("the directory was read %s ago", age.Round(time.Millisecond))
+	}
+	if !u.Usable() {
+		return fmt.Errorf("upstream %q has left", u.ID)
+	}
+	t.way.written, t.way.directory = time.Since(t.c.received), age
+	t.h.cfg.Metrics.Written(age)
+	return nil
 }
 
 // lowestPriority is the last rank at engines.
@@ -221,6 +239,14 @@
 	return strconv.FormatInt(d.Milliseconds(), 10)
 }
 
+// withheld records an attempt that was not sent.
+func (t *tries) withheld(u *roster.Upstream, err error) {
+	t.sends--
+	t.h.cfg.Events.Record(event.AttemptWithheld, t.way.fields(timeline.Fields{
+		"request": string(t.c.ID), "upstream": string(u.ID), "reason": err.Error(),
+	}))
+}
+
 // unanswered judges an attempt that brought no answer.
 func (t *tries) unanswered(u *roster.Upstream, err error) (again bool, _ error) {
 	t.failed(u, err)
