Ask for the configuration again within its bound after one lost answer

The store keeps such a question for 0.7 s now, so that it is given up after 1.3 s. The coordinator gave up after 1.2 s already; VMs that it vouches to hear of a new version from it.

Unlike the directory, a configuration that is not proved within this bound still serves until keys must be withdrawn (4.4 s); that stays open.

Test: TestLostAnswerDelaysNoConfiguration failed before (version 7 instead of 8).

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -18,8 +18,10 @@
 const (
 	// configWait is how long the store keeps a question for a newer
 	// configuration. Each answer proves the one in force, so that its proof is
-	// at most twice as old, well within the time in which keys are withdrawn.
-	configWait = 1300 * time.Millisecond
+	// at most twice as old, well within the time in which keys are withdrawn. One
+	// that is lost is asked for again well within the 2 s in which a configuration
+	// has to be in force.
+	configWait = 700 * time.Millisecond
 	// leaderWait is the same at the coordinator, whose proof others go by.
 	leaderWait = 600 * time.Millisecond
 	// vouchedWait is the same while the coordinator vouches for the configuration
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -257,3 +257,59 @@
 		synctest.Wait()
 	})
 }
+
+// versions is a store whose configuration changes. It answers a question when there is
+// a newer one or the time is over, and loses the answers to some questions.
+type versions struct {
+	newest atomic.Int64
+	// told is the newest that was answered.
+	told atomic.Int64
+	// lose is how many of the next answers are lost.
+	lose atomic.Int64
+}
+
+func (v *versions) ReadConfig(ctx context.Context, _ platform.Cursor, wait time.Duration) (*catalogue.Config, platform.Cursor, bool, error) {
+	lost := v.lose.Add(-1) >= 0
+	for end := time.Now().Add(wait); lost || v.newest.Load() == v.told.Load() && time.Now().Before(end); {
+		select {
+		case <-ctx.Done():
+			return nil, platform.Cursor{}, false, ctx.Err()
+		case <-time.After(time.Millisecond):
+		}
+	}
+	v.told.Store(v.newest.Load())
+	return catalogue.NewConfig(catalogue.Version(v.newest.Load()), nil, nil, nil, catalogue.Limits{}), platform.Cursor{}, true, nil
+}
+
+// Guards against a configuration that is in force too late (CONFIG) where one answer of
+// the store is lost and nobody vouches: it is asked for again well within the bound of
+// 2 s of the sites.
+func TestLostAnswerDelaysNoConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		logger := logrus.New()
+		logger.SetOutput(io.Discard)
+		v, start := &versions{}, time.Now()
+		v.newest.Store(2)
+		now := func() time.Duration { return time.Since(start) + time.Hour }
+		f := &configFollower{
+			store: v, holder: catalogue.NewHolder(now), events: timeline.New("test", 16, logger), now: now,
+			vouched: func() bool { return false }, leads: func() bool { return false },
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- f.run(ctx) }()
+		for delay := range 14 { // at any time of a question
+			time.Sleep(10*time.Second + time.Duration(delay)*100*time.Millisecond)
+			v.lose.Store(1)
+			asked, _ := f.holder.Current()
+			time.Sleep(configWait + time.Millisecond) // The question that is lost has begun.
+			v.newest.Add(1)
+			time.Sleep(2*time.Second - sendWithin)
+			got, _ := f.holder.Current()
+			is.Equal(got.Version, asked.Version+1)
+		}
+		cancel()
+		is.Equal(<-ended, context.Canceled)
+	})
+}
