Ask for the directory a second time beside the first question, not after it

Now the first question stays while a second one is asked on another connection after 0.3 s; whichever answers counts from when it was asked. The store is away when it has answered nothing for 0.8 s or has refused two questions. The follower no longer waits within a read, so that a pause of the VM shows in each wait, of 50 ms while an answer is owed.

TestLogTellsWhenLeavingWasRead states the new age (880 for 860 ms).

--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"maps"
+	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,30 +23,38 @@
 	// sendWithin is how long a request may take to an upstream after it was last
 	// checked that the upstream has not left.
 	sendWithin = 300 * time.Millisecond
-	// directoryTimeout is how long an answer is waited for, a hundred times what the
-	// store takes when it is well. It grows up to slowTimeout while answers take long.
-	directoryTimeout = 400 * time.Millisecond
-	slowTimeout      = 4 * directoryTimeout
-	// directoryRetry is the pause before a failed question is asked again.
+	// secondAfter is how long an answer is waited for, many times what the store takes
+	// when it is well, before the directory is asked for again on another connection.
+	secondAfter = 300 * time.Millisecond
+	// awayAfter is how long the store must have answered no question to count as away.
+	awayAfter = 800 * time.Millisecond
+	// questionTimeout is when a question is given up.
+	questionTimeout = 1600 * time.Millisecond
+	// maxQuestions bounds the questions without an answer.
+	maxQuestions = 2
+	// maxRefused is how many questions in a row must have failed for the store to count
+	// as away.
+	maxRefused = 2
+	// directoryRetry is the pause before a question that failed is asked again.
 	directoryRetry = 20 * time.Millisecond
 	// directoryPause is the longest pause between two looks whether the directory is to
 	// be read, and the pause between questions while the store is away.
 	directoryPause = 250 * time.Millisecond
-	// awayAfter is how long the store must have been waited for without an answer to
-	// count as away: two questions.
-	awayAfter = 2 * directoryTimeout
 	// leaderReads is how often the coordinator reads within the bound. Its word reaches
 	// the others a message later, which in a large fleet is most of a second.
 	leaderReads = 4
-	// outage is how long reads must have failed for vanished entries to be doubted
-	// after them: longer than any answer takes while the store is well.
-	outage = 700 * time.Millisecond
+	// owedPause is the longest pause while the store owes an answer: so finely are
+	// pauses of this VM told from silence of the store.
+	owedPause = 50 * time.Millisecond
+	// outage is how long the store must have answered nothing for vanished entries to be
+	// doubted after that: entries expire after three heartbeats, of 1.2 s by the sheets.
+	outage = 1200 * time.Millisecond
 	// doubtFor is how long after the store's return vanished entries are doubted:
 	// upstreams that live are back within about two seconds. It counts from the return
 	// for all entries, for one that vanishes later is not due to the outage.
 	doubtFor = 2 * time.Second
-	// stall is by how much something comes too late where this VM has stood still.
-	stall = 200 * time.Millisecond
+	// stall is by how much a look comes too late where this VM has stood still.
+	stall = 100 * time.Millisecond
 	// awaitCheck is how often a request that waits for the directory looks again.
 	awaitCheck = 5 * time.Millisecond
 )
@@ -70,24 +80,43 @@
 	Events *timeline.Recorder
 }
 
+// question is a read of the directory that is under way.
+type question struct {
+	asked  time.Duration
+	cancel context.CancelFunc
+	// cause is why it was asked, before how old the directory was then.
+	cause  string
+	before time.Duration
+}
+
+// directoryAnswer is the answer to a question.
+type directoryAnswer struct {
+	to      *question
+	changes platform.Changes
+	next    platform.Cursor
+	err     error
+}
+
 // directoryFollower keeps the roster up to date, and tells whether requests may be
 // sent by it.
 type directoryFollower struct {
 	directoryConfig
 	// most is how old the directory may be for that, vouched at what age it is asked
-	// for where the coordinator vouches for it: two questions fit in between. A VM that
-	// nobody vouches to asks at the age alone, the coordinator at the age lead.
+	// for where the coordinator vouches for it: so long before that the store can be
+	// found to be away. A VM that nobody vouches to asks at the age alone, the
+	// coordinator at the age lead.
 	most, vouched, alone, lead time.Duration
 
+	answers chan directoryAnswer
 	cursor  platform.Cursor
-	timeout time.Duration
-	// failing is when the first of the reads failed that have failed since the
-	// last one that did not, 0 if none has, or if this VM has stood still since.
-	failing time.Duration
-	// waited is how long the store was waited for in these reads.
-	waited time.Duration
-	// expected is by when the next look is due.
-	expected time.Duration
+	// out are the questions without an answer, in their order.
+	out []*question
+	// silent is since when the store has answered nothing, 0 if nothing is owed. The
+	// time of a pause of this VM does not count.
+	silent time.Duration
+	// refused counts the questions that have failed since, retry is when to ask again.
+	refused int
+	retry   time.Duration
 	// doubtUntil is until when vanished entries are doubted.
 	doubtUntil time.Duration
 	// away is set while the store does not answer.
@@ -97,17 +126,18 @@
 
 	// late is how old the directory has become above its bound, 0 while it is in time.
 	late time.Duration
-	// why is the error of the last read, cause why the directory is read now.
-	why   error
-	cause string
+	// why is the error of the last question that failed.
+	why error
 	// told holds the leaving upstreams that the log names already.
 	told map[*roster.Upstream]bool
 }
 
 func newDirectoryFollower(cfg directoryConfig) *directoryFollower {
-	f := &directoryFollower{directoryConfig: cfg, timeout: directoryTimeout, wake: make(chan struct{}, 1), told: make(map[*roster.Upstream]bool)}
+	f := &directoryFollower{
+		directoryConfig: cfg, answers: make(chan directoryAnswer), wake: make(chan struct{}, 1), told: make(map[*roster.Upstream]bool),
+	}
 	f.most = max(cfg.Within-sendWithin, cfg.Within/2)
-	f.vouched = max(f.most-2*(directoryTimeout+directoryRetry), f.most/4)
+	f.vouched = max(f.most-awayAfter-directoryRetry, f.most/4)
 	f.alone = min(f.vouched, cfg.Within/2)
 	f.lead = min(f.alone, cfg.Within/leaderReads)
 	return f
@@ -115,48 +145,77 @@
 
 // run follows the directory until ctx ends.
 func (f *directoryFollower) run(ctx context.Context) error {
-	for ctx.Err() == nil {
-		f.look(ctx)
-		pause := f.pause()
-		f.expected = f.Now() + pause
+	var asking sync.WaitGroup
+	defer asking.Wait()
+	for now := f.Now(); ctx.Err() == nil; {
+		if q := f.look(now); q != nil {
+			f.ask(ctx, q, &asking)
+		}
+		pause := f.pause(now)
 		select {
 		case <-ctx.Done():
+		case a := <-f.answers:
+			now = f.woke(now + pause)
+			f.hear(a, now)
+			continue
 		case <-f.wake:
 		case <-time.After(pause):
 		}
+		now = f.woke(now + pause)
 	}
 	return ctx.Err()
 }
 
-// look reads the directory if that is due.
-func (f *directoryFollower) look(ctx context.Context) {
-	_, proved := f.Roster.Proof()
-	if f.Now()-f.expected > stall || proved > f.failing {
-		f.recount()
+// woke returns the time, and notices whether this VM has stood still past the time at
+// which it was to go on.
+func (f *directoryFollower) woke(expected time.Duration) time.Duration {
+	now := f.Now()
+	if now-expected > stall {
+		f.recount(now)
 	}
-	if f.due() {
-		f.turn(ctx)
+	return now
+}
+
+// look returns the next question, nil if none is to be asked.
+func (f *directoryFollower) look(now time.Duration) *question {
+	_, proved := f.Roster.Proof()
+	if f.silent != 0 && proved > f.silent {
+		f.recount(now)
 	}
-	f.watch()
+	f.away.Store(f.silent != 0 && (now-f.silent >= awayAfter || f.refused >= maxRefused))
+	f.watch(now)
 	f.Roster.Expire(time.Now())
+	cause := f.due(now)
+	if cause == "" {
+		return nil
+	}
+	q := &question{asked: now, cause: cause, before: now - proved}
+	if f.silent == 0 {
+		f.silent = now
+	}
+	f.out = append(f.out, q)
+	return q
 }
 
-// recount begins the count of failed reads anew. The time of a pause is none in which
-// the store failed, nor is it an outage where the coordinator knew the directory.
-func (f *directoryFollower) recount() {
-	f.failing, f.waited = 0, 0
-	f.away.Store(false)
+// recount begins to count anew for how long the store answers nothing. The time of a
+// pause is none in which it did not, nor is one in which the coordinator knew the
+// directory.
+func (f *directoryFollower) recount(now time.Duration) {
+	f.silent, f.refused = 0, 0
+	if len(f.out) > 0 {
+		f.silent = now
+	}
 }
 
 // pause returns how long to wait until the next look.
-func (f *directoryFollower) pause() time.Duration {
+func (f *directoryFollower) pause(now time.Duration) time.Duration {
 	switch {
-	case f.away.Load():
-		return directoryPause
-	case f.failing != 0:
-		return directoryRetry
+	case f.silent == 0:
+		return min(max(f.asksAt()-f.age(now), directoryRetry), directoryPause)
+	case len(f.out) == 0:
+		return max(f.retry-now, 0)
 	}
-	return min(max(f.asksAt()-f.Age(), directoryRetry), directoryPause)
+	return owedPause
 }
 
 // asksAt returns the age at which the directory is asked for.
@@ -170,21 +229,84 @@
 	return f.alone
 }
 
-// due reports whether the directory is to be read now: at its age, and after a read
-// that failed, unless the coordinator has told since what it is.
-func (f *directoryFollower) due() bool {
-	f.cause = "interval"
+// due returns why the directory is to be asked for now, "" if it is not: at its age,
+// because the coordinator knows a newer one, or because the store owes an answer.
+func (f *directoryFollower) due(now time.Duration) string {
+	switch {
+	case len(f.out) >= maxQuestions, now < f.retry:
+		return ""
+	case f.silent != 0:
+		if len(f.out) > 0 && now-f.silent < secondAfter {
+			return ""
+		}
+		return "repeat"
+	}
 	if _, newer := f.Vouched(); newer {
-		f.cause = "coordinator"
-		return true
+		return "coordinator"
+	}
+	if f.age(now) >= f.asksAt() {
+		return "interval"
+	}
+	return ""
+}
+
+// ask puts a question to the store. Its answer comes through the channel.
+func (f *directoryFollower) ask(ctx context.Context, q *question, asking *sync.WaitGroup) {
+	var limited context.Context
+	limited, q.cancel = context.WithTimeout(ctx, questionTimeout)
+	a := directoryAnswer{to: q, next: f.cursor}
+	asking.Go(func() {
+		defer q.cancel()
+		a.changes, a.next, a.err = f.Store.ReadDirectory(limited, a.next)
+		select {
+		case f.answers <- a:
+		case <-ctx.Done():
+		}
+	})
+}
+
+// hear takes over an answer. One to an older question than was answered already tells
+// nothing new.
+func (f *directoryFollower) hear(a directoryAnswer, now time.Duration) {
+	q := a.to
+	i := slices.Index(f.out, q)
+	if i < 0 {
+		return
+	}
+	f.out = slices.Delete(f.out, i, i+1)
+	if a.err != nil {
+		f.why = a.err
+		f.refused++
+		f.retry = now + directoryRetry
+		if f.refused >= maxRefused {
+			f.retry = now + directoryPause
+		}
+		return
+	}
+	if f.silent != 0 && now-f.silent > outage {
+		f.doubtUntil = now + doubtFor
 	}
-	return f.failing != 0 || f.Age() >= f.asksAt()
+	for _, older := range f.out[:i] {
+		older.cancel()
+	}
+	f.out = f.out[i:]
+	f.cursor = a.next
+	known := f.Roster.Upstreams()
+	f.take(a.changes, f.doubtUntil-now)
+	f.Roster.Prove(q.asked)
+	f.refused, f.retry, f.silent = 0, 0, 0
+	f.away.Store(false)
+	f.tell(known, q, now)
 }
 
 // Age returns how long ago the directory is known to have been what the roster is.
 func (f *directoryFollower) Age() time.Duration {
+	return f.age(f.Now())
+}
+
+func (f *directoryFollower) age(now time.Duration) time.Duration {
 	_, proved := f.Roster.Proof()
-	return f.Now() - proved
+	return now - proved
 }
 
 // InTime reports whether requests may be sent by the directory: it is young enough, or
@@ -210,9 +332,9 @@
 }
 
 // watch records when the directory becomes too old, and when it is in time again.
-func (f *directoryFollower) watch() {
+func (f *directoryFollower) watch(now time.Duration) {
 	_, proved := f.Roster.Proof()
-	age := f.Now() - proved
+	age := now - proved
 	switch {
 	case proved == 0:
 		// It was never read.
@@ -232,54 +354,8 @@
 	return strconv.FormatInt(d.Milliseconds(), 10)
 }
 
-// turn reads the directory once.
-func (f *directoryFollower) turn(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, f.timeout)
-	defer cancel()
-	asked, before := f.Now(), f.Age()
-	changes, next, err := f.Store.ReadDirectory(ctx, f.cursor)
-	now := f.Now()
-	took := now - asked
-	f.why = err
-	stalled := took > f.timeout+stall
-	switch {
-	case stalled:
-		f.recount()
-	case err != nil:
-		f.failed(now, took)
-	default:
-		f.timeout = min(max(2*took, directoryTimeout), slowTimeout)
-	}
-	if err != nil {
-		return
-	}
-	if f.failing != 0 && now-f.failing > outage {
-		f.doubtUntil = now + doubtFor
-	}
-	f.failing, f.waited = 0, 0
-	f.cursor = next
-	known := f.Roster.Upstreams()
-	f.take(changes, f.doubtUntil-now)
-	f.Roster.Prove(asked)
-	f.away.Store(false)
-	f.tell(known, took, before)
-}
-
-// failed counts a read that failed. The configuration's follower tells that the store
-// is lost.
-func (f *directoryFollower) failed(now, took time.Duration) {
-	if f.failing == 0 {
-		f.failing = now
-	}
-	f.waited += max(took, directoryTimeout)
-	if f.waited >= awayAfter {
-		f.away.Store(true)
-		f.timeout = min(2*f.timeout, slowTimeout)
-	}
-}
-
 // tell records which of the upstreams that were known get nothing new any more.
-func (f *directoryFollower) tell(known []*roster.Upstream, asked, before time.Duration) {
+func (f *directoryFollower) tell(known []*roster.Upstream, q *question, now time.Duration) {
 	for _, u := range known {
 		how, doubted := u.Leaving()
 		if how == "" || f.told[u] {
@@ -287,8 +363,8 @@
 		}
 		f.told[u] = true
 		f.Events.Record(event.UpstreamLeaving, timeline.Fields{
-			"upstream": string(u.ID), "how": how, "doubted_ms": millis(doubted), "cause": f.cause,
-			"asked_ms": millis(asked), "before_ms": millis(before),
+			"upstream": string(u.ID), "how": how, "doubted_ms": millis(doubted), "cause": q.cause,
+			"asked_ms": millis(now - q.asked), "before_ms": millis(q.before),
 		})
 	}
 	maps.DeleteFunc(f.told, func(u *roster.Upstream, _ bool) bool {
--- a/gateway/directory_test.go
+++ b/gateway/directory_test.go
@@ -99,32 +99,44 @@
 // was asked, and loses no two answers in a row.
 type reader struct {
 	c      *changes
-	rng    *rand.Rand
 	slow   time.Duration
 	losses float64
-	lost   bool
 	// down is set while every question fails.
 	down atomic.Bool
+
+	mu   sync.Mutex
+	rng  *rand.Rand
+	lost bool
+	// seen is how many changes the VM has read.
 	seen int
 }
 
-// ReadDirectory answers late, or not at all.
-func (r *reader) ReadDirectory(ctx context.Context, _ platform.Cursor) (platform.Changes, platform.Cursor, error) {
+// question returns what stands in the directory for the VM, up to where, and after
+// what time the answer comes.
+func (r *reader) question() (news []platform.Changes, end int, wait time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.c.mu.Lock()
-	news := r.c.list[r.seen:]
-	end := len(r.c.list)
+	news, end = r.c.list[r.seen:], len(r.c.list)
 	r.c.mu.Unlock()
 	r.lost = r.down.Load() || !r.lost && r.rng.Float64() < r.losses
-	wait := time.Millisecond + time.Duration(r.rng.Float64()*float64(r.slow))
 	if r.lost {
-		wait = time.Hour
+		return news, end, time.Hour
 	}
+	return news, end, time.Millisecond + time.Duration(r.rng.Float64()*float64(r.slow))
+}
+
+// ReadDirectory answers late, or not at all.
+func (r *reader) ReadDirectory(ctx context.Context, _ platform.Cursor) (platform.Changes, platform.Cursor, error) {
+	news, end, wait := r.question()
 	select {
 	case <-ctx.Done():
 		return platform.Changes{}, platform.Cursor{}, ctx.Err()
 	case <-time.After(wait):
 	}
+	r.mu.Lock()
 	r.seen = end
+	r.mu.Unlock()
 	// The newest record of each upstream decides, as in the store.
 	var out platform.Changes
 	gone := make(map[fleet.UpstreamID]bool)
@@ -195,7 +207,7 @@
 
 func drawWeather(rt *rapid.T) weather {
 	w := weather{
-		slow:       time.Duration(rapid.IntRange(0, 390).Draw(rt, "slow ms")) * time.Millisecond,
+		slow:       time.Duration(rapid.IntRange(0, 490).Draw(rt, "slow ms")) * time.Millisecond,
 		losses:     rapid.Float64Range(0, 0.5).Draw(rt, "losses"),
 		seed:       rapid.Uint64().Draw(rt, "seed"),
 		silentFrom: time.Duration(rapid.IntRange(0, 20_000).Draw(rt, "coordinator falls silent at ms")) * time.Millisecond,
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -154,7 +154,7 @@
 		is.Equal(len(told), 1)
 		is.Equal(told[0].Fields["upstream"], "u")
 		is.Equal(told[0].Fields["how"], "removed")
-		is.Equal(told[0].Fields["before_ms"], "860") // the age at which it is asked for
+		is.Equal(told[0].Fields["before_ms"], "880") // the age at which it is asked for
 		is.Equal(told[0].Fields["cause"], "interval")
 		d.down.Store(true)
 		time.Sleep(3 * time.Second)
--- a/gateway/vouch_test.go
+++ b/gateway/vouch_test.go
@@ -64,21 +64,21 @@
 	fingerprint, _ := r.Proof()
 	word := coordinator.Vouch{Config: 3, Directory: fingerprint, DirectoryAge: 200 * time.Millisecond}
 	now += 1200 * time.Millisecond
-	is.True(f.due()) // nobody vouches
+	is.Equal(f.due(now), "interval") // nobody vouches
 	v.take(word, now)
-	is.True(!f.due())
+	is.Equal(f.due(now), "")
 	is.Equal(f.Age(), 200*time.Millisecond)
 	now += 100 * time.Millisecond
 	word.Directory++
 	v.take(word, now)
 	is.Equal(f.Age(), 300*time.Millisecond) // another directory proves nothing
-	is.True(f.due())
+	is.Equal(f.due(now), "coordinator")
 	r.Prove(now)
-	is.True(!f.due()) // this VM has read later than the coordinator
+	is.Equal(f.due(now), "") // this VM has read later than the coordinator
 	now += 1600 * time.Millisecond
 	word.Directory--
 	v.take(word, now-1500*time.Millisecond)
-	is.True(f.due()) // what was read is too old by now
+	is.Equal(f.due(now), "interval") // what was read is too old by now
 }
 
 // Guards against a VM that goes on using a removed upstream because the coordinator
