Survive a SIGHUP while the settings are read

A process that ends by itself is restarted by the platform, and what it was about to serve is lost. The handler is the first thing that the command installs now; a signal that comes meanwhile has the settings read again. What remains is the start of the runtime itself, some milliseconds.

--- a/gateway/main.go
+++ b/gateway/main.go
@@ -30,6 +30,9 @@
 
 // Main runs the command line of toucanfall and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
+	// SIGHUP ends a process that does not ask for it, and may come at any moment.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	var opts options
 	if _, err := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args); err != nil {
 		code, _ := cli.Exit(err, stderr)
@@ -43,7 +46,7 @@
 	if opts.Gateway.Check {
 		return cli.ExitOK
 	}
-	if err := serve(cfg, opts.Gateway.Settings, stdout, stderr); err != nil {
+	if err := serve(cfg, opts.Gateway.Settings, hup, stdout, stderr); err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
 		return cli.ExitFailure
 	}
@@ -66,7 +69,7 @@
 	return b
 }
 
-func serve(cfg *settings.Gateway, file string, stdout, stderr io.Writer) error {
+func serve(cfg *settings.Gateway, file string, hup <-chan os.Signal, stdout, stderr io.Writer) error {
 	log := logline.New(stdout, func(n int) []byte { return leftOut(cfg.VM, n) })
 	defer func() {
 		if err := log.Close(); err != nil {
@@ -82,8 +85,6 @@
 	}
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	go g.reload(ctx, file, hup)
 	return g.Run(ctx)
 }
