Break a silent attempt off only where another upstream can take over

Cause: a resumable stream or a safe request that is silent for 1.2 s was broken off to go on elsewhere, whether or not it could. An engine's silence is no reason to end an answer.

Now the attempt is broken off once another upstream holds what the call needs and the budget gives a send, which is held for the call; until then it is looked again each 0.1 s.

What remains: the other engine may refuse. A safe route without an objective was broken off at once; it waits as long as a stream now.

--- a/serving/run.go
+++ b/serving/run.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"toucanfall/catalogue"
@@ -73,6 +75,8 @@
 	unreachable []fleet.UpstreamID
 	// ran is set once an attempt may have run.
 	ran bool
+	// reserved is set while the budget holds a send for the call.
+	reserved atomic.Bool
 	// way is how the last attempt went out.
 	way way
 	// last is why the last attempt failed.
@@ -103,7 +107,7 @@
 // mayRepeat reports whether one more send is allowed by the route, the budget
 // and the time that is left.
 func (t *tries) mayRepeat(ctx context.Context) bool {
-	return ctx.Err() == nil && t.sends < maxSends && t.h.cfg.Budget.Repeat()
+	return ctx.Err() == nil && t.sends < maxSends && (t.reserved.Swap(false) || t.h.cfg.Budget.Repeat())
 }
 
 // giveUp returns the answer for a call that no attempt has served.
@@ -152,7 +156,7 @@
 		t.h.cfg.Loader.Used(u.ID, t.c.wanted())
 	}
 	flight := u.Begin(t.c.wanted(), t.c.TokensIn)
-	w := t.watch(cancel)
+	w := t.watch(u, cancel)
 	defer w.stop()
 	req := &courier.Request{
 		Method: t.c.Method, Head: t.h.cfg.Wire.Head(t.c, a), Body: t.c.Body,
@@ -195,21 +199,36 @@
 // lowestPriority is the last rank at engines.
 const lowestPriority = 9
 
-// watch cancels an attempt that is silent for too long, if the call may go on
+// watch cancels an attempt that is silent for too long, once the call can go on
 // elsewhere.
-func (t *tries) watch(cancel func()) *watchdog {
+func (t *tries) watch(u *roster.Upstream, cancel func()) *watchdog {
 	w := &watchdog{}
 	if !t.c.Route.Idempotent() || len(t.tried)+1 >= t.c.Route.Attempts {
 		return w
 	}
 	w.limit = resumeAfter
-	if t.c.Route.Kind == catalogue.Safe {
+	if t.c.Route.Kind == catalogue.Safe && t.c.Route.Objective > 0 {
 		w.limit = safeTry * t.c.Route.Objective
 	}
-	w.start(cancel)
+	avoid := append(slices.Clone(t.tried), u.ID)
+	w.start(func() bool { return t.reserve(avoid) }, cancel)
 	return w
 }
 
+// reserve reports whether another upstream than those to avoid can take the call over,
+// and holds a send of the budget for it.
+func (t *tries) reserve(avoid []fleet.UpstreamID) bool {
+	list := t.h.pick.Candidates(t.service, t.c, avoid)
+	if t.c.Adapter != "" {
+		list = withAdapter(list, t.c)
+	}
+	if len(list) == 0 || !t.h.cfg.Budget.Repeat() {
+		return false
+	}
+	t.reserved.Store(true)
+	return true
+}
+
 // failed records that an attempt failed.
 func (t *tries) failed(u *roster.Upstream, err error) {
 	t.h.cfg.Metrics.Attempt(u.ID, true)
