--- a/event/gateway.go
+++ b/event/gateway.go
@@ -9,7 +9,7 @@
 	StoreFound       = Event{803, "store_found", logrus.InfoLevel, "The platform's store answers again."}
 	EntryOdd         = Event{804, "entry_odd", logrus.WarnLevel, "An entry of the directory cannot be understood; it names no upstream. The field reason says why."}
 	UpstreamLeaving  = Event{805, "upstream_leaving", logrus.InfoLevel, "This VM has read that an upstream gets nothing new any more. The field how is `draining` or `removed` (also where it was started anew), doubted_ms how long it is still used all the same; cause tells why the directory was read, asked_ms how long ago the store was asked, before_ms how old the directory was before."}
-	DirectoryLate    = Event{806, "directory_late", logrus.WarnLevel, "The directory was read longer ago than upstreams may leave in. The field reason is why the last read failed, if it did."}
+	DirectoryLate    = Event{806, "directory_late", logrus.WarnLevel, "The directory is too old to send requests by. They wait until it is read; once the store has not answered for a while, they go by what is known. The field reason is why the last read failed, if it did."}
 	DirectoryInTime  = Event{807, "directory_in_time", logrus.InfoLevel, "The directory is read in time again; the field late_ms is how old it had become."}
 	JoinFailed       = Event{811, "join_failed", logrus.WarnLevel, "This VM could not renew its membership. Its share of the rates ends when the membership does."}
 	PartsDealt       = Event{812, "parts_dealt", logrus.InfoLevel, "The store has dealt the parts of the rates anew."}
