Build the commands under test in one place, and run the soak after each change

Found when the whole change was read once more. The soak had its own copy of how daemon's process tests build their commands, without the part that tells the go command that the tests depend on the sources: with a warm cache a changed gateway got the soak's old verdict (seen: a changed file, and still ok (cached)). Package internal/built holds both now.

Six tests of the directory's follower set up and ended their bubble by copies of the same lines; paused does it. Assertions are as they were.

--- a/daemon/process_test.go
+++ b/daemon/process_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"io/fs"
 	"net"
 	"net/http"
 	"os"
@@ -25,6 +24,7 @@
 	"toucanfall/dialect"
 	"toucanfall/fault"
 	"toucanfall/fleet"
+	"toucanfall/internal/built"
 	"toucanfall/ledger"
 	"toucanfall/settings"
 	"toucanfall/standin"
@@ -38,34 +38,7 @@
 const patience = 20 * time.Second
 
 func TestMain(m *testing.M) {
-	os.Exit(buildAndRun(m))
-}
-
-func buildAndRun(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "toucanfall-test")
-	if err != nil {
-		fmt.Println(err)
-		return 1
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	binaries = dir
-	if out, err := exec.Command("go", "build", "-o", dir, "toucanfall/cmd/toucand", "toucanfall/cmd/toucanfake").CombinedOutput(); err != nil {
-		fmt.Println(string(out), err)
-		return 1
-	}
-	return m.Run()
-}
-
-// noteSources lists the directories of the module. The go command sees that
-// these tests depend on them and takes no cached result after a change, though
-// the binaries under test are built here.
-func noteSources() error {
-	return filepath.WalkDir("..", func(_ string, d fs.DirEntry, err error) error {
-		if err == nil && d.IsDir() && (d.Name() == ".git" || d.Name() == "bin") {
-			return filepath.SkipDir
-		}
-		return err
-	})
+	os.Exit(built.Run(m, &binaries, "toucand", "toucanfake"))
 }
 
 const secret = fleet.Secret("sk-quotes-0123456789")
@@ -163,7 +136,7 @@
 // newPlant starts stand-ins and VMs. The stop of a VM goes on serving for
 // stopAfter.
 func newPlant(t *testing.T, stopAfter string) *plant {
-	is.New(t).NoErr(noteSources())
+	is.New(t).NoErr(built.NoteSources(".."))
 	p := &plant{stopFor: stopAfter}
 	log, list := freeAddress(t), freeAddress(t)
 	p.log = log
--- a/gateway/directory_test.go
+++ b/gateway/directory_test.go
@@ -282,9 +282,7 @@
 // While the store does not answer, what is known is used: nobody is refused because
 // the platform is away, and nobody waits long before that is clear.
 func TestOutageIsServedThrough(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
+	paused(t, func(ctx context.Context, is *is.I) {
 		c := newChanges()
 		r := &reader{c: c, rng: rand.New(rand.NewPCG(1, 1))}
 		n := c.node(ctx, r, false)
@@ -297,17 +295,13 @@
 		r.down.Store(false)
 		time.Sleep(time.Second)
 		is.Equal(len(n.sendable()), 2)
-		cancel()
-		synctest.Wait()
 	})
 }
 
 // After a pause of the VM a request waits for the directory to be read, which takes one
 // question.
 func TestRequestWaitsForDirectoryAfterPause(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
+	paused(t, func(ctx context.Context, is *is.I) {
 		c := newChanges()
 		n := c.node(ctx, &reader{c: c, rng: rand.New(rand.NewPCG(1, 1))}, false)
 		time.Sleep(3 * time.Second)
@@ -319,17 +313,13 @@
 		is.True(n.InTime())
 		is.True(time.Since(began) <= 20*time.Millisecond) // of the paused clock
 		is.Equal(n.sendable(), []fleet.UpstreamID{"1"})   // the other has left
-		cancel()
-		synctest.Wait()
 	})
 }
 
 // Guards against a removed upstream that is used for long after a single read failed:
 // where the coordinator tells what the directory is meanwhile, that was no outage.
 func TestOneFailedReadIsNoOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
+	paused(t, func(ctx context.Context, is *is.I) {
 		c := newChanges()
 		leader := c.node(ctx, &reader{c: c, rng: rand.New(rand.NewPCG(1, 1))}, true)
 		r := &reader{c: c, rng: rand.New(rand.NewPCG(1, 2))}
@@ -345,7 +335,5 @@
 		c.leave(false)
 		time.Sleep(drainWithin - sendWithin)
 		is.Equal(n.sendable(), []fleet.UpstreamID{"1"})
-		cancel()
-		synctest.Wait()
 	})
 }
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -169,6 +169,17 @@
 	})
 }
 
+// paused runs a test under the paused clock. Its context ends with it.
+func paused(t *testing.T, test func(ctx context.Context, is *is.I)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		test(ctx, is.New(t))
+	})
+}
+
 // followed is a follower of a directory, under the paused clock.
 type followed struct {
 	*directoryFollower
@@ -200,9 +211,7 @@
 // the store before: what is missing 2 s after the store's return is gone.
 func TestDoubtEndsAfterOutage(t *testing.T) {
 	for _, removed := range []time.Duration{0, 500 * time.Millisecond, 1500 * time.Millisecond, 1900 * time.Millisecond} {
-		synctest.Test(t, func(t *testing.T) {
-			is := is.New(t)
-			ctx, cancel := context.WithCancel(t.Context())
+		paused(t, func(ctx context.Context, is *is.I) {
 			f := follow(ctx)
 			time.Sleep(3 * time.Second)
 			f.d.down.Store(true)
@@ -214,8 +223,6 @@
 			// read's interval.
 			time.Sleep(max(doubtFor+300*time.Millisecond-removed, 1300*time.Millisecond))
 			is.True(!f.usable())
-			cancel()
-			synctest.Wait()
 		})
 	}
 }
@@ -223,9 +230,7 @@
 // Guards against a removed upstream that is used for long because the VM stood still
 // twice: the time of a pause is none in which the store failed.
 func TestPausesAreNoOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
+	paused(t, func(ctx context.Context, is *is.I) {
 		f := follow(ctx)
 		time.Sleep(3100 * time.Millisecond)
 		f.d.silent.Store(true)
@@ -238,23 +243,17 @@
 		f.d.removed.Store(true)
 		time.Sleep(1300 * time.Millisecond)
 		is.True(!f.usable())
-		cancel()
-		synctest.Wait()
 	})
 }
 
 // Guards against a directory that is taken for younger than it is: an answer tells
 // what held when the question was asked, not when it arrived.
 func TestDirectoryAgeCountsFromQuestion(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
+	paused(t, func(ctx context.Context, is *is.I) {
 		f := follow(ctx)
 		f.d.slow.Store(int64(300 * time.Millisecond))
 		time.Sleep(301 * time.Millisecond)
 		is.Equal(f.Age(), 301*time.Millisecond)
-		cancel()
-		synctest.Wait()
 	})
 }
 
