Ask for the age of the directory without its fingerprint, and write milliseconds once

Each request asked for the directory's age up to four times by a call that also made the fingerprint of all entries where one had changed, under the roster's exclusive lock; only the coordinator's word needs the fingerprint. Proved returns the time alone, under the shared lock. millis stood in serving and in gateway; timeline.Millis is the one copy. Behaviour is as it was.

--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -178,7 +177,7 @@
 
 // look returns the next question, nil if none is to be asked.
 func (f *directoryFollower) look(now time.Duration) *question {
-	_, proved := f.Roster.Proof()
+	proved := f.Roster.Proved()
 	if f.silent != 0 && proved > f.silent {
 		f.recount(now)
 	}
@@ -305,8 +304,7 @@
 }
 
 func (f *directoryFollower) age(now time.Duration) time.Duration {
-	_, proved := f.Roster.Proof()
-	return now - proved
+	return now - f.Roster.Proved()
 }
 
 // InTime reports whether requests may be sent by the directory: it is young enough, or
@@ -333,27 +331,22 @@
 
 // watch records when the directory becomes too old, and when it is in time again.
 func (f *directoryFollower) watch(now time.Duration) {
-	_, proved := f.Roster.Proof()
+	proved := f.Roster.Proved()
 	age := now - proved
 	switch {
 	case proved == 0:
 		// It was never read.
 	case age > f.most:
 		if f.late == 0 {
-			f.Events.Record(event.DirectoryLate, timeline.Fields{"age_ms": millis(age), "reason": fmt.Sprint(f.why)})
+			f.Events.Record(event.DirectoryLate, timeline.Fields{"age_ms": timeline.Millis(age), "reason": fmt.Sprint(f.why)})
 		}
 		f.late = max(f.late, age)
 	case f.late != 0:
-		f.Events.Record(event.DirectoryInTime, timeline.Fields{"late_ms": millis(f.late)})
+		f.Events.Record(event.DirectoryInTime, timeline.Fields{"late_ms": timeline.Millis(f.late)})
 		f.late = 0
 	}
 }
 
-// millis writes a duration in milliseconds for the log.
-func millis(d time.Duration) string {
-	return strconv.FormatInt(d.Milliseconds(), 10)
-}
-
 // tell records which of the upstreams that were known get nothing new any more.
 func (f *directoryFollower) tell(known []*roster.Upstream, q *question, now time.Duration) {
 	for _, u := range known {
@@ -363,8 +356,8 @@
 		}
 		f.told[u] = true
 		f.Events.Record(event.UpstreamLeaving, timeline.Fields{
-			"upstream": string(u.ID), "how": how, "doubted_ms": millis(doubted), "cause": q.cause,
-			"asked_ms": millis(now - q.asked), "before_ms": millis(q.before),
+			"upstream": string(u.ID), "how": how, "doubted_ms": timeline.Millis(doubted), "cause": q.cause,
+			"asked_ms": timeline.Millis(now - q.asked), "before_ms": timeline.Millis(q.before),
 		})
 	}
 	maps.DeleteFunc(f.told, func(u *roster.Upstream, _ bool) bool {
--- a/gateway/vouch.go
+++ b/gateway/vouch.go
@@ -65,7 +65,7 @@
 // directory reports whether the coordinator has read the same directory as this VM,
 // and whether it has read another one, later.
 func (v *voucher) directory() (same, newer bool) {
-	_, read := v.roster.Proof()
+	read := v.roster.Proved()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if !v.fresh() {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -169,6 +169,14 @@
 	return r.fingerprint(), r.proved
 }
 
+// Proved returns when the directory was last known to hold what the roster does, 0 if
+// never. Each request asks for it, so that no fingerprint is made.
+func (r *Roster) Proved() time.Duration {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.proved
+}
+
 // ProvePrint is like [Roster.Prove] for a proof that another VM has, and reports
 // whether that VM has read the same entries. It counts for nothing otherwise.
 func (r *Roster) ProvePrint(fingerprint uint64, proved time.Duration) bool {
--- a/serving/run.go
+++ b/serving/run.go
@@ -133,9 +133,9 @@
 
 // fields adds the way to the fields of an event.
 func (w way) fields(f timeline.Fields) timeline.Fields {
-	f["chosen_ms"] = millis(w.chosen)
+	f["chosen_ms"] = timeline.Millis(w.chosen)
 	if w.written != 0 {
-		f["written_ms"], f["directory_ms"] = millis(w.written), millis(w.directory)
+		f["written_ms"], f["directory_ms"] = timeline.Millis(w.written), timeline.Millis(w.directory)
 	}
 	return f
 }
@@ -249,15 +249,10 @@
 		"model": string(t.c.Model), "adapter": string(t.c.Adapter), "priority": strconv.Itoa(t.c.Priority),
 		"tokens_in": strconv.Itoa(int(t.c.TokensIn)), "tokens_out": strconv.Itoa(int(t.c.TokensOut)),
 		"status": strconv.Itoa(status), "sends": strconv.Itoa(t.sends), "pieces": strconv.Itoa(p.pieces),
-		"first_ms": millis(p.first), "longest_pause_ms": millis(p.longest), "paused_until_ms": millis(p.longestAt), "total_ms": millis(time.Since(p.began)),
+		"first_ms": timeline.Millis(p.first), "longest_pause_ms": timeline.Millis(p.longest), "paused_until_ms": timeline.Millis(p.longestAt), "total_ms": timeline.Millis(time.Since(p.began)),
 	}))
 }
 
-// millis writes a duration in milliseconds for the log.
-func millis(d time.Duration) string {
-	return strconv.FormatInt(d.Milliseconds(), 10)
-}
-
 // withheld records an attempt that was not sent.
 func (t *tries) withheld(u *roster.Upstream, err error) {
 	t.sends--
--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"sort"
+	"strconv"
 	"sync"
 	"time"
 
@@ -33,6 +34,11 @@
 	Fields  Fields       `json:"fields,omitempty"`
 }
 
+// Millis writes a duration in milliseconds, as a value of an event.
+func Millis(d time.Duration) string {
+	return strconv.FormatInt(d.Milliseconds(), 10)
+}
+
 // Filter selects entries. An empty field selects all.
 type Filter struct {
 	Name   string `json:"name,omitempty" query:"name"`
