--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -132,6 +132,8 @@
 	Services map[ServiceID]*Service
 	Teams    []*Team
 	Limits   Limits
+	// Document is the configuration as the operators wrote it, for other VMs.
+	Document []byte
 	hosts    map[string][]*Route
 	keys     map[string]*Team
 }
--- a/catalogue/holder.go
+++ b/catalogue/holder.go
@@ -55,20 +55,28 @@
 // Proof returns the version in force and when it was last known to be the newest
 // one, and false if there is none.
 func (h *Holder) Proof() (Version, time.Duration, bool) {
-	h.mu.RLock()
-	defer h.mu.RUnlock()
-	if h.cfg == nil {
+	cfg, proved := h.Proved()
+	if cfg == nil {
 		return 0, 0, false
 	}
-	return h.cfg.Version, h.proved, true
+	return cfg.Version, proved, true
+}
+
+// Proved returns the configuration in force, nil if there is none, and when it was last
+// known to be the newest one.
+func (h *Holder) Proved() (*Config, time.Duration) {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.cfg, h.proved
 }
 
 // ProveVersion is like [Holder.Prove] for a proof that another VM has of a
-// version. It counts for nothing if this VM does not have that version.
+// version, 0 for none at all. It counts for nothing if this VM does not have that
+// version.
 func (h *Holder) ProveVersion(v Version, proved time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.cfg != nil && h.cfg.Version >= v {
+	if v == 0 || h.cfg != nil && h.cfg.Version >= v {
 		h.proved = max(h.proved, proved)
 	}
 }
--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -46,10 +46,6 @@
 	Purse  *shares.Purse
 	// Heard tells whether the VM that Where names has answered as the coordinator.
 	Heard func(answered bool)
-	// Vouched takes what another VM knows from the store, in answer to a message
-	// of the time sent on the clock Now.
-	Vouched func(v Vouch, sent time.Duration)
-	Now     func() time.Duration
 	// Size returns the number of VMs of the fleet.
 	Size func() int
 	// Where returns the VM that has the duty and its address.
@@ -147,7 +143,6 @@
 // sync sends what happened since the last message.
 func (c *Client) sync(ctx context.Context) {
 	in := c.message()
-	sent := c.cfg.Now()
 	var out SyncAnswer
 	err := c.call(ctx, callTimeout, "Sync", in, &out)
 	c.mu.Lock()
@@ -170,12 +165,8 @@
 		c.cfg.Events.Record(event.CoordinatorFound, nil)
 	}
 	c.cfg.Heard(err == nil)
-	if err != nil {
-		return
-	}
-	c.learn(out)
-	if vm, _, ok := c.cfg.Where(); ok && vm != c.cfg.VM {
-		c.cfg.Vouched(out.Vouch, sent)
+	if err == nil {
+		c.learn(out)
 	}
 }
 
--- a/coordinator/client_test.go
+++ b/coordinator/client_test.go
@@ -33,8 +33,8 @@
 		logger := logrus.New()
 		logger.SetOutput(io.Discard)
 		c := coordinator.NewClient(coordinator.ClientConfig{
-			VM: "vm-1", Own: w.c, Roster: w.roster, Purse: purse, Heard: func(bool) {}, Vouched: func(coordinator.Vouch, time.Duration) {},
-			Now: now, Size: func() int { return 2 }, Where: func() (fleet.VMID, string, bool) { return "vm-1", "", true },
+			VM: "vm-1", Own: w.c, Roster: w.roster, Purse: purse, Heard: func(bool) {},
+			Size: func() int { return 2 }, Where: func() (fleet.VMID, string, bool) { return "vm-1", "", true },
 			Events: timeline.New("test", 16, logger),
 		})
 		time.AfterFunc(time.Second, func() { w.fence.Store(0) })
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -41,8 +41,6 @@
 	// Fenced tells that a fencing token was refused.
 	Fenced func(fence int64)
 	Tokens *shares.Pool
-	// Vouch returns what this VM knows from the store.
-	Vouch  func() Vouch
 	Events *timeline.Recorder
 }
 
@@ -229,7 +227,7 @@
 }
 
 func (c *Coordinator) answer(in Sync) SyncAnswer {
-	out := SyncAnswer{Others: c.others(in.VM), Vouch: c.cfg.Vouch()}
+	out := SyncAnswer{Others: c.others(in.VM)}
 	c.mu.Lock()
 	out.Known = Known{Term: c.term, Version: c.version}
 	var engines []*engine
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -119,21 +119,6 @@
 	// Known numbers the holdings; those that the VM was told before are left out.
 	Known    Known
 	Holdings []EngineHoldings
-	Vouch    Vouch
-}
-
-// Vouch is what the coordinator knows from the store, so that VMs which know the
-// same need not ask it themselves.
-type Vouch struct {
-	// Config is the newest configuration when the store was asked ConfigAge ago.
-	Config    catalogue.Version
-	ConfigAge time.Duration
-	// Directory is the fingerprint of the directory when the store was asked
-	// DirectoryAge ago.
-	Directory    uint64
-	DirectoryAge time.Duration
-	// Size is the number of VMs of the fleet.
-	Size int
 }
 
 // Grant asks for tokens of the pool.
--- a/crew/crew.go
+++ b/crew/crew.go
@@ -28,9 +28,10 @@
 // Member names a VM with its address, as it joins.
 type Member string
 
-// NewMember returns the member of a VM whose peers' listener has an address.
-func NewMember(vm fleet.VMID, address string) Member {
-	return Member(string(vm) + "@" + address)
+// NewMember returns the member of a VM in a data centre whose peers' listener has an
+// address.
+func NewMember(vm fleet.VMID, address string, dc fleet.DataCentre) Member {
+	return Member(string(vm) + "@" + address + "@" + string(dc))
 }
 
 // VM returns the VM of a member.
@@ -41,10 +42,18 @@
 
 // Address returns the address of the member's peers' listener.
 func (m Member) Address() string {
-	_, a, _ := strings.Cut(string(m), "@")
+	_, rest, _ := strings.Cut(string(m), "@")
+	a, _, _ := strings.Cut(rest, "@")
 	return a
 }
 
+// DataCentre returns the data centre of the member's VM.
+func (m Member) DataCentre() fleet.DataCentre {
+	_, rest, _ := strings.Cut(string(m), "@")
+	_, dc, _ := strings.Cut(rest, "@")
+	return fleet.DataCentre(dc)
+}
+
 // Part is one of the equal parts that are dealt to the VMs.
 type Part int
 
@@ -73,14 +82,20 @@
 
 // Times of membership.
 const (
-	// joinEvery is how often a VM joins again; a call counts as a tenth of one.
+	// joinEvery is how often a VM joins again that is the coordinator, or belongs to a
+	// fleet of up to joinFleet VMs. The VMs of a larger one join less often, up to
+	// slowJoin, for each call is priced and part of what the store takes.
 	joinEvery = 300 * time.Millisecond
+	joinFleet = 16
+	slowJoin  = 1200 * time.Millisecond
+	// joinsLost is how many joins may be lost before the store takes the parts away.
+	joinsLost = 5
 	// joinTimeout bounds a call to the store, which answers within milliseconds
 	// when it is well.
 	joinTimeout = 600 * time.Millisecond
-	// Life is how long the store keeps the parts of a VM that has not joined
-	// again: time for three lost joins.
-	Life = 1500 * time.Millisecond
+	// Life is how long the store keeps the parts of a VM that joins each joinEvery and
+	// has not joined again.
+	Life = joinsLost * joinEvery
 	// dutyLife is how long after the last confirmed join a VM still acts as the
 	// coordinator. It ends well before Life, when a successor may be named.
 	dutyLife = 900 * time.Millisecond
@@ -101,6 +116,8 @@
 	// Now is a clock that goes on while the machine sleeps.
 	Now    func() time.Duration
 	Events *timeline.Recorder
+	// Told reports whether another VM tells this one of the members all the time.
+	Told func() bool
 	// OnShare is told the share of the rates that this VM mints, and until when
 	// on the clock Now. It is called under the crew's lock.
 	OnShare func(share float64, until time.Duration)
@@ -113,15 +130,15 @@
 	mu         sync.Mutex
 	generation int64
 	confirmed  time.Duration
-	owners     map[Part]Member
-	// size counts the members among the owners, for every request asks for it.
-	size     int
-	ownersOf int64
-	ownersAt time.Duration
-	// doubted asks for the owners to be read again, lost is set while no VM
-	// answers as the coordinator.
+	// roll is who holds parts, as this VM has read or been told last; rollOf is the
+	// generation that it was read for, rollAt when it held.
+	roll   Roll
+	rollOf int64
+	rollAt time.Duration
+	// doubted asks for the owners to be read again. Lost is since when no VM answers
+	// as the coordinator, 0 while one does.
 	doubted bool
-	lost    bool
+	lost    time.Duration
 	// dutySince is when part 0 was dealt to this VM, 0 if it is not.
 	dutySince time.Duration
 	fence     int64
@@ -136,27 +153,49 @@
 
 // Run joins until ctx ends.
 func (c *Crew) Run(ctx context.Context) error {
-	loop.Every(ctx, joinEvery, c.turn)
+	for ctx.Err() == nil {
+		c.turn(ctx)
+		loop.Pause(ctx, c.pause())
+	}
 	return ctx.Err()
 }
 
+// pause returns the time to the next join. One that failed is soon tried again.
+func (c *Crew) pause() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failing {
+		return joinEvery
+	}
+	return c.interval()
+}
+
+// interval returns how often this VM joins. The caller holds the lock.
+func (c *Crew) interval() time.Duration {
+	if c.dutySince != 0 {
+		return joinEvery
+	}
+	byFleet := joinEvery * time.Duration(len(c.roll.Members)) / joinFleet
+	return min(max(byFleet, joinEvery), slowJoin)
+}
+
 // turn joins once, and does what follows from the answer.
 func (c *Crew) turn(ctx context.Context) {
 	c.mu.Lock()
 	leaving := c.leaving
-	generation := c.generation
+	generation, life := c.generation, joinsLost*c.interval()
 	c.mu.Unlock()
 	if leaving {
 		return
 	}
 	asked := c.cfg.Now()
 	callCtx, cancel := context.WithTimeout(ctx, joinTimeout)
-	dealt, err := c.cfg.Store.Join(callCtx, c.cfg.Self, c.cfg.Parts, Life, generation)
+	dealt, err := c.cfg.Store.Join(callCtx, c.cfg.Self, c.cfg.Parts, life, generation)
 	cancel()
 	if c.note(err); err != nil {
 		return
 	}
-	c.take(dealt, asked)
+	c.take(dealt, asked, asked+life)
 	c.learnOwners(ctx, dealt.Generation)
 	c.claim(ctx)
 }
@@ -172,8 +211,8 @@
 	}
 }
 
-// take takes over the parts that the store dealt.
-func (c *Crew) take(d Dealt, asked time.Duration) {
+// take takes over the parts that the store dealt until a time.
+func (c *Crew) take(d Dealt, asked, until time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.leaving {
@@ -186,7 +225,7 @@
 	}
 	c.generation, c.confirmed = d.Generation, asked
 	c.setDuty(slices.Contains(d.Parts, 0))
-	c.cfg.OnShare(float64(len(d.Parts))/float64(c.cfg.Parts), asked+Life)
+	c.cfg.OnShare(float64(len(d.Parts))/float64(c.cfg.Parts), until)
 }
 
 // setDuty notes whether this VM is to be the coordinator. The caller holds the
@@ -205,26 +244,34 @@
 func (c *Crew) Heard(answered bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lost = !answered
+	switch {
+	case answered:
+		c.lost = 0
+	case c.lost == 0:
+		c.lost = c.cfg.Now()
+	}
 	c.doubted = c.doubted || !answered
 }
 
-// ownersEvery bounds how often it is read who holds which part, since each call
-// is priced. A part that is handed over moves without a new generation.
-const ownersEvery = time.Second
+// Times of reading who holds which part.
+const (
+	// ownersEvery bounds how often it is read, since each call is priced. A part that
+	// is handed over moves without a new generation.
+	ownersEvery = time.Second
+	// toldWait is for how long a VM that relays tell leaves it to them to find the next
+	// coordinator. They know it once the membership of the one before has ended.
+	toldWait = 2 * Life
+)
 
 // learnOwners reads who holds which part: when in doubt, and once for each
 // generation where this VM is to be the coordinator or hears of none. The others
 // need no more than the coordinator's address, and that has not changed while it
-// answers.
+// answers; or a relay tells them.
 func (c *Crew) learnOwners(ctx context.Context, generation int64) {
 	now := c.cfg.Now()
+	told := c.cfg.Told()
 	c.mu.Lock()
-	settled := c.dutySince == 0 && !c.lost
-	known := len(c.owners) > 0 && (c.ownersOf == generation || settled)
-	if known && c.doubted && now-c.ownersAt >= ownersEvery {
-		known, c.doubted = false, false
-	}
+	known := c.knows(generation, now, told)
 	c.mu.Unlock()
 	if known {
 		return
@@ -238,12 +285,27 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.owners, c.ownersOf, c.ownersAt = owners, generation, now
-	members := make(map[Member]bool)
-	for _, m := range owners {
-		members[m] = true
+	c.roll, c.rollOf, c.rollAt = newRoll(owners), generation, now
+}
+
+// knows reports whether the roll need not be read. The caller holds the lock.
+func (c *Crew) knows(generation int64, now time.Duration, told bool) bool {
+	duty := c.dutySince != 0
+	if len(c.roll.Members) == 0 {
+		return false
+	}
+	if told && !duty && (c.lost == 0 || now-c.lost < toldWait) {
+		return true
+	}
+	stale := c.rollOf != generation && (duty || c.lost != 0)
+	if stale && duty {
+		return false
 	}
-	c.size = len(members)
+	if (stale || c.doubted) && now-c.rollAt >= ownersEvery {
+		c.doubted = false
+		return false
+	}
+	return true
 }
 
 // claim makes the claim on the coordinator's duty when it is this VM's turn.
@@ -291,10 +353,8 @@
 	if !c.cfg.Fenced {
 		return c.cfg.Lease
 	}
-	for _, m := range c.owners {
-		if m.VM() == before {
-			return c.cfg.Lease
-		}
+	if c.roll.has(before) {
+		return c.cfg.Lease
 	}
 	return 0
 }
@@ -337,15 +397,32 @@
 func (c *Crew) Coordinator() (Member, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	m, ok := c.owners[0]
-	return m, ok
+	return c.roll.Coordinator, c.roll.Coordinator != ""
 }
 
 // Size returns the number of VMs that hold parts, at least 1.
 func (c *Crew) Size() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return max(c.size, 1)
+	return max(len(c.roll.Members), 1)
+}
+
+// Roll returns who holds parts, and when that was known to be so. The caller must not
+// change it.
+func (c *Crew) Roll() (Roll, time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.roll, c.rollAt
+}
+
+// Tell takes over what another VM knows of the members, as of a time on the clock Now,
+// unless this VM knows better.
+func (c *Crew) Tell(r Roll, at time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at > c.rollAt && len(r.Members) > 0 {
+		c.roll, c.rollAt = r, at
+	}
 }
 
 // Leave gives duty and parts back.
--- a/crew/fleet_test.go
+++ b/crew/fleet_test.go
@@ -99,6 +99,8 @@
 type vm struct {
 	id  fleet.VMID
 	cut atomic.Bool
+	// told is set while a relay tells the VM of the members.
+	told atomic.Bool
 	// reads counts the questions for the owners of parts.
 	reads atomic.Int64
 	crew  *crew.Crew
@@ -143,8 +145,8 @@
 func (f *fleetOf) addAs(id fleet.VMID) *vm {
 	v := &vm{id: id}
 	v.crew = crew.New(crew.Config{
-		Self: crew.NewMember(v.id, "192.0.2.1:1"), Store: &store{group: f.group, vm: v, claims: f.claims},
-		Parts: parts, Lease: lease, Fenced: true, Now: f.now, Events: f.events,
+		Self: crew.NewMember(v.id, "192.0.2.1:1", "dc-1"), Store: &store{group: f.group, vm: v, claims: f.claims},
+		Parts: parts, Lease: lease, Fenced: true, Now: f.now, Events: f.events, Told: v.told.Load,
 		OnShare: func(share float64, until time.Duration) {
 			v.mu.Lock()
 			defer v.mu.Unlock()
--- a/event/gateway.go
+++ b/event/gateway.go
@@ -17,6 +17,8 @@
 	DutyTaken        = Event{814, "duty_taken", logrus.InfoLevel, "This VM is the coordinator; the field fence is its fencing token."}
 	CoordinatorLost  = Event{815, "coordinator_lost", logrus.WarnLevel, "The coordinator does not answer. This VM goes on with its own share of the rates and the adapters that engines have."}
 	CoordinatorFound = Event{816, "coordinator_found", logrus.InfoLevel, "The coordinator answers."}
+	RelayFound       = Event{817, "relay_found", logrus.InfoLevel, "This VM hears from another one what stands in the store; the field vm names it."}
+	RelayLost        = Event{818, "relay_lost", logrus.WarnLevel, "The VM that this one follows gave no answer, or one that is of no use; the field reason says why. Another is asked for a second, or the store."}
 	EngineOrdered    = Event{821, "engine_ordered", logrus.InfoLevel, "An order went to an engine; the fields are its answer."}
 	PlacementChanged = Event{822, "placement_changed", logrus.InfoLevel, "A model is to be loaded on an engine, or to make room there."}
 	MoveFailed       = Event{823, "move_failed", logrus.WarnLevel, "A model could not be brought to an engine, or its report not be had; the placement is planned anew."}
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -12,6 +12,7 @@
 	"toucanfall/event"
 	"toucanfall/internal/loop"
 	"toucanfall/platform"
+	"toucanfall/relay"
 	"toucanfall/roster"
 	"toucanfall/timeline"
 )
@@ -42,6 +43,9 @@
 	// leaderReads is how often the coordinator reads within the bound. Its word reaches
 	// the others a message later, which in a large fleet is most of a second.
 	leaderReads = 4
+	// relayPart is the part of the bound, in hundredths, at which a relay reads that the
+	// coordinator does not tell in time.
+	relayPart = 40
 	// owedPause is the longest pause while the store owes an answer: so finely are
 	// pauses of this VM told from silence of the store.
 	owedPause = 50 * time.Millisecond
@@ -60,7 +64,7 @@
 
 // DirectoryStore gives the entries of upstreams.
 type DirectoryStore interface {
-	ReadDirectory(ctx context.Context, from platform.Cursor) (platform.Changes, platform.Cursor, error)
+	ReadDirectory(ctx context.Context, from platform.Cursor) (roster.Changes, platform.Cursor, error)
 }
 
 // directoryConfig holds the dependencies and the bound of a directoryFollower.
@@ -71,12 +75,16 @@
 	Now func() time.Duration
 	// Within is when a leaving upstream must get nothing new any more.
 	Within time.Duration
-	// Vouched tells whether the coordinator has read the same as this VM, and whether
-	// it has read something else, later.
-	Vouched func() (same, newer bool)
-	// Leads reports whether this VM is the coordinator.
-	Leads  func() bool
-	Events *timeline.Recorder
+	// Replica keeps what was read for other VMs; Learned is called after each change.
+	Replica *relay.Directory
+	Learned func()
+	// Told reports whether a relay tells this VM of the directory all the time, Awaited
+	// whether one is likely to, to a VM that has just started.
+	Told, Awaited func() bool
+	// Leads reports whether this VM is the coordinator, Relays whether others follow it
+	// besides.
+	Leads, Relays func() bool
+	Events        *timeline.Recorder
 }
 
 // question is a read of the directory that is under way.
@@ -91,22 +99,32 @@
 // directoryAnswer is the answer to a question.
 type directoryAnswer struct {
 	to      *question
-	changes platform.Changes
+	changes roster.Changes
 	next    platform.Cursor
 	err     error
 }
 
+// told is what a relay tells of the directory up to a position, as it was proved by a
+// question of the time asked. Done is closed once it is taken over.
+type told struct {
+	changes  roster.Changes
+	position int64
+	asked    time.Duration
+	done     chan struct{}
+}
+
 // directoryFollower keeps the roster up to date, and tells whether requests may be
 // sent by it.
 type directoryFollower struct {
 	directoryConfig
-	// most is how old the directory may be for that, vouched at what age it is asked
-	// for where the coordinator vouches for it: so long before that the store can be
-	// found to be away. A VM that nobody vouches to asks at the age alone, the
-	// coordinator at the age lead.
-	most, vouched, alone, lead time.Duration
+	// most is how old the directory may be for that, told at what age it is asked for
+	// where a relay tells of it: so long before that the store can be found to be away.
+	// A VM that no relay tells asks at the age alone, the coordinator at the age lead,
+	// and a relay at the age relay, before those that follow it would.
+	most, told, alone, lead, relay time.Duration
 
 	answers chan directoryAnswer
+	news    chan told
 	cursor  platform.Cursor
 	// out are the questions without an answer, in their order.
 	out []*question
@@ -127,18 +145,19 @@
 	late time.Duration
 	// why is the error of the last question that failed.
 	why error
-	// told holds the leaving upstreams that the log names already.
-	told map[*roster.Upstream]bool
+	// named holds the leaving upstreams that the log names already.
+	named map[*roster.Upstream]bool
 }
 
 func newDirectoryFollower(cfg directoryConfig) *directoryFollower {
 	f := &directoryFollower{
-		directoryConfig: cfg, answers: make(chan directoryAnswer), wake: make(chan struct{}, 1), told: make(map[*roster.Upstream]bool),
+		directoryConfig: cfg, answers: make(chan directoryAnswer), news: make(chan told), wake: make(chan struct{}, 1), named: make(map[*roster.Upstream]bool),
 	}
 	f.most = max(cfg.Within-sendWithin, cfg.Within/2)
-	f.vouched = max(f.most-awayAfter-directoryRetry, f.most/4)
-	f.alone = min(f.vouched, cfg.Within/2)
+	f.told = max(f.most-awayAfter-directoryRetry, f.most/4)
+	f.alone = min(f.told, cfg.Within/2)
 	f.lead = min(f.alone, cfg.Within/leaderReads)
+	f.relay = min(f.told, cfg.Within*relayPart/100)
 	return f
 }
 
@@ -157,6 +176,10 @@
 			now = f.woke(now + pause)
 			f.hear(a, now)
 			continue
+		case t := <-f.news:
+			now = f.woke(now + pause)
+			f.learn(t, now)
+			continue
 		case <-f.wake:
 		case <-time.After(pause):
 		}
@@ -219,17 +242,19 @@
 
 // asksAt returns the age at which the directory is asked for.
 func (f *directoryFollower) asksAt() time.Duration {
-	if f.Leads() {
+	switch {
+	case f.Leads():
 		return f.lead
-	}
-	if same, _ := f.Vouched(); same {
-		return f.vouched
+	case f.Relays():
+		return f.relay
+	case f.Told():
+		return f.told
 	}
 	return f.alone
 }
 
-// due returns why the directory is to be asked for now, "" if it is not: at its age,
-// because the coordinator knows a newer one, or because the store owes an answer.
+// due returns why the directory is to be asked for now, "" if it is not: at its age, or
+// because the store owes an answer.
 func (f *directoryFollower) due(now time.Duration) string {
 	switch {
 	case len(f.out) >= maxQuestions, now < f.retry:
@@ -240,13 +265,10 @@
 		}
 		return "repeat"
 	}
-	if _, newer := f.Vouched(); newer {
-		return "coordinator"
-	}
-	if f.age(now) >= f.asksAt() {
-		return "interval"
+	if f.age(now) < f.asksAt() || f.Roster.Proved() == 0 && f.Awaited() {
+		return ""
 	}
-	return ""
+	return "interval"
 }
 
 // ask puts a question to the store. Its answer comes through the channel.
@@ -282,20 +304,69 @@
 		}
 		return
 	}
-	if f.silent != 0 && now-f.silent > outage {
-		f.doubtUntil = now + doubtFor
-	}
+	f.endOutage(now)
 	for _, older := range f.out[:i] {
 		older.cancel()
 	}
 	f.out = f.out[i:]
-	f.cursor = a.next
-	known := f.Roster.Upstreams()
-	f.take(a.changes, f.doubtUntil-now)
-	f.Roster.Prove(q.asked)
+	f.read(a.changes, a.next.Position(), q, now)
 	f.refused, f.retry, f.silent = 0, 0, 0
 	f.away.Store(false)
-	f.tell(known, q, now)
+}
+
+// read takes over what was read up to a position, unless a relay has told more meanwhile.
+func (f *directoryFollower) read(c roster.Changes, position int64, q *question, now time.Duration) {
+	if position >= f.cursor.Position() {
+		f.cursor = platform.CursorAt(position)
+		known := f.Roster.Upstreams()
+		f.take(c, f.doubtUntil-now)
+		defer f.tell(known, q, now)
+	}
+	f.Replica.Take(c, relay.Position(position), q.asked)
+	f.Roster.Prove(q.asked)
+	f.Learned()
+}
+
+// Learn takes over what a relay tells that looked at a time, and reports whether that is
+// of use: a relay that was cut off itself knows less than the store would tell.
+func (f *directoryFollower) Learn(ctx context.Context, n *relay.News, looked time.Duration) bool {
+	if n.DirectoryAge == relay.Unknown {
+		return false
+	}
+	changes, err := n.Changes()
+	if err != nil {
+		f.Events.Record(event.GatewayFault, timeline.Fields{"reason": "directory of a relay: " + err.Error()})
+		return false
+	}
+	t := told{changes: changes, position: int64(n.Directory), asked: looked - n.DirectoryAge, done: make(chan struct{})}
+	select {
+	case f.news <- t:
+	case <-ctx.Done():
+		return false
+	}
+	<-t.done
+	return n.DirectoryAge < f.most
+}
+
+// learn takes over what a relay tells. Entries that vanished while the store answered
+// nothing are doubted as after an answer of the store. What is told of an earlier
+// position than this VM has read proves nothing.
+func (f *directoryFollower) learn(t told, now time.Duration) {
+	defer close(t.done)
+	if t.position < f.cursor.Position() {
+		return
+	}
+	if t.asked > f.silent {
+		f.endOutage(now)
+	}
+	f.read(t.changes, t.position, &question{asked: t.asked, cause: "relay", before: f.age(now)}, now)
+}
+
+// endOutage notes that something is known of the store again.
+func (f *directoryFollower) endOutage(now time.Duration) {
+	if f.silent != 0 && now-f.silent > outage {
+		f.doubtUntil = now + doubtFor
+	}
 }
 
 // Age returns how long ago the directory is known to have been what the roster is.
@@ -351,16 +422,16 @@
 func (f *directoryFollower) tell(known []*roster.Upstream, q *question, now time.Duration) {
 	for _, u := range known {
 		how, doubted := u.Leaving()
-		if how == "" || f.told[u] {
+		if how == "" || f.named[u] {
 			continue
 		}
-		f.told[u] = true
+		f.named[u] = true
 		f.Events.Record(event.UpstreamLeaving, timeline.Fields{
 			"upstream": string(u.ID), "how": how, "doubted_ms": timeline.Millis(doubted), "cause": q.cause,
 			"asked_ms": timeline.Millis(now - q.asked), "before_ms": timeline.Millis(q.before),
 		})
 	}
-	maps.DeleteFunc(f.told, func(u *roster.Upstream, _ bool) bool {
+	maps.DeleteFunc(f.named, func(u *roster.Upstream, _ bool) bool {
 		now, ok := f.Roster.Get(u.ID)
 		return !ok || now != u
 	})
@@ -368,7 +439,7 @@
 
 // take takes over what was read. Entries that have vanished are doubted for a time,
 // if it is above 0.
-func (f *directoryFollower) take(c platform.Changes, doubt time.Duration) {
+func (f *directoryFollower) take(c roster.Changes, doubt time.Duration) {
 	for _, err := range c.Odd {
 		f.Events.Record(event.EntryOdd, timeline.Fields{"reason": err.Error()})
 	}
--- a/gateway/directory_test.go
+++ b/gateway/directory_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -18,8 +17,10 @@
 	"pgregory.net/rapid"
 
 	"toucanfall/catalogue"
+	"toucanfall/crew"
 	"toucanfall/fleet"
 	"toucanfall/platform"
+	"toucanfall/relay"
 	"toucanfall/roster"
 	"toucanfall/timeline"
 )
@@ -28,7 +29,7 @@
 // come and leave.
 type changes struct {
 	mu    sync.Mutex
-	list  []platform.Changes
+	list  []roster.Changes
 	left  map[fleet.UpstreamID]time.Duration
 	next  int
 	start time.Time
@@ -61,7 +62,7 @@
 	defer c.mu.Unlock()
 	e := roster.Entry{ID: fleet.UpstreamID(fmt.Sprint(c.next)), Address: "192.0.2.1:80"}
 	c.next++
-	c.list = append(c.list, platform.Changes{Entries: []roster.Entry{e}})
+	c.list = append(c.list, roster.Changes{Entries: []roster.Entry{e}})
 }
 
 // leave lets the oldest upstream leave, by its state or by taking its entry out.
@@ -72,9 +73,9 @@
 	if len(c.left) == c.next {
 		return
 	}
-	ch := platform.Changes{Removed: []fleet.UpstreamID{id}}
+	ch := roster.Changes{Removed: []fleet.UpstreamID{id}}
 	if draining {
-		ch = platform.Changes{Entries: []roster.Entry{{ID: id, Address: "192.0.2.1:80", Draining: true}}}
+		ch = roster.Changes{Entries: []roster.Entry{{ID: id, Address: "192.0.2.1:80", Draining: true}}}
 	}
 	c.list = append(c.list, ch)
 	c.left[id] = c.nowLocked()
@@ -107,17 +108,15 @@
 	mu   sync.Mutex
 	rng  *rand.Rand
 	lost bool
-	// seen is how many changes the VM has read.
-	seen int
 }
 
-// question returns what stands in the directory for the VM, up to where, and after
+// question returns what stands in the directory after a position, up to where, and after
 // what time the answer comes.
-func (r *reader) question() (news []platform.Changes, end int, wait time.Duration) {
+func (r *reader) question(from int64) (news []roster.Changes, end int64, wait time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.c.mu.Lock()
-	news, end = r.c.list[r.seen:], len(r.c.list)
+	news, end = r.c.list[from:], int64(len(r.c.list))
 	r.c.mu.Unlock()
 	r.lost = r.down.Load() || !r.lost && r.rng.Float64() < r.losses
 	if r.lost {
@@ -127,53 +126,80 @@
 }
 
 // ReadDirectory answers late, or not at all.
-func (r *reader) ReadDirectory(ctx context.Context, _ platform.Cursor) (platform.Changes, platform.Cursor, error) {
-	news, end, wait := r.question()
+func (r *reader) ReadDirectory(ctx context.Context, from platform.Cursor) (roster.Changes, platform.Cursor, error) {
+	news, end, wait := r.question(from.Position())
 	select {
 	case <-ctx.Done():
-		return platform.Changes{}, platform.Cursor{}, ctx.Err()
+		return roster.Changes{}, platform.Cursor{}, ctx.Err()
 	case <-time.After(wait):
 	}
-	r.mu.Lock()
-	r.seen = end
-	r.mu.Unlock()
 	// The newest record of each upstream decides, as in the store.
-	var out platform.Changes
-	gone := make(map[fleet.UpstreamID]bool)
+	out := roster.Changes{Whole: from.Position() == 0}
+	seen := make(map[fleet.UpstreamID]bool)
 	for i := len(news) - 1; i >= 0; i-- {
 		for _, e := range news[i].Entries {
-			if !gone[e.ID] {
+			if !seen[e.ID] {
 				out.Entries = append(out.Entries, e)
 			}
-			gone[e.ID] = true
+			seen[e.ID] = true
 		}
 		for _, id := range news[i].Removed {
-			if !gone[id] {
+			if !seen[id] {
 				out.Removed = append(out.Removed, id)
 			}
-			gone[id] = true
+			seen[id] = true
 		}
 	}
-	return out, platform.Cursor{}, nil
+	return out, platform.CursorAt(end), nil
 }
 
-// node is a VM that follows the directory and hears the coordinator's word.
+// node is a VM that follows the directory, and tells others of it.
 type node struct {
 	*directoryFollower
-	voucher *voucher
+	self    crew.Member
+	service *relay.Service
+	// follower asks relays; nil at a VM that follows none.
+	follower *relay.Follower
 }
 
+// node starts a VM that may be the coordinator, and follows no relay.
 func (c *changes) node(ctx context.Context, r *reader, leads bool) *node {
+	return c.member(ctx, r, "vm-0@192.0.2.1:1@dc-1", crew.Roll{}, nil, leads)
+}
+
+// member starts a VM of a roll, which follows relays over a network unless that is nil.
+func (c *changes) member(ctx context.Context, r *reader, self crew.Member, roll crew.Roll, over relay.Caller, leads bool) *node {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	known := roster.New()
-	v := &voucher{now: c.now, holder: catalogue.NewHolder(c.now), roster: known, members: func() int { return 2 }}
-	n := &node{voucher: v}
+	events := timeline.New("test", 64, logger)
+	n := &node{self: self}
+	replica, holder := relay.NewDirectory(), catalogue.NewHolder(c.now)
+	holder.Prove(c.now())
+	members := crew.New(crew.Config{Self: self, Now: c.now, Events: events, Told: func() bool { return true }})
+	members.Tell(roll, c.now())
+	n.service = relay.NewService(relay.ServiceConfig{Directory: replica, Catalogue: holder, Crew: members, Self: self, Now: c.now})
+	told, relays := func() bool { return false }, func() bool { return false }
+	if over != nil {
+		n.follower = relay.NewFollower(relay.FollowerConfig{
+			Self: self, Peers: over, Roll: func() crew.Roll { return roll }, Now: c.now, Events: events,
+			Ask: func() relay.Ask {
+				at, _ := replica.Proof()
+				return relay.Ask{Directory: at, Members: roll.Print}
+			},
+			Learn: func(ctx context.Context, news *relay.News, looked time.Duration) bool {
+				return n.Learn(ctx, news, looked)
+			},
+		})
+		told, relays = n.follower.Told, func() bool { return relay.Relays(self, roll) }
+	}
 	n.directoryFollower = newDirectoryFollower(directoryConfig{
-		Store: r, Roster: known, Now: c.now, Within: drainWithin, Vouched: v.directory, Leads: func() bool { return leads },
-		Events: timeline.New("test", 64, logger),
+		Store: r, Roster: roster.New(), Now: c.now, Within: drainWithin, Replica: replica, Learned: n.service.Learned,
+		Told: told, Awaited: func() bool { return false }, Leads: func() bool { return leads }, Relays: relays, Events: events,
 	})
 	go func() { _ = n.run(ctx) }() // It ends with ctx.
+	if over != nil {
+		go func() { _ = n.follower.Run(ctx) }() // As above.
+	}
 	return n
 }
 
@@ -198,9 +224,11 @@
 type weather struct {
 	slow   time.Duration
 	losses float64
-	seed   uint64
-	// silentFrom is when the coordinator's word ends, pauses are when the VMs stand
-	// still.
+	// freezes is the share of questions to relays after which these are frozen.
+	freezes float64
+	seed    uint64
+	// silentFrom is when the coordinator is cut off from all others, pauses are when the
+	// VMs stand still.
 	silentFrom time.Duration
 	pauses     []time.Duration
 }
@@ -209,6 +237,7 @@
 	w := weather{
 		slow:       time.Duration(rapid.IntRange(0, 490).Draw(rt, "slow ms")) * time.Millisecond,
 		losses:     rapid.Float64Range(0, 0.5).Draw(rt, "losses"),
+		freezes:    rapid.Float64Range(0, 0.1).Draw(rt, "freezes"),
 		seed:       rapid.Uint64().Draw(rt, "seed"),
 		silentFrom: time.Duration(rapid.IntRange(0, 20_000).Draw(rt, "coordinator falls silent at ms")) * time.Millisecond,
 	}
@@ -229,11 +258,11 @@
 	const step, length = 10 * time.Millisecond, 20 * time.Second
 	rng := rand.New(rand.NewPCG(w.seed, 0))
 	c := newChanges()
-	leader, n := c.node(ctx, w.reader(c, 1), true), c.node(ctx, w.reader(c, 2), false)
+	tree := c.plant(ctx, w)
 	for at := time.Duration(0); at < length; at += step {
 		time.Sleep(step)
-		if at < w.silentFrom && at%(200*time.Millisecond) == 0 {
-			n.voucher.take(leader.voucher.own(), c.now())
+		if at >= w.silentFrom {
+			tree.net.cutOff(tree.nodes[0].self.Address())
 		}
 		if rng.IntN(80) == 0 {
 			c.join()
@@ -242,8 +271,10 @@
 		if slices.Contains(w.pauses, at) {
 			c.pause(time.Duration(rng.IntN(4000)) * time.Millisecond)
 		}
-		if err := errors.Join(c.check(leader), c.check(n)); err != nil {
-			return err
+		for _, n := range tree.nodes {
+			if err := c.check(n); err != nil {
+				return fmt.Errorf("%s: %w", n.self.VM(), err)
+			}
 		}
 	}
 	return nil
@@ -261,8 +292,9 @@
 }
 
 // Guards against requests at an upstream that left too long ago (DRAIN): whatever
-// answers take and as long as no two are lost in a row, whether the coordinator
-// vouches or falls silent, and after pauses of the VM.
+// answers take and as long as no two are lost in a row, at the coordinator, at relays and
+// at a VM that hears of the directory from these alone, through slow and frozen relays,
+// after a cut of the coordinator, and after pauses of the VMs.
 func TestRandomDirectoryIsNeverTooOld(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		w := drawWeather(rt)
@@ -271,7 +303,7 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			err = w.play(ctx)
 			cancel()
-			synctest.Wait()
+			time.Sleep(windDown)
 		})
 		if err != nil {
 			rt.Fatal(err)
@@ -317,7 +349,7 @@
 }
 
 // Guards against a removed upstream that is used for long after a single read failed:
-// where the coordinator tells what the directory is meanwhile, that was no outage.
+// where a relay tells what the directory is meanwhile, that was no outage.
 func TestOneFailedReadIsNoOutage(t *testing.T) {
 	paused(t, func(ctx context.Context, is *is.I) {
 		c := newChanges()
@@ -328,8 +360,8 @@
 		r.down.Store(true)
 		time.Sleep(time.Second)
 		r.down.Store(false)
-		for range 5 { // The coordinator's word takes the place of own reads.
-			n.voucher.take(leader.voucher.own(), c.now())
+		for range 5 { // What the coordinator tells takes the place of own reads.
+			is.True(n.hears(ctx, leader))
 			time.Sleep(200 * time.Millisecond)
 		}
 		c.leave(false)
@@ -337,3 +369,13 @@
 		is.Equal(n.sendable(), []fleet.UpstreamID{"1"})
 	})
 }
+
+// hears lets a VM ask another one once, and reports whether the answer was of use.
+func (n *node) hears(ctx context.Context, from *node) bool {
+	at, _ := n.Replica.Proof()
+	asked := n.Now()
+	var out relay.News
+	// A service answers every question.
+	_ = from.service.Peer().Follow(relay.Ask{Directory: at}, &out)
+	return n.Learn(ctx, &out, asked+out.Held)
+}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -11,34 +10,55 @@
 	"toucanfall/event"
 	"toucanfall/internal/loop"
 	"toucanfall/platform"
+	"toucanfall/relay"
 	"toucanfall/timeline"
 )
 
-// Times of reading the store.
+// Times of asking the store for the configuration.
 const (
-	// configWait is how long the store keeps a question for a newer
-	// configuration. Each answer proves the one in force, so that its proof is
-	// at most twice as old, well within the time in which keys are withdrawn. One
-	// that is lost is asked for again well within the 2 s in which a configuration
-	// has to be in force.
-	configWait = 700 * time.Millisecond
-	// leaderWait is the same at the coordinator, whose proof others go by.
-	leaderWait = 600 * time.Millisecond
-	// vouchedWait is the same while the coordinator vouches for the configuration
-	// in force: the question is asked for what changes only.
-	vouchedWait = 10 * time.Second
-	// configMargin is how much later than that a question is given up and asked
-	// on a new connection.
-	configMargin = 600 * time.Millisecond
-	// vouchCheck is how often it is checked that the coordinator still vouches.
-	vouchCheck = 200 * time.Millisecond
 	// storeRetry is the pause after a failed question. It doubles with each one
 	// that fails, up to slowRetry: the store prices refused calls too, and may turn
 	// some VMs away for long.
 	storeRetry = 100 * time.Millisecond
 	slowRetry  = 800 * time.Millisecond
+	// soonWait is how long the answer to a question is waited for that the store is to
+	// answer at once.
+	soonWait = 300 * time.Millisecond
+	// toldCheck is the least pause until it is looked again whether a relay still tells.
+	toldCheck = 10 * time.Millisecond
 )
 
+// configTimes are worked out from the bound within which a configuration has to be in
+// force, so that the answer to one question may be lost.
+type configTimes struct {
+	// wait is how long the store keeps a question for a newer configuration, lead the
+	// same at the coordinator. Each answer proves the one in force.
+	wait, lead time.Duration
+	// margin is how much later than that a question is given up and asked on a new
+	// connection.
+	margin time.Duration
+	// told is the age of the proof at which a VM that a relay tells asks the store, relay
+	// the same at a relay, before those that follow it would.
+	told, relay time.Duration
+}
+
+// Parts of the bound of a configuration, in hundredths. A proof counts from its question,
+// so at the coordinator it is up to twice as old as the store keeps that, and a little
+// older at the VMs that relays tell.
+const (
+	leadPart     = 20
+	waitPart     = 35
+	marginPart   = 30
+	relayAgePart = 45
+	toldPart     = 60
+)
+
+// newConfigTimes returns the times for a bound. Withdrawn keys have their own.
+func newConfigTimes(within, revoke time.Duration) configTimes {
+	bound := min(within, revoke/2) / 100
+	return configTimes{wait: waitPart * bound, lead: leadPart * bound, margin: marginPart * bound, told: toldPart * bound, relay: relayAgePart * bound}
+}
+
 // ConfigStore gives the operators' configuration.
 type ConfigStore interface {
 	ReadConfig(ctx context.Context, from platform.Cursor, wait time.Duration) (*catalogue.Config, platform.Cursor, bool, error)
@@ -50,35 +70,63 @@
 	holder *catalogue.Holder
 	now    func() time.Duration
 	events *timeline.Recorder
-	// vouched tells whether the coordinator vouches for the configuration in
-	// force, leads whether this VM is the coordinator.
-	vouched func() bool
-	leads   func() bool
-	// hurried is set after the coordinator stopped vouching.
-	hurried bool
+	times  configTimes
+	// told reports whether a relay tells this VM all the time, awaited whether one is
+	// likely to, to a VM that has just started; leads whether this VM is the coordinator,
+	// relays whether others follow it besides.
+	told, awaited, leads, relays func() bool
+	// learned is called after each answer.
+	learned func()
+	// soon is set for a question that the store is to answer at once, because a relay
+	// has told until now.
+	soon bool
 	// failures counts the questions that have failed since the last answer.
 	failures int
 }
 
-// wait returns how long the store is to keep the next question.
-func (f *configFollower) wait() time.Duration {
+// wait returns how long the store is to keep the next question, and when that is given
+// up.
+func (f *configFollower) wait() (keep, giveUp time.Duration) {
 	switch {
-	case f.hurried:
-		f.hurried = false
+	case f.soon:
+		return 0, soonWait
+	case f.leads(), f.relays():
+		return f.times.lead, f.times.lead + f.times.margin
+	}
+	return f.times.wait, f.times.wait + f.times.margin
+}
+
+// spared returns for how long the store need not be asked, because a relay tells.
+func (f *configFollower) spared() time.Duration {
+	cfg, proved := f.holder.Proved()
+	switch {
+	case cfg == nil && !f.told() && f.awaited():
+		return toldCheck
+	case proved == 0 || !f.told() || f.leads():
 		return 0
-	case f.vouched():
-		return vouchedWait
-	case f.leads():
-		return leaderWait
 	}
-	return configWait
+	limit := f.times.told
+	if f.relays() {
+		limit = f.times.relay
+	}
+	left := limit - (f.now() - proved)
+	if left <= 0 {
+		return 0
+	}
+	return max(left, toldCheck)
 }
 
 // run follows the configuration until ctx ends.
 func (f *configFollower) run(ctx context.Context) error {
 	var cursor platform.Cursor
 	for ctx.Err() == nil {
+		if d := f.spared(); d > 0 {
+			f.soon = true
+			loop.Pause(ctx, d)
+			continue
+		}
 		next, err := f.turn(ctx, cursor)
+		f.soon = false
 		if ctx.Err() != nil {
 			break
 		}
@@ -94,42 +142,57 @@
 
 // turn asks once, and takes over what is newer.
 func (f *configFollower) turn(ctx context.Context, from platform.Cursor) (platform.Cursor, error) {
-	asked, wait := f.now(), f.wait()
-	ctx, cancel := context.WithTimeout(ctx, wait+configMargin)
+	asked := f.now()
+	keep, giveUp := f.wait()
+	ctx, cancel := context.WithTimeout(ctx, giveUp)
 	defer cancel()
-	if wait == vouchedWait {
-		go f.whileVouched(ctx, cancel)
-	}
-	cfg, next, complete, err := f.store.ReadConfig(ctx, from, wait)
-	if wait == vouchedWait && errors.Is(ctx.Err(), context.Canceled) {
-		f.hurried = true
-		return from, nil // Nobody vouches any more: it is asked again at once.
-	}
+	cfg, next, complete, err := f.store.ReadConfig(ctx, from, keep)
 	if err != nil {
 		return from, err
 	}
-	if cfg != nil && f.holder.Apply(cfg) {
-		f.events.Record(event.ConfigApplied, timeline.Fields{"version": fmt.Sprint(cfg.Version), "limits": limitsOf(cfg)})
+	if cfg != nil {
+		f.apply(cfg)
 	}
 	if complete {
 		f.holder.Prove(asked)
 	}
+	f.learned()
 	return next, nil
 }
 
-// whileVouched cancels a long question once the coordinator no longer vouches for
-// the configuration in force.
-func (f *configFollower) whileVouched(ctx context.Context, cancel func()) {
-	t := time.NewTicker(vouchCheck)
-	defer t.Stop()
-	for f.vouched() {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+func (f *configFollower) apply(cfg *catalogue.Config) {
+	if f.holder.Apply(cfg) {
+		f.events.Record(event.ConfigApplied, timeline.Fields{"version": fmt.Sprint(cfg.Version), "limits": limitsOf(cfg)})
+	}
+}
+
+// learn takes over what a relay tells that looked at a time, and reports whether that is
+// of use.
+func (f *configFollower) learn(n *relay.News, looked time.Duration) bool {
+	if n.ConfigAge == relay.Unknown {
+		return false
+	}
+	if err := f.take(n); err != nil {
+		f.events.Record(event.GatewayFault, timeline.Fields{"reason": fmt.Sprintf("configuration %d of a relay: %v", n.Config, err)})
+		return false
+	}
+	f.holder.ProveVersion(n.Config, looked-n.ConfigAge)
+	f.learned()
+	return n.ConfigAge < 2*f.times.told
+}
+
+// take takes over the configuration that a relay tells, if it does.
+func (f *configFollower) take(n *relay.News) error {
+	b, err := n.Configuration()
+	if err != nil || b == nil {
+		return err
+	}
+	cfg, err := platform.DecodeConfig(b)
+	if err != nil {
+		return err
 	}
-	cancel()
+	f.apply(cfg)
+	return nil
 }
 
 // limitsOf lists the limits of the teams for the log.
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -16,10 +16,22 @@
 	"toucanfall/event"
 	"toucanfall/fleet"
 	"toucanfall/platform"
+	"toucanfall/relay"
 	"toucanfall/roster"
 	"toucanfall/timeline"
 )
 
+// never is a question whose answer is no.
+func never() bool { return false }
+
+// clockOf returns a clock that began an hour before start.
+func clockOf(start time.Time) func() time.Duration {
+	return func() time.Duration { return time.Since(start) + time.Hour }
+}
+
+// times are those of the smallest bounds of the sites.
+var times = newConfigTimes(2*time.Second, 5*time.Second)
+
 // directory is a directory with one upstream until it is removed. It tells each
 // change once, as the store does to those that read on.
 type directory struct {
@@ -33,29 +45,29 @@
 	slow atomic.Int64
 }
 
-func (d *directory) ReadDirectory(ctx context.Context, _ platform.Cursor) (platform.Changes, platform.Cursor, error) {
+func (d *directory) ReadDirectory(ctx context.Context, _ platform.Cursor) (roster.Changes, platform.Cursor, error) {
 	changes, err := d.changes(ctx)
 	select {
 	case <-time.After(time.Duration(d.slow.Load())):
 		return changes, platform.Cursor{}, err
 	case <-ctx.Done():
-		return platform.Changes{}, platform.Cursor{}, ctx.Err()
+		return roster.Changes{}, platform.Cursor{}, ctx.Err()
 	}
 }
 
-func (d *directory) changes(ctx context.Context) (platform.Changes, error) {
+func (d *directory) changes(ctx context.Context) (roster.Changes, error) {
 	switch {
 	case d.silent.Load():
 		<-ctx.Done()
-		return platform.Changes{}, ctx.Err()
+		return roster.Changes{}, ctx.Err()
 	case d.down.Load():
-		return platform.Changes{}, errors.New("the store is down")
+		return roster.Changes{}, errors.New("the store is down")
 	case d.removed.Load() && d.told.CompareAndSwap(1, 2):
-		return platform.Changes{Removed: []fleet.UpstreamID{"u"}}, nil
+		return roster.Changes{Removed: []fleet.UpstreamID{"u"}}, nil
 	case d.told.CompareAndSwap(0, 1):
-		return platform.Changes{Entries: []roster.Entry{{ID: "u", Address: "192.0.2.1:80"}}}, nil
+		return roster.Changes{Entries: []roster.Entry{{ID: "u", Address: "192.0.2.1:80"}}}, nil
 	}
-	return platform.Changes{}, nil
+	return roster.Changes{}, nil
 }
 
 // A vanished entry is believed at once, however seldom the directory is read and
@@ -78,7 +90,8 @@
 	f := newDirectoryFollower(directoryConfig{
 		Store: d, Roster: roster.New(), Events: timeline.New("test", 16, logger), Within: 2 * every,
 		Now:     func() time.Duration { return time.Since(start) + time.Hour + time.Duration(frozen.Load()) },
-		Vouched: func() (bool, bool) { return false, false }, Leads: func() bool { return false },
+		Replica: relay.NewDirectory(), Learned: func() {},
+		Told: never, Awaited: never, Leads: never, Relays: never,
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
@@ -121,7 +134,8 @@
 		a, start := &away{}, time.Now()
 		f := &configFollower{
 			store: a, events: timeline.New("test", 16, logger), now: func() time.Duration { return time.Since(start) },
-			vouched: func() bool { return false }, leads: func() bool { return false },
+			holder: catalogue.NewHolder(clockOf(start)), times: times,
+			told: never, awaited: never, leads: never, relays: never, learned: func() {},
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
@@ -141,7 +155,8 @@
 		f := newDirectoryFollower(directoryConfig{
 			Store: d, Roster: roster.New(), Events: events, Within: 2 * time.Second,
 			Now:     func() time.Duration { return time.Since(start) + time.Hour },
-			Vouched: func() (bool, bool) { return false, false }, Leads: func() bool { return false },
+			Replica: relay.NewDirectory(), Learned: func() {},
+			Told: never, Awaited: never, Leads: never, Relays: never,
 		})
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
@@ -169,12 +184,15 @@
 	})
 }
 
+// windDown is how long questions go on that are held after the end of a test.
+const windDown = 5 * time.Second
+
 // paused runs a test under the paused clock. Its context ends with it.
 func paused(t *testing.T, test func(ctx context.Context, is *is.I)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		defer synctest.Wait()
+		defer time.Sleep(windDown)
 		defer cancel()
 		test(ctx, is.New(t))
 	})
@@ -195,7 +213,8 @@
 	f.directoryFollower = newDirectoryFollower(directoryConfig{
 		Store: f.d, Roster: roster.New(), Events: timeline.New("test", 64, logger), Within: 2 * time.Second,
 		Now:     func() time.Duration { return time.Since(start) + time.Hour + time.Duration(f.frozen.Load()) },
-		Vouched: func() (bool, bool) { return false, false }, Leads: func() bool { return false },
+		Replica: relay.NewDirectory(), Learned: func() {},
+		Told: never, Awaited: never, Leads: never, Relays: never,
 	})
 	go func() { _ = f.run(ctx) }() // It ends with ctx.
 	return f
@@ -293,7 +312,8 @@
 		now := func() time.Duration { return time.Since(start) + time.Hour }
 		f := &configFollower{
 			store: v, holder: catalogue.NewHolder(now), events: timeline.New("test", 16, logger), now: now,
-			vouched: func() bool { return false }, leads: func() bool { return false },
+			times: times,
+			told:  never, awaited: never, leads: never, relays: never, learned: func() {},
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
@@ -302,7 +322,7 @@
 			time.Sleep(10*time.Second + time.Duration(delay)*100*time.Millisecond)
 			v.lose.Store(1)
 			asked, _ := f.holder.Current()
-			time.Sleep(configWait + time.Millisecond) // The question that is lost has begun.
+			time.Sleep(times.wait + time.Millisecond) // The question that is lost has begun.
 			v.newest.Add(1)
 			time.Sleep(2*time.Second - sendWithin)
 			got, _ := f.holder.Current()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"toucanfall/metric"
 	"toucanfall/peer"
 	"toucanfall/platform"
+	"toucanfall/relay"
 	"toucanfall/roster"
 	"toucanfall/serving"
 	"toucanfall/settings"
@@ -37,10 +38,10 @@
 const (
 	// eventsKept is how many events the ring for the time line holds.
 	eventsKept = 2048
-	// topics is how many topics' partitions are the parts of the rates: at 8
-	// partitions each, 104 parts are several for each of 7 VMs, and at least one
-	// for each of 100.
-	topics = 13
+	// topics is how many topics' partitions are the parts of the rates: the most that a
+	// group of the store deals. At 8 partitions each, 160 parts are several for each of
+	// 7 VMs; at 16, 320 are at least one for each of 300.
+	topics = 20
 	// staleMargin is how much sooner than keys must stop working a VM stops
 	// serving them without a proof: the request was sent before it was read.
 	staleMargin = 600 * time.Millisecond
@@ -62,7 +63,9 @@
 	roster    *roster.Roster
 	store     *platform.Store
 	directory *directoryFollower
-	voucher   *voucher
+	config    *configFollower
+	relay     *relay.Service
+	follower  *relay.Follower
 	crew      *crew.Crew
 	purse     *shares.Purse
 	own       *coordinator.Coordinator
@@ -93,37 +96,47 @@
 		links:     peer.NewLinks(nil),
 		peers:     peer.NewServer(),
 	}
-	g.voucher = &voucher{
-		now: bootclock.Now, holder: g.catalogue, roster: g.roster,
-		members: func() int { return g.crew.Size() },
-	}
+	self := crew.NewMember(cfg.VM, cfg.Peers, cfg.DataCentre)
+	replica := relay.NewDirectory()
+	g.follower = relay.NewFollower(relay.FollowerConfig{
+		Self: self, Peers: g.links, Roll: g.roll, Ask: func() relay.Ask { return g.ask(replica) }, Learn: g.learn, Now: bootclock.Now, Events: g.events,
+	})
 	g.directory = newDirectoryFollower(directoryConfig{
 		Store: g.store, Roster: g.roster, Now: bootclock.Now, Within: time.Duration(cfg.DrainWithin),
-		Vouched: g.voucher.directory, Leads: g.leads, Events: g.events,
+		Replica: replica, Learned: g.learned, Told: g.follower.Told, Awaited: g.follower.Expected, Leads: g.leads, Relays: g.relays, Events: g.events,
 	})
+	g.config = &configFollower{
+		store: g.store, holder: g.catalogue, now: bootclock.Now, events: g.events,
+		times: newConfigTimes(time.Duration(cfg.ConfigWithin), time.Duration(cfg.RevokeWithin)),
+		told:  g.follower.Told, awaited: g.follower.Expected, leads: g.leads, relays: g.relays, learned: g.learned,
+	}
 	pool := shares.NewPool()
 	g.catalogue.OnChange(g.purse.Configure)
 	g.catalogue.OnChange(pool.Configure)
 	g.crew = crew.New(crew.Config{
-		Self: crew.NewMember(cfg.VM, cfg.Peers), Store: g.store, Parts: topics * cfg.StorePartitions,
+		Self: self, Store: g.store, Parts: topics * cfg.StorePartitions, Told: g.follower.ToldOfMembers,
 		Lease: time.Duration(cfg.Lease), Fenced: cfg.Fenced, Now: bootclock.Now, Events: g.events, OnShare: g.purse.SetShare,
 	})
 	g.own = coordinator.New(coordinator.Config{
 		VM: cfg.VM, Catalogue: g.catalogue, Roster: g.roster, Engines: platform.Engines{},
 		Pool: func(u *roster.Upstream) *courier.Pool { return g.handler.Pool(u) },
-		Duty: g.crew.Duty, Fenced: g.crew.Refused, Tokens: pool, Vouch: g.voucher.own, Events: g.events,
+		Duty: g.crew.Duty, Fenced: g.crew.Refused, Tokens: pool, Events: g.events,
 	})
 	g.client = coordinator.NewClient(coordinator.ClientConfig{
 		VM: cfg.VM, Own: g.own, Peers: g.links, Roster: g.roster, Purse: g.purse,
-		Where: g.whereCoordinator, Heard: g.crew.Heard, Size: g.voucher.size,
-		Vouched: g.vouched, Now: bootclock.Now, Events: g.events,
+		Where: g.whereCoordinator, Heard: g.crew.Heard, Size: g.crew.Size,
+		Events: g.events,
 	})
+	g.relay = relay.NewService(relay.ServiceConfig{Directory: replica, Catalogue: g.catalogue, Crew: g.crew, Self: self, Now: bootclock.Now})
 	g.handler = serving.New(g.servingConfig())
 	g.callers = &http.Server{
 		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: callersIdle,
 	}
 	g.meters.Watch(g.gauges())
-	return g, g.peers.Register(coordinator.ServiceName, g.own.Service())
+	return g, errors.Join(
+		g.peers.Register(coordinator.ServiceName, g.own.Service()),
+		g.peers.Register(relay.ServiceName, g.relay.Peer()),
+	)
 }
 
 func (g *Gateway) servingConfig() serving.Config {
@@ -131,7 +144,7 @@
 		DataCentre: g.cfg.DataCentre, Wire: platform.Wire{}, Catalogue: g.catalogue, Roster: g.roster,
 		Rates: g.client, Loader: g.client, Events: g.events, Metrics: g.meters,
 		StaleAfter: g.staleAfter(),
-		Budget:     serving.NewBudget(g.cfg.RepeatRatio, g.cfg.RepeatSlack, time.Duration(g.cfg.RepeatWindow), g.voucher.size),
+		Budget:     serving.NewBudget(g.cfg.RepeatRatio, g.cfg.RepeatSlack, time.Duration(g.cfg.RepeatWindow), g.crew.Size),
 		Sharers:    g.sharers,
 		Stopping:   g.stopsAt, Directory: g.directory,
 	}
@@ -144,16 +157,40 @@
 // sharers returns how many VMs choose among the same upstreams as this one: those
 // of its data centre, if each has as many.
 func (g *Gateway) sharers() float64 {
-	return float64(g.voucher.size()) / float64(max(g.roster.DataCentres(), 1))
+	return float64(g.crew.Size()) / float64(max(g.roster.DataCentres(), 1))
 }
 
-// vouched takes the coordinator's word over, and has the directory read where that
-// tells of a newer one.
-func (g *Gateway) vouched(w coordinator.Vouch, sent time.Duration) {
-	g.voucher.take(w, sent)
-	if _, newer := g.voucher.directory(); newer {
-		g.directory.hurry()
+// roll returns the members of the fleet as this VM knows them.
+func (g *Gateway) roll() crew.Roll {
+	r, _ := g.crew.Roll()
+	return r
+}
+
+// relays reports whether other VMs follow this one, which follows the coordinator.
+func (g *Gateway) relays() bool {
+	return relay.Relays(crew.NewMember(g.cfg.VM, g.cfg.Peers, g.cfg.DataCentre), g.roll())
+}
+
+// ask returns what this VM knows of what relays tell.
+func (g *Gateway) ask(replica *relay.Directory) relay.Ask {
+	position, _ := replica.Proof()
+	version, _, _ := g.catalogue.Proof()
+	return relay.Ask{Directory: position, Config: version, Members: g.roll().Print}
+}
+
+// learn takes over what a relay tells, and reports whether it knows as much as the store
+// would tell.
+func (g *Gateway) learn(ctx context.Context, n *relay.News, looked time.Duration) bool {
+	if n.RollAge != relay.Unknown {
+		g.crew.Tell(n.Roll(g.roll()), looked-n.RollAge)
 	}
+	config := g.config.learn(n, looked)
+	return g.directory.Learn(ctx, n, looked) && config
+}
+
+// learned tells the VMs that follow this one that there may be news.
+func (g *Gateway) learned() {
+	g.relay.Learned()
 }
 
 // leads reports whether this VM is the coordinator.
@@ -227,8 +264,7 @@
 
 // addLoops adds what runs all the time.
 func (g *Gateway) addLoops(all *run.Group) {
-	config := &configFollower{store: g.store, holder: g.catalogue, now: bootclock.Now, events: g.events, vouched: g.voucher.config, leads: g.leads}
-	for _, loop := range []func(context.Context) error{config.run, g.directory.run, g.crew.Run, g.client.Run, g.own.Run} {
+	for _, loop := range []func(context.Context) error{g.config.run, g.directory.run, g.follower.Run, g.crew.Run, g.client.Run, g.own.Run} {
 		ctx, cancel := context.WithCancel(context.Background())
 		all.Add(func() error { return loop(ctx) }, func(error) { cancel() })
 	}
--- /dev/null
+++ b/relay/follower.go
@@ -0,0 +1,162 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"toucanfall/crew"
+	"toucanfall/event"
+	"toucanfall/internal/loop"
+	"toucanfall/timeline"
+)
+
+// Times of following.
+const (
+	// answerWait is how long an answer is waited for.
+	answerWait = mostHold + 300*time.Millisecond
+	// failedPause is how long a VM is left out that did not answer, or knows less than the
+	// store would tell; startedPause the same for one that knows nothing yet.
+	failedPause  = time.Second
+	startedPause = 100 * time.Millisecond
+	// askPause is the pause before the next question where none could be asked, or
+	// where one failed.
+	askPause = 50 * time.Millisecond
+	// startWait is for how long a VM that starts leaves it to relays to tell what it
+	// needs, before it asks the store.
+	startWait = 2 * time.Second
+	// toldLife is how long after its last news a VM counts as told.
+	toldLife = answerWait + mostHold
+)
+
+// Caller calls peers.
+type Caller interface {
+	Call(ctx context.Context, address, method string, args, reply any) error
+}
+
+// FollowerConfig holds the dependencies of a Follower.
+type FollowerConfig struct {
+	Self  crew.Member
+	Peers Caller
+	// Roll returns the members as this VM knows them.
+	Roll func() crew.Roll
+	// Ask returns what this VM knows.
+	Ask func() Ask
+	// Learn takes news over, which reckon from a time on the clock Now: the relay
+	// looked no sooner than that. It reports whether the relay knows as much as a VM
+	// that asks the store itself.
+	Learn func(ctx context.Context, n *News, looked time.Duration) bool
+	// Now is a clock that goes on while the machine sleeps.
+	Now    func() time.Duration
+	Events *timeline.Recorder
+}
+
+// Follower asks relays for news. Create it by [NewFollower] and call [Follower.Run].
+type Follower struct {
+	cfg FollowerConfig
+	// began is when this VM started to follow, mark that of the last answer.
+	began time.Duration
+	mark  Mark
+
+	mu   sync.Mutex
+	told time.Duration
+	// failed is until when VMs are left out.
+	failed map[crew.Member]time.Duration
+	// source is the VM that answered last, "" after a question that failed.
+	source crew.Member
+}
+
+// NewFollower returns a follower that has asked nothing yet.
+func NewFollower(cfg FollowerConfig) *Follower {
+	return &Follower{cfg: cfg, began: cfg.Now(), failed: make(map[crew.Member]time.Duration)}
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		m, ok := f.choose()
+		if !ok || !f.turn(ctx, m) {
+			loop.Pause(ctx, askPause)
+		}
+	}
+	return ctx.Err()
+}
+
+// Told reports whether a relay has told this VM all that it needs lately.
+func (f *Follower) Told() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.told != 0 && f.cfg.Now()-f.told < toldLife
+}
+
+// ToldOfMembers is like [Follower.Told], but for the members: a VM that follows the
+// coordinator itself does not hear from it that there is another one.
+func (f *Follower) ToldOfMembers() bool {
+	f.mu.Lock()
+	source := f.source
+	f.mu.Unlock()
+	return f.Told() && source != f.cfg.Roll().Coordinator
+}
+
+// Expected reports whether a relay is likely to tell this VM soon, which has just started.
+func (f *Follower) Expected() bool {
+	return f.cfg.Now()-f.began < startWait && f.cfg.Roll().Coordinator != f.cfg.Self
+}
+
+// choose returns the best VM to follow that has not failed lately.
+func (f *Follower) choose() (crew.Member, bool) {
+	now := f.cfg.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range Sources(f.cfg.Self, f.cfg.Roll()) {
+		if now >= f.failed[m] {
+			return m, true
+		}
+	}
+	return "", false
+}
+
+// turn asks a VM once, and reports whether its answer was of use.
+func (f *Follower) turn(ctx context.Context, m crew.Member) bool {
+	in := f.cfg.Ask()
+	in.Mark = f.mark
+	var out News
+	asked := f.cfg.Now()
+	limited, cancel := context.WithTimeout(ctx, answerWait)
+	defer cancel()
+	err := f.cfg.Peers.Call(limited, m.Address(), ServiceName+".Follow", in, &out)
+	if err == nil {
+		err = out.Check()
+	}
+	f.mark = out.Mark
+	useful := err == nil && f.cfg.Learn(ctx, &out, asked+out.Held)
+	leaveOut := failedPause
+	if err == nil && (out.DirectoryAge == Unknown || out.ConfigAge == Unknown) {
+		leaveOut = startedPause
+	}
+	f.note(m, useful, leaveOut, err)
+	return useful
+}
+
+// note keeps whom to ask next, and records when that changes.
+func (f *Follower) note(m crew.Member, useful bool, leaveOut time.Duration, err error) {
+	now := f.cfg.Now()
+	f.mu.Lock()
+	before := f.source
+	if useful {
+		f.told, f.source = now, m
+		delete(f.failed, m)
+	} else {
+		f.source = ""
+		f.failed[m] = now + leaveOut
+	}
+	f.mu.Unlock()
+	switch {
+	case useful && before != m:
+		f.cfg.Events.Record(event.RelayFound, timeline.Fields{"vm": string(m.VM())})
+	case err != nil:
+		f.cfg.Events.Record(event.RelayLost, timeline.Fields{"vm": string(m.VM()), "reason": err.Error()})
+	case !useful && before != "":
+		f.cfg.Events.Record(event.RelayLost, timeline.Fields{"vm": string(m.VM()), "reason": "it knows less than the store would tell"})
+	}
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -5,14 +5,11 @@
 
 import (
 	"cmp"
-	"fmt"
 	"maps"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"toucanfall/catalogue"
 	"toucanfall/fleet"
 )
@@ -31,6 +28,18 @@
 	Holdings []Holding
 }
 
+// Changes are what a read of the directory tells.
+type Changes struct {
+	// Whole is set if Entries are all that there are.
+	Whole   bool
+	Entries []Entry
+	// Removed are the upstreams whose entries are gone, in no order with
+	// Entries: the newest record of each upstream decides.
+	Removed []fleet.UpstreamID
+	// Odd are entries that could not be understood.
+	Odd []error
+}
+
 // Holding is a model that an engine holds, with its adapters.
 type Holding struct {
 	Model    fleet.ModelID
@@ -50,9 +59,6 @@
 	byID []*Upstream
 	// dataCentres counts those of byID.
 	dataCentres int
-	// print is the fingerprint while printed is set.
-	print   uint64
-	printed bool
 	// proved is when the directory was last known to hold what the roster does.
 	proved time.Duration
 }
@@ -67,7 +73,6 @@
 func (r *Roster) Put(e Entry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.printed = false
 	u, ok := r.all[e.ID]
 	if ok && u.Born() == e.Born && u.Address() == e.Address {
 		u.update(e)
@@ -92,7 +97,6 @@
 	}
 	if doubt > 0 {
 		u.doubt(time.Now().Add(doubt))
-		r.printed = false
 		return
 	}
 	r.drop(id, u)
@@ -127,7 +131,6 @@
 func (r *Roster) drop(id fleet.UpstreamID, u *Upstream) {
 	u.retire()
 	delete(r.all, id)
-	r.printed = false
 	r.index()
 }
 
@@ -161,52 +164,14 @@
 	r.proved = max(r.proved, asked)
 }
 
-// Proof returns a number that is the same for two VMs which have read the same
-// entries, and when the directory was last known to hold these, 0 if never.
-func (r *Roster) Proof() (fingerprint uint64, proved time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.fingerprint(), r.proved
-}
-
 // Proved returns when the directory was last known to hold what the roster does, 0 if
-// never. Each request asks for it, so that no fingerprint is made.
+// never.
 func (r *Roster) Proved() time.Duration {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	return r.proved
 }
 
-// ProvePrint is like [Roster.Prove] for a proof that another VM has, and reports
-// whether that VM has read the same entries. It counts for nothing otherwise.
-func (r *Roster) ProvePrint(fingerprint uint64, proved time.Duration) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.fingerprint() != fingerprint {
-		return false
-	}
-	r.proved = max(r.proved, proved)
-	return true
-}
-
-// fingerprint is kept until an entry changes. The caller holds the lock.
-func (r *Roster) fingerprint() uint64 {
-	if r.printed {
-		return r.print
-	}
-	h := xxhash.New()
-	for _, u := range r.byID {
-		if u.isDoubted() {
-			continue
-		}
-		e := u.Entry()
-		// A hash takes every write.
-		_, _ = fmt.Fprintf(h, "%s %s %s %d %t\n", e.ID, e.Service, e.Address, e.Born, e.Draining)
-	}
-	r.print, r.printed = h.Sum64(), true
-	return r.print
-}
-
 // Get returns the upstream with an id.
 func (r *Roster) Get(id fleet.UpstreamID) (*Upstream, bool) {
 	r.mu.RLock()
--- a/roster/upstream.go
+++ b/roster/upstream.go
@@ -133,12 +133,6 @@
 	}
 }
 
-func (u *Upstream) isDoubted() bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return !u.doubted.IsZero()
-}
-
 func (u *Upstream) doubtOver(now time.Time) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/script/platform-demo.sh
+++ b/script/platform-demo.sh
@@ -44,7 +44,7 @@
 	pids+=($!)
 	cat >"$dir/vm-$i.json" <<JSON
 {"vm":"vm-$i","data_centre":"dc-$i","callers":"127.0.0.1:$((base + 10 * i))","ready":"127.0.0.1:$((base + 10 * i + 1))",
- "peers":"127.0.0.1:$((base + 10 * i + 2))","store":"$store","store_partitions":8,"revoke_within":"5s","drain_within":"2s",
+ "peers":"127.0.0.1:$((base + 10 * i + 2))","store":"$store","store_partitions":8,"revoke_within":"5s","drain_within":"2s","config_within":"2s",
  "stop_within":"8s","lease":"3s","fenced":true,"repeat_ratio":0.2,"repeat_slack":50,"repeat_window":"10s","log_level":"warning"}
 JSON
 	"$bin/toucanfall" gateway --settings "$dir/vm-$i.json" --check
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -28,6 +28,8 @@
 	StorePartitions int `json:"store_partitions"`
 	// RevokeWithin is when a withdrawn key must have stopped working.
 	RevokeWithin Span `json:"revoke_within"`
+	// ConfigWithin is when a configuration must be in force.
+	ConfigWithin Span `json:"config_within"`
 	// DrainWithin is when a leaving upstream must get nothing new any more.
 	DrainWithin Span `json:"drain_within"`
 	// StopWithin is how long after SIGTERM the process is killed.
@@ -88,7 +90,7 @@
 		path  string
 		value Span
 	}{
-		{"revoke_within", g.RevokeWithin}, {"drain_within", g.DrainWithin}, {"stop_within", g.StopWithin}, {"lease", g.Lease}, {"repeat_window", g.RepeatWindow},
+		{"revoke_within", g.RevokeWithin}, {"config_within", g.ConfigWithin}, {"drain_within", g.DrainWithin}, {"stop_within", g.StopWithin}, {"lease", g.Lease}, {"repeat_window", g.RepeatWindow},
 	} {
 		if d.value <= 0 {
 			return &FieldError{Path: d.path, Value: time.Duration(d.value).String(), Reason: "must be above 0"}
