Hand pools of rate tokens over, and keep rates through an outage of the store

In an outage of the store all shares lapsed after 1.5 s, and keepers dropped what they held, because nobody's share counted any more. A keeper that was replaced kept its tokens to itself. VMs that lost the store at the same moment asked again in step, each 2.1 s.

Now a lapsed share counts where the keeper's has lapsed too; memberships of VMs other than the coordinator last 4.5 s; a keeper hands over, and closes when it leaves or knows no limits; only VMs of large fleets wait for relays, and for none that does not answer; pauses between failed questions vary by a half, and those questions are short.

Ruled out: the relays as the cause of the stale configurations (all VMs found the store in the same 20 ms; their questions ran in step).

--- a/crew/crew.go
+++ b/crew/crew.go
@@ -88,14 +88,15 @@
 	joinEvery = 300 * time.Millisecond
 	joinFleet = 16
 	slowJoin  = 1200 * time.Millisecond
-	// joinsLost is how many joins may be lost before the store takes the parts away.
-	joinsLost = 5
 	// joinTimeout bounds a call to the store, which answers within milliseconds
 	// when it is well.
 	joinTimeout = 600 * time.Millisecond
-	// Life is how long the store keeps the parts of a VM that joins each joinEvery and
-	// has not joined again.
-	Life = joinsLost * joinEvery
+	// Life is how long the store keeps the parts of the coordinator that has not joined
+	// again: time for four lost joins.
+	Life = 1500 * time.Millisecond
+	// PartLife is the same for other VMs: time for three lost joins of a large fleet, and
+	// so long the rates are minted in an outage of the store.
+	PartLife = 4500 * time.Millisecond
 	// dutyLife is how long after the last confirmed join a VM still acts as the
 	// coordinator. It ends well before Life, when a successor may be named.
 	dutyLife = 900 * time.Millisecond
@@ -183,7 +184,7 @@
 func (c *Crew) turn(ctx context.Context) {
 	c.mu.Lock()
 	leaving := c.leaving
-	generation, life := c.generation, joinsLost*c.interval()
+	generation, life := c.generation, c.life()
 	c.mu.Unlock()
 	if leaving {
 		return
@@ -211,6 +212,14 @@
 	}
 }
 
+// life returns how long the store is to keep this VM's parts. The caller holds the lock.
+func (c *Crew) life() time.Duration {
+	if c.dutySince != 0 {
+		return Life
+	}
+	return PartLife
+}
+
 // take takes over the parts that the store dealt until a time.
 func (c *Crew) take(d Dealt, asked, until time.Duration) {
 	c.mu.Lock()
--- a/crew/crew_test.go
+++ b/crew/crew_test.go
@@ -144,7 +144,7 @@
 		for range 4 {
 			f.add()
 		}
-		time.Sleep(crew.Life + 2*time.Second)
+		time.Sleep(crew.PartLife + 2*time.Second)
 		var sum float64
 		has := 0
 		for _, v := range f.vms[4:] {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -88,7 +89,7 @@
 // up.
 func (f *configFollower) wait() (keep, giveUp time.Duration) {
 	switch {
-	case f.soon:
+	case f.soon, f.failures > 1:
 		return 0, soonWait
 	case f.leads(), f.relays():
 		return f.times.lead, f.times.lead + f.times.margin
@@ -132,7 +133,7 @@
 		}
 		f.note(err)
 		if err != nil {
-			loop.Pause(ctx, min(storeRetry<<min(f.failures-1, maxDoublings), slowRetry))
+			loop.Pause(ctx, f.retryPause())
 			continue
 		}
 		cursor = next
@@ -140,6 +141,13 @@
 	return ctx.Err()
 }
 
+// retryPause returns the pause after a question that failed. By chance it is longer or
+// shorter by a half, so that VMs which ask at the same time do not go on doing so.
+func (f *configFollower) retryPause() time.Duration {
+	d := min(storeRetry<<min(f.failures-1, maxDoublings), slowRetry)
+	return d/2 + rand.N(d)
+}
+
 // turn asks once, and takes over what is newer.
 func (f *configFollower) turn(ctx context.Context, from platform.Cursor) (platform.Cursor, error) {
 	asked := f.now()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -111,7 +111,7 @@
 		times: newConfigTimes(time.Duration(cfg.ConfigWithin), time.Duration(cfg.RevokeWithin)),
 		told:  g.follower.Told, awaited: g.follower.Expected, leads: g.leads, relays: g.relays, learned: g.learned,
 	}
-	pool := shares.NewPool(bootclock.Now)
+	pool := shares.NewPool(bootclock.Now, g.purse.Lapsed)
 	g.catalogue.OnChange(g.purse.Configure)
 	g.catalogue.OnChange(pool.Configure)
 	g.crew = crew.New(crew.Config{
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -37,6 +37,7 @@
 	g.events.Record(event.StopRequested, nil)
 	time.Sleep(handOver)
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	g.rates.Leave(ctx)
 	if err := g.crew.Leave(ctx); err != nil {
 		g.events.Record(event.JoinFailed, timeline.Fields{"reason": "leave: " + err.Error()})
 	}
--- a/relay/follower.go
+++ b/relay/follower.go
@@ -62,8 +62,10 @@
 	told time.Duration
 	// failed is until when VMs are left out.
 	failed map[crew.Member]time.Duration
-	// source is the VM that answered last, "" after a question that failed.
+	// source is the VM that answered last, "" after a question that failed. Lost is set once
+	// a question had no answer at all.
 	source crew.Member
+	lost   bool
 }
 
 // NewFollower returns a follower that has asked nothing yet.
@@ -99,8 +101,14 @@
 }
 
 // Expected reports whether a relay is likely to tell this VM soon, which has just started.
+// In a small fleet each VM asks the store for itself, which is sooner.
 func (f *Follower) Expected() bool {
-	return f.cfg.Now()-f.began < startWait && f.cfg.Roll().Coordinator != f.cfg.Self
+	r := f.cfg.Roll()
+	f.mu.Lock()
+	failed := f.lost
+	f.mu.Unlock()
+	follows := len(r.Members) == 0 || len(r.Members) > direct && r.Coordinator != f.cfg.Self
+	return f.cfg.Now()-f.began < startWait && follows && !failed
 }
 
 // choose returns the best VM to follow that has not failed lately.
@@ -149,6 +157,7 @@
 	} else {
 		f.source = ""
 		f.failed[m] = now + leaveOut
+		f.lost = f.lost || err != nil
 	}
 	f.mu.Unlock()
 	switch {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -3,14 +3,19 @@
 import (
 	"bytes"
 	"compress/flate"
+	"context"
 	"encoding/gob"
+	"errors"
 	"fmt"
+	"io"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
 
 	"toucanfall/crew"
+	"toucanfall/timeline"
 )
 
 // fleet returns a roll of VMs in data centres.
@@ -97,3 +102,33 @@
 	is.NoErr(unpack(pack([]byte("a value")), &out))
 	is.Equal(string(out), "a value")
 }
+
+// deaf is a network on which nobody answers.
+type deaf struct{}
+
+// Call fails.
+func (deaf) Call(context.Context, string, string, any, any) error {
+	return errors.New("nobody answers")
+}
+
+// A VM of a large fleet that starts leaves it to its relay to tell, but not to one that
+// does not answer; in a small fleet it asks the store at once.
+func TestStartingVMWaitsForRelayOnly(t *testing.T) {
+	is := is.New(t)
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	var now time.Duration
+	var roll crew.Roll
+	f := NewFollower(FollowerConfig{
+		Self: "vm-9@192.0.2.1:9@dc-4", Peers: deaf{}, Roll: func() crew.Roll { return roll }, Ask: func() Ask { return Ask{} },
+		Now: func() time.Duration { return now }, Events: timeline.New("test", 16, logger),
+	})
+	is.True(f.Expected()) // It does not know the members yet.
+	roll = fleetOf(direct, 3)
+	is.True(!f.Expected())
+	roll = fleetOf(100, 5)
+	is.True(f.Expected())
+	is.True(!f.turn(t.Context(), roll.Coordinator))
+	is.True(!f.Expected())
+	is.True(!f.Told())
+}
--- a/shares/keeper.go
+++ b/shares/keeper.go
@@ -44,14 +44,14 @@
 
 // Put takes a VM's message.
 func (s *Service) Put(in Deposit, _ *Grant) error {
-	s.p.Put(in)
-	return nil
+	return s.p.Put(in)
 }
 
 // Take gives tokens.
 func (s *Service) Take(in Request, out *Grant) error {
-	out.Given = s.p.Take(in.Deposit, in.Team, in.Need, in.Want)
-	return nil
+	given, err := s.p.Take(in.Deposit, in.Team, in.Need, in.Want)
+	out.Given = given
+	return err
 }
 
 // Times of messages to keepers.
@@ -144,7 +144,7 @@
 		calls.Go(func() {
 			if k, counts, ok := c.keeper(pools, i); ok {
 				var out Grant
-				c.call(ctx, k, "Put", c.deposit(len(pools), i, counts), &out)
+				c.call(ctx, k, "Put", c.deposit(len(pools), i, k, counts), &out)
 			}
 		})
 	}
@@ -162,12 +162,19 @@
 	c.cfg.Purse.SetAlone(alone)
 }
 
-// deposit takes this VM's spare tokens of a pool's teams out of its purse. The share counts
-// if counts is set.
-func (c *Client) deposit(pools, pool int, counts bool) Deposit {
-	d := Deposit{VM: c.cfg.VM, Spare: c.cfg.Purse.Spare(func(t fleet.TeamID) bool { return poolOf(t, pools) == pool })}
+// deposit takes this VM's spare tokens of a pool's teams out of its purse, for a keeper. The
+// share counts if counts is set. What this VM's own pool holds of these teams goes along,
+// once another VM keeps them.
+func (c *Client) deposit(pools, pool int, k Keeper, counts bool) Deposit {
+	of := func(t fleet.TeamID) bool { return poolOf(t, pools) == pool }
+	d := Deposit{VM: c.cfg.VM, Spare: c.cfg.Purse.Spare(of)}
+	if k.VM != c.cfg.VM {
+		for t, n := range c.cfg.Own.empty(of) {
+			d.Spare[t] += n
+		}
+	}
 	if counts {
-		d.Share = c.cfg.Purse.Share()
+		d.Share, d.Lapsed = c.cfg.Purse.dealt()
 	}
 	return d
 }
@@ -220,7 +227,7 @@
 func (c *Client) call(ctx context.Context, k Keeper, method string, args any, out *Grant) bool {
 	var err error
 	if k.VM == c.cfg.VM {
-		c.local(args, out)
+		err = c.local(args, out)
 	} else {
 		limited, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
@@ -245,13 +252,21 @@
 	return false
 }
 
-func (c *Client) local(args any, out *Grant) {
-	switch in := args.(type) {
-	case Deposit:
-		c.cfg.Own.Put(in)
-	case Request:
-		out.Given = c.cfg.Own.Take(in.Deposit, in.Team, in.Need, in.Want)
+func (c *Client) local(args any, out *Grant) error {
+	s := c.cfg.Own.Service()
+	if in, ok := args.(Request); ok {
+		return s.Take(in, out)
 	}
+	return s.Put(args.(Deposit), out)
+}
+
+// Leave hands what this VM's pool holds over to the next keepers, and keeps none any more.
+func (c *Client) Leave(ctx context.Context) {
+	c.cfg.Own.Close()
+	c.mu.Lock()
+	c.down[c.cfg.VM] = c.cfg.Now() + probeEvery
+	c.mu.Unlock()
+	c.turn(ctx)
 }
 
 // Take charges a team, with tokens of its pool where this VM has too few.
@@ -291,7 +306,7 @@
 		if !ok {
 			return false
 		}
-		in := Request{Deposit: c.deposit(len(pools), pool, counts), Team: team, Need: need, Want: need + c.cfg.Purse.Room(team)}
+		in := Request{Deposit: c.deposit(len(pools), pool, k, counts), Team: team, Need: need, Want: need + c.cfg.Purse.Room(team)}
 		var out Grant
 		if !c.call(ctx, k, "Take", in, &out) {
 			continue
--- a/shares/keeper_test.go
+++ b/shares/keeper_test.go
@@ -46,8 +46,11 @@
 		return errNotReached
 	}
 	for _, v := range w.vms {
-		if string(v.id) == address {
-			v.client.local(args, reply.(*Grant))
+		if string(v.id) != address {
+			continue
+		}
+		if err := v.client.local(args, reply.(*Grant)); err != nil {
+			return err
 		}
 	}
 	if w.lossy() {
@@ -68,7 +71,8 @@
 		keepers[i%pools] = append(keepers[i%pools], Keeper{VM: id, Address: string(id)})
 	}
 	for i := range n {
-		v := &vm{w: w, id: fleet.VMID(fmt.Sprint(i)), purse: NewPurse(now), pool: NewPool(now)}
+		v := &vm{w: w, id: fleet.VMID(fmt.Sprint(i)), purse: NewPurse(now)}
+		v.pool = NewPool(now, v.purse.Lapsed)
 		v.client = NewClient(ClientConfig{
 			VM: v.id, Own: v.pool, Purse: v.purse, Peers: w, Keepers: func() [][]Keeper { return keepers },
 			Size: func() int { return n }, Now: now, Events: timeline.New("test", 16, logger),
@@ -213,6 +217,75 @@
 	is.True(static/asked > 0.5)
 }
 
+// Guards against refusals after the keepers have changed: what the VM before has of a pool
+// goes to the next one, also when it leaves.
+func TestPoolIsHandedOver(t *testing.T) {
+	is := is.New(t)
+	team := &catalogue.Team{ID: "team", Rate: 10_000, Burst: 10_000}
+	w := newWorld(6, 1, team)
+	for range 10 {
+		w.now += 200 * time.Millisecond
+		for _, v := range w.vms {
+			w.turn(v)
+		}
+	}
+	before := w.vms[0].pool.levels["team"]
+	is.Equal(before, Tokens(3000)) // full
+	// Others have noticed that the next one is to keep it, for none of them may hold more
+	// of its tokens than the VMs that count with it allow.
+	for _, v := range w.vms[1:] {
+		v.client.down["0"] = w.now + 2*time.Hour
+		w.turn(v)
+	}
+	w.vms[0].client.Leave(t.Context())
+	is.Equal(w.vms[0].pool.levels["team"], Tokens(0))
+	is.True(w.vms[1].pool.levels["team"] >= 0.9*before)
+	_, err := w.vms[0].pool.Take(Deposit{VM: "5"}, "team", 1, 1)
+	is.True(errors.Is(err, ErrClosed)) // Nobody is told that there are no tokens.
+}
+
+// Guards against refusals after a restart: a VM that knows no limits yet keeps no pool, and
+// another one is asked.
+func TestVMWithoutLimitsKeepsNoPool(t *testing.T) {
+	is := is.New(t)
+	team := &catalogue.Team{ID: "team", Rate: 10_000, Burst: 10_000}
+	w := newWorld(6, 1, team)
+	started := w.vms[0]
+	started.pool = NewPool(started.client.cfg.Now, started.purse.Lapsed)
+	started.client.cfg.Own = started.pool
+	for range 10 {
+		w.now += 200 * time.Millisecond
+		for _, v := range w.vms {
+			w.turn(v)
+		}
+	}
+	_, ok := w.vms[5].client.Take(t.Context(), team, 1000)
+	is.True(ok)
+	is.Equal(len(w.vms[5].client.down), 1)
+}
+
+// Guards against refusals within the rate in an outage of the store: tokens that were
+// minted before stay in the pool, though no share is confirmed.
+func TestOutageOfStoreTakesNoTokens(t *testing.T) {
+	is := is.New(t)
+	team := &catalogue.Team{ID: "team", Rate: 10_000, Burst: 10_000}
+	w := newWorld(6, 1, team)
+	for range 10 {
+		w.now += 200 * time.Millisecond
+		for _, v := range w.vms {
+			w.turn(v)
+		}
+	}
+	for range 20 { // The store confirms nothing any more.
+		w.now += 200 * time.Millisecond
+		for _, v := range w.vms {
+			v.client.turn(t.Context())
+		}
+	}
+	is.True(w.vms[5].purse.Lapsed())
+	is.Equal(w.vms[0].pool.levels["team"], Tokens(3000))
+}
+
 // Guards against bursts that several keepers hold at once (QUOTA): whoever the VMs of an
 // idle team leave one after the other, all that can be taken at one moment is the burst.
 func TestKeepersHoldOneBurst(t *testing.T) {
--- a/shares/purse.go
+++ b/shares/purse.go
@@ -140,6 +140,20 @@
 	return p.share
 }
 
+// Lapsed reports whether the store has not confirmed this VM's share lately. The VM mints
+// nothing then.
+func (p *Purse) Lapsed() bool {
+	_, lapsed := p.dealt()
+	return lapsed
+}
+
+// dealt returns the share that this VM was dealt last, and whether it has lapsed.
+func (p *Purse) dealt() (share float64, lapsed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.share, p.now() >= p.until
+}
+
 // Room returns how many more tokens of a team this VM can keep.
 func (p *Purse) Room(team fleet.TeamID) Tokens {
 	p.mu.Lock()
--- a/shares/shares_test.go
+++ b/shares/shares_test.go
@@ -31,7 +31,7 @@
 
 func newFleet(n int) *fleetOf {
 	f := &fleetOf{}
-	f.pool = shares.NewPool(func() time.Duration { return f.now })
+	f.pool = shares.NewPool(func() time.Duration { return f.now }, func() bool { return false })
 	for range n {
 		f.purses = append(f.purses, shares.NewPurse(func() time.Duration { return f.now }))
 	}
@@ -56,8 +56,8 @@
 	if p.Take(team, n) {
 		return true
 	}
-	given := f.pool.Take(f.deposit(p), team, n, n+p.Room(team))
-	if given < n {
+	given, err := f.pool.Take(f.deposit(p), team, n, n+p.Room(team))
+	if err != nil || given < n {
 		return false
 	}
 	p.Put(team, given-n)
@@ -86,7 +86,7 @@
 					}
 				}
 			case "spare":
-				f.pool.Put(f.deposit(p))
+				_ = f.pool.Put(f.deposit(p)) // It is not closed.
 			case "lost":
 				f.deposit(p)
 			case "deal":
@@ -111,7 +111,7 @@
 		for _, p := range f.purses {
 			p.SetShare(1.0/7, f.now+time.Second)
 			if f.now%(200*time.Millisecond) == 0 {
-				f.pool.Put(f.deposit(p))
+				_ = f.pool.Put(f.deposit(p)) // It is not closed.
 			}
 		}
 		for f.admit(f.purses[0], 1000) {
@@ -128,7 +128,7 @@
 	f.configure(config(1, 1000, 1000))
 	f.purses[0].SetShare(1, time.Hour)
 	f.now = time.Second
-	f.pool.Put(f.deposit(f.purses[0]))
+	is.NoErr(f.pool.Put(f.deposit(f.purses[0])))
 	f.configure(config(2, 10, 10))
 	var admitted shares.Tokens
 	for f.admit(f.purses[0], 1) {
