Split the duty and what relays tell into files of their own, and test relays' proofs

The tests of the coordinator's word went with it; what they proved is proved for relays now: TestProofOfRelay and TestOldProofOfRelaySparesNothing (TestProofOfAnotherVM, TestOldWordSparesNothing), TestDoubtedUpstreamIsNotTold (TestDoubtedUpstreamIsNotVouchedFor), TestEarlierPositionProvesNothing and TestRandomRelaysTellWhatStands (TestOtherDirectoryIsRead). The purse without a pool is TestVMKeepsItsShareWhileThereIsNoKeeper (TestVMKeepsItsShareWhileThereIsNoCoordinator).

--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -104,15 +102,6 @@
 	err     error
 }
 
-// told is what a relay tells of the directory up to a position, as it was proved by a
-// question of the time asked. Done is closed once it is taken over.
-type told struct {
-	changes  roster.Changes
-	position int64
-	asked    time.Duration
-	done     chan struct{}
-}
-
 // directoryFollower keeps the roster up to date, and tells whether requests may be
 // sent by it.
 type directoryFollower struct {
@@ -327,41 +316,6 @@
 	f.Learned()
 }
 
-// Learn takes over what a relay tells that looked at a time, and reports whether that is
-// of use: a relay that was cut off itself knows less than the store would tell.
-func (f *directoryFollower) Learn(ctx context.Context, n *relay.News, looked time.Duration) bool {
-	if n.DirectoryAge == relay.Unknown {
-		return false
-	}
-	changes, err := n.Changes()
-	if err != nil {
-		f.Events.Record(event.GatewayFault, timeline.Fields{"reason": "directory of a relay: " + err.Error()})
-		return false
-	}
-	t := told{changes: changes, position: int64(n.Directory), asked: looked - n.DirectoryAge, done: make(chan struct{})}
-	select {
-	case f.news <- t:
-	case <-ctx.Done():
-		return false
-	}
-	<-t.done
-	return n.DirectoryAge < f.most
-}
-
-// learn takes over what a relay tells. Entries that vanished while the store answered
-// nothing are doubted as after an answer of the store. What is told of an earlier
-// position than this VM has read proves nothing.
-func (f *directoryFollower) learn(t told, now time.Duration) {
-	defer close(t.done)
-	if t.position < f.cursor.Position() {
-		return
-	}
-	if t.asked > f.silent {
-		f.endOutage(now)
-	}
-	f.read(t.changes, t.position, &question{asked: t.asked, cause: "relay", before: f.age(now)}, now)
-}
-
 // endOutage notes that something is known of the store again.
 func (f *directoryFollower) endOutage(now time.Duration) {
 	if f.silent != 0 && now-f.silent > outage {
@@ -400,43 +354,6 @@
 	}
 }
 
-// watch records when the directory becomes too old, and when it is in time again.
-func (f *directoryFollower) watch(now time.Duration) {
-	proved := f.Roster.Proved()
-	age := now - proved
-	switch {
-	case proved == 0:
-		// It was never read.
-	case age > f.most:
-		if f.late == 0 {
-			f.Events.Record(event.DirectoryLate, timeline.Fields{"age_ms": timeline.Millis(age), "reason": fmt.Sprint(f.why)})
-		}
-		f.late = max(f.late, age)
-	case f.late != 0:
-		f.Events.Record(event.DirectoryInTime, timeline.Fields{"late_ms": timeline.Millis(f.late)})
-		f.late = 0
-	}
-}
-
-// tell records which of the upstreams that were known get nothing new any more.
-func (f *directoryFollower) tell(known []*roster.Upstream, q *question, now time.Duration) {
-	for _, u := range known {
-		how, doubted := u.Leaving()
-		if how == "" || f.named[u] {
-			continue
-		}
-		f.named[u] = true
-		f.Events.Record(event.UpstreamLeaving, timeline.Fields{
-			"upstream": string(u.ID), "how": how, "doubted_ms": timeline.Millis(doubted), "cause": q.cause,
-			"asked_ms": timeline.Millis(now - q.asked), "before_ms": timeline.Millis(q.before),
-		})
-	}
-	maps.DeleteFunc(f.named, func(u *roster.Upstream, _ bool) bool {
-		now, ok := f.Roster.Get(u.ID)
-		return !ok || now != u
-	})
-}
-
 // take takes over what was read. Entries that have vanished are doubted for a time,
 // if it is above 0.
 func (f *directoryFollower) take(c roster.Changes, doubt time.Duration) {
--- a/gateway/directory_test.go
+++ b/gateway/directory_test.go
@@ -370,6 +370,9 @@
 	})
 }
 
+// still returns a source of chance for a way without slow or lost answers.
+func still() *rand.Rand { return rand.New(rand.NewPCG(1, 1)) }
+
 // hears lets a VM ask another one once, and reports whether the answer was of use.
 func (n *node) hears(ctx context.Context, from *node) bool {
 	at, _ := n.Replica.Proof()
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -205,7 +205,7 @@
 	frozen atomic.Int64
 }
 
-// follow starts a follower that nobody vouches to. Its VM may be frozen.
+// follow starts a follower that no relay tells. Its VM may be frozen.
 func follow(ctx context.Context) *followed {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
@@ -300,7 +300,7 @@
 }
 
 // Guards against a configuration that is in force too late (CONFIG) where one answer of
-// the store is lost and nobody vouches: it is asked for again well within the bound of
+// the store is lost and no relay tells: it is asked for again well within the bound of
 // 2 s of the sites.
 func TestLostAnswerDelaysNoConfiguration(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
