Draw the lost answers of a step before it, and set a test's relay under its lock

TestRandomKeepersStayWithinLimit drew from rapid in goroutines, so that its verdict hung on their order; TestSumsSurviveLossOfRelay set a field that the running client reads.

No change of code.

--- a/coordinator/gather_test.go
+++ b/coordinator/gather_test.go
@@ -146,14 +146,14 @@
 		}
 		time.Sleep(5 * time.Second)
 		b.mu.Lock()
-		b.gone["relay-1"], b.gone["coordinator"] = true, false
+		b.gone["relay-1"] = true
 		for _, v := range vms {
 			if v.over == "relay-1" {
 				v.over = "relay-2"
 			}
 		}
-		b.mu.Unlock()
 		vms[0].over = "relay-1" // The lost relay itself sends nothing to the coordinator.
+		b.mu.Unlock()
 		time.Sleep(5 * time.Second)
 		is.Equal(vms[7].others(), len(vms)-2)
 	})
--- a/shares/keeper_test.go
+++ b/shares/keeper_test.go
@@ -24,9 +24,9 @@
 	now   time.Duration
 	vms   []*vm
 	teams []*catalogue.Team
-	// gone are VMs that answer nobody; lossy loses the answer to a call now and then.
-	gone  map[string]bool
-	lossy func() bool
+	// gone are VMs that answer nobody. Losing is set while the answers to calls are lost.
+	gone   map[string]bool
+	losing bool
 }
 
 // vm is a VM with its purse and the pool that it may keep.
@@ -53,7 +53,7 @@
 			return err
 		}
 	}
-	if w.lossy() {
+	if w.losing {
 		return errNotReached
 	}
 	return nil
@@ -61,7 +61,7 @@
 
 // newWorld returns a fleet with a number of pools, each kept by one of three VMs.
 func newWorld(n, pools int, teams ...*catalogue.Team) *world {
-	w := &world{teams: teams, gone: make(map[string]bool), lossy: func() bool { return false }}
+	w := &world{teams: teams, gone: make(map[string]bool)}
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	now := func() time.Duration { return w.now + time.Hour }
@@ -109,11 +109,11 @@
 		team := &catalogue.Team{ID: "team", Rate: r, Burst: burst}
 		n := rapid.IntRange(3, 7).Draw(t, "vms")
 		w := newWorld(n, 1, team)
-		w.lossy = func() bool { return rapid.IntRange(0, 9).Draw(t, "lost") == 0 }
 		start := time.Unix(0, 0)
 		checker := rate.NewChecker(start, rate.NewLimit(r, burst))
 		for range rapid.IntRange(20, 150).Draw(t, "steps") {
 			w.now += time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond
+			w.losing = rapid.IntRange(0, 9).Draw(t, "lost") == 0
 			v := w.vms[rapid.IntRange(0, n-1).Draw(t, "vm")]
 			switch rapid.SampledFrom([]string{"admit", "admit", "admit", "turn", "turn", "gone", "back"}).Draw(t, "what") {
 			case "admit":
