Keep the position of the directory once, and say shared things once

No change of behaviour. The follower kept a cursor beside the replica, which holds the same position; the gateway built its member anew at each look to tell whether it is a relay; Share and dealt read the same; Member was cut apart in three places. Tests share their set-up; their assertions are as they were.

--- a/coordinator/gather_test.go
+++ b/coordinator/gather_test.go
@@ -105,16 +105,23 @@
 	return b, vms
 }
 
-// Guards against choices by what was known seconds ago, and against messages to the
-// coordinator that grow with the fleet: over relays each VM of a large fleet hears within a
-// second what all others have in flight, each request counted once.
-func TestSumsGoOverRelays(t *testing.T) {
+// planted runs a test of a fleet under the paused clock. The fleet ends with it.
+func planted(t *testing.T, test func(is *is.I, b *branch, vms []*branchVM)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer synctest.Wait()
 		defer cancel()
 		b, vms := plant(ctx)
+		test(is.New(t), b, vms)
+	})
+}
+
+// Guards against choices by what was known seconds ago, and against messages to the
+// coordinator that grow with the fleet: over relays each VM of a large fleet hears within a
+// second what all others have in flight, each request counted once.
+func TestSumsGoOverRelays(t *testing.T) {
+	planted(t, func(is *is.I, b *branch, vms []*branchVM) {
 		time.Sleep(5 * time.Second)
 		b.mu.Lock()
 		b.direct = 0
@@ -135,12 +142,7 @@
 // A VM whose relay is lost sends over another one, and is counted there soon and no more
 // at the one before.
 func TestSumsSurviveLossOfRelay(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		defer synctest.Wait()
-		defer cancel()
-		b, vms := plant(ctx)
+	planted(t, func(is *is.I, b *branch, vms []*branchVM) {
 		for _, v := range vms {
 			v.begin()
 		}
@@ -162,12 +164,7 @@
 // Guards against trust in sums that nobody renews: a relay that hears nothing from the
 // coordinator tells nothing.
 func TestRelayWithoutCoordinatorTellsNothing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		defer synctest.Wait()
-		defer cancel()
-		b, vms := plant(ctx)
+	planted(t, func(is *is.I, b *branch, vms []*branchVM) {
 		time.Sleep(5 * time.Second)
 		var out coordinator.SyncAnswer
 		is.NoErr(vms[0].client.Gathering().Sync(coordinator.Sync{VM: "new"}, &out))
--- a/crew/crew.go
+++ b/crew/crew.go
@@ -34,23 +34,28 @@
 	return Member(string(vm) + "@" + address + "@" + string(dc))
 }
 
+// cut splits a member into what it was made of.
+func (m Member) cut() (vm, address, dc string) {
+	vm, rest, _ := strings.Cut(string(m), "@")
+	address, dc, _ = strings.Cut(rest, "@")
+	return vm, address, dc
+}
+
 // VM returns the VM of a member.
 func (m Member) VM() fleet.VMID {
-	vm, _, _ := strings.Cut(string(m), "@")
+	vm, _, _ := m.cut()
 	return fleet.VMID(vm)
 }
 
 // Address returns the address of the member's peers' listener.
 func (m Member) Address() string {
-	_, rest, _ := strings.Cut(string(m), "@")
-	a, _, _ := strings.Cut(rest, "@")
-	return a
+	_, address, _ := m.cut()
+	return address
 }
 
 // DataCentre returns the data centre of the member's VM.
 func (m Member) DataCentre() fleet.DataCentre {
-	_, rest, _ := strings.Cut(string(m), "@")
-	_, dc, _ := strings.Cut(rest, "@")
+	_, _, dc := m.cut()
 	return fleet.DataCentre(dc)
 }
 
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -114,7 +114,6 @@
 
 	answers chan directoryAnswer
 	news    chan told
-	cursor  platform.Cursor
 	// out are the questions without an answer, in their order.
 	out []*question
 	// silent is since when the store has answered nothing, 0 if nothing is owed. The
@@ -264,7 +263,7 @@
 func (f *directoryFollower) ask(ctx context.Context, q *question, asking *sync.WaitGroup) {
 	var limited context.Context
 	limited, q.cancel = context.WithTimeout(ctx, questionTimeout)
-	a := directoryAnswer{to: q, next: f.cursor}
+	a := directoryAnswer{to: q, next: platform.CursorAt(int64(f.position()))}
 	asking.Go(func() {
 		defer q.cancel()
 		a.changes, a.next, a.err = f.Store.ReadDirectory(limited, a.next)
@@ -298,20 +297,24 @@
 		older.cancel()
 	}
 	f.out = f.out[i:]
-	f.read(a.changes, a.next.Position(), q, now)
+	f.read(a.changes, relay.Position(a.next.Position()), q, now)
 	f.refused, f.retry, f.silent = 0, 0, 0
 	f.away.Store(false)
 }
 
+// position returns how far the directory was read.
+func (f *directoryFollower) position() relay.Position {
+	at, _ := f.Replica.Proof()
+	return at
+}
+
 // read takes over what was read up to a position, unless a relay has told more meanwhile.
-func (f *directoryFollower) read(c roster.Changes, position int64, q *question, now time.Duration) {
-	if position >= f.cursor.Position() {
-		f.cursor = platform.CursorAt(position)
+func (f *directoryFollower) read(c roster.Changes, position relay.Position, q *question, now time.Duration) {
+	if f.Replica.Take(c, position, q.asked) {
 		known := f.Roster.Upstreams()
 		f.take(c, f.doubtUntil-now)
 		defer f.tell(known, q, now)
 	}
-	f.Replica.Take(c, relay.Position(position), q.asked)
 	f.Roster.Prove(q.asked)
 	f.Learned()
 }
--- a/gateway/directory_test.go
+++ b/gateway/directory_test.go
@@ -190,7 +190,7 @@
 				return n.Learn(ctx, news, looked)
 			},
 		})
-		told, relays = n.follower.Told, func() bool { return relay.Relays(self, roll) }
+		told, relays = n.follower.Told, n.follower.Relays
 	}
 	n.directoryFollower = newDirectoryFollower(directoryConfig{
 		Store: r, Roster: roster.New(), Now: c.now, Within: drainWithin, Replica: replica, Learned: n.service.Learned,
--- a/gateway/directory_told.go
+++ b/gateway/directory_told.go
@@ -14,7 +14,7 @@
 // question of the time asked. Done is closed once it is taken over.
 type told struct {
 	changes  roster.Changes
-	position int64
+	position relay.Position
 	asked    time.Duration
 	done     chan struct{}
 }
@@ -30,7 +30,7 @@
 		f.Events.Record(event.GatewayFault, timeline.Fields{"reason": "directory of a relay: " + err.Error()})
 		return false
 	}
-	t := told{changes: changes, position: int64(n.Directory), asked: looked - n.DirectoryAge, done: make(chan struct{})}
+	t := told{changes: changes, position: n.Directory, asked: looked - n.DirectoryAge, done: make(chan struct{})}
 	select {
 	case f.news <- t:
 	case <-ctx.Done():
@@ -45,7 +45,7 @@
 // position than this VM has read proves nothing.
 func (f *directoryFollower) learn(t told, now time.Duration) {
 	defer close(t.done)
-	if t.position < f.cursor.Position() {
+	if t.position < f.position() {
 		return
 	}
 	if t.asked > f.silent {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -100,16 +100,16 @@
 	self := crew.NewMember(cfg.VM, cfg.Peers, cfg.DataCentre)
 	replica := relay.NewDirectory()
 	g.follower = relay.NewFollower(relay.FollowerConfig{
-		Self: self, Peers: g.links, Roll: g.roll, Ask: func() relay.Ask { return g.ask(replica) }, Learn: g.learn, Now: bootclock.Now, Events: g.events,
+		Self: self, Peers: g.links, Roll: g.roll, Ask: g.ask, Learn: g.learn, Now: bootclock.Now, Events: g.events,
 	})
 	g.directory = newDirectoryFollower(directoryConfig{
 		Store: g.store, Roster: g.roster, Now: bootclock.Now, Within: time.Duration(cfg.DrainWithin),
-		Replica: replica, Learned: g.learned, Told: g.follower.Told, Awaited: g.follower.Expected, Leads: g.leads, Relays: g.relays, Events: g.events,
+		Replica: replica, Learned: g.learned, Told: g.follower.Told, Awaited: g.follower.Expected, Leads: g.leads, Relays: g.follower.Relays, Events: g.events,
 	})
 	g.config = &configFollower{
 		store: g.store, holder: g.catalogue, now: bootclock.Now, events: g.events,
 		times: newConfigTimes(time.Duration(cfg.ConfigWithin), time.Duration(cfg.RevokeWithin)),
-		told:  g.follower.Told, awaited: g.follower.Expected, leads: g.leads, relays: g.relays, learned: g.learned,
+		told:  g.follower.Told, awaited: g.follower.Expected, leads: g.leads, relays: g.follower.Relays, learned: g.learned,
 	}
 	pool := shares.NewPool(bootclock.Now, g.purse.Lapsed)
 	g.catalogue.OnChange(g.purse.Configure)
@@ -172,16 +172,10 @@
 	return r
 }
 
-// relays reports whether other VMs follow this one, which follows the coordinator.
-func (g *Gateway) relays() bool {
-	return relay.Relays(crew.NewMember(g.cfg.VM, g.cfg.Peers, g.cfg.DataCentre), g.roll())
-}
-
 // ask returns what this VM knows of what relays tell.
-func (g *Gateway) ask(replica *relay.Directory) relay.Ask {
-	position, _ := replica.Proof()
+func (g *Gateway) ask() relay.Ask {
 	version, _, _ := g.catalogue.Proof()
-	return relay.Ask{Directory: position, Config: version, Members: g.roll().Print}
+	return relay.Ask{Directory: g.directory.position(), Config: version, Members: g.roll().Print}
 }
 
 // learn takes over what a relay tells, and reports whether it knows as much as the store
--- a/relay/directory.go
+++ b/relay/directory.go
@@ -51,13 +51,14 @@
 }
 
 // Take takes over what was read up to a position, by a question that was asked at the
-// time asked.
-func (d *Directory) Take(c roster.Changes, at Position, asked time.Duration) {
+// time asked. It reports whether nothing later had been read meanwhile; only the proof
+// counts otherwise.
+func (d *Directory) Take(c roster.Changes, at Position, asked time.Duration) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.proved = max(d.proved, asked)
 	if at < d.at {
-		return // Something later was read meanwhile.
+		return false
 	}
 	if c.Whole {
 		clear(d.entries)
@@ -71,6 +72,7 @@
 		d.remove(id, at)
 	}
 	d.pass(at)
+	return true
 }
 
 // pass notes that the directory was read up to a position.
--- a/relay/follower.go
+++ b/relay/follower.go
@@ -98,6 +98,11 @@
 	return ok
 }
 
+// Relays reports whether other VMs follow this one, which follows the coordinator.
+func (f *Follower) Relays() bool {
+	return Relays(f.cfg.Self, f.cfg.Roll())
+}
+
 // Over returns the address of the relay that tells this VM, false if none does: the
 // coordinator itself is none.
 func (f *Follower) Over() (address string, ok bool) {
--- a/shares/keeper.go
+++ b/shares/keeper.go
@@ -194,14 +194,14 @@
 		if _, down := c.down[k.VM]; down {
 			continue
 		}
-		it, had := c.kept[pool]
-		if had && it.by.VM != k.VM {
-			c.cfg.Events.Record(event.KeeperChanged, timeline.Fields{"vm": string(k.VM), "before": string(it.by.VM)})
-			it.since, it.uncounted = now, it.since+countedFor
+		state, had := c.kept[pool]
+		if had && state.by.VM != k.VM {
+			c.cfg.Events.Record(event.KeeperChanged, timeline.Fields{"vm": string(k.VM), "before": string(state.by.VM)})
+			state.since, state.uncounted = now, state.since+countedFor
 		}
-		it.by = k
-		c.kept[pool] = it
-		return k, now >= it.uncounted, true
+		state.by = k
+		c.kept[pool] = state
+		return k, now >= state.uncounted, true
 	}
 	return Keeper{}, false, false
 }
--- a/shares/keeper_test.go
+++ b/shares/keeper_test.go
@@ -100,6 +100,16 @@
 	v.client.turn(context.Background())
 }
 
+// turns lets all VMs send their messages a number of times, each 0.2 s.
+func (w *world) turns(n int) {
+	for range n {
+		w.now += 200 * time.Millisecond
+		for _, v := range w.vms {
+			w.turn(v)
+		}
+	}
+}
+
 // Guards against more than a team's rate and burst (QUOTA) while keepers die, come back,
 // are cut off from some and lose answers: for every interval what is admitted over all
 // VMs stays within both.
@@ -223,12 +233,7 @@
 	is := is.New(t)
 	team := &catalogue.Team{ID: "team", Rate: 10_000, Burst: 10_000}
 	w := newWorld(6, 1, team)
-	for range 10 {
-		w.now += 200 * time.Millisecond
-		for _, v := range w.vms {
-			w.turn(v)
-		}
-	}
+	w.turns(10)
 	before := w.vms[0].pool.levels["team"]
 	is.Equal(before, Tokens(3000)) // full
 	// Others have noticed that the next one is to keep it, for none of them may hold more
@@ -253,12 +258,7 @@
 	started := w.vms[0]
 	started.pool = NewPool(started.client.cfg.Now, started.purse.Lapsed)
 	started.client.cfg.Own = started.pool
-	for range 10 {
-		w.now += 200 * time.Millisecond
-		for _, v := range w.vms {
-			w.turn(v)
-		}
-	}
+	w.turns(10)
 	_, ok := w.vms[5].client.Take(t.Context(), team, 1000)
 	is.True(ok)
 	is.Equal(len(w.vms[5].client.down), 1)
@@ -270,12 +270,7 @@
 	is := is.New(t)
 	team := &catalogue.Team{ID: "team", Rate: 10_000, Burst: 10_000}
 	w := newWorld(6, 1, team)
-	for range 10 {
-		w.now += 200 * time.Millisecond
-		for _, v := range w.vms {
-			w.turn(v)
-		}
-	}
+	w.turns(10)
 	for range 20 { // The store confirms nothing any more.
 		w.now += 200 * time.Millisecond
 		for _, v := range w.vms {
--- a/shares/purse.go
+++ b/shares/purse.go
@@ -3,8 +3,9 @@
 // Every unit of a team's rate is minted by one VM: the store deals equal parts
 // of all rates to the VMs of the fleet, and a VM mints what its parts allow for
 // as long as the store has confirmed them lately. What a VM does not need goes
-// to a pool that another VM keeps, and a VM that is short takes from the pool. Tokens are debited where they come from before they are sent, so a lost
-// message loses tokens and never doubles them.
+// to a pool that another VM keeps, and a VM that is short takes from the pool.
+// Tokens are debited where they come from before they are sent, so a lost message
+// loses tokens and never doubles them.
 package shares
 
 import (
@@ -132,12 +133,11 @@
 
 // Share returns the share of the rates that this VM mints now.
 func (p *Purse) Share() float64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.now() >= p.until {
+	share, lapsed := p.dealt()
+	if lapsed {
 		return 0
 	}
-	return p.share
+	return share
 }
 
 // Lapsed reports whether the store has not confirmed this VM's share lately. The VM mints
