Show in logs and metrics what upstreams say of themselves in their answers

Nothing told that an answer named an intake, to which VM, when it began and ended, nor how many requests were written to an upstream that had named one.

No decision changes.

--- a/event/gateway.go
+++ b/event/gateway.go
@@ -11,6 +11,8 @@
 	UpstreamLeaving  = Event{805, "upstream_leaving", logrus.InfoLevel, "This VM has read that an upstream gets nothing new any more. The field how is `draining` or `removed` (also where it was started anew), doubted_ms how long it is still used all the same; cause tells why the directory was read, asked_ms how long ago the store was asked, before_ms how old the directory was before."}
 	DirectoryLate    = Event{806, "directory_late", logrus.WarnLevel, "The directory is too old to send requests by. They wait until it is read; once the store has not answered for a while, they go by what is known. The field reason is why the last read failed, if it did."}
 	DirectoryInTime  = Event{807, "directory_in_time", logrus.InfoLevel, "The directory is read in time again; the field late_ms is how old it had become."}
+	UpstreamNotice   = Event{808, "upstream_notice", logrus.InfoLevel, "An upstream has said in an answer that it leaves, for how long it wants nothing from this VM, or how many requests a second it takes from all VMs (empty once it names none); the field request is the one that it answered."}
+	NoticeOdd        = Event{809, "notice_odd", logrus.WarnLevel, "A header in which an upstream speaks of itself breaks its form. It is left out, and the answer goes on to the caller. Told once for each upstream and header."}
 	JoinFailed       = Event{811, "join_failed", logrus.WarnLevel, "This VM could not renew its membership. Its share of the rates ends when the membership does."}
 	PartsDealt       = Event{812, "parts_dealt", logrus.InfoLevel, "The store has dealt the parts of the rates anew."}
 	ClaimFailed      = Event{813, "claim_failed", logrus.WarnLevel, "The claim on the coordinator's duty could not be made; it is tried again."}
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -37,6 +37,8 @@
 	firstPiece    = Definition{"toucanfall_first_piece_seconds", Histogram, []string{"kind"}, "Time from a request to the first piece of its answer, of requests that were served."}
 	longestPause  = Definition{"toucanfall_longest_pause_seconds", Histogram, []string{"kind"}, "Longest pause between two pieces of an answer, of requests that were served."}
 	attempts      = Definition{"toucanfall_attempts_total", Counter, []string{"upstream", "outcome"}, "Attempts by upstream and outcome: `served` or `failed`."}
+	notices       = Definition{"toucanfall_notices_total", Counter, []string{"notice"}, "Answers in which an upstream spoke of itself: `leaving`, `wait`, `intake`, or `odd` for a header that breaks its form."}
+	noticed       = Definition{"toucanfall_noticed_sends_total", Counter, []string{"notice"}, "Requests that were written to an upstream which had said to this VM that it leaves (`leaving`), wants nothing for a time (`wait`) or takes so many requests a second (`intake`)."}
 	storeCalls    = Definition{"toucanfall_store_calls_total", Counter, []string{"call", "outcome"}, "Calls to the platform's store by outcome: `answered` or `failed`."}
 	open          = Definition{"toucanfall_open_requests", Gauge, nil, "Requests that are being served."}
 	configAge     = Definition{"toucanfall_config_proof_age_seconds", Gauge, nil, "How long ago the configuration in force was proved to be the newest."}
@@ -49,7 +51,7 @@
 )
 
 // Registry lists all metrics.
-var Registry = []Definition{requests, firstPiece, longestPause, attempts, storeCalls, open, configAge, directoryAge, directorySent, configVersion, share, duty, upstreams}
+var Registry = []Definition{requests, firstPiece, longestPause, attempts, notices, noticed, storeCalls, open, configAge, directoryAge, directorySent, configVersion, share, duty, upstreams}
 
 // maxValues bounds the values of a label whose values others choose; further ones
 // count as otherValue. The largest sheet has 16 teams and 118 upstreams.
@@ -72,6 +74,8 @@
 	// directorySent has no labels.
 	directorySent *prometheus.HistogramVec
 	attempts      *prometheus.CounterVec
+	notices       *prometheus.CounterVec
+	noticed       *prometheus.CounterVec
 	storeCalls    *prometheus.CounterVec
 	teams         values
 	upstreams     values
@@ -85,6 +89,7 @@
 func New() *Set {
 	s := &Set{all: prometheus.NewRegistry()}
 	s.requests, s.attempts, s.storeCalls = s.counter(requests), s.counter(attempts), s.counter(storeCalls)
+	s.notices, s.noticed = s.counter(notices), s.counter(noticed)
 	s.firstPiece, s.longestPause, s.directorySent = s.histogram(firstPiece), s.histogram(longestPause), s.histogram(directorySent)
 	return s
 }
@@ -137,6 +142,16 @@
 	s.attempts.WithLabelValues(s.upstreams.bound(string(u)), outcome).Inc()
 }
 
+// Notice counts an answer in which an upstream spoke of itself.
+func (s *Set) Notice(what string) {
+	s.notices.WithLabelValues(what).Inc()
+}
+
+// Noticed counts a request that is written to an upstream that had spoken of itself.
+func (s *Set) Noticed(what string) {
+	s.noticed.WithLabelValues(what).Inc()
+}
+
 // Written counts a request that is written to an upstream, by the age of the
 // directory.
 func (s *Set) Written(directory time.Duration) {
--- a/roster/upstream.go
+++ b/roster/upstream.go
@@ -59,6 +59,8 @@
 	// away is until when no connection is tried, awayFor the last such time.
 	away    time.Time
 	awayFor time.Duration
+	// said is what this start has said of itself in its answers.
+	said said
 	// adapters are those that the coordinator has loaded, with the time after
 	// which they can be used.
 	adapters map[Adapter]time.Time
--- a/serving/call.go
+++ b/serving/call.go
@@ -65,6 +65,14 @@
 	Mistaken bool
 	Load     Load
 	HasLoad  bool
+	Notice   roster.Notice
+	// Odd lists the headers that break their form, and are left out.
+	Odd []OddHeader
+}
+
+// OddHeader is a header of an answer that breaks its form.
+type OddHeader struct {
+	Name, Value string
 }
 
 // Load is what an upstream says of its load.
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -86,17 +86,19 @@
 
 // Handler serves clients' requests.
 type Handler struct {
-	cfg   Config
-	pools *pools
-	pick  *Picker
+	cfg     Config
+	pools   *pools
+	pick    *Picker
+	notices *notices
 }
 
 // New returns a handler.
 func New(cfg Config) *Handler {
 	return &Handler{
-		cfg:   cfg,
-		pools: newPools(),
-		pick:  NewPicker(cfg.Roster, cfg.DataCentre, cfg.Sharers),
+		cfg:     cfg,
+		pools:   newPools(),
+		pick:    NewPicker(cfg.Roster, cfg.DataCentre, cfg.Sharers),
+		notices: newNotices(cfg.Events, cfg.Metrics),
 	}
 }
 
--- /dev/null
+++ b/serving/notice.go
@@ -0,0 +1,115 @@
+package serving
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"toucanfall/event"
+	"toucanfall/fleet"
+	"toucanfall/metric"
+	"toucanfall/roster"
+	"toucanfall/timeline"
+)
+
+// Names of what upstreams say of themselves, in metrics.
+const (
+	noticeLeaving = "leaving"
+	noticeWait    = "wait"
+	noticeIntake  = "intake"
+	noticeOdd     = "odd"
+)
+
+// notices takes over what upstreams say of themselves in their answers, and tells
+// operators.
+type notices struct {
+	events  *timeline.Recorder
+	metrics *metric.Set
+
+	mu sync.Mutex
+	// odd are the headers that were told as odd, by upstream.
+	odd map[*roster.Upstream]map[string]bool
+}
+
+func newNotices(events *timeline.Recorder, metrics *metric.Set) *notices {
+	return &notices{events: events, metrics: metrics, odd: make(map[*roster.Upstream]map[string]bool)}
+}
+
+// hear takes over the notice of an answer to a request.
+func (n *notices) hear(u *roster.Upstream, id fleet.RequestID, r Reply) {
+	served := r.Status >= http.StatusOK && r.Status < http.StatusMultipleChoices
+	before, after := u.Hear(r.Notice, served, time.Now())
+	n.count(r)
+	if before != after {
+		n.events.Record(event.UpstreamNotice, noticeFields(u, id, after))
+	}
+	for _, h := range r.Odd {
+		if n.first(u, h.Name) {
+			n.events.Record(event.NoticeOdd, timeline.Fields{
+				"upstream": string(u.ID), "request": string(id), "header": h.Name, "value": cut(h.Value),
+			})
+		}
+	}
+}
+
+func (n *notices) count(r Reply) {
+	for name, said := range map[string]bool{
+		noticeLeaving: r.Notice.Leaving, noticeWait: r.Notice.Wait > 0, noticeIntake: r.Notice.Limited, noticeOdd: len(r.Odd) > 0,
+	} {
+		if said {
+			n.metrics.Notice(name)
+		}
+	}
+}
+
+// written counts a request that is written to an upstream that has spoken of itself.
+func (n *notices) written(u *roster.Upstream) {
+	s := u.Standing(time.Now())
+	for name, said := range map[string]bool{noticeLeaving: s.Leaving, noticeWait: !s.Until.IsZero(), noticeIntake: s.Limited} {
+		if said {
+			n.metrics.Noticed(name)
+		}
+	}
+}
+
+// first reports whether a header of an upstream has not been told as odd before.
+func (n *notices) first(u *roster.Upstream, header string) bool {
+	n.mu.Lock()
+	told, ok := n.odd[u]
+	if !ok {
+		told = make(map[string]bool)
+		n.odd[u] = told
+	}
+	again := told[header]
+	told[header] = true
+	n.mu.Unlock()
+	if !ok {
+		u.OnGone(func() { n.forget(u) })
+	}
+	return !again
+}
+
+func (n *notices) forget(u *roster.Upstream) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.odd, u)
+}
+
+func noticeFields(u *roster.Upstream, id fleet.RequestID, s roster.Standing) timeline.Fields {
+	f := timeline.Fields{"upstream": string(u.ID), "request": string(id), "leaving": strconv.FormatBool(s.Leaving)}
+	if s.Limited {
+		f["intake"] = strconv.FormatFloat(float64(s.Intake), 'g', -1, 64)
+	}
+	if !s.Until.IsZero() {
+		f["wait_ms"] = timeline.Millis(time.Until(s.Until))
+	}
+	return f
+}
+
+// maxOddValue is how much of an odd header the log shows.
+const maxOddValue = 64
+
+func cut(v string) string {
+	return v[:min(len(v), maxOddValue)]
+}
--- a/serving/run.go
+++ b/serving/run.go
@@ -191,6 +191,7 @@
 	if !u.Usable() {
 		return fmt.Errorf("upstream %q has left", u.ID)
 	}
+	t.h.notices.written(u)
 	t.way.written, t.way.directory = time.Since(t.c.received), age
 	t.h.cfg.Metrics.Written(age)
 	return nil
@@ -277,6 +278,7 @@
 // answered judges the head of an answer and hands the answer on.
 func (t *tries) answered(ctx context.Context, u *roster.Upstream, got *courier.Answer, f *roster.Flight, w *watchdog) (again bool, err error) {
 	reply := t.h.cfg.Wire.ReadReply(got.Status, got.Header)
+	t.h.notices.hear(u, t.c.ID, reply)
 	if reply.HasLoad {
 		own, _ := u.InFlight()
 		u.SetOthers(max(reply.Load.Running+reply.Load.Waiting-own, 0))
