Hold the intake that an upstream names over all VMs

What callers of an upstream in need saw: it named 2.9 requests a second and got as many as before, from each VM (LIMIT of intake).

Cause: the word had no reader; class: knowledge that comes with an answer was handed on to the caller and never used. Ruled out as the whole cause: that each VM keeps the intake and the sum does not (a fleet of one VM broke it too). Keeping it VM by VM would break the sum, so it is shared out: a request needs a permit, asked for right after the choice and looked at again before the first byte. The VM that keeps a pool of rate tokens gives permits out at 0.9 of the intake while VMs with more than half of all rates are bound to it by promises that count from its own last answer, so no two give any at a time, whatever is delayed, paused or lost. More urgent requests and teams that got none go first. Who gets none goes elsewhere, or is told when to come back.

--- a/metric/metric.go
+++ b/metric/metric.go
@@ -39,6 +39,7 @@
 	attempts      = Definition{"toucanfall_attempts_total", Counter, []string{"upstream", "outcome"}, "Attempts by upstream and outcome: `served` or `failed`."}
 	notices       = Definition{"toucanfall_notices_total", Counter, []string{"notice"}, "Answers in which an upstream spoke of itself: `leaving`, `wait`, `intake`, or `odd` for a header that breaks its form."}
 	noticed       = Definition{"toucanfall_noticed_sends_total", Counter, []string{"notice"}, "Requests that were written to an upstream which had said to this VM that it leaves (`leaving`), wants nothing for a time (`wait`) or takes so many requests a second (`intake`)."}
+	permits       = Definition{"toucanfall_permits_total", Counter, []string{"outcome"}, "Requests that were to be sent to an upstream that names its intake, by outcome: `given`, or `denied` where another upstream is chosen or the request refused."}
 	storeCalls    = Definition{"toucanfall_store_calls_total", Counter, []string{"call", "outcome"}, "Calls to the platform's store by outcome: `answered` or `failed`."}
 	open          = Definition{"toucanfall_open_requests", Gauge, nil, "Requests that are being served."}
 	configAge     = Definition{"toucanfall_config_proof_age_seconds", Gauge, nil, "How long ago the configuration in force was proved to be the newest."}
@@ -51,7 +52,7 @@
 )
 
 // Registry lists all metrics.
-var Registry = []Definition{requests, firstPiece, longestPause, attempts, notices, noticed, storeCalls, open, configAge, directoryAge, directorySent, configVersion, share, duty, upstreams}
+var Registry = []Definition{requests, firstPiece, longestPause, attempts, notices, noticed, permits, storeCalls, open, configAge, directoryAge, directorySent, configVersion, share, duty, upstreams}
 
 // maxValues bounds the values of a label whose values others choose; further ones
 // count as otherValue. The largest sheet has 16 teams and 118 upstreams.
@@ -76,6 +77,7 @@
 	attempts      *prometheus.CounterVec
 	notices       *prometheus.CounterVec
 	noticed       *prometheus.CounterVec
+	permits       *prometheus.CounterVec
 	storeCalls    *prometheus.CounterVec
 	teams         values
 	upstreams     values
@@ -89,7 +91,7 @@
 func New() *Set {
 	s := &Set{all: prometheus.NewRegistry()}
 	s.requests, s.attempts, s.storeCalls = s.counter(requests), s.counter(attempts), s.counter(storeCalls)
-	s.notices, s.noticed = s.counter(notices), s.counter(noticed)
+	s.notices, s.noticed, s.permits = s.counter(notices), s.counter(noticed), s.counter(permits)
 	s.firstPiece, s.longestPause, s.directorySent = s.histogram(firstPiece), s.histogram(longestPause), s.histogram(directorySent)
 	return s
 }
@@ -152,6 +154,15 @@
 	s.noticed.WithLabelValues(what).Inc()
 }
 
+// Permit counts a request that needed a permit of an upstream's intake.
+func (s *Set) Permit(given bool) {
+	outcome := "denied"
+	if given {
+		outcome = "given"
+	}
+	s.permits.WithLabelValues(outcome).Inc()
+}
+
 // Written counts a request that is written to an upstream, by the age of the
 // directory.
 func (s *Set) Written(directory time.Duration) {
--- a/roster/notice.go
+++ b/roster/notice.go
@@ -23,6 +23,8 @@
 	Leaving bool
 	Limited bool
 	Intake  Intake
+	// Named is when the intake was named last.
+	Named time.Time
 	// Until is when the upstream takes requests of this VM again, the zero time if it
 	// takes them.
 	Until time.Time
@@ -48,6 +50,8 @@
 	named time.Time
 	// until is the end of the longest wait.
 	until time.Time
+	// denied is until when this VM gets no permit to send within the named intake.
+	denied time.Time
 }
 
 // Hear takes over the notice of an answer, and returns what held before and what holds now.
@@ -61,6 +65,27 @@
 	return before, u.said.standing(now)
 }
 
+// Deny notes that this VM gets no permit to send within the named intake until a time.
+func (u *Upstream) Deny(until time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.said.denied = until
+}
+
+// Shut returns until when the upstream takes nothing from this VM, the zero time if it does.
+func (u *Upstream) Shut(now time.Time) time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.said.shut(now)
+}
+
+func (s *said) shut(now time.Time) time.Time {
+	if s.standing(now).Limited && now.Before(s.denied) {
+		return s.denied
+	}
+	return time.Time{}
+}
+
 // Standing returns what the upstream's notices amount to.
 func (u *Upstream) Standing(now time.Time) Standing {
 	u.mu.Lock()
@@ -91,7 +116,7 @@
 func (s *said) standing(now time.Time) Standing {
 	out := Standing{Leaving: s.leaving}
 	if s.limited && now.Sub(s.named) < intakeLife+s.silence() {
-		out.Limited, out.Intake = true, s.intake
+		out.Limited, out.Intake, out.Named = true, s.intake, s.named
 	}
 	if now.Before(s.until) {
 		out.Until = s.until
--- /dev/null
+++ b/serving/admit.go
@@ -0,0 +1,73 @@
+package serving
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"toucanfall/fault"
+	"toucanfall/roster"
+	"toucanfall/shares"
+)
+
+// Intakes shares out over the fleet what upstreams take that name their intake.
+type Intakes interface {
+	// Permit returns a permit for one request, or after which time there may be one.
+	Permit(ctx context.Context, r shares.PermitRequest) (*shares.Permit, time.Duration)
+}
+
+// maxDenied is how many upstreams that deny a call are passed over without a pause.
+const maxDenied = 8
+
+// admit gets the permit that an upstream needs which names its intake. Without one the
+// upstream is shut to this VM for a time.
+func (t *tries) admit(ctx context.Context, u *roster.Upstream) error {
+	t.permit = nil
+	now := time.Now()
+	s := u.Standing(now)
+	if !s.Limited {
+		return nil
+	}
+	permit, after := t.h.cfg.Intakes.Permit(ctx, shares.PermitRequest{
+		Upstream: u.ID, Born: u.Born(), Intake: s.Intake, Age: now.Sub(s.Named),
+		Claimant: shares.Claimant{Rank: t.c.Priority, Team: t.c.Team},
+	})
+	t.h.cfg.Metrics.Permit(permit != nil)
+	if permit == nil {
+		u.Deny(time.Now().Add(after))
+		return fault.New(fault.Overloaded, "upstream %q takes %g requests a second, and none of them now", u.ID, float64(s.Intake)).After(after)
+	}
+	t.permit = permit
+	return nil
+}
+
+// permitted returns an error if the upstream may get no request by the permit of the call.
+func (t *tries) permitted(u *roster.Upstream) error {
+	switch {
+	case t.permit != nil && !t.permit.Valid():
+		return fmt.Errorf("the permit for upstream %q has run out", u.ID)
+	case t.permit == nil && u.Standing(time.Now()).Limited:
+		return fmt.Errorf("upstream %q has named its intake", u.ID)
+	}
+	return nil
+}
+
+// unserved is the answer where no upstream can be chosen: if some only take nothing now, the
+// caller is told when the first of them may again.
+func (t *tries) unserved() error {
+	now := time.Now()
+	var first time.Time
+	for _, u := range t.h.pick.shut(t.service, t.c) {
+		if until := u.Shut(now); first.IsZero() || until.Before(first) {
+			first = until
+		}
+	}
+	if first.IsZero() {
+		return fault.New(fault.NoUpstream, "no upstream of service %q holds model %q", t.service, t.c.Model).After(loadRetry)
+	}
+	return fault.New(fault.Overloaded, "the upstreams of service %q that could serve the request take nothing more now", t.service).
+		After(max(first.Sub(now), minComeBack))
+}
+
+// minComeBack is the least time after which a caller is told to come back.
+const minComeBack = 50 * time.Millisecond
--- a/serving/choose.go
+++ b/serving/choose.go
@@ -30,14 +30,22 @@
 // choose finds an upstream by a directory that is not too old. Where none can serve
 // the call yet, it looks again for a small part of the objective.
 func (t *tries) choose(ctx context.Context) (*roster.Upstream, error) {
-	for {
+	for denied := 0; ; {
 		t.h.cfg.Directory.Await(ctx)
 		if err := ctx.Err(); err != nil {
 			return nil, err
 		}
 		u, err := t.find(ctx)
-		if err == nil || time.Since(t.c.received) > t.hold() || ctx.Err() != nil {
-			return u, err
+		if err == nil {
+			if err = t.admit(ctx, u); err == nil {
+				return u, nil
+			}
+			if denied++; denied < maxDenied {
+				continue
+			}
+		}
+		if time.Since(t.c.received) > t.hold() || ctx.Err() != nil {
+			return nil, err
 		}
 		loop.Pause(ctx, holdCheck)
 	}
@@ -52,7 +60,7 @@
 func (t *tries) find(ctx context.Context) (*roster.Upstream, error) {
 	list := t.h.pick.Candidates(t.service, t.c, t.unreachable)
 	if len(list) == 0 {
-		return nil, fault.New(fault.NoUpstream, "no upstream of service %q holds model %q", t.service, t.c.Model).After(loadRetry)
+		return nil, t.unserved()
 	}
 	best := t.h.pick.Best(list, t.tried)
 	if t.c.Adapter == "" {
@@ -91,7 +99,7 @@
 // load brings the call's adapter to an engine, other than those that have it.
 func (t *tries) load(ctx context.Context, having []*roster.Upstream) (*roster.Upstream, error) {
 	avoid := slices.Clone(t.unreachable)
-	for _, u := range having {
+	for _, u := range slices.Concat(having, t.h.pick.needy(t.service, t.c)) {
 		avoid = append(avoid, u.ID)
 	}
 	id, err := t.h.cfg.Loader.Load(ctx, t.service, t.c.wanted(), avoid)
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -68,6 +68,7 @@
 	Catalogue  *catalogue.Holder
 	Roster     *roster.Roster
 	Rates      Rates
+	Intakes    Intakes
 	Loader     Loader
 	Events     *timeline.Recorder
 	Metrics    *metric.Set
--- a/serving/notice.go
+++ b/serving/notice.go
@@ -41,7 +41,7 @@
 	served := r.Status >= http.StatusOK && r.Status < http.StatusMultipleChoices
 	before, after := u.Hear(r.Notice, served, time.Now())
 	n.count(r)
-	if before != after {
+	if before.Named = after.Named; before != after {
 		n.events.Record(event.UpstreamNotice, noticeFields(u, id, after))
 	}
 	for _, h := range r.Odd {
--- a/serving/picker.go
+++ b/serving/picker.go
@@ -66,13 +66,14 @@
 }
 
 // Candidates returns the usable upstreams of a service that hold the call's
-// model, if it names one, but for those to avoid. Those that could not be
-// connected to lately are left out if there are others.
+// model, if it names one, but for those to avoid and those that take nothing from
+// this VM now. Those that could not be connected to lately are left out if there
+// are others.
 func (p *Picker) Candidates(s catalogue.ServiceID, c *Call, avoid []fleet.UpstreamID) []*roster.Upstream {
 	now := time.Now()
 	var here, away []*roster.Upstream
 	for _, u := range p.roster.Upstreams() {
-		if !u.Usable() || u.Service() != s || c.Model != "" && !u.Holds(c.Model) || slices.Contains(avoid, u.ID) {
+		if !p.serves(u, s, c) || !u.Shut(now).IsZero() || slices.Contains(avoid, u.ID) {
 			continue
 		}
 		if u.Away(now) {
@@ -87,6 +88,52 @@
 	return here
 }
 
+// serves reports whether an upstream is of a service and could serve a call.
+func (p *Picker) serves(u *roster.Upstream, s catalogue.ServiceID, c *Call) bool {
+	return u.Usable() && u.Service() == s && (c.Model == "" || u.Holds(c.Model))
+}
+
+// shut returns the upstreams that could serve a call, but take nothing from this VM now.
+func (p *Picker) shut(s catalogue.ServiceID, c *Call) []*roster.Upstream {
+	now := time.Now()
+	return p.filter(func(u *roster.Upstream) bool { return p.serves(u, s, c) && !u.Shut(now).IsZero() })
+}
+
+// needy returns the upstreams of a service that name their intake or take nothing now, if
+// there are others that could serve a call.
+func (p *Picker) needy(s catalogue.ServiceID, c *Call) []*roster.Upstream {
+	now := time.Now()
+	sound := false
+	list := p.filter(func(u *roster.Upstream) bool {
+		if !p.serves(u, s, c) {
+			return false
+		}
+		needs := u.Standing(now).Limited || !u.Shut(now).IsZero()
+		sound = sound || !needs
+		return needs
+	})
+	if !sound {
+		return nil
+	}
+	return list
+}
+
+func (p *Picker) filter(keep func(*roster.Upstream) bool) []*roster.Upstream {
+	var out []*roster.Upstream
+	for _, u := range p.roster.Upstreams() {
+		if keep(u) {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// unlimited returns the upstreams that name no intake.
+func unlimited(list []*roster.Upstream) []*roster.Upstream {
+	now := time.Now()
+	return slices.DeleteFunc(list, func(u *roster.Upstream) bool { return u.Standing(now).Limited })
+}
+
 // withAdapter returns those that have the call's adapter now.
 func withAdapter(list []*roster.Upstream, c *Call) []*roster.Upstream {
 	now := time.Now()
--- a/serving/run.go
+++ b/serving/run.go
@@ -17,6 +17,7 @@
 	"toucanfall/fleet"
 	"toucanfall/internal/loop"
 	"toucanfall/roster"
+	"toucanfall/shares"
 	"toucanfall/timeline"
 )
 
@@ -77,6 +78,8 @@
 	ran bool
 	// reserved is set while the budget holds a send for the call.
 	reserved atomic.Bool
+	// permit allows the attempt that is being made, nil where the upstream needs none.
+	permit *shares.Permit
 	// way is how the last attempt went out.
 	way way
 	// last is why the last attempt failed.
@@ -191,6 +194,9 @@
 	if !u.Usable() {
 		return fmt.Errorf("upstream %q has left", u.ID)
 	}
+	if err := t.permitted(u); err != nil {
+		return err
+	}
 	t.h.notices.written(u)
 	t.way.written, t.way.directory = time.Since(t.c.received), age
 	t.h.cfg.Metrics.Written(age)
@@ -219,7 +225,7 @@
 // reserve reports whether another upstream than those to avoid can take the call over,
 // and holds a send of the budget for it.
 func (t *tries) reserve(avoid []fleet.UpstreamID) bool {
-	list := t.h.pick.Candidates(t.service, t.c, avoid)
+	list := unlimited(t.h.pick.Candidates(t.service, t.c, avoid))
 	if t.c.Adapter != "" {
 		list = withAdapter(list, t.c)
 	}
--- a/shares/keeper.go
+++ b/shares/keeper.go
@@ -32,6 +32,8 @@
 // Grant gives tokens.
 type Grant struct {
 	Given Tokens
+	// Mark is the moment of the answer, for the next promise to the keeper.
+	Mark Mark
 }
 
 // Service is a pool as peers call it.
@@ -43,14 +45,22 @@
 }
 
 // Put takes a VM's message.
-func (s *Service) Put(in Deposit, _ *Grant) error {
+func (s *Service) Put(in Deposit, out *Grant) error {
+	out.Mark = s.p.intakes.mark()
 	return s.p.Put(in)
 }
 
 // Take gives tokens.
 func (s *Service) Take(in Request, out *Grant) error {
 	given, err := s.p.Take(in.Deposit, in.Team, in.Need, in.Want)
-	out.Given = given
+	out.Given, out.Mark = given, s.p.intakes.mark()
+	return err
+}
+
+// Permit gives permits for requests at an upstream that names its intake.
+func (s *Service) Permit(in IntakeRequest, out *IntakeGrant) error {
+	grant, err := s.p.Permit(in)
+	*out = grant
 	return err
 }
 
@@ -106,6 +116,12 @@
 	// answered is when a keeper answered last.
 	answered time.Duration
 	dry      map[fleet.TeamID]time.Duration
+	// bonds are this VM's promises to keepers, by pool of as many as poolsOf. Those that were
+	// made for another number of pools last until unbound.
+	bonds   map[int]*bonding
+	poolsOf int
+	unbound time.Duration
+	windows map[intakeKey]*window
 }
 
 // kept is who keeps a pool since when, 0 for the first keeper. Until a time two keepers
@@ -118,7 +134,10 @@
 
 // NewClient returns a client.
 func NewClient(cfg ClientConfig) *Client {
-	return &Client{cfg: cfg, kept: make(map[int]kept), down: make(map[fleet.VMID]time.Duration), dry: make(map[fleet.TeamID]time.Duration)}
+	return &Client{
+		cfg: cfg, kept: make(map[int]kept), down: make(map[fleet.VMID]time.Duration), dry: make(map[fleet.TeamID]time.Duration),
+		bonds: make(map[int]*bonding), windows: make(map[intakeKey]*window),
+	}
 }
 
 // Run sends spare tokens until ctx ends.
@@ -143,15 +162,13 @@
 	for i := range pools {
 		calls.Go(func() {
 			if k, counts, ok := c.keeper(pools, i); ok {
-				var out Grant
-				c.call(ctx, k, "Put", c.deposit(len(pools), i, k, counts), &out)
+				c.put(ctx, k, c.deposit(len(pools), i, k, counts))
 			}
 		})
 	}
 	for _, k := range c.probes(pools) {
 		calls.Go(func() {
-			var out Grant
-			c.call(ctx, k, "Put", Deposit{VM: c.cfg.VM}, &out)
+			c.put(ctx, k, Deposit{VM: c.cfg.VM})
 		})
 	}
 	calls.Wait()
@@ -162,6 +179,14 @@
 	c.cfg.Purse.SetAlone(alone)
 }
 
+// put sends a message to a keeper.
+func (c *Client) put(ctx context.Context, k Keeper, in Deposit) {
+	var out Grant
+	if c.call(ctx, k, "Put", in, &out) {
+		c.bound(in.Pool, k, out.Mark)
+	}
+}
+
 // deposit takes this VM's spare tokens of a pool's teams out of its purse, for a keeper. The
 // share counts if counts is set. What this VM's own pool holds of these teams goes along,
 // once another VM keeps them.
@@ -176,12 +201,14 @@
 	if counts {
 		d.Share, d.Lapsed = c.cfg.Purse.dealt()
 	}
+	d.Pool = PoolID{pool, pools}
+	d.Bond = c.bond(d.Pool, k)
 	return d
 }
 
-// poolOf returns the pool of a team.
-func poolOf(t fleet.TeamID, pools int) int {
-	return int(xxhash.Sum64String(string(t)) % uint64(pools))
+// poolOf returns the pool of a team, or of an upstream.
+func poolOf[ID ~string](id ID, pools int) int {
+	return int(xxhash.Sum64String(string(id)) % uint64(pools))
 }
 
 // keeper returns who keeps a pool for this VM: the best VM that answers. It counts this
@@ -224,7 +251,7 @@
 }
 
 // call calls a keeper, and reports whether it answered.
-func (c *Client) call(ctx context.Context, k Keeper, method string, args any, out *Grant) bool {
+func (c *Client) call(ctx context.Context, k Keeper, method string, args, out any) bool {
 	var err error
 	if k.VM == c.cfg.VM {
 		err = c.local(args, out)
@@ -236,6 +263,9 @@
 	if err != nil && ctx.Err() != nil {
 		return false // The caller gave up.
 	}
+	if err != nil && err.Error() == ErrClosed.Error() {
+		c.released(k)
+	}
 	now := c.cfg.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -252,12 +282,16 @@
 	return false
 }
 
-func (c *Client) local(args any, out *Grant) error {
+func (c *Client) local(args, out any) error {
 	s := c.cfg.Own.Service()
-	if in, ok := args.(Request); ok {
-		return s.Take(in, out)
+	switch in := args.(type) {
+	case Request:
+		return s.Take(in, out.(*Grant))
+	case IntakeRequest:
+		return s.Permit(in, out.(*IntakeGrant))
+	default:
+		return s.Put(args.(Deposit), out.(*Grant))
 	}
-	return s.Put(args.(Deposit), out)
 }
 
 // Leave hands what this VM's pool holds over to the next keepers, and keeps none any more.
@@ -311,6 +345,7 @@
 		if !c.call(ctx, k, "Take", in, &out) {
 			continue
 		}
+		c.bound(in.Deposit.Pool, k, out.Mark)
 		if out.Given < need {
 			return false
 		}
--- a/shares/keeper_test.go
+++ b/shares/keeper_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,6 +29,15 @@
 	// gone are VMs that answer nobody. Losing is set while the answers to calls are lost.
 	gone   map[string]bool
 	losing bool
+	// outage is set while the store confirms no shares.
+	outage bool
+	// missing is how many VMs the store deals nothing.
+	missing int
+	// late is set while messages are held back; they come with deliver.
+	late bool
+	held []func()
+	// quiet is set while there are no requests.
+	quiet bool
 }
 
 // vm is a VM with its purse and the pool that it may keep.
@@ -36,6 +47,29 @@
 	purse  *Purse
 	pool   *Pool
 	client *Client
+	// order is how many keepers the VM passes over: it knows other members.
+	order int
+}
+
+// keepers returns the keepers as the VM knows them.
+func (v *vm) keepers(all [][]Keeper) [][]Keeper {
+	if v.order == 0 {
+		return all
+	}
+	var out [][]Keeper
+	for _, list := range all {
+		n := v.order % len(list)
+		out = append(out, append(slices.Clone(list[n:]), list[:n]...))
+	}
+	return out
+}
+
+// deliver delivers the messages that were held back.
+func (w *world) deliver() {
+	for _, f := range w.held {
+		f()
+	}
+	w.held = nil
 }
 
 var errNotReached = errors.New("the VM cannot be reached")
@@ -49,7 +83,11 @@
 		if string(v.id) != address {
 			continue
 		}
-		if err := v.client.local(args, reply.(*Grant)); err != nil {
+		if w.late {
+			w.held = append(w.held, func() { _ = v.client.local(args, reflect.New(reflect.TypeOf(reply).Elem()).Interface()) })
+			return errNotReached
+		}
+		if err := v.client.local(args, reply); err != nil {
 			return err
 		}
 	}
@@ -74,7 +112,7 @@
 		v := &vm{w: w, id: fleet.VMID(fmt.Sprint(i)), purse: NewPurse(now)}
 		v.pool = NewPool(now, v.purse.Lapsed)
 		v.client = NewClient(ClientConfig{
-			VM: v.id, Own: v.pool, Purse: v.purse, Peers: w, Keepers: func() [][]Keeper { return keepers },
+			VM: v.id, Own: v.pool, Purse: v.purse, Peers: w, Keepers: func() [][]Keeper { return v.keepers(keepers) },
 			Size: func() int { return n }, Now: now, Events: timeline.New("test", 16, logger),
 		})
 		w.vms = append(w.vms, v)
@@ -96,7 +134,9 @@
 	if w.gone[string(v.id)] {
 		return
 	}
-	v.purse.SetShare(1/float64(len(w.vms)), w.now+time.Hour+2*time.Second)
+	if !w.outage {
+		v.purse.SetShare(1/float64(len(w.vms)-w.missing), w.now+time.Hour+2*time.Second)
+	}
 	v.client.turn(context.Background())
 }
 
--- /dev/null
+++ b/shares/permit.go
@@ -0,0 +1,264 @@
+package shares
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"toucanfall/fleet"
+	"toucanfall/roster"
+)
+
+// Permit allows one request at an upstream that names its intake.
+type Permit struct {
+	now   func() time.Duration
+	until time.Duration
+}
+
+// Valid reports whether the permit can still be used.
+func (p *Permit) Valid() bool {
+	return p.now() < p.until
+}
+
+// PermitRequest is a request that is to be sent to an upstream that names its intake.
+type PermitRequest struct {
+	Upstream fleet.UpstreamID
+	Born     int64
+	// Intake is what the upstream named Age ago.
+	Intake roster.Intake
+	Age    time.Duration
+	Claimant
+}
+
+// window is this VM's side of an upstream's permits.
+type window struct {
+	// turn holds a token while a request of this VM asks the keeper.
+	turn chan struct{}
+
+	mu sync.Mutex
+	// waiting counts the requests that want a permit.
+	waiting int
+	// spare are permits that came with another request's, by when they run out.
+	spare []time.Duration
+	// closed is until when no permit is to be had. Kept is set if the next one is kept for
+	// those that go before its claimant.
+	closed time.Duration
+	kept   *Claimant
+	// last is the team that got the last permit here, turned are the requests that got none
+	// since the keeper was asked last.
+	last   fleet.TeamID
+	turned []Claimant
+	used   time.Duration
+}
+
+// maxTurned bounds the requests of which the keeper is told that they got no permit.
+const maxTurned = 4
+
+// Permit returns a permit, or after which time there may be one.
+func (c *Client) Permit(ctx context.Context, r PermitRequest) (*Permit, time.Duration) {
+	w := c.window(intakeKey{r.Upstream, r.Born})
+	w.wait(1)
+	defer w.wait(-1)
+	if p, after, ok := w.known(c.cfg.Now, r.Claimant); ok {
+		return p, after
+	}
+	select {
+	case w.turn <- struct{}{}:
+	case <-ctx.Done():
+		return nil, longestAfter
+	}
+	defer func() { <-w.turn }()
+	if p, after, ok := w.known(c.cfg.Now, r.Claimant); ok {
+		return p, after
+	}
+	return c.ask(ctx, r, w)
+}
+
+// window returns this VM's side of an upstream's permits, and forgets those that are not in
+// use any more.
+func (c *Client) window(k intakeKey) *window {
+	now := c.cfg.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w, ok := c.windows[k]
+	if !ok {
+		for other, old := range c.windows {
+			if old.idle(now) {
+				delete(c.windows, other)
+			}
+		}
+		w = &window{turn: make(chan struct{}, 1)}
+		c.windows[k] = w
+	}
+	w.mu.Lock()
+	w.used = now
+	w.mu.Unlock()
+	return w
+}
+
+func (w *window) idle(now time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.waiting == 0 && now-w.used > intakeMemory
+}
+
+func (w *window) wait(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.waiting += n
+}
+
+// known returns a spare permit, or when to ask again if there is none to be had before.
+func (w *window) known(now func() time.Duration, of Claimant) (p *Permit, after time.Duration, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at := now()
+	for len(w.spare) > 0 {
+		until := w.spare[0]
+		w.spare = w.spare[1:]
+		if at < until {
+			return &Permit{now: now, until: until}, 0, true
+		}
+	}
+	if at < w.closed && (w.kept == nil || !of.before(*w.kept, w.last)) {
+		if len(w.turned) < maxTurned && !slices.Contains(w.turned, of) {
+			w.turned = append(w.turned, of)
+		}
+		return nil, w.closed - at, true
+	}
+	return nil, 0, false
+}
+
+// ask asks the keeper for permits for all requests of this VM that wait.
+func (c *Client) ask(ctx context.Context, r PermitRequest, w *window) (*Permit, time.Duration) {
+	asked := c.cfg.Now()
+	w.mu.Lock()
+	in := IntakeRequest{
+		VM: c.cfg.VM, Upstream: r.Upstream, Born: r.Born, Intake: r.Intake, Age: r.Age,
+		First: r.Claimant, Want: w.waiting, Turned: w.turned,
+	}
+	w.turned = nil
+	w.mu.Unlock()
+	out := c.fetchPermits(ctx, in)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if out.Given < 1 {
+		after := max(out.After, time.Millisecond)
+		w.closed, w.kept = c.cfg.Now()+after, nil
+		if out.Yields {
+			w.kept = &r.Claimant
+		}
+		return nil, after
+	}
+	w.last = r.Team
+	for range out.Given - 1 {
+		w.spare = append(w.spare, asked+permitLife)
+	}
+	return &Permit{now: c.cfg.Now, until: asked + permitLife}, 0
+}
+
+// unboundAfter is when to ask again where no keeper gives permits now.
+const unboundAfter = 200 * time.Millisecond
+
+// fetchPermits asks the keeper to which this VM is bound.
+func (c *Client) fetchPermits(ctx context.Context, in IntakeRequest) (out IntakeGrant) {
+	pools := c.cfg.Keepers()
+	if len(pools) == 0 {
+		return IntakeGrant{After: unboundAfter}
+	}
+	in.Pool = PoolID{poolOf(in.Upstream, len(pools)), len(pools)}
+	k, ok := c.boundTo(in.Pool)
+	if !ok {
+		return IntakeGrant{After: unboundAfter}
+	}
+	if !c.call(ctx, k, "Permit", in, &out) {
+		return IntakeGrant{After: unboundAfter}
+	}
+	return out
+}
+
+// bonding is to which keeper this VM is bound for a pool.
+type bonding struct {
+	to   Keeper
+	mark Mark
+	// promised is when the last promise was sent, free from when on one may be sent to the
+	// keeper.
+	promised, free time.Duration
+}
+
+// bond returns this VM's promise to a keeper, an empty one while the keeper before may count
+// this VM still.
+func (c *Client) bond(id PoolID, k Keeper) Bond {
+	now := c.cfg.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b := c.bondOf(id, now)
+	if b.to.VM != k.VM {
+		b.free, b.mark, b.to = max(b.free, b.lasts()), Mark{}, k
+	}
+	if now < b.free {
+		return Bond{}
+	}
+	b.promised = now
+	share, until := c.cfg.Purse.lease()
+	return Bond{Share: share, Left: max(until-now, 0), Lapsed: now >= until, Mark: b.mark}
+}
+
+// lasts returns until when the last promise may count.
+func (b *bonding) lasts() time.Duration {
+	if b.promised == 0 {
+		return 0
+	}
+	return b.promised + bondLife
+}
+
+// bondOf returns the bonding for a pool. When the fleet has another number of pools, all
+// promises that were made before have to run out. The caller holds the lock.
+func (c *Client) bondOf(id PoolID, now time.Duration) *bonding {
+	if c.poolsOf != id.Of {
+		for _, b := range c.bonds {
+			c.unbound = max(c.unbound, b.lasts())
+		}
+		clear(c.bonds)
+		c.poolsOf = id.Of
+	}
+	b, ok := c.bonds[id.Index]
+	if !ok {
+		b = &bonding{free: max(c.unbound, now)}
+		c.bonds[id.Index] = b
+	}
+	return b
+}
+
+// bound takes over the mark of a keeper's answer.
+func (c *Client) bound(id PoolID, k Keeper, m Mark) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if b, ok := c.bonds[id.Index]; ok && c.poolsOf == id.Of && b.to.VM == k.VM {
+		b.mark = m
+	}
+}
+
+// released tells that a keeper keeps no pool any more, so that it counts nobody.
+func (c *Client) released(k Keeper) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, b := range c.bonds {
+		if b.to.VM == k.VM {
+			b.promised = 0
+		}
+	}
+}
+
+// boundTo returns the keeper to which this VM is bound for a pool, unless it does not answer.
+func (c *Client) boundTo(id PoolID) (Keeper, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b, ok := c.bonds[id.Index]
+	if !ok || c.poolsOf != id.Of || b.promised == 0 {
+		return Keeper{}, false
+	}
+	_, down := c.down[b.to.VM]
+	return b.to, !down
+}
--- a/shares/pool.go
+++ b/shares/pool.go
@@ -16,6 +16,8 @@
 	now func() time.Duration
 	// lapsed reports whether this VM's own share has lapsed.
 	lapsed func() bool
+	// intakes gives out what upstreams take that name their intake.
+	intakes *intakes
 
 	mu     sync.Mutex
 	levels map[fleet.TeamID]Tokens
@@ -61,13 +63,16 @@
 	Lapsed bool
 	// Spare are tokens that the VM gives to the pool.
 	Spare map[fleet.TeamID]Tokens
+	// Pool is the pool that the message is for, Bond the VM's promise to its keeper.
+	Pool PoolID
+	Bond Bond
 }
 
 // NewPool returns an empty pool of a VM, and lapsed tells whether the store has not
 // confirmed that VM's share lately. The clock now must go on while the machine sleeps.
 func NewPool(now func() time.Duration, lapsed func() bool) *Pool {
 	return &Pool{
-		now: now, lapsed: lapsed, levels: make(map[fleet.TeamID]Tokens), bursts: make(map[fleet.TeamID]Tokens),
+		now: now, lapsed: lapsed, intakes: newIntakes(now, lapsed), levels: make(map[fleet.TeamID]Tokens), bursts: make(map[fleet.TeamID]Tokens),
 		vms: make(map[fleet.VMID]depositor), limits: make(map[fleet.TeamID]Tokens),
 	}
 }
@@ -95,6 +100,17 @@
 	return nil
 }
 
+// Permit gives permits for requests at an upstream that names its intake.
+func (p *Pool) Permit(in IntakeRequest) (IntakeGrant, error) {
+	p.mu.Lock()
+	open := p.open
+	p.mu.Unlock()
+	if !open {
+		return IntakeGrant{}, ErrClosed
+	}
+	return p.intakes.take(in), nil
+}
+
 // Close lets the pool take no more messages. What it holds can be taken out.
 func (p *Pool) Close() {
 	p.mu.Lock()
@@ -117,6 +133,7 @@
 }
 
 func (p *Pool) put(in Deposit) {
+	p.intakes.bind(in.VM, in.Pool, in.Bond)
 	before, ok := p.vms[in.VM]
 	p.vms[in.VM] = depositor{share: in.Share, lapsed: in.Lapsed, until: p.now() + poolLife}
 	p.stale = p.stale || !ok || before.share != in.Share || before.lapsed != in.Lapsed
--- a/shares/purse.go
+++ b/shares/purse.go
@@ -154,6 +154,13 @@
 	return p.share, p.now() >= p.until
 }
 
+// lease returns the share that this VM was dealt last, and until when it mints it.
+func (p *Purse) lease() (share float64, until time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.share, p.until
+}
+
 // Room returns how many more tokens of a team this VM can keep.
 func (p *Purse) Room(team fleet.TeamID) Tokens {
 	p.mu.Lock()
