Send nothing to an upstream that has said in an answer that it leaves

Cause: the directory alone was asked whether an upstream leaves; what it said in its answers had no reader.

--- a/roster/upstream.go
+++ b/roster/upstream.go
@@ -167,7 +167,7 @@
 func (u *Upstream) Usable() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return !u.gone && !u.entry.Draining && (u.doubted.IsZero() || time.Now().Before(u.doubted))
+	return !u.gone && !u.entry.Draining && !u.said.leaving && (u.doubted.IsZero() || time.Now().Before(u.doubted))
 }
 
 // Leaving returns how the upstream is known to leave, "" if it is not, and for how
