Leave an upstream alone for as long as its 503 asks for

Now nothing goes to that start of the upstream from this VM until the time is over, requests that were chosen before included; the first one after it tries alone whether it takes requests again, and VMs come back spread over a fifth of the time. Callers are told to come back at once where others are open, otherwise when the first one opens.

TestUpstreamThatTurnsAwayIsLeftAlone failed before.

--- a/roster/notice.go
+++ b/roster/notice.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"math/rand/v2"
 	"time"
 )
 
@@ -48,8 +49,10 @@
 	intake  Intake
 	// named is when the last answer came that told of the intake, or of its end.
 	named time.Time
-	// until is the end of the longest wait.
-	until time.Time
+	// until is the end of the longest wait. Turned is set until an answer after that does not
+	// ask for another one.
+	until  time.Time
+	turned bool
 	// denied is until when this VM gets no permit to send within the named intake.
 	denied time.Time
 }
@@ -76,10 +79,26 @@
 func (u *Upstream) Shut(now time.Time) time.Time {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.said.shut(now)
+	until := u.said.shut(now)
+	if until.IsZero() && u.said.turned && u.inFlight > 0 {
+		return now.Add(tryPause)
+	}
+	return until
 }
 
+// Bounds of the return to an upstream that has turned this VM away.
+const (
+	// returnPart is over which part of the wait VMs spread their return.
+	returnPart = 5
+	// tryPause is for how long the next request waits while the first one tries whether the
+	// upstream takes requests again.
+	tryPause = 100 * time.Millisecond
+)
+
 func (s *said) shut(now time.Time) time.Time {
+	if now.Before(s.until) {
+		return s.until
+	}
 	if s.standing(now).Limited && now.Before(s.denied) {
 		return s.denied
 	}
@@ -95,8 +114,14 @@
 
 func (s *said) hear(n Notice, served bool, now time.Time) {
 	s.leaving = s.leaving || n.Leaving
-	if until := now.Add(n.Wait); n.Wait > 0 && until.After(s.until) {
-		s.until = until
+	if n.Wait > 0 {
+		s.turned = true
+		// VMs that were turned away together come back one after the other.
+		if until := now.Add(n.Wait + rand.N(n.Wait/returnPart+1)); until.After(s.until) {
+			s.until = until
+		}
+	} else if !now.Before(s.until) {
+		s.turned = false
 	}
 	switch {
 	case n.Limited:
--- a/serving/admit.go
+++ b/serving/admit.go
@@ -41,12 +41,16 @@
 	return nil
 }
 
-// permitted returns an error if the upstream may get no request by the permit of the call.
+// permitted returns an error if an upstream that was chosen may get no request by what it has
+// said of itself since.
 func (t *tries) permitted(u *roster.Upstream) error {
+	s := u.Standing(time.Now())
 	switch {
+	case !s.Until.IsZero():
+		return fmt.Errorf("upstream %q takes nothing for %s", u.ID, time.Until(s.Until).Round(time.Millisecond))
 	case t.permit != nil && !t.permit.Valid():
 		return fmt.Errorf("the permit for upstream %q has run out", u.ID)
-	case t.permit == nil && u.Standing(time.Now()).Limited:
+	case t.permit == nil && s.Limited:
 		return fmt.Errorf("upstream %q has named its intake", u.ID)
 	}
 	return nil
@@ -55,6 +59,16 @@
 // unserved is the answer where no upstream can be chosen: if some only take nothing now, the
 // caller is told when the first of them may again.
 func (t *tries) unserved() error {
+	after := t.reopens()
+	if after == 0 {
+		return fault.New(fault.NoUpstream, "no upstream of service %q holds model %q", t.service, t.c.Model).After(loadRetry)
+	}
+	return fault.New(fault.Overloaded, "the upstreams of service %q that could serve the request take nothing more now", t.service).After(after)
+}
+
+// reopens returns after which time the first upstream takes requests again of those that
+// could serve the call and take nothing now, 0 if there are none.
+func (t *tries) reopens() time.Duration {
 	now := time.Now()
 	var first time.Time
 	for _, u := range t.h.pick.shut(t.service, t.c) {
@@ -63,10 +77,22 @@
 		}
 	}
 	if first.IsZero() {
-		return fault.New(fault.NoUpstream, "no upstream of service %q holds model %q", t.service, t.c.Model).After(loadRetry)
+		return 0
+	}
+	return max(first.Sub(now), minComeBack)
+}
+
+// turnedAway is the error for a call that an upstream has turned away: the caller is told to
+// come back at once if there are others.
+func (t *tries) turnedAway(u *roster.Upstream, r Reply) *fault.Error {
+	err := fault.New(fault.Overloaded, "upstream %q took no request: status %d", u.ID, r.Status)
+	if r.Notice.Wait == 0 {
+		return err
+	}
+	if len(t.h.pick.Candidates(t.service, t.c, t.unreachable)) > 0 {
+		return err.After(minComeBack)
 	}
-	return fault.New(fault.Overloaded, "the upstreams of service %q that could serve the request take nothing more now", t.service).
-		After(max(first.Sub(now), minComeBack))
+	return err.After(max(t.reopens(), minComeBack))
 }
 
 // minComeBack is the least time after which a caller is told to come back.
--- a/serving/run.go
+++ b/serving/run.go
@@ -316,7 +316,7 @@
 // notRun judges an answer that says that the request did not run. An adapter
 // that is on its way is waited for at the same engine.
 func (t *tries) notRun(ctx context.Context, u *roster.Upstream, reply Reply) (again bool, err error) {
-	err = fault.New(fault.Overloaded, "upstream %q took no request: status %d", u.ID, reply.Status)
+	err = t.turnedAway(u, reply)
 	t.failed(u, err)
 	if t.c.Adapter != "" {
 		if reply.Mistaken {
