Tell all VMs what one has heard an upstream say, and give orders by it

What one VM reads in an answer goes with its regular message to the coordinator or over its relay, and from there to all, each word once, with the age of the answer that it goes back to; so VMs that have not heard themselves, or have just started, spare an upstream in need too. A word is of one start of an upstream, and no younger for being told: words of the same answer change nothing.

Heads of reports and answers to orders are read as well.

--- a/coordinator/carry.go
+++ b/coordinator/carry.go
@@ -187,8 +187,8 @@
 		return failed
 	}
 	v, err := c.order(ctx, e, o)
-	if errors.Is(err, ErrNoDuty) {
-		return err
+	if errors.Is(err, ErrNoDuty) || errors.Is(err, errTurnedAway) {
+		return err // Nothing was sent.
 	}
 	e.with(func(a *account) { a.ordering = err != nil || v == Accepted })
 	if err == nil && v != Accepted && v != AlreadySo {
@@ -229,7 +229,7 @@
 		if errors.Is(err, errReborn) {
 			return err
 		}
-		if err != nil {
+		if err != nil && !errors.Is(err, errTurnedAway) {
 			c.cfg.Events.Record(event.MoveFailed, timeline.Fields{"engine": string(e.u.ID), "reason": err.Error()})
 		}
 	}
--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -69,6 +69,12 @@
 	// requests of VMs that do not send over this one.
 	heard  time.Time
 	others map[fleet.UpstreamID]int
+	// words are what upstreams have said. Told is up to where the VM at the address toldTo
+	// was told of them, heardWords up to where it told this one.
+	words      *words
+	told       Told
+	toldTo     string
+	heardWords Told
 	// gathered are the requests of the VMs that send over this one.
 	gathered map[fleet.VMID]vmTraffic
 	wishes   map[wishKey]*pending
@@ -97,7 +103,7 @@
 // NewClient returns a client.
 func NewClient(cfg ClientConfig) *Client {
 	return &Client{
-		cfg: cfg, demand: make(map[modelKey]fleet.Tokens), uses: make(map[Use]bool),
+		cfg: cfg, words: newWords(cfg.Roster), demand: make(map[modelKey]fleet.Tokens), uses: make(map[Use]bool),
 		held: make(map[fleet.UpstreamID]heldAt), wishes: make(map[wishKey]*pending), gathered: make(map[fleet.VMID]vmTraffic),
 	}
 }
@@ -163,6 +169,8 @@
 // sync sends what happened since the last message.
 func (c *Client) sync(ctx context.Context) {
 	in := c.message()
+	told := c.speak(&in)
+	asked := time.Now()
 	var out SyncAnswer
 	err := c.send(ctx, in, &out)
 	c.mu.Lock()
@@ -178,9 +186,36 @@
 	c.cfg.Heard(err == nil)
 	if err == nil {
 		c.learn(out)
+		c.listen(out, told, asked)
 	}
 }
 
+// speak puts the words into a message that its receiver has not been told, and returns up to
+// where it is told with them.
+func (c *Client) speak(in *Sync) (told Told) {
+	to, ok := c.cfg.Via()
+	if !ok {
+		_, to, _ = c.cfg.Where()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if to != c.toldTo {
+		c.toldTo, c.told = to, Told{}
+	}
+	in.Words, told = c.words.since(c.told)
+	in.Told = c.heardWords
+	return told
+}
+
+// listen takes over the words of an answer. Their ages count from the question, so that no
+// delay makes them younger.
+func (c *Client) listen(out SyncAnswer, told Told, asked time.Time) {
+	c.words.learn(out.Words, c.toldTo, asked, c.cfg.Events)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.told, c.heardWords = told, out.Told
+}
+
 // send sends a message, over a relay if there is one.
 func (c *Client) send(ctx context.Context, in Sync, out *SyncAnswer) error {
 	address, ok := c.cfg.Via()
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -47,6 +47,7 @@
 // Coordinator acts for the fleet while its VM has the duty.
 type Coordinator struct {
 	cfg   Config
+	words *words
 	moves sync.WaitGroup
 
 	mu      sync.Mutex
@@ -83,7 +84,7 @@
 
 // New returns a coordinator without duty.
 func New(cfg Config) *Coordinator {
-	c := &Coordinator{cfg: cfg}
+	c := &Coordinator{cfg: cfg, words: newWords(cfg.Roster)}
 	c.reset(0)
 	return c
 }
@@ -157,6 +158,7 @@
 		return err
 	}
 	s.c.take(in)
+	s.c.words.learn(in.Words, string(in.VM), time.Now(), s.c.cfg.Events)
 	*out = s.c.answer(in)
 	return nil
 }
@@ -215,6 +217,7 @@
 
 func (c *Coordinator) answer(in Sync) SyncAnswer {
 	out := SyncAnswer{Others: c.others(in.VM)}
+	out.Words, out.Told = c.words.since(in.Told)
 	c.mu.Lock()
 	out.Known = Known{Term: c.term, Version: c.version}
 	var engines []*engine
--- a/coordinator/engine.go
+++ b/coordinator/engine.go
@@ -82,6 +82,14 @@
 // coordinator does not know.
 var errBusy = errors.New("the engine is carrying out an order")
 
+// errTurnedAway tells that an engine wants nothing from this VM now.
+var errTurnedAway = errors.New("the engine has turned this VM away for a time")
+
+// away reports whether the engine wants nothing from this VM now.
+func (e *engine) away() bool {
+	return !e.u.Standing(time.Now()).Until.IsZero()
+}
+
 // errReborn tells that another start of an engine has its address.
 var errReborn = errors.New("the engine at this address was started at another time")
 
@@ -119,6 +127,9 @@
 
 // refresh asks for a report and takes it over. The caller has the turn.
 func (c *Coordinator) refresh(ctx context.Context, e *engine) error {
+	if e.away() {
+		return errTurnedAway
+	}
 	asked := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
@@ -144,6 +155,9 @@
 	if !ok {
 		return Refused, ErrNoDuty
 	}
+	if e.away() {
+		return Refused, errTurnedAway
+	}
 	e.with(func(a *account) { o.Seq = a.seq })
 	o.Holder, o.Fence = c.cfg.VM, fence
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -259,6 +273,9 @@
 // it is free only when a report shows it.
 func (c *Coordinator) unloadAdapter(ctx context.Context, e *engine, victim roster.Adapter) error {
 	v, err := c.order(ctx, e, Order{Unload: true, Model: victim.Model, Adapter: victim.Adapter})
+	if errors.Is(err, errTurnedAway) {
+		return err
+	}
 	if err == nil && v == AlreadySo {
 		c.change(e, func(a *account) { a.drop(victim, time.Now()) })
 		return nil
--- a/coordinator/engine_test.go
+++ b/coordinator/engine_test.go
@@ -25,6 +25,8 @@
 	byPool map[*courier.Pool]fleet.UpstreamID
 	// broken lists the engines that were ordered over their limits.
 	broken []fleet.UpstreamID
+	// calls counts the questions and orders to each engine.
+	calls map[fleet.UpstreamID]int
 	// lateOnes are all orders while late is set.
 	lateOnes []coordinator.Order
 	// late makes orders get no answer and be carried out after a time, if their
@@ -48,7 +50,7 @@
 const reportLag = 100 * time.Millisecond
 
 func newEngines(spec *catalogue.Engine) *engines {
-	return &engines{spec: spec, all: make(map[fleet.UpstreamID]*fakeEngine), byPool: make(map[*courier.Pool]fleet.UpstreamID)}
+	return &engines{spec: spec, all: make(map[fleet.UpstreamID]*fakeEngine), byPool: make(map[*courier.Pool]fleet.UpstreamID), calls: make(map[fleet.UpstreamID]int)}
 }
 
 // add adds an engine that holds models, and its entry in the roster.
@@ -71,7 +73,7 @@
 			return p
 		}
 	}
-	p := courier.NewPool(u.Address())
+	p := courier.NewPool(u.Address(), nil)
 	e.byPool[p] = u.ID
 	return p
 }
@@ -80,6 +82,7 @@
 func (e *engines) Report(ctx context.Context, p *courier.Pool) (coordinator.Report, error) {
 	e.mu.Lock()
 	f := e.all[e.byPool[p]]
+	e.calls[e.byPool[p]]++
 	f.settle()
 	r, dark := f.report(), f.dark
 	e.mu.Unlock()
@@ -115,6 +118,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	f := e.all[id]
+	e.calls[id]++
 	f.settle()
 	if o.Fence < f.fence {
 		return coordinator.Fenced, nil
--- a/coordinator/gather.go
+++ b/coordinator/gather.go
@@ -30,6 +30,7 @@
 
 func (c *Client) gather(in Sync, out *SyncAnswer) error {
 	c.take(in)
+	c.words.learn(in.Words, string(in.VM), time.Now(), c.cfg.Events)
 	sum := c.sum()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -43,6 +44,7 @@
 			out.Others = append(out.Others, Traffic{Upstream: u.ID, InFlight: n})
 		}
 	}
+	out.Words, out.Told = c.words.since(in.Told)
 	out.Known = c.known
 	for _, e := range c.held {
 		if in.Known.Term != c.known.Term || e.version > in.Known.Version {
--- a/coordinator/gather_test.go
+++ b/coordinator/gather_test.go
@@ -20,12 +20,15 @@
 
 // branch is a fleet of VMs, of which some send to the coordinator and others over these.
 type branch struct {
+	ctx   context.Context
 	world *world
 
 	mu sync.Mutex
 	// gone are VMs that answer nobody.
 	gone map[string]bool
 	vms  map[string]*branchVM
+	// way is how long a message takes.
+	way time.Duration
 	// direct counts the messages to the coordinator.
 	direct int
 }
@@ -41,11 +44,12 @@
 // Call carries a message.
 func (b *branch) Call(ctx context.Context, address, method string, args, reply any) error {
 	b.mu.Lock()
-	vm, gone := b.vms[address], b.gone[address]
+	vm, gone, way := b.vms[address], b.gone[address], b.way
 	if address == "coordinator" {
 		b.direct++
 	}
 	b.mu.Unlock()
+	time.Sleep(way)
 	switch {
 	case gone:
 		<-ctx.Done()
@@ -94,7 +98,7 @@
 }
 
 func plant(ctx context.Context) (b *branch, vms []*branchVM) {
-	b = &branch{world: newWorld(spec("a")), gone: make(map[string]bool), vms: make(map[string]*branchVM)}
+	b = &branch{ctx: ctx, world: newWorld(spec("a")), gone: make(map[string]bool), vms: make(map[string]*branchVM)}
 	b.world.roster.Put(roster.Entry{ID: "engine-0", Service: "texts", Address: "192.0.2.1:80"})
 	for _, relay := range []string{"relay-1", "relay-2"} {
 		vms = append(vms, b.start(ctx, relay, ""))
@@ -173,3 +177,75 @@
 		is.True(vms[0].client.Gathering().Sync(coordinator.Sync{VM: "new"}, &out) != nil)
 	})
 }
+
+// engine returns what a VM knows of the engine.
+func (v *branchVM) engine() *roster.Upstream {
+	u, _ := v.roster.Get("engine-0")
+	return u
+}
+
+// hear lets a VM hear from the engine in an answer.
+func (v *branchVM) hear(n roster.Notice) {
+	v.engine().Hear(n, true, time.Now())
+}
+
+// Guards against requests at an upstream that only some VMs have heard to be in need: what
+// one VM hears reaches all within a second, a VM that starts as well, and is forgotten
+// everywhere once the upstream has not said it for long enough. Messages do not keep it
+// going among themselves.
+func TestWordsGoOverRelays(t *testing.T) {
+	planted(t, func(is *is.I, b *branch, vms []*branchVM) {
+		b.mu.Lock()
+		b.way = 20 * time.Millisecond
+		b.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		vms[3].hear(roster.Notice{Limited: true, Intake: 2.4})
+		time.Sleep(time.Second)
+		late := b.start(b.ctx, "late", "relay-2")
+		time.Sleep(time.Second)
+		for _, v := range append(vms, late) {
+			s := v.engine().Standing(time.Now())
+			is.True(s.Limited)
+			is.Equal(s.Intake, roster.Intake(2.4))
+			is.True(v.engine().Usable())
+		}
+		vms[8].hear(roster.Notice{Leaving: true})
+		time.Sleep(time.Second)
+		for _, v := range vms {
+			is.True(!v.engine().Usable())
+		}
+		time.Sleep(45 * time.Second)
+		for _, v := range vms {
+			is.True(!v.engine().Standing(time.Now()).Limited)
+			is.True(!v.engine().Usable()) // for good
+		}
+	})
+}
+
+// An upstream that was started anew under the same name inherits nothing from other VMs.
+func TestWordsAreOfOneStart(t *testing.T) {
+	planted(t, func(is *is.I, _ *branch, vms []*branchVM) {
+		vms[3].roster.Put(roster.Entry{ID: "engine-0", Service: "texts", Address: "192.0.2.1:80", Born: 7})
+		vms[3].hear(roster.Notice{Leaving: true})
+		time.Sleep(3 * time.Second)
+		is.True(!vms[3].engine().Usable())
+		is.True(vms[4].engine().Usable())
+	})
+}
+
+// What has been told is not told again: an answer without news holds no words.
+func TestWordsAreToldOnce(t *testing.T) {
+	planted(t, func(is *is.I, _ *branch, vms []*branchVM) {
+		time.Sleep(3 * time.Second)
+		vms[0].hear(roster.Notice{Limited: true, Intake: 1})
+		time.Sleep(time.Second)
+		var first, second coordinator.SyncAnswer
+		is.NoErr(vms[0].client.Gathering().Sync(coordinator.Sync{VM: "new"}, &first))
+		is.Equal(len(first.Words), 1)
+		is.NoErr(vms[0].client.Gathering().Sync(coordinator.Sync{VM: "new", Told: first.Told}, &second))
+		is.Equal(len(second.Words), 0)
+		// A VM that was told by another one has still to be told.
+		is.NoErr(vms[0].client.Gathering().Sync(coordinator.Sync{VM: "new", Told: coordinator.Told{Teller: 1, Version: 99}}, &second))
+		is.Equal(len(second.Words), 1)
+	})
+}
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -92,6 +92,10 @@
 	Every time.Duration
 	// Known is what the VM was told last.
 	Known Known
+	// Words are what upstreams have said that the VM has not told yet, Told what it was told
+	// of that.
+	Words []roster.Word
+	Told  Told
 }
 
 // Known numbers what a VM was told of the engines' holdings: a version of the
@@ -117,6 +121,9 @@
 	// Known numbers the holdings; those that the VM was told before are left out.
 	Known    Known
 	Holdings []EngineHoldings
+	// Words are what upstreams have said that the VM was not told before.
+	Words []roster.Word
+	Told  Told
 }
 
 // Wish asks for an adapter on some engine.
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -139,7 +139,8 @@
 	}
 	c.moves.Go(func() {
 		defer e.give()
-		if err := c.settle(ctx, e); err != nil && !errors.Is(err, errNotKnown) && !errors.Is(err, errBusy) {
+		err := c.settle(ctx, e)
+		if err != nil && !errors.Is(err, errNotKnown) && !errors.Is(err, errBusy) && !errors.Is(err, errTurnedAway) {
 			c.cfg.Events.Record(event.ReportFailed, timeline.Fields{"engine": string(e.u.ID), "reason": err.Error()})
 		}
 	})
--- a/coordinator/wish.go
+++ b/coordinator/wish.go
@@ -49,6 +49,8 @@
 	evictWeight = 3
 	// fullWeight is what an engine costs that has no place now, or is not known.
 	fullWeight = 1000
+	// needWeight is what an engine costs that names its intake: few requests would follow.
+	needWeight = 500
 )
 
 // forAdapter returns engines that hold the model, the best first.
@@ -64,7 +66,13 @@
 			continue
 		}
 		e := c.engine(u)
+		if e.away() {
+			continue
+		}
 		cost := float64(c.load(u.ID))
+		if u.Standing(now).Limited {
+			cost += needWeight
+		}
 		e.with(func(a *account) { cost += a.roomCost(spec, in.Adapter, now) })
 		list = append(list, rated{e, cost})
 	}
--- a/courier/exchange.go
+++ b/courier/exchange.go
@@ -99,6 +99,9 @@
 			return nil, fmt.Errorf("no answer: %w", err)
 		}
 		if r.Own(resp.StatusCode, resp.Header) {
+			if x.pool.heard != nil {
+				x.pool.heard(resp.StatusCode, resp.Header)
+			}
 			return x.answer(resp), nil
 		}
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
--- a/courier/pool.go
+++ b/courier/pool.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -35,15 +36,17 @@
 // Pool holds the idle connections to one upstream.
 type Pool struct {
 	address string
+	heard   func(status int, h http.Header)
 
 	mu     sync.Mutex
 	idle   []*conn
 	closed bool
 }
 
-// NewPool returns a pool without connections to an upstream.
-func NewPool(address string) *Pool {
-	return &Pool{address: address}
+// NewPool returns a pool without connections to an upstream. Heard, if it is not nil, is
+// called with the head of each answer, before that is returned.
+func NewPool(address string, heard func(status int, h http.Header)) *Pool {
+	return &Pool{address: address, heard: heard}
 }
 
 // Close closes the idle connections. Requests in flight go on.
--- a/event/event.go
+++ b/event/event.go
@@ -29,7 +29,7 @@
 	ShareMinted, ShareLost, ShareTakeover,
 	PlacerClaimed, PlacerReplaced, PlacementIntended, PlacementRejected, OrderFailed, PlacementBroken,
 	KeyHeardWithdrawn, OperatorCommand, WithdrawalAppended,
-	ConfigApplied, StoreLost, StoreFound, EntryOdd, UpstreamLeaving, DirectoryLate, DirectoryInTime, UpstreamNotice, NoticeOdd,
+	ConfigApplied, StoreLost, StoreFound, EntryOdd, UpstreamLeaving, DirectoryLate, DirectoryInTime, UpstreamNotice, NoticeOdd, NoticeTold,
 	JoinFailed, PartsDealt, ClaimFailed, DutyTaken, CoordinatorLost, CoordinatorFound, RelayFound, RelayLost, KeeperLost, KeeperChanged,
 	EngineOrdered, PlacementChanged, MoveFailed, PlacementViewed, ReportFailed, SettingsReloaded, SettingsRefused, GatewayFault, LinesLeftOut, RequestServed,
 	FakeStarted, FakeServed,
--- a/event/gateway.go
+++ b/event/gateway.go
@@ -13,6 +13,7 @@
 	DirectoryInTime  = Event{807, "directory_in_time", logrus.InfoLevel, "The directory is read in time again; the field late_ms is how old it had become."}
 	UpstreamNotice   = Event{808, "upstream_notice", logrus.InfoLevel, "An upstream has said in an answer that it leaves, for how long it wants nothing from this VM, or how many requests a second it takes from all VMs (empty once it names none); the field request is the one that it answered."}
 	NoticeOdd        = Event{809, "notice_odd", logrus.WarnLevel, "A header in which an upstream speaks of itself breaks its form. It is left out, and the answer goes on to the caller. Told once for each upstream and header."}
+	NoticeTold       = Event{810, "notice_told", logrus.InfoLevel, "Another VM has told this one what an upstream has said (see 808); the field from names it, or its address."}
 	JoinFailed       = Event{811, "join_failed", logrus.WarnLevel, "This VM could not renew its membership. Its share of the rates ends when the membership does."}
 	PartsDealt       = Event{812, "parts_dealt", logrus.InfoLevel, "The store has dealt the parts of the rates anew."}
 	ClaimFailed      = Event{813, "claim_failed", logrus.WarnLevel, "The claim on the coordinator's duty could not be made; it is tried again."}
--- a/roster/notice.go
+++ b/roster/notice.go
@@ -1,8 +1,12 @@
 package roster
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
+
+	"toucanfall/fleet"
 )
 
 // Intake is a number of requests a second.
@@ -49,6 +53,10 @@
 	intake  Intake
 	// named is when the last answer came that told of the intake, or of its end.
 	named time.Time
+	// event is another number whenever other VMs are to hear of what was said, noted is when
+	// it was last drawn.
+	event uint64
+	noted time.Time
 	// until is the end of the longest wait. Turned is set until an answer after that does not
 	// ask for another one.
 	until  time.Time
@@ -113,7 +121,10 @@
 }
 
 func (s *said) hear(n Notice, served bool, now time.Time) {
-	s.leaving = s.leaving || n.Leaving
+	if n.Leaving && !s.leaving {
+		s.leaving = true
+		s.note(now)
+	}
 	if n.Wait > 0 {
 		s.turned = true
 		// VMs that were turned away together come back one after the other.
@@ -125,10 +136,83 @@
 	}
 	switch {
 	case n.Limited:
+		if !s.limited || s.intake != n.Intake || now.Sub(s.noted) >= noteEvery {
+			s.note(now)
+		}
 		s.limited, s.intake, s.named = true, n.Intake, now
 	case s.limited && served && now.Sub(s.named) >= s.silence():
 		s.limited, s.named = false, now
+		s.note(now)
+	}
+}
+
+// noteEvery is how often other VMs hear that an intake is still named.
+const noteEvery = 2 * time.Second
+
+func (s *said) note(now time.Time) {
+	s.event, s.noted = rand.Uint64(), now
+}
+
+// Word is what one VM tells others of what an upstream has said. Waits are left out: they are
+// for one VM.
+type Word struct {
+	Upstream fleet.UpstreamID
+	Born     int64
+	Leaving  bool
+	// Limited and Intake are what the answer said that came Age ago.
+	Limited bool
+	Intake  Intake
+	Age     time.Duration
+	// Event is the same in all words that go back to the same answer.
+	Event uint64
+}
+
+// Check returns an error if the word cannot be true.
+func (w *Word) Check() error {
+	if w.Age < 0 || !(w.Intake >= 0) {
+		return fmt.Errorf("word of upstream %q: an age of %s and an intake of %g", w.Upstream, w.Age, w.Intake)
+	}
+	return nil
+}
+
+// Word returns what other VMs are to hear of the upstream, false if it has said nothing.
+func (u *Upstream) Word(now time.Time) (Word, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	s := &u.said
+	w := Word{Upstream: u.ID, Born: u.entry.Born, Leaving: s.leaving, Limited: s.limited, Intake: s.intake, Event: s.event}
+	if !s.named.IsZero() {
+		w.Age = now.Sub(s.named)
+	}
+	return w, s.event != 0
+}
+
+// Learn takes over what other VMs have heard, as of a time, and returns the words that
+// changed what an upstream's notices amount to.
+func (r *Roster) Learn(words []Word, now time.Time) []Word {
+	return slices.DeleteFunc(slices.Clone(words), func(w Word) bool {
+		u, ok := r.Get(w.Upstream)
+		return !ok || u.Born() != w.Born || w.Check() != nil || !u.learn(w, now)
+	})
+}
+
+func (u *Upstream) learn(w Word, now time.Time) (news bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	s := &u.said
+	before := s.standing(now)
+	defer func() {
+		after := s.standing(now)
+		news = before.Leaving != after.Leaving || before.Limited != after.Limited || before.Intake != after.Intake
+	}()
+	known := w.Event == s.event
+	if w.Leaving && !s.leaving {
+		s.leaving, s.event = true, w.Event
+	}
+	if at := now.Add(-w.Age); !known && at.After(s.named) && (w.Limited || s.limited) {
+		s.limited, s.intake, s.named, s.event, s.noted = w.Limited, w.Intake, at, w.Event, now
 	}
+	return false // It is set above.
 }
 
 // silence returns for how long no answer must have named the intake before one without it
--- a/serving/call.go
+++ b/serving/call.go
@@ -58,6 +58,8 @@
 // Reply is what the head of an upstream's answer tells.
 type Reply struct {
 	Status int
+	// Request is the request that is answered, "" if the answer does not say.
+	Request fleet.RequestID
 	// NotRun is set if the upstream says that it did not run the request.
 	NotRun bool
 	// Mistaken is set if the request came to another upstream than it names, or
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -95,11 +95,12 @@
 
 // New returns a handler.
 func New(cfg Config) *Handler {
+	n := newNotices(cfg)
 	return &Handler{
 		cfg:     cfg,
-		pools:   newPools(),
+		pools:   newPools(n.hear),
 		pick:    NewPicker(cfg.Roster, cfg.DataCentre, cfg.Sharers),
-		notices: newNotices(cfg.Events, cfg.Metrics),
+		notices: n,
 	}
 }
 
--- a/serving/notice.go
+++ b/serving/notice.go
@@ -24,6 +24,7 @@
 // notices takes over what upstreams say of themselves in their answers, and tells
 // operators.
 type notices struct {
+	wire    Wire
 	events  *timeline.Recorder
 	metrics *metric.Set
 
@@ -32,22 +33,28 @@
 	odd map[*roster.Upstream]map[string]bool
 }
 
-func newNotices(events *timeline.Recorder, metrics *metric.Set) *notices {
-	return &notices{events: events, metrics: metrics, odd: make(map[*roster.Upstream]map[string]bool)}
+func newNotices(cfg Config) *notices {
+	return &notices{wire: cfg.Wire, events: cfg.Events, metrics: cfg.Metrics, odd: make(map[*roster.Upstream]map[string]bool)}
 }
 
-// hear takes over the notice of an answer to a request.
-func (n *notices) hear(u *roster.Upstream, id fleet.RequestID, r Reply) {
-	served := r.Status >= http.StatusOK && r.Status < http.StatusMultipleChoices
+// hear takes over the notice in the head of an answer, to a request or to a question of this
+// VM's own. Another start of the upstream answers what was not meant for it with 421.
+func (n *notices) hear(u *roster.Upstream, status int, h http.Header) {
+	if status == http.StatusMisdirectedRequest {
+		return
+	}
+	r := n.wire.ReadReply(status, h)
+	// A report may leave out what the answers to requests name.
+	served := r.Request != "" && status >= http.StatusOK && status < http.StatusMultipleChoices
 	before, after := u.Hear(r.Notice, served, time.Now())
 	n.count(r)
 	if before.Named = after.Named; before != after {
-		n.events.Record(event.UpstreamNotice, noticeFields(u, id, after))
+		n.events.Record(event.UpstreamNotice, noticeFields(u, r.Request, after))
 	}
-	for _, h := range r.Odd {
-		if n.first(u, h.Name) {
+	for _, o := range r.Odd {
+		if n.first(u, o.Name) {
 			n.events.Record(event.NoticeOdd, timeline.Fields{
-				"upstream": string(u.ID), "request": string(id), "header": h.Name, "value": cut(h.Value),
+				"upstream": string(u.ID), "request": string(r.Request), "header": o.Name, "value": cut(o.Value),
 			})
 		}
 	}
--- a/serving/pools.go
+++ b/serving/pools.go
@@ -1,6 +1,7 @@
 package serving
 
 import (
+	"net/http"
 	"sync"
 
 	"toucanfall/courier"
@@ -9,12 +10,15 @@
 
 // pools keeps the connections to each upstream for as long as it is known.
 type pools struct {
+	// heard is called with the head of each answer of an upstream.
+	heard func(u *roster.Upstream, status int, h http.Header)
+
 	mu         sync.Mutex
 	byUpstream map[*roster.Upstream]*courier.Pool
 }
 
-func newPools() *pools {
-	return &pools{byUpstream: make(map[*roster.Upstream]*courier.Pool)}
+func newPools(heard func(*roster.Upstream, int, http.Header)) *pools {
+	return &pools{heard: heard, byUpstream: make(map[*roster.Upstream]*courier.Pool)}
 }
 
 // of returns the connections to an upstream.
@@ -25,7 +29,7 @@
 		p.mu.Unlock()
 		return pool
 	}
-	pool = courier.NewPool(u.Address())
+	pool = courier.NewPool(u.Address(), func(status int, h http.Header) { p.heard(u, status, h) })
 	p.byUpstream[u] = pool
 	p.mu.Unlock()
 	u.OnGone(func() { p.drop(u) })
--- a/serving/run.go
+++ b/serving/run.go
@@ -284,7 +284,6 @@
 // answered judges the head of an answer and hands the answer on.
 func (t *tries) answered(ctx context.Context, u *roster.Upstream, got *courier.Answer, f *roster.Flight, w *watchdog) (again bool, err error) {
 	reply := t.h.cfg.Wire.ReadReply(got.Status, got.Header)
-	t.h.notices.hear(u, t.c.ID, reply)
 	if reply.HasLoad {
 		own, _ := u.InFlight()
 		u.SetOthers(max(reply.Load.Running+reply.Load.Waiting-own, 0))
