--- a/coordinator/words_test.go
+++ b/coordinator/words_test.go
@@ -1,6 +1,9 @@
 package coordinator_test
 
 import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -57,3 +60,31 @@
 		is.Equal(w.engines.holders("a"), []fleet.UpstreamID{"engine-1", "engine-2"})
 	})
 }
+
+// wordBytes is what one word may take in a message, besides the names of the types that the
+// first message on a connection tells.
+const wordBytes = 80
+
+// Guards against words that grow: at 1,400 engines, half of them in need, each VM is told
+// many.
+func TestWordIsSmall(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	e := gob.NewEncoder(&out)
+	var words []roster.Word
+	is.NoErr(e.Encode(coordinator.SyncAnswer{}))
+	out.Reset()
+	is.NoErr(e.Encode(coordinator.SyncAnswer{}))
+	empty := out.Len()
+	const n = 100
+	for i := range n {
+		words = append(words, roster.Word{
+			Upstream: fleet.UpstreamID(fmt.Sprintf("i-%010x", i)), Born: 1784481667143, Limited: true, Intake: 2.4, Age: time.Second, Event: 1 << 63,
+		})
+	}
+	out.Reset()
+	is.NoErr(e.Encode(coordinator.SyncAnswer{Words: words}))
+	each := (out.Len() - empty) / n
+	t.Logf("%d bytes a word", each)
+	is.True(each <= wordBytes)
+}
--- a/shares/intake_test.go
+++ b/shares/intake_test.go
@@ -303,3 +303,27 @@
 	bind()
 	is.Equal(ask(), 0)
 }
+
+// What one question costs the VM that gives permits out, with 400 VMs bound to it and 175
+// upstreams that name their intake.
+func BenchmarkPermit(b *testing.B) {
+	now := time.Hour
+	k := newIntakes(func() time.Duration { return now }, func() bool { return false })
+	pool, mark := PoolID{0, 4}, k.mark()
+	for i := range 400 {
+		k.bind(fleet.VMID(fmt.Sprint(i)), pool, Bond{Share: 1.0 / 400, Left: time.Hour, Mark: mark})
+	}
+	in := make([]IntakeRequest, 400)
+	for i := range in {
+		in[i] = IntakeRequest{VM: fleet.VMID(fmt.Sprint(i)), Pool: pool, Intake: 2.4, Upstream: fleet.UpstreamID(fmt.Sprint(i % 175))}
+	}
+	for i := 0; b.Loop(); i++ {
+		now += 300 * time.Microsecond
+		if i%3000 == 0 {
+			for j := range 400 {
+				k.bind(fleet.VMID(fmt.Sprint(j)), pool, Bond{Share: 1.0 / 400, Left: time.Hour, Mark: k.mark()})
+			}
+		}
+		_ = k.take(in[i%len(in)])
+	}
+}
