Replace a silent attempt only once another upstream has begun to answer

Cause: the silent attempt was ended before it was known whether another one can take over. Ruled out: to look at what the other one has in flight, which is old by the time of the send. Now the request goes to the other upstream beside the silent one, and this ends once the other has answered with success; if it speaks first, or the other refuses, it just goes on. Events are handed on from one attempt only: one that was asked to go on after another event than the last one handed on is dropped.

--- a/serving/admit.go
+++ b/serving/admit.go
@@ -21,12 +21,12 @@
 
 // admit gets the permit that an upstream needs which names its intake. Without one the
 // upstream is shut to this VM for a time.
-func (t *tries) admit(ctx context.Context, u *roster.Upstream) error {
-	t.permit = nil
+func (t *tries) admit(ctx context.Context, u *roster.Upstream) (*attempt, error) {
+	a := &attempt{u: u, from: t.out.resumeAt(t.c)}
 	now := time.Now()
 	s := u.Standing(now)
 	if !s.Limited {
-		return nil
+		return a, nil
 	}
 	permit, after := t.h.cfg.Intakes.Permit(ctx, shares.PermitRequest{
 		Upstream: u.ID, Born: u.Born(), Intake: s.Intake, Age: now.Sub(s.Named),
@@ -35,22 +35,23 @@
 	t.h.cfg.Metrics.Permit(permit != nil)
 	if permit == nil {
 		u.Deny(time.Now().Add(after))
-		return fault.New(fault.Overloaded, "upstream %q takes %g requests a second, and none of them now", u.ID, float64(s.Intake)).After(after)
+		return nil, fault.New(fault.Overloaded, "upstream %q takes %g requests a second, and none of them now", u.ID, float64(s.Intake)).After(after)
 	}
-	t.permit = permit
-	return nil
+	a.permit = permit
+	return a, nil
 }
 
 // permitted returns an error if an upstream that was chosen may get no request by what it has
 // said of itself since.
-func (t *tries) permitted(u *roster.Upstream) error {
+func (a *attempt) permitted() error {
+	u := a.u
 	s := u.Standing(time.Now())
 	switch {
 	case !s.Until.IsZero():
 		return fmt.Errorf("upstream %q takes nothing for %s", u.ID, time.Until(s.Until).Round(time.Millisecond))
-	case t.permit != nil && !t.permit.Valid():
+	case a.permit != nil && !a.permit.Valid():
 		return fmt.Errorf("the permit for upstream %q has run out", u.ID)
-	case t.permit == nil && s.Limited:
+	case a.permit == nil && s.Limited:
 		return fmt.Errorf("upstream %q has named its intake", u.ID)
 	}
 	return nil
--- a/serving/answer.go
+++ b/serving/answer.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"toucanfall/catalogue"
@@ -31,13 +32,15 @@
 
 // answer is the answer to a client.
 type answer struct {
-	w     http.ResponseWriter
-	rc    *http.ResponseController
-	wire  Wire
-	begun bool
+	w      http.ResponseWriter
+	rc     *http.ResponseController
+	wire   Wire
+	begun  bool
+	pacing pacing
+
+	mu sync.Mutex
 	// lastEvent is the id of the last event that went to the client.
 	lastEvent string
-	pacing    pacing
 }
 
 func newAnswer(w http.ResponseWriter, wire Wire, received time.Time) *answer {
@@ -46,6 +49,8 @@
 
 // resumeAt returns the event after which the next attempt has to go on.
 func (a *answer) resumeAt(c *Call) string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	if a.lastEvent != "" {
 		return a.lastEvent
 	}
@@ -156,7 +161,9 @@
 		return err
 	}
 	if id, ok := lastEventID(b); ok {
+		a.mu.Lock()
 		a.lastEvent = id
+		a.mu.Unlock()
 	}
 	return nil
 }
--- a/serving/choose.go
+++ b/serving/choose.go
@@ -29,7 +29,7 @@
 
 // choose finds an upstream by a directory that is not too old. Where none can serve
 // the call yet, it looks again for a small part of the objective.
-func (t *tries) choose(ctx context.Context) (*roster.Upstream, error) {
+func (t *tries) choose(ctx context.Context) (*attempt, error) {
 	for denied := 0; ; {
 		t.h.cfg.Directory.Await(ctx)
 		if err := ctx.Err(); err != nil {
@@ -37,8 +37,9 @@
 		}
 		u, err := t.find(ctx)
 		if err == nil {
-			if err = t.admit(ctx, u); err == nil {
-				return u, nil
+			var a *attempt
+			if a, err = t.admit(ctx, u); err == nil {
+				return a, nil
 			}
 			if denied++; denied < maxDenied {
 				continue
--- a/serving/run.go
+++ b/serving/run.go
@@ -5,9 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"slices"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"toucanfall/catalogue"
@@ -76,25 +74,34 @@
 	unreachable []fleet.UpstreamID
 	// ran is set once an attempt may have run.
 	ran bool
-	// reserved is set while the budget holds a send for the call.
-	reserved atomic.Bool
-	// permit allows the attempt that is being made, nil where the upstream needs none.
-	permit *shares.Permit
-	// way is how the last attempt went out.
-	way way
+	// next is an attempt that takes the place of a silent one.
+	next *attempt
 	// last is why the last attempt failed.
 	last error
 }
 
+// attempt is one sending of a call.
+type attempt struct {
+	u *roster.Upstream
+	// permit allows it, nil where the upstream needs none.
+	permit *shares.Permit
+	// from is the event after which the upstream goes on.
+	from string
+	way  way
+	// ctx ends the attempt, parent the call.
+	ctx    context.Context
+	parent context.Context
+	cancel context.CancelFunc
+	flight *roster.Flight
+	got    *courier.Answer
+}
+
 // all makes attempts until one is answered for good.
 func (t *tries) all(ctx context.Context) error {
 	for {
-		u, err := t.choose(ctx)
-		if err != nil {
-			return t.giveUp(ctx, err)
-		}
-		again, err := t.once(ctx, u)
+		again, err := t.one(ctx)
 		if err == nil {
+			t.drop()
 			return nil
 		}
 		if errors.Is(err, courier.ErrWithheld) {
@@ -102,15 +109,30 @@
 		}
 		t.last = err
 		if !again || !t.mayRepeat(ctx) {
+			t.drop()
 			return t.giveUp(ctx, err)
 		}
 	}
 }
 
+// one makes one attempt, or goes on with the one that takes the place of a silent one.
+func (t *tries) one(ctx context.Context) (again bool, err error) {
+	if a := t.next; a != nil && a.from == t.out.resumeAt(t.c) {
+		t.next = nil
+		return t.receive(a)
+	}
+	t.drop()
+	a, err := t.choose(ctx)
+	if err != nil {
+		return false, err
+	}
+	return t.once(ctx, a)
+}
+
 // mayRepeat reports whether one more send is allowed by the route, the budget
 // and the time that is left.
 func (t *tries) mayRepeat(ctx context.Context) bool {
-	return ctx.Err() == nil && t.sends < maxSends && (t.reserved.Swap(false) || t.h.cfg.Budget.Repeat())
+	return ctx.Err() == nil && t.sends < maxSends && (t.next != nil || t.h.cfg.Budget.Repeat())
 }
 
 // giveUp returns the answer for a call that no attempt has served.
@@ -145,60 +167,84 @@
 
 // once makes one attempt. Again tells that another one is allowed by what
 // happened in it.
-func (t *tries) once(ctx context.Context, u *roster.Upstream) (again bool, err error) {
-	now := time.Now()
-	a := Attempt{Upstream: u.ID, Left: t.c.left(now), Priority: -1, LastEvent: t.out.resumeAt(t.c)}
-	if t.c.Model != "" {
-		a.Priority = min(max(t.c.Priority, 0), lowestPriority)
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+func (t *tries) once(ctx context.Context, a *attempt) (again bool, err error) {
 	t.sends++
-	t.way = way{chosen: now.Sub(t.c.received)}
-	if t.c.Adapter != "" {
-		t.h.cfg.Loader.Used(u.ID, t.c.wanted())
-	}
-	flight := u.Begin(t.c.wanted(), t.c.TokensIn)
-	w := t.watch(u, cancel)
-	defer w.stop()
-	req := &courier.Request{
-		Method: t.c.Method, Head: t.h.cfg.Wire.Head(t.c, a), Body: t.c.Body,
-		Own:   func(status int, hd http.Header) bool { return t.h.cfg.Wire.Own(t.c, status, hd) },
-		Check: func() error { return t.check(u) },
+	t.begin(ctx, a)
+	w := t.watch(a)
+	err = t.send(a)
+	if err == nil {
+		return t.answer(a, w)
 	}
-	got, err := t.h.pools.of(u).Do(ctx, req)
+	defer a.cancel()
+	w.stop()
 	if errors.Is(err, courier.ErrWithheld) {
-		flight.Drop()
-		t.withheld(u, err)
+		a.flight.Drop()
+		t.withheld(a, err)
 		return true, err
 	}
-	if err != nil {
-		flight.End(!errors.Is(ctx.Err(), context.Canceled) || w.fired())
-		return t.unanswered(u, err)
-	}
-	defer got.Body.Close()
-	flight.Heard()
-	again, err = t.answered(ctx, u, got, flight, w)
-	broken := got.Status >= http.StatusInternalServerError
-	flight.End(err != nil && ctx.Err() == nil || broken || w.fired())
+	a.flight.End(!errors.Is(a.ctx.Err(), context.Canceled) || w.fired())
+	return t.unanswered(a, err)
+}
+
+// receive hands on the answer of an attempt whose head has come.
+func (t *tries) receive(a *attempt) (again bool, err error) {
+	t.sends++
+	return t.answer(a, t.watch(a))
+}
+
+// answer hands on the answer of an attempt that is watched.
+func (t *tries) answer(a *attempt, w *watchdog) (again bool, err error) {
+	defer a.cancel()
+	defer a.got.Body.Close()
+	a.flight.Heard()
+	again, err = t.answered(a, w)
+	w.stop()
+	broken := a.got.Status >= http.StatusInternalServerError
+	a.flight.End(err != nil && a.ctx.Err() == nil || broken || w.fired())
 	return again, err
 }
 
+// begin counts an attempt in flight.
+func (t *tries) begin(ctx context.Context, a *attempt) {
+	a.parent = ctx
+	a.ctx, a.cancel = context.WithCancel(ctx)
+	a.way = way{chosen: time.Since(t.c.received)}
+	if t.c.Adapter != "" {
+		t.h.cfg.Loader.Used(a.u.ID, t.c.wanted())
+	}
+	a.flight = a.u.Begin(t.c.wanted(), t.c.TokensIn)
+}
+
+// send sends an attempt and reads the head of its answer.
+func (t *tries) send(a *attempt) error {
+	head := Attempt{Upstream: a.u.ID, Left: t.c.left(time.Now()), Priority: -1, LastEvent: a.from}
+	if t.c.Model != "" {
+		head.Priority = min(max(t.c.Priority, 0), lowestPriority)
+	}
+	got, err := t.h.pools.of(a.u).Do(a.ctx, &courier.Request{
+		Method: t.c.Method, Head: t.h.cfg.Wire.Head(t.c, head), Body: t.c.Body,
+		Own:   func(status int, hd http.Header) bool { return t.h.cfg.Wire.Own(t.c, status, hd) },
+		Check: func() error { return t.check(a) },
+	})
+	a.got = got
+	return err
+}
+
 // check is called right before an attempt is written. The upstream may have left while
 // the connection was made, and this VM may have stood still.
-func (t *tries) check(u *roster.Upstream) error {
+func (t *tries) check(a *attempt) error {
 	age := t.h.cfg.Directory.Age()
 	if !t.h.cfg.Directory.InTime() {
 		return fmt.Errorf("the directory was read %s ago", age.Round(time.Millisecond))
 	}
-	if !u.Usable() {
-		return fmt.Errorf("upstream %q has left", u.ID)
+	if !a.u.Usable() {
+		return fmt.Errorf("upstream %q has left", a.u.ID)
 	}
-	if err := t.permitted(u); err != nil {
+	if err := a.permitted(); err != nil {
 		return err
 	}
-	t.h.notices.written(u)
-	t.way.written, t.way.directory = time.Since(t.c.received), age
+	t.h.notices.written(a.u)
+	a.way.written, a.way.directory = time.Since(t.c.received), age
 	t.h.cfg.Metrics.Written(age)
 	return nil
 }
@@ -206,51 +252,22 @@
 // lowestPriority is the last rank at engines.
 const lowestPriority = 9
 
-// watch cancels an attempt that is silent for too long, once the call can go on
-// elsewhere.
-func (t *tries) watch(u *roster.Upstream, cancel func()) *watchdog {
-	w := &watchdog{}
-	if !t.c.Route.Idempotent() || len(t.tried)+1 >= t.c.Route.Attempts {
-		return w
-	}
-	w.limit = resumeAfter
-	if t.c.Route.Kind == catalogue.Safe && t.c.Route.Objective > 0 {
-		w.limit = safeTry * t.c.Route.Objective
-	}
-	avoid := append(slices.Clone(t.tried), u.ID)
-	w.start(func() bool { return t.reserve(avoid) }, cancel)
-	return w
-}
-
-// reserve reports whether another upstream than those to avoid can take the call over,
-// and holds a send of the budget for it.
-func (t *tries) reserve(avoid []fleet.UpstreamID) bool {
-	list := unlimited(t.h.pick.Candidates(t.service, t.c, avoid))
-	if t.c.Adapter != "" {
-		list = withAdapter(list, t.c)
-	}
-	if len(list) == 0 || !t.h.cfg.Budget.Repeat() {
-		return false
-	}
-	t.reserved.Store(true)
-	return true
-}
-
 // failed records that an attempt failed.
-func (t *tries) failed(u *roster.Upstream, err error) {
-	t.h.cfg.Metrics.Attempt(u.ID, true)
-	t.h.cfg.Events.Record(event.AttemptFailed, t.way.fields(timeline.Fields{
-		"request": string(t.c.ID), "upstream": string(u.ID), "reason": err.Error(), "sends": strconv.Itoa(t.sends),
+func (t *tries) failed(a *attempt, err error) {
+	t.h.cfg.Metrics.Attempt(a.u.ID, true)
+	t.h.cfg.Events.Record(event.AttemptFailed, a.way.fields(timeline.Fields{
+		"request": string(t.c.ID), "upstream": string(a.u.ID), "reason": err.Error(), "sends": strconv.Itoa(t.sends),
 	}))
 }
 
 // served records what decided how the caller was served.
-func (t *tries) served(u *roster.Upstream, status int) {
+func (t *tries) served(a *attempt, status int) {
+	u := a.u
 	own, all := u.InFlight()
 	p := t.out.pacing
 	t.h.cfg.Metrics.Attempt(u.ID, status >= http.StatusInternalServerError)
 	t.h.cfg.Metrics.Served(t.c.Route.Kind.String(), t.c.Team, p.first, p.longest)
-	t.h.cfg.Events.Record(event.RequestServed, t.way.fields(timeline.Fields{
+	t.h.cfg.Events.Record(event.RequestServed, a.way.fields(timeline.Fields{
 		"request": string(t.c.ID), "route": string(t.c.Route.Name), "team": string(t.c.Team),
 		"upstream": string(u.ID), "own": strconv.Itoa(own), "all": strconv.Itoa(all),
 		"model": string(t.c.Model), "adapter": string(t.c.Adapter), "priority": strconv.Itoa(t.c.Priority),
@@ -261,16 +278,17 @@
 }
 
 // withheld records an attempt that was not sent.
-func (t *tries) withheld(u *roster.Upstream, err error) {
+func (t *tries) withheld(a *attempt, err error) {
 	t.sends--
-	t.h.cfg.Events.Record(event.AttemptWithheld, t.way.fields(timeline.Fields{
-		"request": string(t.c.ID), "upstream": string(u.ID), "reason": err.Error(),
+	t.h.cfg.Events.Record(event.AttemptWithheld, a.way.fields(timeline.Fields{
+		"request": string(t.c.ID), "upstream": string(a.u.ID), "reason": err.Error(),
 	}))
 }
 
 // unanswered judges an attempt that brought no answer.
-func (t *tries) unanswered(u *roster.Upstream, err error) (again bool, _ error) {
-	t.failed(u, err)
+func (t *tries) unanswered(a *attempt, err error) (again bool, _ error) {
+	u := a.u
+	t.failed(a, err)
 	if errors.Is(err, courier.ErrNotSent) {
 		u.Unreachable()
 		t.unreachable = append(t.unreachable, u.ID)
@@ -282,14 +300,15 @@
 }
 
 // answered judges the head of an answer and hands the answer on.
-func (t *tries) answered(ctx context.Context, u *roster.Upstream, got *courier.Answer, f *roster.Flight, w *watchdog) (again bool, err error) {
+func (t *tries) answered(a *attempt, w *watchdog) (again bool, err error) {
+	u, got := a.u, a.got
 	reply := t.h.cfg.Wire.ReadReply(got.Status, got.Header)
 	if reply.HasLoad {
 		own, _ := u.InFlight()
 		u.SetOthers(max(reply.Load.Running+reply.Load.Waiting-own, 0))
 	}
 	if reply.NotRun {
-		return t.notRun(ctx, u, reply)
+		return t.notRun(a, reply)
 	}
 	t.ran = true
 	t.tried = append(t.tried, u.ID)
@@ -300,12 +319,12 @@
 	if t.out.begun && got.Status != http.StatusOK {
 		return mayGoOn, fault.New(fault.UpstreamFailed, "upstream %q answered %d to a resumed stream", u.ID, got.Status)
 	}
-	err = t.out.copy(t.c, got, func() { f.Heard(); w.heard() })
+	err = t.out.copy(t.c, got, func() { a.flight.Heard(); w.heard() })
 	if err == nil {
-		t.served(u, got.Status)
+		t.served(a, got.Status)
 		return false, nil
 	}
-	t.failed(u, err)
+	t.failed(a, err)
 	var gone *clientGone
 	// Only a stream of events can go on after a part of it went to the client.
 	whole := !t.out.begun || t.c.Route.Kind == catalogue.Stream
@@ -314,14 +333,15 @@
 
 // notRun judges an answer that says that the request did not run. An adapter
 // that is on its way is waited for at the same engine.
-func (t *tries) notRun(ctx context.Context, u *roster.Upstream, reply Reply) (again bool, err error) {
+func (t *tries) notRun(a *attempt, reply Reply) (again bool, err error) {
+	u := a.u
 	err = t.turnedAway(u, reply)
-	t.failed(u, err)
+	t.failed(a, err)
 	if t.c.Adapter != "" {
 		if reply.Mistaken {
 			u.DropAdapter(t.c.wanted())
 		}
-		loop.Pause(ctx, adapterRetry)
+		loop.Pause(a.ctx, adapterRetry)
 		return t.sends < 2, err
 	}
 	if len(t.tried)+1 >= t.c.Route.Attempts && !reply.Mistaken {
--- a/serving/watchdog.go
+++ b/serving/watchdog.go
@@ -1,60 +1,102 @@
 package serving
 
 import (
+	"context"
 	"sync"
 	"time"
 )
 
-// watchdog ends an attempt in which nothing was heard for too long. Without a
-// limit it does nothing.
+// watchdog replaces an attempt in which nothing was heard for too long, once another one is
+// ready to take its place. Without a limit it does nothing.
 type watchdog struct {
 	limit time.Duration
+	// replace prepares another attempt, nil if there is none to be had. Again tells that one
+	// was tried.
+	replace func(ctx context.Context) (next *attempt, again bool)
+	// use ends the silent attempt in favour of the other one, drop ends the other one.
+	use, drop func(next *attempt)
 
 	mu    sync.Mutex
 	timer *time.Timer
-	// barked is set once the attempt was ended, stopped once it is over.
+	// trying ends the search for another attempt, which is over once done is closed.
+	trying context.CancelFunc
+	done   chan struct{}
+	// barked is set once the attempt was replaced, stopped once it is over.
 	barked, stopped bool
 }
 
-// recheck is how often it is looked again whether a silent attempt can be ended.
+// recheck is how often it is looked again whether a silent attempt can be replaced.
 const recheck = 100 * time.Millisecond
 
-// start has the attempt cancelled at the limit, or later, once may allows it.
-func (w *watchdog) start(may func() bool, cancel func()) {
+func (w *watchdog) start() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(w.limit, func() {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		switch {
-		case w.stopped:
-		case may():
-			w.barked = true
-			cancel()
-		default:
-			w.timer.Reset(recheck)
-		}
-	})
+	w.timer = time.AfterFunc(w.limit, w.bark)
+}
+
+func (w *watchdog) bark() {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	w.mu.Lock()
+	if w.stopped {
+		w.mu.Unlock()
+		return
+	}
+	done := make(chan struct{})
+	w.trying, w.done = cancel, done
+	w.mu.Unlock()
+	next, again := w.replace(ctx)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	defer close(done)
+	w.trying = nil
+	switch {
+	case next != nil && ctx.Err() == nil && !w.stopped:
+		w.barked = true
+		w.use(next)
+	case next != nil:
+		w.drop(next) // The silent attempt was heard meanwhile, or is over.
+	}
+	if w.barked || w.stopped {
+		return
+	}
+	pause := recheck
+	if again {
+		pause = w.limit
+	}
+	w.timer.Reset(pause)
 }
 
 func (w *watchdog) heard() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.timer != nil && !w.stopped {
+	if w.trying != nil {
+		w.trying()
+		return // The timer is set once the search has ended.
+	}
+	if w.timer != nil && !w.stopped && !w.barked {
 		w.timer.Reset(w.limit)
 	}
 }
 
+// stop ends the watch, and waits until nothing is prepared any more.
 func (w *watchdog) stop() {
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	w.stopped = true
 	if w.timer != nil {
 		w.timer.Stop()
 	}
+	if w.trying != nil {
+		w.trying()
+	}
+	done := w.done
+	w.mu.Unlock()
+	if done != nil {
+		<-done
+	}
 }
 
-// fired reports whether the attempt was ended.
+// fired reports whether the attempt was replaced.
 func (w *watchdog) fired() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
