--- a/metric/metric_test.go
+++ b/metric/metric_test.go
@@ -31,6 +31,9 @@
 	s.Refused("", "", "not_found")
 	s.Attempt("u", true)
 	s.StoreCall("read", nil)
+	s.Notice("intake")
+	s.Noticed("intake")
+	s.Permit(true)
 	s.Written(time.Second)
 	text := page(s)
 	for _, d := range metric.Registry {
