Give up upstreams that send bytes without end, or none that are progress

Field report: servers in trouble send bytes without end that are no answer, in a head or a body, until the caller closes; and stalled streams that send a byte now and then never end.

Now a head is 64 KB at most, with 16 informational ones, an answer to another request and an event 1 MB; and only whole events that hold something are progress, so a stream that sends comments, empty events or single bytes goes on elsewhere like a silent one.

--- a/courier/exchange.go
+++ b/courier/exchange.go
@@ -22,6 +22,16 @@
 // connection is given up.
 const maxForeign = 2
 
+// Bounds of what is read of an upstream in trouble before its connection is given up.
+const (
+	// maxHead is the most bytes of a head, informational ones before it included.
+	maxHead = 64 << 10
+	// maxInformational is the most informational heads before an answer.
+	maxInformational = 16
+	// maxForeignBody is the most bytes of an answer to another request.
+	maxForeignBody = 1 << 20
+)
+
 // sendGrace lets the goroutine that wrote a request report so, after the answer
 // has come already.
 const sendGrace = 5 * time.Millisecond
@@ -107,16 +117,22 @@
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			break
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxForeignBody+1))
+		if err != nil {
 			return nil, fmt.Errorf("broken answer to another request: %w", err)
 		}
+		if n > maxForeignBody {
+			return nil, fmt.Errorf("an answer to another request of more than %d bytes", maxForeignBody)
+		}
 	}
 	return nil, errors.New("the answer belongs to another request")
 }
 
 // readHead reads one answer's head past informational ones.
 func readHead(c *conn, req *http.Request) (*http.Response, error) {
-	for {
+	c.in.left, c.in.limited = maxHead, true
+	defer func() { c.in.limited = false }()
+	for range maxInformational {
 		resp, err := http.ReadResponse(c.br, req)
 		if err != nil {
 			return nil, err
@@ -125,6 +141,7 @@
 			return resp, nil
 		}
 	}
+	return nil, fmt.Errorf("more than %d informational answers", maxInformational)
 }
 
 func (x *exchange) answer(resp *http.Response) *Answer {
--- a/serving/answer.go
+++ b/serving/answer.go
@@ -20,6 +20,8 @@
 	// on, so that one that breaks off can be asked for again.
 	wholeBytes = 64 << 10
 	copyBuffer = 4 << 10
+	// maxEvent is the longest event of a stream.
+	maxEvent = 1 << 20
 	// writeTimeout is how long a client may read nothing.
 	writeTimeout = 10 * time.Second
 )
@@ -134,14 +136,19 @@
 	for {
 		n, err := got.Body.Read(buf)
 		if n > 0 {
-			heard()
 			held = append(held, buf[:n]...)
 			end := wholeEvents(held)
+			if progress(held[:end]) {
+				heard()
+			}
 			if err := a.events(got, held[:end]); err != nil {
 				return err
 			}
 			held = append(held[:0], held[end:]...)
 		}
+		if len(held) > maxEvent {
+			return fmt.Errorf("the stream broke off: an event of more than %d bytes", maxEvent)
+		}
 		if errors.Is(err, io.EOF) {
 			a.begin(got)
 			return a.write(held, true)
@@ -152,6 +159,18 @@
 	}
 }
 
+// progress reports whether whole events hold more than comments and empty fields: an engine
+// that sends only these, or single bytes, stands still.
+func progress(events []byte) bool {
+	for line := range bytes.SplitSeq(events, []byte("\n")) {
+		name, value, ok := bytes.Cut(bytes.TrimSpace(line), []byte(":"))
+		if len(name) > 0 && (!ok || len(bytes.TrimSpace(value)) > 0) {
+			return true
+		}
+	}
+	return false
+}
+
 func (a *answer) events(got *courier.Answer, b []byte) error {
 	if len(b) == 0 {
 		return nil
