Count a VM's share again at once at keepers that were not ready

Cause: a VM that starts keeps no pool until it knows the limits. Those that wanted it as keeper went to the next one, came back a second later, and by the rule that at most two keepers count a VM's share they counted nowhere until 3 s after the first change, so the pools held nothing and dropped what was minted. Ruled out: shares that are dealt late (parts were there after 20 ms). Now it is kept to which keepers the share was shown and when; one that says that it keeps no pool counts nobody, and is forgotten at once.

--- a/shares/keeper.go
+++ b/shares/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -109,8 +110,10 @@
 	cfg ClientConfig
 
 	mu sync.Mutex
-	// kept is who keeps each pool for this VM.
-	kept map[int]kept
+	// kept is who keeps each pool for this VM, shown when it last showed its share to each
+	// keeper of a pool: the keeper may count it for countedFor.
+	kept  map[int]Keeper
+	shown map[int]map[fleet.VMID]time.Duration
 	// down are the keepers that did not answer, with the time to try them again.
 	down map[fleet.VMID]time.Duration
 	// answered is when a keeper answered last.
@@ -124,18 +127,10 @@
 	windows map[intakeKey]*window
 }
 
-// kept is who keeps a pool since when, 0 for the first keeper. Until a time two keepers
-// before may count this VM's share.
-type kept struct {
-	by        Keeper
-	since     time.Duration
-	uncounted time.Duration
-}
-
 // NewClient returns a client.
 func NewClient(cfg ClientConfig) *Client {
 	return &Client{
-		cfg: cfg, kept: make(map[int]kept), down: make(map[fleet.VMID]time.Duration), dry: make(map[fleet.TeamID]time.Duration),
+		cfg: cfg, kept: make(map[int]Keeper), shown: make(map[int]map[fleet.VMID]time.Duration), down: make(map[fleet.VMID]time.Duration), dry: make(map[fleet.TeamID]time.Duration),
 		bonds: make(map[int]*bonding), windows: make(map[intakeKey]*window),
 	}
 }
@@ -212,27 +207,40 @@
 }
 
 // keeper returns who keeps a pool for this VM: the best VM that answers. It counts this
-// VM's share unless two before may do so still.
+// VM's share unless two others may do so still.
 func (c *Client) keeper(pools [][]Keeper, pool int) (k Keeper, counts, ok bool) {
-	now := c.cfg.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, k := range pools[pool] {
 		if _, down := c.down[k.VM]; down {
 			continue
 		}
-		state, had := c.kept[pool]
-		if had && state.by.VM != k.VM {
-			c.cfg.Events.Record(event.KeeperChanged, timeline.Fields{"vm": string(k.VM), "before": string(state.by.VM)})
-			state.since, state.uncounted = now, state.since+countedFor
+		if before, had := c.kept[pool]; had && before.VM != k.VM {
+			c.cfg.Events.Record(event.KeeperChanged, timeline.Fields{"vm": string(k.VM), "before": string(before.VM)})
 		}
-		state.by = k
-		c.kept[pool] = state
-		return k, now >= state.uncounted, true
+		c.kept[pool] = k
+		return k, c.show(pool, k), true
 	}
 	return Keeper{}, false, false
 }
 
+// show reports whether this VM's share is shown to a keeper, and notes that it is. The caller
+// holds the lock.
+func (c *Client) show(pool int, k Keeper) bool {
+	now := c.cfg.Now()
+	shown, ok := c.shown[pool]
+	if !ok {
+		shown = make(map[fleet.VMID]time.Duration)
+		c.shown[pool] = shown
+	}
+	maps.DeleteFunc(shown, func(_ fleet.VMID, at time.Duration) bool { return now-at >= countedFor })
+	if _, again := shown[k.VM]; !again && len(shown) >= poolsCount {
+		return false
+	}
+	shown[k.VM] = now
+	return true
+}
+
 // probes returns the keepers to try again.
 func (c *Client) probes(pools [][]Keeper) []Keeper {
 	now := c.cfg.Now()
--- a/shares/keeper_test.go
+++ b/shares/keeper_test.go
@@ -111,6 +111,7 @@
 	for i := range n {
 		v := &vm{w: w, id: fleet.VMID(fmt.Sprint(i)), purse: NewPurse(now)}
 		v.pool = NewPool(now, v.purse.Lapsed)
+		v.pool.intakes.random = rand.New(rand.NewPCG(1, uint64(i))).Float64
 		v.client = NewClient(ClientConfig{
 			VM: v.id, Own: v.pool, Purse: v.purse, Peers: w, Keepers: func() [][]Keeper { return v.keepers(keepers) },
 			Size: func() int { return n }, Now: now, Events: timeline.New("test", 16, logger),
@@ -267,6 +268,30 @@
 	is.True(static/asked > 0.5)
 }
 
+// Guards against refusals within the rate after all VMs were killed at once: VMs that knew no
+// limits yet were passed over as keepers, and the VMs that came back to them counted nowhere
+// for seconds.
+func TestRestartOfAllIsNotFelt(t *testing.T) {
+	is := is.New(t)
+	teams := teamsOf(19)
+	w := newWorld(195, 4, teams...)
+	first := w.vms[:4] // The keepers that all would choose.
+	for _, v := range first {
+		v.pool.open = false
+	}
+	refused := w.load(8*time.Second, 0.55, 715, func(now time.Duration) {
+		if now == 700*time.Millisecond {
+			for _, v := range first {
+				v.pool.Configure(catalogue.NewConfig(1, nil, nil, teams, catalogue.Limits{}))
+			}
+		}
+	})
+	t.Logf("refused by second: %.3f", refused)
+	for _, part := range refused[2:] {
+		is.True(part < 0.02)
+	}
+}
+
 // Guards against refusals after the keepers have changed: what the VM before has of a pool
 // goes to the next one, also when it leaves.
 func TestPoolIsHandedOver(t *testing.T) {
--- a/shares/permit.go
+++ b/shares/permit.go
@@ -249,6 +249,9 @@
 			b.promised = 0
 		}
 	}
+	for _, shown := range c.shown {
+		delete(shown, k.VM)
+	}
 }
 
 // boundTo returns the keeper to which this VM is bound for a pool, unless it does not answer.
