Mint from when a share is dealt, and fill pools sooner after a start

A VM minted only from when it knew the limits, some 0.4 s after the store had dealt its share, and sent its spare tokens each 0.6 s in a large fleet. Now what was minted since the share was dealt counts once the first limits are known (TestTokensAreMintedBeforeLimitsAreKnown), and spare tokens go each 0.2 s for the first 3 s.

--- a/shares/keeper.go
+++ b/shares/keeper.go
@@ -72,6 +72,9 @@
 	putEvery = 200 * time.Millisecond
 	putFleet = 16
 	putRare  = 600 * time.Millisecond
+	// putStart is for how long a VM that has started sends its spare tokens as often as in a
+	// small fleet.
+	putStart = 3 * time.Second
 	// callTimeout bounds a call: the ways between data centres take 1 to 3 ms.
 	callTimeout = 150 * time.Millisecond
 	// probeEvery is how often a keeper is tried again that did not answer.
@@ -107,7 +110,8 @@
 // Any VM can keep a pool: where the best one does not answer the next is asked, which
 // begins with what VMs can spare. At most two keepers count a VM's share at a time.
 type Client struct {
-	cfg ClientConfig
+	cfg   ClientConfig
+	began time.Duration
 
 	mu sync.Mutex
 	// kept is who keeps each pool for this VM, shown when it last showed its share to each
@@ -130,7 +134,7 @@
 // NewClient returns a client.
 func NewClient(cfg ClientConfig) *Client {
 	return &Client{
-		cfg: cfg, kept: make(map[int]Keeper), shown: make(map[int]map[fleet.VMID]time.Duration), down: make(map[fleet.VMID]time.Duration), dry: make(map[fleet.TeamID]time.Duration),
+		cfg: cfg, began: cfg.Now(), kept: make(map[int]Keeper), shown: make(map[int]map[fleet.VMID]time.Duration), down: make(map[fleet.VMID]time.Duration), dry: make(map[fleet.TeamID]time.Duration),
 		bonds: make(map[int]*bonding), windows: make(map[intakeKey]*window),
 	}
 }
@@ -146,10 +150,19 @@
 		case <-t.C:
 		}
 		c.turn(ctx)
-		t.Reset(min(max(putEvery*time.Duration(c.cfg.Size())/putFleet, putEvery), putRare))
+		t.Reset(c.interval())
 	}
 }
 
+// interval returns how often this VM sends spare tokens: often while it starts, for after a
+// restart of many VMs the pools are empty.
+func (c *Client) interval() time.Duration {
+	if c.cfg.Now()-c.began < putStart {
+		return putEvery
+	}
+	return min(max(putEvery*time.Duration(c.cfg.Size())/putFleet, putEvery), putRare)
+}
+
 // turn sends the spare tokens to all pools at once, and tries keepers again.
 func (c *Client) turn(ctx context.Context) {
 	pools := c.cfg.Keepers()
--- a/shares/purse.go
+++ b/shares/purse.go
@@ -59,9 +59,13 @@
 
 	mu sync.Mutex
 	// share is the part of each rate that this VM mints until the time until.
-	share  float64
-	until  time.Duration
+	share float64
+	until time.Duration
+	// since is from when on it has minted that share.
+	since  time.Duration
 	levels map[fleet.TeamID]*level
+	// configured is set once the first limits were known.
+	configured bool
 	// alone is set while no keeper answers, so that there is no pool.
 	alone bool
 }
@@ -88,14 +92,20 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	next := make(map[fleet.TeamID]*level, len(cfg.Teams))
+	began := now
+	if !p.configured && p.share > 0 {
+		began = p.since // What was minted before the first limits were known counts.
+	}
+	p.configured = true
 	for _, t := range cfg.Teams {
 		l, ok := p.levels[t.ID]
 		if ok {
 			p.mint(l, now)
 		} else {
-			l = &level{minted: now}
+			l = &level{minted: began}
 		}
 		l.rate, l.burst = Tokens(t.Rate), Tokens(t.Burst)
+		p.mint(l, now)
 		p.cap(l)
 		next[t.ID] = l
 	}
@@ -111,6 +121,9 @@
 	for _, l := range p.levels {
 		p.mint(l, now)
 	}
+	if share != p.share || now >= p.until {
+		p.since = now
+	}
 	p.share, p.until = share, until
 	for _, l := range p.levels {
 		p.cap(l)
--- a/shares/shares_test.go
+++ b/shares/shares_test.go
@@ -150,3 +150,24 @@
 	}
 	is.Equal(admitted, shares.Tokens(100))
 }
+
+// What a VM has minted since its share was dealt is there once it learns the limits, and no
+// more: not of a share that it had before, or that has lapsed.
+func TestTokensAreMintedBeforeLimitsAreKnown(t *testing.T) {
+	is := is.New(t)
+	now := time.Hour
+	p := shares.NewPurse(func() time.Duration { return now })
+	team := &catalogue.Team{ID: "team", Rate: 1000, Burst: 100_000}
+	p.SetShare(1, now+time.Minute)
+	now += time.Second
+	p.SetShare(0.5, now+2*time.Second)
+	now += time.Second
+	p.SetShare(0.5, now+2*time.Second) // Renewed.
+	now += time.Second
+	p.Configure(catalogue.NewConfig(1, nil, nil, []*catalogue.Team{team}, catalogue.Limits{}))
+	is.True(!p.Take("team", 1001)) // Two seconds at half the rate.
+	is.True(p.Take("team", 999))
+	other := &catalogue.Team{ID: "other", Rate: 1000, Burst: 100_000}
+	p.Configure(catalogue.NewConfig(2, nil, nil, []*catalogue.Team{team, other}, catalogue.Limits{}))
+	is.True(!p.Take("other", 10)) // It has no past.
+}
