Prefer engines with an idle connection, so that VMs that know the same differ

An upstream to which a connection has to be opened costs four requests more now. Connections differ between VMs, so the herd spreads (TestHerdIsSpreadByConnections: 39 of 39 VMs chose one engine, below 20 now).

--- a/courier/pool.go
+++ b/courier/pool.go
@@ -86,6 +86,15 @@
 	return c
 }
 
+// Idle reports whether there is an idle connection that the upstream is likely to keep.
+func (p *Pool) Idle() bool {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	return n > 0 && (p.idle[n-1].until.IsZero() || now.Before(p.idle[n-1].until))
+}
+
 func (p *Pool) put(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -96,10 +96,12 @@
 // New returns a handler.
 func New(cfg Config) *Handler {
 	n := newNotices(cfg)
+	p := newPools(n.hear)
+	connected := func(u *roster.Upstream) bool { return p.of(u).Idle() }
 	return &Handler{
 		cfg:     cfg,
-		pools:   newPools(n.hear),
-		pick:    NewPicker(cfg.Roster, cfg.DataCentre, cfg.Sharers),
+		pools:   p,
+		pick:    NewPicker(cfg.Roster, cfg.DataCentre, cfg.Sharers, connected),
 		notices: n,
 	}
 }
--- a/serving/picker.go
+++ b/serving/picker.go
@@ -22,6 +22,9 @@
 	// promptWeight is what each prompt token costs that the upstream was sent
 	// lately: 700 of them, the mean of the sheets, as much as two requests.
 	promptWeight = 2.0 / 700
+	// connectWeight is what an upstream costs to which a connection has to be opened:
+	// it takes a way more, and upstreams have few connections.
+	connectWeight = 4
 	// triedWeight is what an upstream costs that has failed the request already.
 	triedWeight = 1000
 )
@@ -31,12 +34,14 @@
 	roster     *roster.Roster
 	dataCentre fleet.DataCentre
 	sharers    func() float64
+	connected  func(*roster.Upstream) bool
 }
 
 // NewPicker returns a picker of a VM in a data centre. Sharers returns how many
-// VMs choose among the same upstreams as this one, itself included.
-func NewPicker(r *roster.Roster, dc fleet.DataCentre, sharers func() float64) *Picker {
-	return &Picker{roster: r, dataCentre: dc, sharers: sharers}
+// VMs choose among the same upstreams as this one, itself included; connected
+// tells whether this VM has an idle connection to an upstream.
+func NewPicker(r *roster.Roster, dc fleet.DataCentre, sharers func() float64, connected func(*roster.Upstream) bool) *Picker {
+	return &Picker{roster: r, dataCentre: dc, sharers: sharers, connected: connected}
 }
 
 // service draws one of the services of a route by weight, of those that have a
@@ -177,5 +182,9 @@
 	if slices.Contains(tried, u.ID) {
 		c += triedWeight
 	}
+	// VMs that know the same have connections to different upstreams.
+	if !p.connected(u) {
+		c += connectWeight
+	}
 	return c
 }
--- a/serving/picker_test.go
+++ b/serving/picker_test.go
@@ -22,7 +22,7 @@
 			DataCentre: fleet.DataCentre(fmt.Sprintf("dc-%d", i/2)),
 		})
 	}
-	return NewPicker(r, "dc-0", func() float64 { return 1 }), r.Upstreams()
+	return NewPicker(r, "dc-0", func() float64 { return 1 }, func(*roster.Upstream) bool { return true }), r.Upstreams()
 }
 
 // Requests stay in their data centre while it has room, and spread over all when
@@ -113,3 +113,43 @@
 	is.True(!u.HasAdapter(roster.Adapter{Model: "m", Adapter: "a"}, time.Now()))
 	is.True(!all[0].Usable())
 }
+
+// picked lets 39 VMs that were told the same, an engine with four requests fewer than the 15
+// others, choose one each, and returns the most that chose the same engine. VMs have
+// connections to so many of the engines.
+func picked(connections int) int {
+	count := make(map[fleet.UpstreamID]int)
+	for vm := range 39 {
+		r := roster.New()
+		for i := range 16 {
+			r.Put(roster.Entry{ID: fleet.UpstreamID(fmt.Sprintf("%02d", i)), Service: "s", Address: "192.0.2.1:80", DataCentre: "dc"})
+		}
+		for i, u := range r.Upstreams() {
+			u.SetOthers(14)
+			if i == 0 {
+				u.SetOthers(10)
+			}
+		}
+		connected := func(u *roster.Upstream) bool {
+			var i int
+			_, _ = fmt.Sscan(string(u.ID), &i)
+			return (i*7+vm*5)%16 < connections
+		}
+		p := NewPicker(r, "dc", func() float64 { return 39 }, connected)
+		count[p.Best(p.Candidates("s", &Call{}, nil), nil).ID]++
+	}
+	most := 0
+	for _, n := range count {
+		most = max(most, n)
+	}
+	return most
+}
+
+// Load pattern: a herd. VMs of a large fleet hear the same, some hundred milliseconds late, and
+// all go to the engine that had the fewest requests. Connections, which differ, spread them.
+// Baseline: without any, all choose the same engine.
+func TestHerdIsSpreadByConnections(t *testing.T) {
+	is := is.New(t)
+	is.Equal(picked(0), 39)
+	is.True(picked(4) < 20)
+}
