Take no late copy of a caller's answer for a report or an order's answer

Field report: a second copy of an answer came late on a connection in use again. Callers' requests are told apart by their ids; the VM's own questions and orders on the same connections took whatever came: a copy of a caller's success counted as 'the order already holds', or as a report. Now an answer that bears a request's id is read past there as well.

--- a/courier/exchange.go
+++ b/courier/exchange.go
@@ -213,28 +213,33 @@
 	return nil
 }
 
-// Get fetches a path of an upstream for the VM's own use.
-func (p *Pool) Get(ctx context.Context, path string) (int, []byte, error) {
-	return p.own(ctx, http.MethodGet, path, nil, nil)
-}
-
-// Post sends a JSON body to a path of an upstream for the VM's own use.
-func (p *Pool) Post(ctx context.Context, path string, extra http.Header, in []byte) (int, []byte, error) {
-	return p.own(ctx, http.MethodPost, path, extra, in)
+// Call is a request of the VM's own to a path of an upstream.
+type Call struct {
+	Path   string
+	Header http.Header
+	// Body is the JSON body of a POST; without one the call is a GET.
+	Body []byte
+	// Own reports whether the headers are those of an answer to such a call.
+	Own func(h http.Header) bool
 }
 
 // maxOwnAnswer bounds the answers to the VM's own requests.
 const maxOwnAnswer = 1 << 20
 
-func (p *Pool) own(ctx context.Context, method, path string, extra http.Header, in []byte) (int, []byte, error) {
+// Call sends a request of the VM's own and returns the status and body of its answer.
+func (p *Pool) Call(ctx context.Context, c Call) (int, []byte, error) {
+	method := http.MethodGet
+	if c.Body != nil {
+		method = http.MethodPost
+	}
 	var head bytes.Buffer
-	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", method, path, p.address)
-	_ = extra.Write(&head)
-	if in != nil {
-		fmt.Fprintf(&head, "Content-Type: application/json\r\nContent-Length: %d\r\n", len(in))
+	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", method, c.Path, p.address)
+	_ = c.Header.Write(&head)
+	if c.Body != nil {
+		fmt.Fprintf(&head, "Content-Type: application/json\r\nContent-Length: %d\r\n", len(c.Body))
 	}
 	head.WriteString("\r\n")
-	r := &Request{Method: method, Head: head.Bytes(), Body: in, Own: func(int, http.Header) bool { return true }}
+	r := &Request{Method: method, Head: head.Bytes(), Body: c.Body, Own: func(_ int, h http.Header) bool { return c.Own(h) }}
 	a, err := p.Do(ctx, r)
 	if err != nil {
 		return 0, nil, err
