Refuse requests for permits and words that cannot be right

An intake that is not a number, without end or negative in a message of another VM made a pool's level one, and permits without end; a share that is no share counted as a majority.

--- a/roster/notice.go
+++ b/roster/notice.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -169,7 +170,7 @@
 
 // Check returns an error if the word cannot be true.
 func (w *Word) Check() error {
-	if w.Age < 0 || !(w.Intake >= 0) {
+	if w.Age < 0 || !(w.Intake >= 0) || math.IsInf(float64(w.Intake), 0) {
 		return fmt.Errorf("word of upstream %q: an age of %s and an intake of %g", w.Upstream, w.Age, w.Intake)
 	}
 	return nil
--- a/roster/notice_test.go
+++ b/roster/notice_test.go
@@ -1,6 +1,7 @@
 package roster_test
 
 import (
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -77,6 +78,8 @@
 	for _, w := range []roster.Word{
 		{Upstream: "u", Born: 1, Limited: true, Intake: -1, Event: 1},
 		{Upstream: "u", Born: 1, Limited: true, Intake: 1, Age: -time.Second, Event: 1},
+		{Upstream: "u", Born: 1, Limited: true, Intake: roster.Intake(math.NaN()), Event: 1},
+		{Upstream: "u", Born: 1, Limited: true, Intake: roster.Intake(math.Inf(1)), Event: 1},
 		{Upstream: "u", Born: 2, Leaving: true, Event: 1},
 		{Upstream: "other", Born: 1, Leaving: true, Event: 1},
 	} {
--- a/shares/intake.go
+++ b/shares/intake.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -138,7 +139,7 @@
 	defer s.mu.Unlock()
 	now := s.now()
 	all := s.advance(pool, now)
-	if b.Mark.Start != s.start || b.Mark.At > now || b.Share <= 0 {
+	if b.Mark.Start != s.start || b.Mark.At > now || !(b.Share > 0 && b.Share <= 1) {
 		return
 	}
 	until := b.Mark.At + bondLife
@@ -219,6 +220,17 @@
 	Turned []Claimant
 }
 
+// Check returns an error if the request cannot be right.
+func (r *IntakeRequest) Check() error {
+	switch rate := float64(r.Intake); {
+	case !(rate >= 0) || math.IsInf(rate, 0):
+		return fmt.Errorf("an intake of %g requests a second", rate)
+	case r.Age < 0 || r.Want < 0:
+		return fmt.Errorf("an age of %s, %d requests wanted", r.Age, r.Want)
+	}
+	return nil
+}
+
 // Claimant tells whose request wants a permit. A lower rank is more urgent.
 type Claimant struct {
 	Rank int
--- a/shares/intake_test.go
+++ b/shares/intake_test.go
@@ -304,6 +304,25 @@
 	is.Equal(ask(), 0)
 }
 
+// Requests and promises that cannot be right are refused, and give nothing out.
+func TestOddRequestsGetNoPermit(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, 1)
+	w.turns(10)
+	nan, inf := math.NaN(), math.Inf(1)
+	for _, in := range []IntakeRequest{
+		{Intake: roster.Intake(nan)}, {Intake: roster.Intake(inf)}, {Intake: -1}, {Intake: 10, Age: -1}, {Intake: 10, Want: -1},
+	} {
+		_, err := w.vms[0].pool.Permit(in)
+		is.True(err != nil)
+	}
+	for _, share := range []float64{nan, inf, -1, 2} {
+		k := newIntakes(func() time.Duration { return w.now }, func() bool { return false })
+		k.bind("a", PoolID{0, 1}, Bond{Share: share, Left: time.Minute, Mark: k.mark()})
+		is.Equal(len(k.bonds[PoolID{0, 1}].vms), 0)
+	}
+}
+
 // What one question costs the VM that gives permits out, with 400 VMs bound to it and 175
 // upstreams that name their intake.
 func BenchmarkPermit(b *testing.B) {
--- a/shares/pool.go
+++ b/shares/pool.go
@@ -102,6 +102,9 @@
 
 // Permit gives permits for requests at an upstream that names its intake.
 func (p *Pool) Permit(in IntakeRequest) (IntakeGrant, error) {
+	if err := in.Check(); err != nil {
+		return IntakeGrant{}, err
+	}
 	p.mu.Lock()
 	open := p.open
 	p.mu.Unlock()
