Count the send anew when the attempt in a silent one's place cannot be used

The silent engine spoke at that moment, so the prepared attempt goes on after the wrong event and is dropped; the next send was not in the budget.

--- a/serving/run.go
+++ b/serving/run.go
@@ -121,7 +121,12 @@
 		t.next = nil
 		return t.receive(a)
 	}
-	t.drop()
+	if t.next != nil {
+		t.drop()
+		if !t.h.cfg.Budget.Repeat() {
+			return false, t.last
+		}
+	}
 	a, err := t.choose(ctx)
 	if err != nil {
 		return false, err
