Hold messages back under a lock in the test of keepers, and play its sizes at once

No code of the product was involved. The sizes of TestIntakeIsSharedAtAnySize, 49 s with the race detector one after the other, are played side by side.

--- a/shares/intake_test.go
+++ b/shares/intake_test.go
@@ -88,6 +88,7 @@
 	for _, vms := range []int{1, 7, 60, 195, 400} {
 		for _, rate := range []roster.Intake{0.2, 2.4, 30, 500} {
 			t.Run(fmt.Sprintf("vms=%d,rate=%g", vms, rate), func(t *testing.T) {
+				t.Parallel()
 				is := is.New(t)
 				pools := 1
 				if vms > 16 {
--- a/shares/keeper_test.go
+++ b/shares/keeper_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"reflect"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -35,6 +36,7 @@
 	missing int
 	// late is set while messages are held back; they come with deliver.
 	late bool
+	mu   sync.Mutex
 	held []func()
 	// quiet is set while there are no requests.
 	quiet bool
@@ -64,6 +66,13 @@
 	return out
 }
 
+// hold holds a message back.
+func (w *world) hold(f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.held = append(w.held, f)
+}
+
 // deliver delivers the messages that were held back.
 func (w *world) deliver() {
 	for _, f := range w.held {
@@ -84,7 +93,7 @@
 			continue
 		}
 		if w.late {
-			w.held = append(w.held, func() { _ = v.client.local(args, reflect.New(reflect.TypeOf(reply).Elem()).Interface()) })
+			w.hold(func() { _ = v.client.local(args, reflect.New(reflect.TypeOf(reply).Elem()).Interface()) })
 			return errNotReached
 		}
 		if err := v.client.local(args, reply); err != nil {
