Claim the duty anew that comes back after the membership has ended

Cause: a VM kept its claim when its joins failed for longer than its membership lasts, and the first deal after that gave it the duty again: it never learned that another VM had had it. Duty() then held with the old fence.

TestDutyThatComesBackIsClaimedAnew failed before (fence not above the other's).

--- a/crew/crew.go
+++ b/crew/crew.go
@@ -237,6 +237,10 @@
 			"generation": fmt.Sprint(d.Generation), "parts": fmt.Sprint(len(d.Parts)),
 		})
 	}
+	if c.cfg.Now()-c.confirmed >= c.life() {
+		// The membership may have ended, and another VM may have had the duty since.
+		c.dutySince, c.fence = 0, 0
+	}
 	c.generation, c.confirmed = d.Generation, asked
 	c.setDuty(slices.Contains(d.Parts, 0))
 	c.cfg.OnShare(float64(len(d.Parts))/float64(c.cfg.Parts), until)
--- a/crew/crew_test.go
+++ b/crew/crew_test.go
@@ -222,3 +222,39 @@
 		is.Equal(reads(), before)
 	})
 }
+
+// Guards against orders under a fencing token after a higher one (ONE): a coordinator whose
+// membership has ended while it was cut off, and to which the duty comes back, claims it anew.
+func TestDutyThatComesBackIsClaimedAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet()
+		defer f.close()
+		first := f.add()
+		time.Sleep(time.Second)
+		second := f.add()
+		time.Sleep(2 * lease)
+		if _, ok := first.crew.Duty(); !ok {
+			first, second = second, first
+		}
+		before, ok := first.crew.Duty()
+		is.True(ok)
+		first.cut.Store(true)
+		time.Sleep(2 * lease)
+		between, ok := second.crew.Duty()
+		is.True(ok)
+		is.True(between > before)
+		second.stop()
+		second.cut.Store(true)
+		time.Sleep(crew.PartLife)
+		first.cut.Store(false)
+		for range 100 {
+			time.Sleep(50 * time.Millisecond)
+			if fence, ok := first.crew.Duty(); ok {
+				is.True(fence > between)
+			}
+		}
+		_, ok = first.crew.Duty()
+		is.True(ok)
+	})
+}
