Look at the duty again right before an order is written

The duty was looked at before the connection to an engine was made, which takes up to 0.4 s; an order could be written after the duty had ended and another VM had given orders (class: acting on a permission that has run out meanwhile). The order is withheld now, and no engine's account is in doubt for it.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -319,3 +319,25 @@
 		is.Equal(len(w.engines.broken), 0)
 	})
 }
+
+// Guards against orders under a fencing token after a higher one (ONE), where engines do not
+// check them: the duty ends while connections to engines are made.
+func TestOrderOfEndedDutyIsNotWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(spec("a", "b"))
+		w.engines.add(w.roster, "engine-1", "a")
+		is.NoErr(w.run(2*time.Second, "a"))
+		w.engines.connect = 300 * time.Millisecond
+		before := w.engines.calls["engine-1"]
+		done := make(chan error, 1)
+		go func() {
+			var out coordinator.WishAnswer
+			done <- w.c.Service().Wish(coordinator.Wish{VM: "vm-1", Service: "texts", Adapter: roster.Adapter{Model: "a", Adapter: "x"}}, &out)
+		}()
+		time.Sleep(100 * time.Millisecond)
+		w.fence.Store(0)
+		is.True(errors.Is(<-done, coordinator.ErrNoDuty))
+		is.Equal(w.engines.calls["engine-1"], before)
+	})
+}
--- a/coordinator/engine.go
+++ b/coordinator/engine.go
@@ -31,7 +31,9 @@
 // Engines speaks to engines.
 type Engines interface {
 	Report(ctx context.Context, p *courier.Pool) (Report, error)
-	Order(ctx context.Context, p *courier.Pool, id fleet.UpstreamID, o Order) (Verdict, error)
+	// Order gives an order, unless check fails right before it is written: the error is
+	// courier.ErrWithheld then.
+	Order(ctx context.Context, p *courier.Pool, id fleet.UpstreamID, o Order, check func() error) (Verdict, error)
 }
 
 // engine is an upstream with the coordinator's account of it.
@@ -162,7 +164,10 @@
 	o.Holder, o.Fence = c.cfg.VM, fence
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	v, err := c.cfg.Engines.Order(ctx, c.cfg.Pool(e.u), e.u.ID, o)
+	v, err := c.cfg.Engines.Order(ctx, c.cfg.Pool(e.u), e.u.ID, o, func() error { return c.holds(fence) })
+	if errors.Is(err, courier.ErrWithheld) {
+		return Refused, ErrNoDuty
+	}
 	c.cfg.Events.Record(event.EngineOrdered, timeline.Fields{
 		"engine": string(e.u.ID), "order": o.String(), "verdict": v.String(), "error": fmt.Sprint(err),
 		"seq": fmt.Sprint(o.Seq), "fence": fmt.Sprint(fence),
@@ -174,6 +179,15 @@
 	return v, err
 }
 
+// holds returns an error if this VM's duty is not the one with a fencing token any more: it may
+// end while a connection to an engine is made.
+func (c *Coordinator) holds(fence int64) error {
+	if now, ok := c.cfg.Duty(); !ok || now != fence {
+		return ErrNoDuty
+	}
+	return nil
+}
+
 // ordered takes over the answer to an order.
 func (a *account) ordered(o Order, v Verdict, err error) {
 	a.orderedAt = time.Now()
@@ -273,8 +287,8 @@
 // it is free only when a report shows it.
 func (c *Coordinator) unloadAdapter(ctx context.Context, e *engine, victim roster.Adapter) error {
 	v, err := c.order(ctx, e, Order{Unload: true, Model: victim.Model, Adapter: victim.Adapter})
-	if errors.Is(err, errTurnedAway) {
-		return err
+	if errors.Is(err, errTurnedAway) || errors.Is(err, ErrNoDuty) {
+		return err // Nothing was sent.
 	}
 	if err == nil && v == AlreadySo {
 		c.change(e, func(a *account) { a.drop(victim, time.Now()) })
--- a/coordinator/engine_test.go
+++ b/coordinator/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -25,6 +26,8 @@
 	byPool map[*courier.Pool]fleet.UpstreamID
 	// broken lists the engines that were ordered over their limits.
 	broken []fleet.UpstreamID
+	// connect is how long a connection for an order takes.
+	connect time.Duration
 	// calls counts the questions and orders to each engine.
 	calls map[fleet.UpstreamID]int
 	// lateOnes are all orders while late is set.
@@ -114,7 +117,11 @@
 }
 
 // Order carries an order out, or refuses it.
-func (e *engines) Order(_ context.Context, _ *courier.Pool, id fleet.UpstreamID, o coordinator.Order) (coordinator.Verdict, error) {
+func (e *engines) Order(_ context.Context, _ *courier.Pool, id fleet.UpstreamID, o coordinator.Order, check func() error) (coordinator.Verdict, error) {
+	time.Sleep(e.connect)
+	if err := check(); err != nil {
+		return coordinator.Refused, fmt.Errorf("%w: %w", courier.ErrWithheld, err)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	f := e.all[id]
--- a/courier/exchange.go
+++ b/courier/exchange.go
@@ -221,6 +221,8 @@
 	Body []byte
 	// Own reports whether the headers are those of an answer to such a call.
 	Own func(h http.Header) bool
+	// Check is like that of a [Request].
+	Check func() error
 }
 
 // maxOwnAnswer bounds the answers to the VM's own requests.
@@ -239,7 +241,7 @@
 		fmt.Fprintf(&head, "Content-Type: application/json\r\nContent-Length: %d\r\n", len(c.Body))
 	}
 	head.WriteString("\r\n")
-	r := &Request{Method: method, Head: head.Bytes(), Body: c.Body, Own: func(_ int, h http.Header) bool { return c.Own(h) }}
+	r := &Request{Method: method, Head: head.Bytes(), Body: c.Body, Own: func(_ int, h http.Header) bool { return c.Own(h) }, Check: c.Check}
 	a, err := p.Do(ctx, r)
 	if err != nil {
 		return 0, nil, err
