Decode notices once an answer, and say shared things once, after a last reading

No behaviour changes. What upstreams say of themselves was decoded twice for each answer (by the connection's hook and by the attempt) and counted over maps made for each request; the hook alone decodes it now, and the one refusal that needs it asks for it. One test for orders that were not sent, one way to write an intake, one way to read a dealt share; a word's effect is compared outside of the code that takes it over.

--- a/coordinator/carry.go
+++ b/coordinator/carry.go
@@ -187,8 +187,8 @@
 		return failed
 	}
 	v, err := c.order(ctx, e, o)
-	if errors.Is(err, ErrNoDuty) || errors.Is(err, errTurnedAway) {
-		return err // Nothing was sent.
+	if unsent(err) {
+		return err
 	}
 	e.with(func(a *account) { a.ordering = err != nil || v == Accepted })
 	if err == nil && v != Accepted && v != AlreadySo {
--- a/coordinator/engine.go
+++ b/coordinator/engine.go
@@ -87,6 +87,11 @@
 // errTurnedAway tells that an engine wants nothing from this VM now.
 var errTurnedAway = errors.New("the engine has turned this VM away for a time")
 
+// unsent reports whether an error tells that an order was not sent.
+func unsent(err error) bool {
+	return errors.Is(err, ErrNoDuty) || errors.Is(err, errTurnedAway)
+}
+
 // away reports whether the engine wants nothing from this VM now.
 func (e *engine) away() bool {
 	return !e.u.Standing(time.Now()).Until.IsZero()
@@ -287,8 +292,8 @@
 // it is free only when a report shows it.
 func (c *Coordinator) unloadAdapter(ctx context.Context, e *engine, victim roster.Adapter) error {
 	v, err := c.order(ctx, e, Order{Unload: true, Model: victim.Model, Adapter: victim.Adapter})
-	if errors.Is(err, errTurnedAway) || errors.Is(err, ErrNoDuty) {
-		return err // Nothing was sent.
+	if unsent(err) {
+		return err
 	}
 	if err == nil && v == AlreadySo {
 		c.change(e, func(a *account) { a.drop(victim, time.Now()) })
--- a/coordinator/words.go
+++ b/coordinator/words.go
@@ -72,7 +72,7 @@
 	for _, word := range w.roster.Learn(list, at) {
 		f := timeline.Fields{"upstream": string(word.Upstream), "from": from, "leaving": strconv.FormatBool(word.Leaving)}
 		if word.Limited {
-			f["intake"] = strconv.FormatFloat(float64(word.Intake), 'g', -1, 64)
+			f["intake"] = word.Intake.String()
 		}
 		events.Record(event.NoticeTold, f)
 	}
--- a/roster/notice.go
+++ b/roster/notice.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"toucanfall/fleet"
@@ -13,6 +14,11 @@
 // Intake is a number of requests a second.
 type Intake float64
 
+// String returns the number.
+func (i Intake) String() string {
+	return strconv.FormatFloat(float64(i), 'g', -1, 64)
+}
+
 // Notice is what an upstream says of itself in the head of an answer, beside the answer.
 type Notice struct {
 	// Leaving is set if the upstream is about to end.
@@ -197,15 +203,17 @@
 	})
 }
 
-func (u *Upstream) learn(w Word, now time.Time) (news bool) {
+// learn takes over a word, and reports whether it changed what the notices amount to.
+func (u *Upstream) learn(w Word, now time.Time) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	s := &u.said
-	before := s.standing(now)
-	defer func() {
-		after := s.standing(now)
-		news = before.Leaving != after.Leaving || before.Limited != after.Limited || before.Intake != after.Intake
-	}()
+	before := u.said.standing(now)
+	u.said.learn(w, now)
+	after := u.said.standing(now)
+	return before.Leaving != after.Leaving || before.Limited != after.Limited || before.Intake != after.Intake
+}
+
+func (s *said) learn(w Word, now time.Time) {
 	known := w.Event == s.event
 	if w.Leaving && !s.leaving {
 		s.leaving, s.event = true, w.Event
@@ -213,7 +221,6 @@
 	if at := now.Add(-w.Age); !known && at.After(s.named) && (w.Limited || s.limited) {
 		s.limited, s.intake, s.named, s.event, s.noted = w.Limited, w.Intake, at, w.Event, now
 	}
-	return false // It is set above.
 }
 
 // silence returns for how long no answer must have named the intake before one without it
--- a/serving/admit.go
+++ b/serving/admit.go
@@ -85,9 +85,9 @@
 
 // turnedAway is the error for a call that an upstream has turned away: the caller is told to
 // come back at once if there are others.
-func (t *tries) turnedAway(u *roster.Upstream, r Reply) *fault.Error {
-	err := fault.New(fault.Overloaded, "upstream %q took no request: status %d", u.ID, r.Status)
-	if r.Notice.Wait == 0 {
+func (t *tries) turnedAway(a *attempt) *fault.Error {
+	err := fault.New(fault.Overloaded, "upstream %q took no request: status %d", a.u.ID, a.got.Status)
+	if t.h.cfg.Wire.ReadSaid(a.got.Status, a.got.Header).Notice.Wait == 0 {
 		return err
 	}
 	if len(t.h.pick.Candidates(t.service, t.c, t.unreachable)) > 0 {
--- a/serving/call.go
+++ b/serving/call.go
@@ -58,8 +58,6 @@
 // Reply is what the head of an upstream's answer tells.
 type Reply struct {
 	Status int
-	// Request is the request that is answered, "" if the answer does not say.
-	Request fleet.RequestID
 	// NotRun is set if the upstream says that it did not run the request.
 	NotRun bool
 	// Mistaken is set if the request came to another upstream than it names, or
@@ -67,7 +65,13 @@
 	Mistaken bool
 	Load     Load
 	HasLoad  bool
-	Notice   roster.Notice
+}
+
+// Said is what the head of an upstream's answer tells of the upstream itself.
+type Said struct {
+	// Request is the request that is answered, "" if the answer does not say.
+	Request fleet.RequestID
+	Notice  roster.Notice
 	// Odd lists the headers that break their form, and are left out.
 	Odd []OddHeader
 }
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -28,6 +28,7 @@
 	Head(c *Call, a Attempt) []byte
 	Own(c *Call, status int, h http.Header) bool
 	ReadReply(status int, h http.Header) Reply
+	ReadSaid(status int, h http.Header) Said
 	AnswerHeader(h http.Header) http.Header
 }
 
--- a/serving/notice.go
+++ b/serving/notice.go
@@ -43,11 +43,14 @@
 	if status == http.StatusMisdirectedRequest {
 		return
 	}
-	r := n.wire.ReadReply(status, h)
+	r := n.wire.ReadSaid(status, h)
 	// A report may leave out what the answers to requests name.
 	served := r.Request != "" && status >= http.StatusOK && status < http.StatusMultipleChoices
 	before, after := u.Hear(r.Notice, served, time.Now())
-	n.count(r)
+	tell(n.metrics.Notice, r.Notice.Leaving, r.Notice.Wait > 0, r.Notice.Limited)
+	if len(r.Odd) > 0 {
+		n.metrics.Notice(noticeOdd)
+	}
 	if before.Named = after.Named; before != after {
 		n.events.Record(event.UpstreamNotice, noticeFields(u, r.Request, after))
 	}
@@ -60,24 +63,23 @@
 	}
 }
 
-func (n *notices) count(r Reply) {
-	for name, said := range map[string]bool{
-		noticeLeaving: r.Notice.Leaving, noticeWait: r.Notice.Wait > 0, noticeIntake: r.Notice.Limited, noticeOdd: len(r.Odd) > 0,
-	} {
-		if said {
-			n.metrics.Notice(name)
-		}
+// tell counts what an upstream has said, by the names of metrics.
+func tell(count func(string), leaving, wait, intake bool) {
+	if leaving {
+		count(noticeLeaving)
+	}
+	if wait {
+		count(noticeWait)
+	}
+	if intake {
+		count(noticeIntake)
 	}
 }
 
 // written counts a request that is written to an upstream that has spoken of itself.
 func (n *notices) written(u *roster.Upstream) {
 	s := u.Standing(time.Now())
-	for name, said := range map[string]bool{noticeLeaving: s.Leaving, noticeWait: !s.Until.IsZero(), noticeIntake: s.Limited} {
-		if said {
-			n.metrics.Noticed(name)
-		}
-	}
+	tell(n.metrics.Noticed, s.Leaving, !s.Until.IsZero(), s.Limited)
 }
 
 // first reports whether a header of an upstream has not been told as odd before.
@@ -106,7 +108,7 @@
 func noticeFields(u *roster.Upstream, id fleet.RequestID, s roster.Standing) timeline.Fields {
 	f := timeline.Fields{"upstream": string(u.ID), "request": string(id), "leaving": strconv.FormatBool(s.Leaving)}
 	if s.Limited {
-		f["intake"] = strconv.FormatFloat(float64(s.Intake), 'g', -1, 64)
+		f["intake"] = s.Intake.String()
 	}
 	if !s.Until.IsZero() {
 		f["wait_ms"] = timeline.Millis(time.Until(s.Until))
--- a/serving/run.go
+++ b/serving/run.go
@@ -340,7 +340,7 @@
 // that is on its way is waited for at the same engine.
 func (t *tries) notRun(a *attempt, reply Reply) (again bool, err error) {
 	u := a.u
-	err = t.turnedAway(u, reply)
+	err = t.turnedAway(a)
 	t.failed(a, err)
 	if t.c.Adapter != "" {
 		if reply.Mistaken {
--- a/shares/keeper.go
+++ b/shares/keeper.go
@@ -128,14 +128,14 @@
 	bonds   map[int]*bonding
 	poolsOf int
 	unbound time.Duration
-	windows map[intakeKey]*window
+	gates   map[intakeKey]*gate
 }
 
 // NewClient returns a client.
 func NewClient(cfg ClientConfig) *Client {
 	return &Client{
 		cfg: cfg, began: cfg.Now(), kept: make(map[int]Keeper), shown: make(map[int]map[fleet.VMID]time.Duration), down: make(map[fleet.VMID]time.Duration), dry: make(map[fleet.TeamID]time.Duration),
-		bonds: make(map[int]*bonding), windows: make(map[intakeKey]*window),
+		bonds: make(map[int]*bonding), gates: make(map[intakeKey]*gate),
 	}
 }
 
--- a/shares/permit.go
+++ b/shares/permit.go
@@ -31,8 +31,8 @@
 	Claimant
 }
 
-// window is this VM's side of an upstream's permits.
-type window struct {
+// gate is this VM's side of an upstream's permits.
+type gate struct {
 	// turn holds a token while a request of this VM asks the keeper.
 	turn chan struct{}
 
@@ -57,103 +57,103 @@
 
 // Permit returns a permit, or after which time there may be one.
 func (c *Client) Permit(ctx context.Context, r PermitRequest) (*Permit, time.Duration) {
-	w := c.window(intakeKey{r.Upstream, r.Born})
-	w.wait(1)
-	defer w.wait(-1)
-	if p, after, ok := w.known(c.cfg.Now, r.Claimant); ok {
+	g := c.gate(intakeKey{r.Upstream, r.Born})
+	g.wait(1)
+	defer g.wait(-1)
+	if p, after, ok := g.known(c.cfg.Now, r.Claimant); ok {
 		return p, after
 	}
 	select {
-	case w.turn <- struct{}{}:
+	case g.turn <- struct{}{}:
 	case <-ctx.Done():
 		return nil, longestAfter
 	}
-	defer func() { <-w.turn }()
-	if p, after, ok := w.known(c.cfg.Now, r.Claimant); ok {
+	defer func() { <-g.turn }()
+	if p, after, ok := g.known(c.cfg.Now, r.Claimant); ok {
 		return p, after
 	}
-	return c.ask(ctx, r, w)
+	return c.ask(ctx, r, g)
 }
 
-// window returns this VM's side of an upstream's permits, and forgets those that are not in
+// gate returns this VM's side of an upstream's permits, and forgets those that are not in
 // use any more.
-func (c *Client) window(k intakeKey) *window {
+func (c *Client) gate(k intakeKey) *gate {
 	now := c.cfg.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	w, ok := c.windows[k]
+	g, ok := c.gates[k]
 	if !ok {
-		for other, old := range c.windows {
+		for other, old := range c.gates {
 			if old.idle(now) {
-				delete(c.windows, other)
+				delete(c.gates, other)
 			}
 		}
-		w = &window{turn: make(chan struct{}, 1)}
-		c.windows[k] = w
+		g = &gate{turn: make(chan struct{}, 1)}
+		c.gates[k] = g
 	}
-	w.mu.Lock()
-	w.used = now
-	w.mu.Unlock()
-	return w
+	g.mu.Lock()
+	g.used = now
+	g.mu.Unlock()
+	return g
 }
 
-func (w *window) idle(now time.Duration) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.waiting == 0 && now-w.used > intakeMemory
+func (g *gate) idle(now time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.waiting == 0 && now-g.used > intakeMemory
 }
 
-func (w *window) wait(n int) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.waiting += n
+func (g *gate) wait(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.waiting += n
 }
 
 // known returns a spare permit, or when to ask again if there is none to be had before.
-func (w *window) known(now func() time.Duration, of Claimant) (p *Permit, after time.Duration, ok bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+func (g *gate) known(now func() time.Duration, of Claimant) (p *Permit, after time.Duration, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	at := now()
-	for len(w.spare) > 0 {
-		until := w.spare[0]
-		w.spare = w.spare[1:]
+	for len(g.spare) > 0 {
+		until := g.spare[0]
+		g.spare = g.spare[1:]
 		if at < until {
 			return &Permit{now: now, until: until}, 0, true
 		}
 	}
-	if at < w.closed && (w.kept == nil || !of.before(*w.kept, w.last)) {
-		if len(w.turned) < maxTurned && !slices.Contains(w.turned, of) {
-			w.turned = append(w.turned, of)
+	if at < g.closed && (g.kept == nil || !of.before(*g.kept, g.last)) {
+		if len(g.turned) < maxTurned && !slices.Contains(g.turned, of) {
+			g.turned = append(g.turned, of)
 		}
-		return nil, w.closed - at, true
+		return nil, g.closed - at, true
 	}
 	return nil, 0, false
 }
 
 // ask asks the keeper for permits for all requests of this VM that wait.
-func (c *Client) ask(ctx context.Context, r PermitRequest, w *window) (*Permit, time.Duration) {
+func (c *Client) ask(ctx context.Context, r PermitRequest, g *gate) (*Permit, time.Duration) {
 	asked := c.cfg.Now()
-	w.mu.Lock()
+	g.mu.Lock()
 	in := IntakeRequest{
 		VM: c.cfg.VM, Upstream: r.Upstream, Born: r.Born, Intake: r.Intake, Age: r.Age,
-		First: r.Claimant, Want: w.waiting, Turned: w.turned,
+		First: r.Claimant, Want: g.waiting, Turned: g.turned,
 	}
-	w.turned = nil
-	w.mu.Unlock()
+	g.turned = nil
+	g.mu.Unlock()
 	out := c.fetchPermits(ctx, in)
-	w.mu.Lock()
-	defer w.mu.Unlock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	if out.Given < 1 {
 		after := max(out.After, time.Millisecond)
-		w.closed, w.kept = c.cfg.Now()+after, nil
+		g.closed, g.kept = c.cfg.Now()+after, nil
 		if out.Yields {
-			w.kept = &r.Claimant
+			g.kept = &r.Claimant
 		}
 		return nil, after
 	}
-	w.last = r.Team
+	g.last = r.Team
 	for range out.Given - 1 {
-		w.spare = append(w.spare, asked+permitLife)
+		g.spare = append(g.spare, asked+permitLife)
 	}
 	return &Permit{now: c.cfg.Now, until: asked + permitLife}, 0
 }
--- a/shares/purse.go
+++ b/shares/purse.go
@@ -162,9 +162,8 @@
 
 // dealt returns the share that this VM was dealt last, and whether it has lapsed.
 func (p *Purse) dealt() (share float64, lapsed bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.share, p.now() >= p.until
+	share, until := p.lease()
+	return share, p.now() >= until
 }
 
 // lease returns the share that this VM was dealt last, and until when it mints it.
