Give each address of a test's processes once, below the kernel's ports

Cause: the harness drew the four addresses of a VM one after the other from port 0 and closed each listener before the next draw, so the kernel could give the same port twice. Shown: a test that drew four addresses of one host up to 20,000 times failed in 3 of 3 runs, after 1 ms to 70 ms. The log of vm-5 held this error alone, at its first start: nothing else had listened at that host.

Ruled out: an earlier process of the VM (first start), other packages (the soak runs by itself, each VM has a host of its own). Four tests and the measure had copies of the same draw, one of them right; that one is now internal/ports, and the only one.

Before: 3 of 3 runs with a port given twice. After: 5,000 draws in a row differ (TestAddressesDiffer); platform, daemon, measure and the soak of leaving upstreams pass.

--- a/daemon/process_test.go
+++ b/daemon/process_test.go
@@ -25,6 +25,7 @@
 	"toucanfall/fault"
 	"toucanfall/fleet"
 	"toucanfall/internal/built"
+	"toucanfall/internal/ports"
 	"toucanfall/ledger"
 	"toucanfall/settings"
 	"toucanfall/standin"
@@ -97,25 +98,13 @@
 	return p.cmd.ProcessState.ExitCode()
 }
 
-// Ports of the tests lie below those that the kernel gives to connections.
-const (
-	firstPort = 23000
-	portCount = 5000
-)
-
-var nextPort atomic.Int64
-
 func freeAddress(t *testing.T) string {
-	for range portCount {
-		port := firstPort + (int64(os.Getpid())*100+nextPort.Add(1))%portCount
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		if l, err := net.Listen("tcp", address); err == nil {
-			is.New(t).NoErr(l.Close())
-			return address
-		}
+	t.Helper()
+	address, err := ports.Take("127.0.0.1")
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no port is free")
-	return ""
+	return address
 }
 
 // plant is a small fleet in one data centre.
--- a/measure/serving.go
+++ b/measure/serving.go
@@ -22,6 +22,7 @@
 	"toucanfall/daemon"
 	"toucanfall/dialect"
 	"toucanfall/fleet"
+	"toucanfall/internal/ports"
 	"toucanfall/ledger"
 	"toucanfall/settings"
 	"toucanfall/standin"
@@ -120,19 +121,17 @@
 	if err := costConfig(log); err != nil {
 		return err
 	}
-	var ports [3]string
-	for i := range ports {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
+	var listen [3]string
+	for i := range listen {
+		var err error
+		if listen[i], err = ports.Take("127.0.0.1"); err != nil {
 			return err
 		}
-		ports[i] = l.Addr().String()
-		_ = l.Close()
 	}
 	cfg, err := settings.DecodeProcess("measure", fmt.Appendf(nil,
 		`{"vm":"v1","data_centre":"at-1","data_centres":["at-1"],"callers":{"address":%q},"operators":{"address":%q},"peers":{"address":%q},`+
 			`"platform":{"log":"http://%s","vm_list":"http://%s","weight_store":"http://%s"},"first_operator":"%x","stop_after":"0s","log_level":"error"}`,
-		ports[0], ports[1], ports[2], addresses[0], list, list, costKey.Hash()))
+		listen[0], listen[1], listen[2], addresses[0], list, list, costKey.Hash()))
 	if err != nil {
 		return err
 	}
@@ -140,7 +139,7 @@
 	if err != nil {
 		return err
 	}
-	b.callers = ports[0]
+	b.callers = listen[0]
 	signals := make(chan os.Signal, 2)
 	ended := make(chan struct{})
 	go func() {
