--- a/coordinator/engine_test.go
+++ b/coordinator/engine_test.go
@@ -76,7 +76,7 @@
 			return p
 		}
 	}
-	p := courier.NewPool(u.Address(), nil)
+	p := courier.NewPool(u.Address(), courier.Dial, nil)
 	e.byPool[p] = u.ID
 	return p
 }
--- a/courier/conn.go
+++ b/courier/conn.go
@@ -26,9 +26,17 @@
 	until time.Time
 }
 
-// dial opens a connection whose loss is noticed within lossTimeout.
-func dial(ctx context.Context, address string) (*conn, error) {
-	c, err := tcp.NewDialer(dialTimeout, lossTimeout).DialContext(ctx, "tcp", address)
+// Dialer opens a connection to an upstream.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
+// Dial opens a TCP connection whose loss is noticed within some seconds.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
+	return tcp.NewDialer(dialTimeout, lossTimeout).DialContext(ctx, "tcp", address)
+}
+
+// open opens a connection of the pool.
+func (p *Pool) open(ctx context.Context) (*conn, error) {
+	c, err := p.dial(ctx, p.address)
 	if err != nil {
 		return nil, err
 	}
--- a/courier/pool.go
+++ b/courier/pool.go
@@ -36,6 +36,7 @@
 // Pool holds the idle connections to one upstream.
 type Pool struct {
 	address string
+	dial    Dialer
 	heard   func(status int, h http.Header)
 
 	mu     sync.Mutex
@@ -43,10 +44,10 @@
 	closed bool
 }
 
-// NewPool returns a pool without connections to an upstream. Heard, if it is not nil, is
-// called with the head of each answer, before that is returned.
-func NewPool(address string, heard func(status int, h http.Header)) *Pool {
-	return &Pool{address: address, heard: heard}
+// NewPool returns a pool without connections to an upstream, which dial opens. Heard, if it is
+// not nil, is called with the head of each answer, before that is returned.
+func NewPool(address string, dial Dialer, heard func(status int, h http.Header)) *Pool {
+	return &Pool{address: address, dial: dial, heard: heard}
 }
 
 // Close closes the idle connections. Requests in flight go on.
@@ -65,7 +66,7 @@
 	for {
 		c := p.pop()
 		if c == nil {
-			return dial(ctx, p.address)
+			return p.open(ctx)
 		}
 		if c.clean(time.Now()) {
 			return c, nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -147,7 +147,7 @@
 
 func (g *Gateway) servingConfig() serving.Config {
 	return serving.Config{
-		DataCentre: g.cfg.DataCentre, Wire: platform.Wire{}, Catalogue: g.catalogue, Roster: g.roster,
+		DataCentre: g.cfg.DataCentre, Wire: platform.Wire{}, Dial: courier.Dial, Catalogue: g.catalogue, Roster: g.roster,
 		Rates: g.rates, Intakes: g.rates, Loader: g.client, Events: g.events, Metrics: g.meters,
 		StaleAfter: g.staleAfter(),
 		Budget:     serving.NewBudget(g.cfg.RepeatRatio, g.cfg.RepeatSlack, time.Duration(g.cfg.RepeatWindow), g.crew.Size),
--- a/internal/ports/ports_test.go
+++ b/internal/ports/ports_test.go
@@ -26,7 +26,7 @@
 		is.NoErr(err)
 		l, err := net.Listen("tcp", address)
 		is.NoErr(err)
-		defer func() { _ = l.Close() }()
+		t.Cleanup(func() { _ = l.Close() })
 		held[address] = true
 	}
 	taken.Add(-50)
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -66,6 +66,7 @@
 type Config struct {
 	DataCentre fleet.DataCentre
 	Wire       Wire
+	Dial       courier.Dialer
 	Catalogue  *catalogue.Holder
 	Roster     *roster.Roster
 	Rates      Rates
@@ -97,7 +98,7 @@
 // New returns a handler.
 func New(cfg Config) *Handler {
 	n := newNotices(cfg)
-	p := newPools(n.hear)
+	p := newPools(cfg.Dial, n.hear)
 	connected := func(u *roster.Upstream) bool { return p.of(u).Idle() }
 	return &Handler{
 		cfg:     cfg,
--- a/serving/pools.go
+++ b/serving/pools.go
@@ -10,6 +10,7 @@
 
 // pools keeps the connections to each upstream for as long as it is known.
 type pools struct {
+	dial courier.Dialer
 	// heard is called with the head of each answer of an upstream.
 	heard func(u *roster.Upstream, status int, h http.Header)
 
@@ -17,8 +18,8 @@
 	byUpstream map[*roster.Upstream]*courier.Pool
 }
 
-func newPools(heard func(*roster.Upstream, int, http.Header)) *pools {
-	return &pools{heard: heard, byUpstream: make(map[*roster.Upstream]*courier.Pool)}
+func newPools(dial courier.Dialer, heard func(*roster.Upstream, int, http.Header)) *pools {
+	return &pools{dial: dial, heard: heard, byUpstream: make(map[*roster.Upstream]*courier.Pool)}
 }
 
 // of returns the connections to an upstream.
@@ -29,7 +30,7 @@
 		p.mu.Unlock()
 		return pool
 	}
-	pool = courier.NewPool(u.Address(), func(status int, h http.Header) { p.heard(u, status, h) })
+	pool = courier.NewPool(u.Address(), p.dial, func(status int, h http.Header) { p.heard(u, status, h) })
 	p.byUpstream[u] = pool
 	p.mu.Unlock()
 	u.OnGone(func() { p.drop(u) })
