--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "toucanfall/metric"
+import (
+	"time"
+
+	"toucanfall/metric"
+)
 
 // gauges returns what the metrics show of the state of this VM.
 func (g *Gateway) gauges() metric.Gauges {
@@ -23,5 +27,21 @@
 			return 0
 		},
 		Upstreams: func() float64 { return float64(len(g.roster.Upstreams())) },
+		Standings: g.standings,
+	}
+}
+
+// standings returns the upstreams that have spoken of themselves.
+func (g *Gateway) standings() []metric.Standing {
+	var out []metric.Standing
+	now := time.Now()
+	for _, u := range g.roster.Upstreams() {
+		s := u.Standing(now)
+		m := metric.Standing{Upstream: u.ID, Leaving: s.Leaving, Limited: s.Limited, Intake: float64(s.Intake)}
+		if !s.Until.IsZero() {
+			m.Wait = s.Until.Sub(now)
+		}
+		out = append(out, m)
 	}
+	return out
 }
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -49,10 +49,13 @@
 	share         = Definition{"toucanfall_rate_share", Gauge, nil, "Share of all rates that this VM mints."}
 	duty          = Definition{"toucanfall_coordinator", Gauge, nil, "1 while this VM is the coordinator."}
 	upstreams     = Definition{"toucanfall_upstreams", Gauge, nil, "Upstreams that this VM knows."}
+	leaving       = Definition{"toucanfall_upstream_leaving", Gauge, []string{"upstream"}, "1 for an upstream that has said in an answer that it leaves."}
+	waits         = Definition{"toucanfall_upstream_wait_seconds", Gauge, []string{"upstream"}, "For how long an upstream that has turned this VM away wants nothing more from it."}
+	intakes       = Definition{"toucanfall_upstream_intake", Gauge, []string{"upstream"}, "Requests a second that an upstream takes from all VMs together, while it names its intake."}
 )
 
 // Registry lists all metrics.
-var Registry = []Definition{requests, firstPiece, longestPause, attempts, notices, noticed, permits, storeCalls, open, configAge, directoryAge, directorySent, configVersion, share, duty, upstreams}
+var Registry = []Definition{requests, firstPiece, longestPause, attempts, notices, noticed, permits, storeCalls, open, configAge, directoryAge, directorySent, configVersion, share, duty, upstreams, leaving, waits, intakes}
 
 // maxValues bounds the values of a label whose values others choose; further ones
 // count as otherValue. The largest sheet has 16 teams and 118 upstreams.
@@ -64,6 +67,8 @@
 // Gauges are what is read when somebody asks.
 type Gauges struct {
 	Open, ConfigAge, DirectoryAge, ConfigVersion, Share, Duty, Upstreams func() float64
+	// Standings returns the upstreams that have spoken of themselves.
+	Standings func() []Standing
 }
 
 // Set holds the metrics of a process. It is safe for concurrent use.
@@ -115,6 +120,7 @@
 	} {
 		s.all.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: d.Name, Help: d.Text}, f))
 	}
+	s.all.MustRegister(newStandings(g.Standings))
 }
 
 // Handler serves the metrics as text.
--- a/metric/metric_test.go
+++ b/metric/metric_test.go
@@ -26,7 +26,9 @@
 	is := is.New(t)
 	s := metric.New()
 	one := func() float64 { return 1 }
-	s.Watch(metric.Gauges{Open: one, ConfigAge: one, DirectoryAge: one, ConfigVersion: one, Share: one, Duty: one, Upstreams: one})
+	s.Watch(metric.Gauges{Open: one, ConfigAge: one, DirectoryAge: one, ConfigVersion: one, Share: one, Duty: one, Upstreams: one, Standings: func() []metric.Standing {
+		return []metric.Standing{{Upstream: "u", Leaving: true, Wait: time.Second, Limited: true, Intake: 2.4}, {Upstream: "silent"}}
+	}})
 	s.Served("stream", "team", 30*time.Millisecond, time.Second)
 	s.Refused("", "", "not_found")
 	s.Attempt("u", true)
