--- a/shares/keeper.go
+++ b/shares/keeper.go
@@ -327,6 +327,9 @@
 // Take charges a team, with tokens of its pool where this VM has too few.
 func (c *Client) Take(ctx context.Context, t *catalogue.Team, n fleet.Tokens) (time.Duration, bool) {
 	need := Tokens(n)
+	if need < 0 {
+		return 0, false
+	}
 	if c.cfg.Purse.Take(t.ID, need) {
 		return 0, true
 	}
--- a/shares/keeper_test.go
+++ b/shares/keeper_test.go
@@ -413,3 +413,17 @@
 	_, ok := w.vms[3].client.Take(t.Context(), team, 12_000)
 	is.True(ok)
 }
+
+// Guards against a caller that mints tokens by a count below zero (QUOTA).
+func TestNeedBelowZeroMintsNothing(t *testing.T) {
+	is := is.New(t)
+	team := &catalogue.Team{ID: "team", Rate: 10, Burst: 1000}
+	w := newWorld(1, 1, team)
+	w.turns(100)
+	take := func(n fleet.Tokens) bool {
+		_, ok := w.vms[0].client.Take(context.Background(), team, n)
+		return ok
+	}
+	is.True(!take(-1_000_000))
+	is.True(!take(5000)) // Nothing was minted.
+}
--- a/shares/purse.go
+++ b/shares/purse.go
@@ -210,7 +210,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l, ok := p.levels[team]
-	if !ok {
+	if !ok || n < 0 {
 		return false
 	}
 	p.mint(l, p.now())
