End panics where their harm ends, and bound messages between peers

Cause: nothing in the program caught a panic outside net/http. A method that peers call and that panics took the process down, on every VM that gets the message; so did a turn of any loop. net/rpc reads messages of up to 1 GB, more than a VM's memory.

- Package internal/guard: a request that panics is answered with 500 (not 'has not run'), a call of a peer with an error, a loop is begun anew a second later; each is logged with its stack (event 106) and counted (toucanfall_panics_total).
What returns an error still ends the process, as before.
- Package peer reads calls by a codec of its own, each message at most 16 MB, and answers calls side by side as net/rpc did.

Shown on a copy with net/rpc's own codec: TestPanicEndsOneCall takes the test process down; a caller got rid of more than 32 MB (TestBytesWithoutEndOfACallerAreGivenUp), a called peer too, until the call's deadline of 5 s. FuzzMessages feeds bytes to a server.

Not caught: goroutines that one request starts for the write of its head, and calls that loops send side by side; they decode nothing themselves.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"toucanfall/event"
 	"toucanfall/fault"
 	"toucanfall/fleet"
+	"toucanfall/internal/guard"
 	"toucanfall/internal/httpx"
 	"toucanfall/keyring"
 	"toucanfall/ledger"
@@ -73,10 +74,10 @@
 		cfg:         cfg,
 		rec:         timeline.New(string(cfg.VM), timelineSize, logger),
 		incarnation: fleet.Incarnation(time.Now().UnixMilli()),
-		peers:       peer.NewServer(),
 		sockets:     sockets,
 		demand:      placement.NewMeter(),
 	}
+	d.peers = peer.NewServer(guard.NewWatch(d.rec, func(string) {}).Caught)
 	state := ledger.NewState()
 	rt := d.newTransport()
 	if err := d.newFleet(state, rt); err != nil {
--- a/daemon/log_test.go
+++ b/daemon/log_test.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"toucanfall/fleet"
+	"toucanfall/internal/guard"
 	"toucanfall/keyring"
 	"toucanfall/ledger"
 	"toucanfall/membership"
@@ -58,7 +59,7 @@
 	p := &relayPair{is: is.New(t)}
 	p.ahead = ledger.NewFollower(standin.NewLog(), ledger.NewState(), testRecorder())
 	t.Cleanup(p.ahead.Close)
-	server := peer.NewServer()
+	server := peer.NewServer(func(_ string, p *guard.Panic) { t.Error(p) })
 	p.is.NoErr(server.Register("Log", &logService{follower: p.ahead}))
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	p.is.NoErr(err)
--- a/event/event.go
+++ b/event/event.go
@@ -21,7 +21,7 @@
 // process, 2xx ordered state, 3xx membership and peers, 4xx requests,
 // 5xx rates, 6xx placement, 7xx operators, 8xx gateway, 9xx stand-ins.
 var Registry = []Event{
-	ProcessStarted, ProcessReady, StopRequested, ProcessStopped, StopForced,
+	ProcessStarted, ProcessReady, StopRequested, ProcessStopped, StopForced, PanicCaught,
 	LogUnreachable, LogReachable, RecordSkipped, RecordApplied, RecordRejected,
 	StateIncomplete, SnapshotLoaded, SnapshotWritten, SnapshotFailed, RecordsMissing, RelayFailed, StateDiverged,
 	PeerJoined, PeerSilent, PeerLeaving, ListUnreachable, PeerRestarted, VMCutOff, VMReconnected,
@@ -41,6 +41,7 @@
 	ProcessReady   = Event{102, "process_ready", logrus.InfoLevel, "The VM has state and accepts requests."}
 	StopRequested  = Event{103, "stop_requested", logrus.InfoLevel, "A planned stop began; open requests are finished first."}
 	ProcessStopped = Event{104, "process_stopped", logrus.InfoLevel, "The process ends; the field cut counts requests that were cut."}
+	PanicCaught    = Event{106, "panic_caught", logrus.ErrorLevel, "A fault of the program ended a request, a call of a peer or a turn in the background by a panic; the rest goes on. Report it with the field stack."}
 	StopForced     = Event{105, "stop_forced", logrus.WarnLevel, "A second signal ended the process at once; the field cut counts requests that were cut."}
 )
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"toucanfall/event"
 	"toucanfall/fleet"
 	"toucanfall/internal/bootclock"
+	"toucanfall/internal/guard"
 	"toucanfall/internal/httpx"
 	"toucanfall/metric"
 	"toucanfall/peer"
@@ -58,6 +59,7 @@
 	cfg    *settings.Gateway
 	events *timeline.Recorder
 	meters *metric.Set
+	panics *guard.Watch
 
 	catalogue *catalogue.Holder
 	roster    *roster.Roster
@@ -95,8 +97,9 @@
 		store:     platform.NewStore(cfg.Store, cfg.StorePartitions, meters.StoreCall),
 		purse:     shares.NewPurse(bootclock.Now),
 		links:     peer.NewLinks(nil),
-		peers:     peer.NewServer(),
 	}
+	g.panics = guard.NewWatch(g.events, meters.Panic)
+	g.peers = peer.NewServer(g.panics.Caught)
 	self := crew.NewMember(cfg.VM, cfg.Peers, cfg.DataCentre)
 	replica := relay.NewDirectory()
 	g.follower = relay.NewFollower(relay.FollowerConfig{
@@ -148,7 +151,7 @@
 func (g *Gateway) servingConfig() serving.Config {
 	return serving.Config{
 		DataCentre: g.cfg.DataCentre, Wire: platform.Wire{}, Dial: courier.Dial, Catalogue: g.catalogue, Roster: g.roster,
-		Rates: g.rates, Intakes: g.rates, Loader: g.client, Events: g.events, Metrics: g.meters,
+		Rates: g.rates, Intakes: g.rates, Loader: g.client, Events: g.events, Metrics: g.meters, Panics: g.panics,
 		StaleAfter: g.staleAfter(),
 		Budget:     serving.NewBudget(g.cfg.RepeatRatio, g.cfg.RepeatSlack, time.Duration(g.cfg.RepeatWindow), g.crew.Size),
 		Sharers:    g.sharers,
@@ -264,9 +267,12 @@
 
 // addLoops adds what runs all the time.
 func (g *Gateway) addLoops(all *run.Group) {
-	for _, loop := range []func(context.Context) error{g.config.run, g.directory.run, g.follower.Run, g.crew.Run, g.client.Run, g.rates.Run, g.own.Run} {
+	for name, loop := range map[string]func(context.Context) error{
+		"config": g.config.run, "directory": g.directory.run, "relay": g.follower.Run, "crew": g.crew.Run, "adapters": g.client.Run, "rates": g.rates.Run, "coordinator": g.own.Run,
+	} {
 		ctx, cancel := context.WithCancel(context.Background())
-		all.Add(func() error { return loop(ctx) }, func(error) { cancel() })
+		guarded := g.panics.Loop(name, loop)
+		all.Add(func() error { return guarded(ctx) }, func(error) { cancel() })
 	}
 }
 
--- a/measure/vms.go
+++ b/measure/vms.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"toucanfall/fleet"
+	"toucanfall/internal/guard"
 	"toucanfall/keyring"
 	"toucanfall/ledger"
 	"toucanfall/membership"
@@ -106,7 +107,7 @@
 	v.follower = ledger.NewFollower(cutLog{v}, state, v.rec, v.heed)
 	v.members = membership.New(v.id, v, v, v.beat, v.rec)
 	v.spread = keyring.NewSpread(v.id, v.ring, v, noLog{}, v.rec)
-	v.server = peer.NewServer()
+	v.server = peer.NewServer(guard.NewWatch(v.rec, func(string) {}).Caught)
 	if err := v.server.Register("VM", &vmService{v}); err != nil {
 		return fmt.Errorf("register the service: %w", err)
 	}
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -41,6 +41,7 @@
 	noticed       = Definition{"toucanfall_noticed_sends_total", Counter, []string{"notice"}, "Requests that were written to an upstream which had said to this VM that it leaves (`leaving`), wants nothing for a time (`wait`) or takes so many requests a second (`intake`)."}
 	permits       = Definition{"toucanfall_permits_total", Counter, []string{"outcome"}, "Requests that were to be sent to an upstream that names its intake, by outcome: `given`, or `denied` where another upstream is chosen or the request refused."}
 	storeCalls    = Definition{"toucanfall_store_calls_total", Counter, []string{"call", "outcome"}, "Calls to the platform's store by outcome: `answered` or `failed`."}
+	panics        = Definition{"toucanfall_panics_total", Counter, []string{"where"}, "Panics that were caught, by where: `request`, a loop, or a method that peers call."}
 	open          = Definition{"toucanfall_open_requests", Gauge, nil, "Requests that are being served."}
 	configAge     = Definition{"toucanfall_config_proof_age_seconds", Gauge, nil, "How long ago the configuration in force was proved to be the newest."}
 	directoryAge  = Definition{"toucanfall_directory_age_seconds", Gauge, nil, "How long ago the directory of upstreams was read."}
@@ -55,7 +56,7 @@
 )
 
 // Registry lists all metrics.
-var Registry = []Definition{requests, firstPiece, longestPause, attempts, notices, noticed, permits, storeCalls, open, configAge, directoryAge, directorySent, configVersion, share, duty, upstreams, leaving, waits, intakes}
+var Registry = []Definition{requests, firstPiece, longestPause, attempts, notices, noticed, permits, storeCalls, panics, open, configAge, directoryAge, directorySent, configVersion, share, duty, upstreams, leaving, waits, intakes}
 
 // maxValues bounds the values of a label whose values others choose; further ones
 // count as otherValue. The largest sheet has 16 teams and 118 upstreams.
@@ -84,6 +85,7 @@
 	noticed       *prometheus.CounterVec
 	permits       *prometheus.CounterVec
 	storeCalls    *prometheus.CounterVec
+	panics        *prometheus.CounterVec
 	teams         values
 	upstreams     values
 }
@@ -96,7 +98,7 @@
 func New() *Set {
 	s := &Set{all: prometheus.NewRegistry()}
 	s.requests, s.attempts, s.storeCalls = s.counter(requests), s.counter(attempts), s.counter(storeCalls)
-	s.notices, s.noticed, s.permits = s.counter(notices), s.counter(noticed), s.counter(permits)
+	s.notices, s.noticed, s.permits, s.panics = s.counter(notices), s.counter(noticed), s.counter(permits), s.counter(panics)
 	s.firstPiece, s.longestPause, s.directorySent = s.histogram(firstPiece), s.histogram(longestPause), s.histogram(directorySent)
 	return s
 }
@@ -141,6 +143,11 @@
 	s.requests.WithLabelValues(kind, s.teams.bound(string(team)), code).Inc()
 }
 
+// Panic counts a panic that was caught.
+func (s *Set) Panic(where string) {
+	s.panics.WithLabelValues(where).Inc()
+}
+
 // Attempt counts an attempt at an upstream.
 func (s *Set) Attempt(u fleet.UpstreamID, failed bool) {
 	outcome := "served"
--- a/metric/metric_test.go
+++ b/metric/metric_test.go
@@ -36,6 +36,7 @@
 	s.Notice("intake")
 	s.Noticed("intake")
 	s.Permit(true)
+	s.Panic("request")
 	s.Written(time.Second)
 	text := page(s)
 	for _, d := range metric.Registry {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -16,6 +16,8 @@
 	"reflect"
 	"sync"
 	"time"
+
+	"toucanfall/internal/guard"
 )
 
 // Bounds of links.
@@ -33,15 +35,18 @@
 // Server offers services to peers.
 type Server struct {
 	rpc *rpc.Server
+	// panicked is told of methods that panicked.
+	panicked func(method string, p *guard.Panic)
 
 	mu     sync.Mutex
 	conns  map[net.Conn]struct{}
 	closed bool
 }
 
-// NewServer returns a server without services.
-func NewServer() *Server {
-	return &Server{rpc: rpc.NewServer(), conns: make(map[net.Conn]struct{})}
+// NewServer returns a server without services. A method that panics ends its call alone, and
+// is told to panicked.
+func NewServer(panicked func(method string, p *guard.Panic)) *Server {
+	return &Server{rpc: rpc.NewServer(), panicked: panicked, conns: make(map[net.Conn]struct{})}
 }
 
 // Register adds a service under a name. Its methods follow net/rpc.
@@ -62,7 +67,7 @@
 		if s.track(conn) {
 			go func() {
 				defer s.untrack(conn)
-				s.rpc.ServeConn(bounded{conn})
+				s.ServeConn(conn)
 			}()
 		}
 	}
@@ -210,7 +215,7 @@
 }
 
 func newConnection(conn net.Conn) *connection {
-	return &connection{Client: rpc.NewClient(bounded{conn}), sending: make(chan struct{}, 1)}
+	return &connection{Client: rpc.NewClientWithCodec(caller{newCodec(conn)}), sending: make(chan struct{}, 1)}
 }
 
 // send writes a call in the background, unless ctx ends before its turn.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"toucanfall/internal/guard"
 	"toucanfall/peer"
 	"toucanfall/standin"
 )
@@ -35,7 +36,7 @@
 // serve runs a server on l until the test ends.
 func serve(t *testing.T, l net.Listener) {
 	t.Helper()
-	s := peer.NewServer()
+	s := peer.NewServer(func(_ string, p *guard.Panic) { t.Error(p) })
 	e := &echoService{block: make(chan struct{})}
 	is.New(t).NoErr(s.Register("Echo", e))
 	var wg sync.WaitGroup
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -16,6 +16,7 @@
 	"toucanfall/event"
 	"toucanfall/fault"
 	"toucanfall/fleet"
+	"toucanfall/internal/guard"
 	"toucanfall/metric"
 	"toucanfall/roster"
 	"toucanfall/timeline"
@@ -75,6 +76,7 @@
 	Loader     Loader
 	Events     *timeline.Recorder
 	Metrics    *metric.Set
+	Panics     *guard.Watch
 	// StaleAfter is how old the proof of the configuration may be for requests
 	// with a key.
 	StaleAfter time.Duration
@@ -127,7 +129,27 @@
 	if !end.IsZero() {
 		w.Header().Set("Connection", "close")
 	}
-	c, team, err := h.admit(r, received)
+	a := newAnswer(w, h.cfg.Wire, received)
+	var c *Call
+	err := guard.Run(func() (err error) {
+		c, err = h.handle(r, a, end)
+		return err
+	})
+	var p *guard.Panic
+	if errors.As(err, &p) {
+		h.cfg.Panics.Caught("request", p)
+		if a.begun {
+			err = errBegun
+		}
+	}
+	if err != nil {
+		h.refuse(w, r, c, err)
+	}
+}
+
+// handle serves a request, up to an error that its caller is to be told.
+func (h *Handler) handle(r *http.Request, a *answer, end time.Time) (*Call, error) {
+	c, team, err := h.admit(r, a.pacing.began)
 	if err == nil {
 		err = c.endsBy(end)
 	}
@@ -135,11 +157,9 @@
 		err = h.charge(r.Context(), c, team)
 	}
 	if err == nil {
-		err = h.run(r.Context(), c, newAnswer(w, h.cfg.Wire, received))
-	}
-	if err != nil {
-		h.refuse(w, r, c, err)
+		err = h.run(r.Context(), c, a)
 	}
+	return c, err
 }
 
 // admit finds route and team, and reads the request as a whole.
