--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -44,9 +44,7 @@
 	is := is.New(t)
 	is.NoErr(guard.Run(func() error { return nil }))
 	err := guard.Run(func() error {
-		var none map[string]int
-		none["x"] = 1
-		return nil
+		panic("a fault of the program")
 	})
 	var p *guard.Panic
 	is.True(errors.As(err, &p))
