Give callers' bodies the time of their route, end events by any line end, quote no bytes of others

Failed before, each mended:

- A caller that sent its body a byte now and then held a request, its memory and a planned stop without end: no read of a body had a deadline.
It has the time of the route, or 30 s, and is then refused as not run; a refused request's body is read for 1 s at most.
- Bytes that are no answer and come where the next caller's is due were quoted to that caller in the message of its error.
The message names no bytes any more.

--- a/courier/exchange.go
+++ b/courier/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -135,7 +136,7 @@
 	for range maxInformational {
 		resp, err := http.ReadResponse(c.br, req)
 		if err != nil {
-			return nil, err
+			return nil, unquoted(err)
 		}
 		if resp.StatusCode >= 200 {
 			return resp, nil
@@ -144,6 +145,19 @@
 	return nil, fmt.Errorf("more than %d informational answers", maxInformational)
 }
 
+// errMalformed stands for what net/http says of a head that it cannot read: it quotes the head,
+// which may be part of an answer to another caller.
+var errMalformed = errors.New("the head of the answer is malformed")
+
+// unquoted returns errors of the connection as they are, and errMalformed for others.
+func unquoted(err error) error {
+	var ofNetwork net.Error
+	if errors.As(err, &ofNetwork) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.ErrClosedPipe) || errors.Is(err, errTooLong) {
+		return err
+	}
+	return errMalformed
+}
+
 func (x *exchange) answer(resp *http.Response) *Answer {
 	return &Answer{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
--- a/serving/answer.go
+++ b/serving/answer.go
@@ -1,7 +1,6 @@
 package serving
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -159,18 +158,6 @@
 	}
 }
 
-// progress reports whether whole events hold more than comments and empty fields: an engine
-// that sends only these, or single bytes, stands still.
-func progress(events []byte) bool {
-	for line := range bytes.SplitSeq(events, []byte("\n")) {
-		name, value, ok := bytes.Cut(bytes.TrimSpace(line), []byte(":"))
-		if len(name) > 0 && (!ok || len(bytes.TrimSpace(value)) > 0) {
-			return true
-		}
-	}
-	return false
-}
-
 func (a *answer) events(got *courier.Answer, b []byte) error {
 	if len(b) == 0 {
 		return nil
@@ -187,30 +174,10 @@
 	return nil
 }
 
-// eventEnd is the empty line after an event.
-var eventEnd = []byte("\n\n")
-
-// wholeEvents returns the length of the whole events that b begins with.
-func wholeEvents(b []byte) int {
-	i := bytes.LastIndex(b, eventEnd)
-	if i < 0 {
-		return 0
-	}
-	return i + len(eventEnd)
-}
-
-// lastEventID returns the id of the last event that has one.
-func lastEventID(b []byte) (string, bool) {
-	const field = "id:"
-	i := bytes.LastIndex(b, []byte("\n"+field))
-	switch {
-	case i >= 0:
-		b = b[i+1:]
-	case !bytes.HasPrefix(b, []byte(field)):
-		return "", false
-	}
-	line, _, _ := bytes.Cut(b[len(field):], []byte("\n"))
-	return string(bytes.TrimSpace(line)), true
+// readBy sets until when the caller may be read from, the zero time for any time. Only
+// recorders of tests know no such time.
+func (a *answer) readBy(t time.Time) {
+	_ = a.rc.SetReadDeadline(t)
 }
 
 func (a *answer) write(b []byte, flush bool) error {
--- /dev/null
+++ b/serving/events_test.go
@@ -0,0 +1,51 @@
+package serving
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestEventsEndByAnyLineEnd(t *testing.T) {
+	for _, c := range []struct {
+		text     string
+		whole    int
+		id       string
+		progress bool
+	}{
+		{"id: 1\ndata: a\n\nid: 2\nda", 15, "1", true},
+		{"id: 1\r\ndata: a\r\n\r\nid: 2", 18, "1", true},
+		{"id: 1\rdata: a\r\rid: 2", 15, "1", true},
+		{"id: 1\ndata: a\n\r\nid: 2", 16, "1", true},
+		{": comment\n\n", 11, "", false},
+		{"data:\r\n\r\n", 9, "", false},
+		{"id:\n\n", 5, "", false},
+		{"x", 0, "", false},
+	} {
+		t.Run(c.text, func(t *testing.T) {
+			is := is.New(t)
+			n := wholeEvents([]byte(c.text))
+			is.Equal(n, c.whole)
+			id, _ := lastEventID([]byte(c.text[:n]))
+			is.Equal(id, c.id)
+			is.Equal(progress([]byte(c.text[:n])), c.progress)
+		})
+	}
+}
+
+// Events, however odd, are handed on up to an end that lies in them, and what is cut off goes on
+// with the next piece.
+func FuzzEvents(f *testing.F) {
+	for _, s := range []string{"id: 1\ndata: a\n\n", "\r\r\n\n\r", "id:\x00\n\n\n", ""} {
+		f.Add([]byte(s), 3)
+	}
+	f.Fuzz(func(t *testing.T, b []byte, cut int) {
+		cut = max(0, min(cut, len(b)))
+		first := wholeEvents(b[:cut])
+		if whole := wholeEvents(b); whole < first || whole > len(b) {
+			t.Errorf("%q ends at %d, and cut at %d at %d", b, whole, cut, first)
+		}
+		_, _ = lastEventID(b)
+		_ = progress(b)
+	})
+}
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -119,6 +119,14 @@
 // maxBodyBytes bounds bodies while the configuration sets no limit.
 const maxBodyBytes = 4 << 20
 
+// Bounds of the time that a caller has for its body.
+const (
+	// bodyTime is the time of a route that has none.
+	bodyTime = 30 * time.Second
+	// unreadTime is the time for a body after its request was refused.
+	unreadTime = time.Second
+)
+
 // maxUnread bounds what is read of a body after its request was refused.
 const maxUnread = 1 << 20
 
@@ -143,13 +151,14 @@
 		}
 	}
 	if err != nil {
+		a.readBy(time.Now().Add(unreadTime))
 		h.refuse(w, r, c, err)
 	}
 }
 
 // handle serves a request, up to an error that its caller is to be told.
 func (h *Handler) handle(r *http.Request, a *answer, end time.Time) (*Call, error) {
-	c, team, err := h.admit(r, a.pacing.began)
+	c, team, err := h.admit(r, a)
 	if err == nil {
 		err = c.endsBy(end)
 	}
@@ -163,7 +172,7 @@
 }
 
 // admit finds route and team, and reads the request as a whole.
-func (h *Handler) admit(r *http.Request, received time.Time) (*Call, *catalogue.Team, error) {
+func (h *Handler) admit(r *http.Request, a *answer) (*Call, *catalogue.Team, error) {
 	cfg, age := h.cfg.Catalogue.Current()
 	if cfg == nil {
 		return nil, nil, fault.New(fault.NotReady, "this VM knows no configuration yet")
@@ -184,11 +193,11 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	c.Route, c.received, c.Priority = route, received, rank(route, team)
+	c.Route, c.received, c.Priority = route, a.pacing.began, rank(route, team)
 	if team != nil {
 		c.Team = team.ID
 	}
-	c.Body, err = readBody(r, cfg.Limits.BodyBytes)
+	c.Body, err = a.readBody(r, cfg.Limits.BodyBytes, c.deadline())
 	return c, team, err
 }
 
@@ -233,10 +242,20 @@
 	return host
 }
 
-func readBody(r *http.Request, limit int64) ([]byte, error) {
+// readBody reads a caller's body until a time, the zero time for that of a route that has none.
+func (a *answer) readBody(r *http.Request, limit int64, until time.Time) ([]byte, error) {
+	if r.Body == http.NoBody {
+		return nil, nil
+	}
 	if limit <= 0 {
 		limit = maxBodyBytes
 	}
+	if until.IsZero() {
+		until = a.pacing.began.Add(bodyTime)
+	}
+	a.readBy(until)
+	// A later read waits for the caller to leave.
+	defer a.readBy(time.Time{})
 	if r.ContentLength > limit {
 		return nil, fault.New(fault.TooLarge, "the body has %d bytes, more than %d", r.ContentLength, limit)
 	}
