--- a/internal/docgen/promises_test.go
+++ b/internal/docgen/promises_test.go
@@ -27,7 +27,7 @@
 	is := is.New(t)
 	page, err := os.ReadFile("../../docs/PROMISES.md")
 	is.NoErr(err)
-	tests := promiseTests(t, "../..")
+	tests := functions(t, "../..", testFunc)
 	rows := promiseRow.FindAllString(string(page), -1)
 	is.Equal(len(rows), promiseCount)
 	seen := make(map[string]bool)
@@ -42,8 +42,8 @@
 	is.Equal(len(tests), len(seen))
 }
 
-// promiseTests returns the names of all promise tests below a folder.
-func promiseTests(t *testing.T, root string) map[string]bool {
+// functions returns what a pattern finds first in the tests below a folder.
+func functions(t *testing.T, root string, pattern *regexp.Regexp) map[string]bool {
 	t.Helper()
 	tests := make(map[string]bool)
 	err := filepath.WalkDir(root, func(path string, _ fs.DirEntry, err error) error {
@@ -51,7 +51,7 @@
 			return err
 		}
 		b, err := os.ReadFile(path)
-		for _, m := range testFunc.FindAllStringSubmatch(string(b), -1) {
+		for _, m := range pattern.FindAllStringSubmatch(string(b), -1) {
 			tests[m[1]] = true
 		}
 		return err
