--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"runtime/debug"
 	"time"
@@ -31,13 +32,13 @@
 	return f()
 }
 
-// Watch tells operators of panics that were caught.
+// Watch logs and counts panics that were caught.
 type Watch struct {
 	events *timeline.Recorder
 	count  func(where string)
 }
 
-// NewWatch returns a watch that logs panics, and counts them by where they were caught.
+// NewWatch returns a watch. Count is told where each panic was caught.
 func NewWatch(events *timeline.Recorder, count func(where string)) *Watch {
 	return &Watch{events: events, count: count}
 }
@@ -45,7 +46,7 @@
 // maxStack is how much of a stack the log shows, in bytes.
 const maxStack = 4 << 10
 
-// Caught tells of a panic.
+// Caught logs and counts a panic.
 func (w *Watch) Caught(where string, p *Panic) {
 	w.count(where)
 	w.events.Record(event.PanicCaught, timeline.Fields{
@@ -62,8 +63,8 @@
 	return func(ctx context.Context) error {
 		for {
 			err := Run(func() error { return f(ctx) })
-			p, caught := err.(*Panic) //nolint:errorlint // A panic of f itself is not wrapped.
-			if !caught {
+			var p *Panic
+			if !errors.As(err, &p) {
 				return err
 			}
 			w.Caught(where, p)
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -18,7 +18,8 @@
 
 var errTooLong = errors.New("the message of the peer is too long")
 
-// allowance reads what one message may take. Reading ahead counts for the message before.
+// allowance reads as much as one message may have. What is read ahead counts for the message
+// before.
 type allowance struct {
 	r    io.Reader
 	left int
@@ -139,8 +140,8 @@
 // answer answers one call. A panic of its method is told, and answered with an error.
 func (s *Server) answer(e *exchange) {
 	err := guard.Run(func() error { return s.rpc.ServeRequest(e) })
-	p, caught := err.(*guard.Panic) //nolint:errorlint // Only a panic of the call itself counts.
-	if !caught {
+	var p *guard.Panic
+	if !errors.As(err, &p) {
 		return // Any other error was answered, or ends the connection.
 	}
 	e.next(nil)
--- a/serving/answer.go
+++ b/serving/answer.go
@@ -174,8 +174,8 @@
 	return nil
 }
 
-// readBy sets until when the caller may be read from, the zero time for any time. Only
-// recorders of tests know no such time.
+// readBy sets the deadline of reads from the caller, the zero time for none. Connections of
+// net/http take one; the recorders of tests have nothing to wait for.
 func (a *answer) readBy(t time.Time) {
 	_ = a.rc.SetReadDeadline(t)
 }
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -123,7 +123,7 @@
 const (
 	// bodyTime is the time of a route that has none.
 	bodyTime = 30 * time.Second
-	// unreadTime is the time for a body after its request was refused.
+	// unreadTime is the time for the rest of a body after its request was refused.
 	unreadTime = time.Second
 )
 
@@ -254,7 +254,7 @@
 		until = a.pacing.began.Add(bodyTime)
 	}
 	a.readBy(until)
-	// A later read waits for the caller to leave.
+	// Behind the body the server reads on, to notice that the caller leaves.
 	defer a.readBy(time.Time{})
 	if r.ContentLength > limit {
 		return nil, fault.New(fault.TooLarge, "the body has %d bytes, more than %d", r.ContentLength, limit)
