Bound reads in one place, look for connections without making pools, and drop what nothing uses

No change of behaviour.

- courier and peer each had a reader that fails once as much was read as is allowed: internal/allowance is the only one.
Without a bound it allows everything, so the flag beside the count goes too.
- Whether an intake can be was worked out in messages to keepers and in words of upstreams: roster.Intake.Valid.
- The picker asked for an idle connection by making a pool for each candidate of each request, also for upstreams that are never sent anything, or are gone: it looks now.
- shares.ClientConfig.Size has had no reader since messages are sent at one interval.
- Words of upstreams take their recorder once; the codec of peers closes in one place; the loops of the gateway are added in one order again; two comments said that only upstreams that have spoken are returned, which the metrics sift out.

Tests of courier, peer, roster, shares, coordinator, serving, gateway and metric pass.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -103,7 +103,7 @@
 // NewClient returns a client.
 func NewClient(cfg ClientConfig) *Client {
 	return &Client{
-		cfg: cfg, words: newWords(cfg.Roster), demand: make(map[modelKey]fleet.Tokens), uses: make(map[Use]bool),
+		cfg: cfg, words: newWords(cfg.Roster, cfg.Events), demand: make(map[modelKey]fleet.Tokens), uses: make(map[Use]bool),
 		held: make(map[fleet.UpstreamID]heldAt), wishes: make(map[wishKey]*pending), gathered: make(map[fleet.VMID]vmTraffic),
 	}
 }
@@ -210,7 +210,7 @@
 // listen takes over the words of an answer. Their ages count from the question, so that no
 // delay makes them younger.
 func (c *Client) listen(out SyncAnswer, told Told, asked time.Time) {
-	c.words.learn(out.Words, c.toldTo, asked, c.cfg.Events)
+	c.words.learn(out.Words, c.toldTo, asked)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.told, c.heardWords = told, out.Told
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -84,7 +84,7 @@
 
 // New returns a coordinator without duty.
 func New(cfg Config) *Coordinator {
-	c := &Coordinator{cfg: cfg, words: newWords(cfg.Roster)}
+	c := &Coordinator{cfg: cfg, words: newWords(cfg.Roster, cfg.Events)}
 	c.reset(0)
 	return c
 }
@@ -158,7 +158,7 @@
 		return err
 	}
 	s.c.take(in)
-	s.c.words.learn(in.Words, string(in.VM), time.Now(), s.c.cfg.Events)
+	s.c.words.learn(in.Words, string(in.VM), time.Now())
 	*out = s.c.answer(in)
 	return nil
 }
--- a/coordinator/gather.go
+++ b/coordinator/gather.go
@@ -30,7 +30,7 @@
 
 func (c *Client) gather(in Sync, out *SyncAnswer) error {
 	c.take(in)
-	c.words.learn(in.Words, string(in.VM), time.Now(), c.cfg.Events)
+	c.words.learn(in.Words, string(in.VM), time.Now())
 	sum := c.sum()
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/coordinator/words.go
+++ b/coordinator/words.go
@@ -21,6 +21,7 @@
 // only what is new to them.
 type words struct {
 	roster *roster.Roster
+	events *timeline.Recorder
 	teller uint64
 
 	mu      sync.Mutex
@@ -35,8 +36,8 @@
 	version uint64
 }
 
-func newWords(r *roster.Roster) *words {
-	return &words{roster: r, teller: rand.Uint64(), noted: make(map[fleet.UpstreamID]numbered)}
+func newWords(r *roster.Roster, events *timeline.Recorder) *words {
+	return &words{roster: r, events: events, teller: rand.Uint64(), noted: make(map[fleet.UpstreamID]numbered)}
 }
 
 // since returns the words that a VM has not been told, and up to where it is told with them.
@@ -68,12 +69,12 @@
 }
 
 // learn takes over words that another VM tells, as of a time, and logs what is new.
-func (w *words) learn(list []roster.Word, from string, at time.Time, events *timeline.Recorder) {
+func (w *words) learn(list []roster.Word, from string, at time.Time) {
 	for _, word := range w.roster.Learn(list, at) {
 		f := timeline.Fields{"upstream": string(word.Upstream), "from": from, "leaving": strconv.FormatBool(word.Leaving)}
 		if word.Limited {
 			f["intake"] = word.Intake.String()
 		}
-		events.Record(event.NoticeTold, f)
+		w.events.Record(event.NoticeTold, f)
 	}
 }
--- a/courier/conn.go
+++ b/courier/conn.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -12,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"toucanfall/internal/allowance"
 	"toucanfall/internal/tcp"
 
 	"golang.org/x/sys/unix"
@@ -20,7 +20,7 @@
 // conn is one connection to an upstream. It carries one request at a time.
 type conn struct {
 	net.Conn
-	in bounded
+	in *allowance.Reader
 	br *bufio.Reader
 	// until is when the upstream may close the connection for being idle.
 	until time.Time
@@ -40,35 +40,13 @@
 	if err != nil {
 		return nil, err
 	}
-	out := &conn{Conn: c, in: bounded{r: c}}
-	out.br = bufio.NewReaderSize(&out.in, readBuffer)
-	return out, nil
+	in := allowance.New(c, errTooLong)
+	return &conn{Conn: c, in: in, br: bufio.NewReaderSize(in, readBuffer)}, nil
 }
 
 // errTooLong tells that an upstream sent more than any head has.
 var errTooLong = errors.New("the head of the answer is too long")
 
-// bounded reads on until it is over its bound.
-type bounded struct {
-	r io.Reader
-	// left is how much may be read while limited is set.
-	left    int
-	limited bool
-}
-
-// Read reads on, or fails with errTooLong.
-func (b *bounded) Read(p []byte) (int, error) {
-	if !b.limited {
-		return b.r.Read(p)
-	}
-	if b.left <= 0 {
-		return 0, errTooLong
-	}
-	n, err := b.r.Read(p[:min(len(p), b.left)])
-	b.left -= n
-	return n, err
-}
-
 // clean reports whether an idle connection can carry another request: it was
 // not closed, and no bytes came that belong to no request.
 func (c *conn) clean(now time.Time) bool {
--- a/courier/exchange.go
+++ b/courier/exchange.go
@@ -131,8 +131,8 @@
 
 // readHead reads one answer's head past informational ones.
 func readHead(c *conn, req *http.Request) (*http.Response, error) {
-	c.in.left, c.in.limited = maxHead, true
-	defer func() { c.in.limited = false }()
+	c.in.Allow(maxHead)
+	defer c.in.Lift()
 	for range maxInformational {
 		resp, err := http.ReadResponse(c.br, req)
 		if err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -132,7 +132,7 @@
 		Events: g.events,
 	})
 	g.rates = shares.NewClient(shares.ClientConfig{
-		VM: cfg.VM, Own: pool, Purse: g.purse, Peers: g.links, Keepers: newKeeperList(g.roll).pools, Size: g.crew.Size, Now: bootclock.Now, Events: g.events,
+		VM: cfg.VM, Own: pool, Purse: g.purse, Peers: g.links, Keepers: newKeeperList(g.roll).pools, Now: bootclock.Now, Events: g.events,
 	})
 	g.relay = relay.NewService(relay.ServiceConfig{Directory: replica, Catalogue: g.catalogue, Crew: g.crew, Self: self, Now: bootclock.Now})
 	g.handler = serving.New(g.servingConfig())
@@ -267,11 +267,15 @@
 
 // addLoops adds what runs all the time.
 func (g *Gateway) addLoops(all *run.Group) {
-	for name, loop := range map[string]func(context.Context) error{
-		"config": g.config.run, "directory": g.directory.run, "relay": g.follower.Run, "crew": g.crew.Run, "adapters": g.client.Run, "rates": g.rates.Run, "coordinator": g.own.Run,
+	for _, l := range []struct {
+		name string
+		run  func(context.Context) error
+	}{
+		{"config", g.config.run}, {"directory", g.directory.run}, {"relay", g.follower.Run}, {"crew", g.crew.Run},
+		{"adapters", g.client.Run}, {"rates", g.rates.Run}, {"coordinator", g.own.Run},
 	} {
 		ctx, cancel := context.WithCancel(context.Background())
-		guarded := g.panics.Loop(name, loop)
+		guarded := g.panics.Loop(l.name, l.run)
 		all.Add(func() error { return guarded(ctx) }, func(error) { cancel() })
 	}
 }
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -31,7 +31,7 @@
 	}
 }
 
-// standings returns the upstreams that have spoken of themselves.
+// standings returns what each upstream has said of itself.
 func (g *Gateway) standings() []metric.Standing {
 	var out []metric.Standing
 	now := time.Now()
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -68,7 +68,8 @@
 // Gauges are what is read when somebody asks.
 type Gauges struct {
 	Open, ConfigAge, DirectoryAge, ConfigVersion, Share, Duty, Upstreams func() float64
-	// Standings returns the upstreams that have spoken of themselves.
+	// Standings returns what upstreams have said of themselves; those that have said nothing
+	// are not shown.
 	Standings func() []Standing
 }
 
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -4,11 +4,11 @@
 	"bufio"
 	"encoding/gob"
 	"errors"
-	"io"
 	"net"
 	"net/rpc"
 	"sync"
 
+	"toucanfall/internal/allowance"
 	"toucanfall/internal/guard"
 )
 
@@ -18,28 +18,13 @@
 
 var errTooLong = errors.New("the message of the peer is too long")
 
-// allowance reads as much as one message may have. What is read ahead counts for the message
-// before.
-type allowance struct {
-	r    io.Reader
-	left int
-}
-
-// Read reads on, or fails with errTooLong.
-func (a *allowance) Read(b []byte) (int, error) {
-	if a.left <= 0 {
-		return 0, errTooLong
-	}
-	n, err := a.r.Read(b[:min(len(b), a.left)])
-	a.left -= n
-	return n, err
-}
-
 // codec carries messages of net/rpc as gob does, each of at most maxMessage.
 type codec struct {
 	conn net.Conn
-	in   allowance
-	dec  *gob.Decoder
+	// in allows as much as one message may have. What is read ahead counts for the message
+	// before.
+	in  *allowance.Reader
+	dec *gob.Decoder
 
 	mu  sync.Mutex
 	out *bufio.Writer
@@ -48,14 +33,14 @@
 
 func newCodec(conn net.Conn) *codec {
 	conn = bounded{conn}
-	c := &codec{conn: conn, in: allowance{r: conn}, out: bufio.NewWriter(conn)}
-	c.dec, c.enc = gob.NewDecoder(bufio.NewReader(&c.in)), gob.NewEncoder(c.out)
+	c := &codec{conn: conn, in: allowance.New(conn, errTooLong), out: bufio.NewWriter(conn)}
+	c.dec, c.enc = gob.NewDecoder(bufio.NewReader(c.in)), gob.NewEncoder(c.out)
 	return c
 }
 
 // readHead reads the head of the next message.
 func (c *codec) readHead(head any) error {
-	c.in.left = maxMessage
+	c.in.Allow(maxMessage)
 	return c.dec.Decode(head)
 }
 
@@ -73,6 +58,9 @@
 	return err
 }
 
+// Close closes the connection.
+func (c *codec) Close() error { return c.conn.Close() }
+
 // caller is the codec of the side that calls.
 type caller struct{ *codec }
 
@@ -85,9 +73,6 @@
 // ReadResponseBody reads the body of an answer.
 func (c caller) ReadResponseBody(body any) error { return c.dec.Decode(body) }
 
-// Close closes the connection.
-func (c caller) Close() error { return c.conn.Close() }
-
 // exchange is the codec of one call on the side that answers.
 type exchange struct {
 	*codec
@@ -122,9 +107,6 @@
 // WriteResponse writes the answer.
 func (e *exchange) WriteResponse(r *rpc.Response, body any) error { return e.write(r, body) }
 
-// Close closes the connection.
-func (e *exchange) Close() error { return e.conn.Close() }
-
 // ServeConn answers the calls that come on a connection, side by side, until no other can be
 // read.
 func (s *Server) ServeConn(conn net.Conn) {
--- a/roster/notice.go
+++ b/roster/notice.go
@@ -19,6 +19,11 @@
 	return strconv.FormatFloat(float64(i), 'g', -1, 64)
 }
 
+// Valid reports whether there is such a number: messages of other VMs may hold any bits.
+func (i Intake) Valid() bool {
+	return i >= 0 && !math.IsInf(float64(i), 0)
+}
+
 // Notice is what an upstream says of itself in the head of an answer, beside the answer.
 type Notice struct {
 	// Leaving is set if the upstream is about to end.
@@ -176,7 +181,7 @@
 
 // Check returns an error if the word cannot be true.
 func (w *Word) Check() error {
-	if w.Age < 0 || !(w.Intake >= 0) || math.IsInf(float64(w.Intake), 0) {
+	if w.Age < 0 || !w.Intake.Valid() {
 		return fmt.Errorf("word of upstream %q: an age of %s and an intake of %g", w.Upstream, w.Age, w.Intake)
 	}
 	return nil
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -102,11 +102,10 @@
 func New(cfg Config) *Handler {
 	n := newNotices(cfg)
 	p := newPools(cfg.Dial, n.hear)
-	connected := func(u *roster.Upstream) bool { return p.of(u).Idle() }
 	return &Handler{
 		cfg:     cfg,
 		pools:   p,
-		pick:    NewPicker(cfg.Roster, cfg.DataCentre, cfg.Sharers, connected, rand.Float64),
+		pick:    NewPicker(cfg.Roster, cfg.DataCentre, cfg.Sharers, p.connected, rand.Float64),
 		notices: n,
 	}
 }
--- a/serving/pools.go
+++ b/serving/pools.go
@@ -37,6 +37,14 @@
 	return pool
 }
 
+// connected reports whether there is an idle connection to an upstream.
+func (p *pools) connected(u *roster.Upstream) bool {
+	p.mu.Lock()
+	pool := p.byUpstream[u]
+	p.mu.Unlock()
+	return pool != nil && pool.Idle()
+}
+
 func (p *pools) drop(u *roster.Upstream) {
 	p.mu.Lock()
 	pool := p.byUpstream[u]
--- a/shares/intake.go
+++ b/shares/intake.go
@@ -222,9 +222,9 @@
 
 // Check returns an error if the request cannot be right.
 func (r *IntakeRequest) Check() error {
-	switch rate := float64(r.Intake); {
-	case !(rate >= 0) || math.IsInf(rate, 0):
-		return fmt.Errorf("an intake of %g requests a second", rate)
+	switch {
+	case !r.Intake.Valid():
+		return fmt.Errorf("an intake of %s requests a second", r.Intake)
 	case r.Age < 0 || r.Want < 0:
 		return fmt.Errorf("an age of %s, %d requests wanted", r.Age, r.Want)
 	}
--- a/shares/keeper.go
+++ b/shares/keeper.go
@@ -95,8 +95,6 @@
 	// Keepers returns for each pool the VMs that may keep it, the best first. Teams are
 	// spread over the pools.
 	Keepers func() [][]Keeper
-	// Size returns the number of VMs of the fleet.
-	Size func() int
 	// Now is a clock that goes on while the machine sleeps.
 	Now    func() time.Duration
 	Events *timeline.Recorder
--- a/shares/keeper_test.go
+++ b/shares/keeper_test.go
@@ -123,7 +123,7 @@
 		v.pool.intakes.random = rand.New(rand.NewPCG(1, uint64(i))).Float64
 		v.client = NewClient(ClientConfig{
 			VM: v.id, Own: v.pool, Purse: v.purse, Peers: w, Keepers: func() [][]Keeper { return v.keepers(keepers) },
-			Size: func() int { return n }, Now: now, Events: timeline.New("test", 16, logger),
+			Now: now, Events: timeline.New("test", 16, logger),
 		})
 		w.vms = append(w.vms, v)
 	}
