--- a/serving/replace.go
+++ b/serving/replace.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 
 	"toucanfall/catalogue"
 	"toucanfall/fault"
 	"toucanfall/fleet"
+	"toucanfall/transport"
 )
 
 // maxReplacements is how many upstreams are tried as a replacement for one silent attempt.
@@ -27,8 +29,9 @@
 	}
 	avoid := append(slices.Clone(t.tried), a.u.ID)
 	tried := 0
+	running := len(t.tried) + 1
 	w.findReplacement = func(ctx context.Context) (*attempt, bool) {
-		if tried >= maxReplacements {
+		if tried >= maxReplacements || running+int(t.failedReplacements.Load()) >= t.c.Route.Attempts {
 			return nil, true
 		}
 		next, u := t.sendReplacement(ctx, a, avoid)
@@ -42,7 +45,10 @@
 		t.replacement = next
 		a.cancel()
 	}
-	w.onDiscard = func(next *attempt) { next.discard() }
+	w.onDiscard = func(next *attempt) {
+		t.failedReplacements.Add(1)
+		next.discard()
+	}
 	w.start()
 	return w
 }
@@ -63,13 +69,18 @@
 	stop := context.AfterFunc(ctx, a.cancel)
 	err := t.send(a)
 	stop()
+	mayHaveRun := !notSent(err)
 	if err == nil {
 		reply := t.h.cfg.Wire.ReadReply(a.resp.Status, a.resp.Header)
 		if !reply.NotRun && a.resp.Status < http.StatusMultipleChoices {
 			return a, u.ID
 		}
+		mayHaveRun = !reply.NotRun
 		err = fault.New(fault.Overloaded, "upstream %q answered %d in place of a silent one", u.ID, a.resp.Status)
 	}
+	if mayHaveRun {
+		t.failedReplacements.Add(1)
+	}
 	if ctx.Err() == nil {
 		t.recordFailed(a, err)
 	}
@@ -93,3 +104,8 @@
 		t.replacement = nil
 	}
 }
+
+// notSent reports whether an attempt failed before its request was sent.
+func notSent(err error) bool {
+	return errors.Is(err, transport.ErrNotSent) || errors.Is(err, transport.ErrWithheld)
+}
--- a/serving/run.go
+++ b/serving/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"toucanfall/catalogue"
@@ -79,6 +80,9 @@
 	// replacement is an answered attempt that replaces a silent one. The watchdog sets it, and it is
 	// read only after watchdog.stop, which waits for that.
 	replacement *attempt
+	// failedReplacements is the number of upstreams that may have run the request in place of a
+	// silent one, and whose answer was not used. Only the watchdog changes it.
+	failedReplacements atomic.Int32
 	// lastErr is why the last attempt failed.
 	lastErr error
 }
@@ -137,8 +141,12 @@
 	return t.execute(ctx, a)
 }
 
-// mayRetry reports whether one more send is allowed by maxSends, the budget and the deadline.
+// mayRetry reports whether one more send is allowed by maxSends, the budget and the deadline, and
+// after failed replacements by the route.
 func (t *attempts) mayRetry(ctx context.Context) bool {
+	if n := int(t.failedReplacements.Load()); n > 0 && len(t.tried)+n >= t.c.Route.Attempts && t.replacement == nil {
+		return false
+	}
 	return ctx.Err() == nil && t.sends < maxSends && (t.replacement != nil || t.h.cfg.Budget.TakeRetry())
 }
 
