Let prompts wait at their VM for prefill credits of the engine

Change: package prefill. One VM keeps the account of an engine; a credit covers a prompt until the first event of its answer; the window follows the engine's observed speed; requests that can be on time go first, by urgency where not all can be.

--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -48,6 +48,9 @@
 	// Objective is the operators' latency target: the time to the answer, or to the first
 	// event of a stream.
 	Objective time.Duration
+	// MaxPause is the longest pause between two events of a stream that is on time; 0 means that
+	// the operators set none.
+	MaxPause time.Duration
 	// Attempts is the maximum number of upstreams to which one request is sent.
 	Attempts int
 	// Priority is the priority of the route's requests; 0 is the most urgent.
--- a/event/gateway.go
+++ b/event/gateway.go
@@ -24,6 +24,8 @@
 	RelayLost        = Event{818, "relay_lost", logrus.WarnLevel, "The VM that this VM follows did not answer, or its answer was not usable. The field reason says why. For one second, another VM or the store is asked instead."}
 	KeeperLost       = Event{819, "keeper_lost", logrus.WarnLevel, "The host of a pool of spare rate tokens did not answer. The field reason says why. The next VM in order is the pool host for this VM until the failed one answers again."}
 	KeeperChanged    = Event{820, "keeper_changed", logrus.InfoLevel, "This VM uses another host for a pool of spare rate tokens. The field vm is the new host, before is the previous one."}
+	PrefillHostLost  = Event{826, "prefill_host_lost", logrus.WarnLevel, "The VM that keeps the accounts of some engines' prompts did not answer. The field reason says why. The next VM in order keeps them for this VM until the lost one answers again; if there is none, prompts are sent without an account."}
+	PrefillViewed    = Event{827, "prefill_viewed", logrus.InfoLevel, "The accounts of prompts that this VM keeps, logged once a second while prompts wait: for each engine the outstanding prompt tokens, the window, the number of waiting prompts, and the estimated time to read a token in ms."}
 	EngineOrdered    = Event{821, "engine_ordered", logrus.InfoLevel, "An order was sent to an engine. The fields hold the order and the answer."}
 	PlacementChanged = Event{822, "placement_changed", logrus.InfoLevel, "The coordinator decided to load a model on an engine or to unload one. The fields load and unload name the models."}
 	MoveFailed       = Event{823, "move_failed", logrus.WarnLevel, "A model could not be loaded on or unloaded from an engine, or the engine gave no report. The placement is planned again."}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"toucanfall/metric"
 	"toucanfall/peer"
 	"toucanfall/platform"
+	"toucanfall/prefill"
 	"toucanfall/ratelimit"
 	"toucanfall/relay"
 	"toucanfall/roster"
@@ -73,6 +74,7 @@
 	membership        *group.Membership
 	buckets           *ratelimit.Buckets
 	rates             *ratelimit.Client
+	prefill           *prefill.Client
 	coordinator       *coordinator.Coordinator
 	coordinatorClient *coordinator.Client
 	handler           *serving.Handler
@@ -139,6 +141,8 @@
 	g.rates = ratelimit.NewClient(ratelimit.ClientConfig{
 		VM: cfg.VM, OwnPool: pool, Buckets: g.buckets, Peers: g.peerClient, PoolHosts: newPoolHosts(g.memberList).pools, Now: bootclock.Now, Events: g.events,
 	})
+	prefillHost := prefill.NewHost(g.events)
+	g.prefill = prefill.NewClient(prefill.ClientConfig{VM: cfg.VM, Own: prefillHost, Peers: g.peerClient, Hosts: g.prefillHosts, Events: g.events})
 	g.relay = relay.NewService(relay.ServiceConfig{Directory: replica, Catalogue: g.catalogue, Membership: g.membership, Self: self, Now: bootclock.Now})
 	g.handler = serving.New(g.servingConfig())
 	g.callers = &http.Server{
@@ -150,13 +154,14 @@
 		g.peers.Register(coordinator.RelayServiceName, g.coordinatorClient.RelayService()),
 		g.peers.Register(relay.ServiceName, g.relay.Peer()),
 		g.peers.Register(ratelimit.ServiceName, pool.Service()),
+		g.peers.Register(prefill.ServiceName, prefillHost.Service()),
 	)
 }
 
 func (g *Gateway) servingConfig() serving.Config {
 	return serving.Config{
 		DataCentre: g.cfg.DataCentre, Wire: platform.Wire{}, Dial: transport.Dial, Catalogue: g.catalogue, Roster: g.roster,
-		Rates: g.rates, Permits: g.rates, Loader: g.coordinatorClient, Events: g.events, Metrics: g.meters, Panics: g.panics,
+		Rates: g.rates, Permits: g.rates, Prefill: g.prefill, Loader: g.coordinatorClient, Events: g.events, Metrics: g.meters, Panics: g.panics,
 		StaleAfter: g.staleAfter(),
 		Budget:     serving.NewRetryBudget(g.cfg.RepeatRatio, g.cfg.RepeatSlack, time.Duration(g.cfg.RepeatWindow), g.membership.Size),
 		VMCount:    g.vmsPerDataCentre,
@@ -174,6 +179,29 @@
 	return float64(g.membership.Size()) / float64(max(g.roster.DataCentres(), 1))
 }
 
+// hostsPerEngine is how many VMs may host the account of an engine's prompts, each in place of
+// the one before it.
+const hostsPerEngine = 2
+
+// prefillHosts returns the VMs that may host the account of an engine's prompts: VMs of its data
+// centre, which send most of them, if there are any.
+func (g *Gateway) prefillHosts(id fleet.UpstreamID) []prefill.HostVM {
+	u, ok := g.roster.Get(id)
+	if !ok {
+		return nil
+	}
+	members, dc := g.memberList(), u.Entry().DataCentre
+	ranked := members.Ranked(string(id), hostsPerEngine, func(m group.Member) bool { return m.DataCentre() == dc })
+	if len(ranked) == 0 {
+		ranked = members.Ranked(string(id), hostsPerEngine, func(group.Member) bool { return true })
+	}
+	out := make([]prefill.HostVM, len(ranked))
+	for i, m := range ranked {
+		out[i] = prefill.HostVM{VM: m.VM(), Address: m.Address()}
+	}
+	return out
+}
+
 // memberList returns the members of the fleet as this VM knows them.
 func (g *Gateway) memberList() group.MemberList {
 	members, _ := g.membership.MemberList()
--- a/measure/dispatch.go
+++ b/measure/dispatch.go
@@ -1,15 +1,22 @@
 package measure
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"toucanfall/fleet"
+	"toucanfall/prefill"
 	"toucanfall/roster"
 	"toucanfall/serving"
+	"toucanfall/timeline"
 )
 
 // Dispatch compares policies of choosing engines by the share of streams that are in
@@ -54,6 +61,21 @@
 	sustainable bool
 }
 
+// hotModelDeployment is a few engines that alone hold the model that most requests name, as
+// after a shift of the demand or the loss of engines.
+var hotModelDeployment = deploymentSpec{
+	name: "9 VMs, 3 engines of 64 slots that hold the busiest model", vms: 9, dataCentres: 1, engines: 3,
+	engine: batchSpec{
+		slots: 64, memoryTokens: 142_543, baseStep: 6800 * time.Microsecond, stepPerRequest: 34 * time.Microsecond,
+		prefillPerMilli: 22.1, prefillChunk: 4096, eventTokens: 3, cachedPrefixes: 12,
+	},
+	classes: []classSpec{
+		{rate: 24, prompt: 1460, output: 171, sharedPrefix: 350, priority: 2, maxFirstEvent: 800 * time.Millisecond, maxPause: 300 * time.Millisecond},
+		{rate: 11, prompt: 646, output: 69, sharedPrefix: 155, priority: 0, maxFirstEvent: 2500 * time.Millisecond, maxPause: 300 * time.Millisecond},
+	},
+	reportDelay: 5 * time.Millisecond, reportInterval: 200 * time.Millisecond,
+}
+
 // Parameters of a run.
 const (
 	dispatchDuration = 6 * time.Second
@@ -104,19 +126,20 @@
 // enginePolicy chooses an engine for a VM's request.
 type enginePolicy struct {
 	name string
-	pick func(v *dispatchVM) *roster.Upstream
+	pick func(v *dispatchVM, list []*roster.Upstream) *roster.Upstream
+	// credits is set if prompts wait for prefill credits.
+	credits bool
 }
 
 var enginePolicies = []enginePolicy{
-	{"round robin", func(v *dispatchVM) *roster.Upstream {
+	{name: "round robin", pick: func(v *dispatchVM, list []*roster.Upstream) *roster.Upstream {
 		v.next++
-		list := v.roster.Upstreams()
 		return list[v.next%len(list)]
 	}},
-	{"least in flight", func(v *dispatchVM) *roster.Upstream {
+	{name: "least in flight", pick: func(v *dispatchVM, list []*roster.Upstream) *roster.Upstream {
 		var best *roster.Upstream
 		least := math.Inf(1)
-		for _, u := range v.roster.Upstreams() {
+		for _, u := range list {
 			_, all := u.InFlight()
 			if c := float64(all) + v.rng.Float64(); c < least {
 				best, least = u, c
@@ -124,9 +147,12 @@
 		}
 		return best
 	}},
-	{"this routing", func(v *dispatchVM) *roster.Upstream {
-		return v.picker.Best(v.roster.Upstreams(), nil)
-	}},
+	{name: "this routing without credits", pick: bestEngine},
+	{name: "this routing", pick: bestEngine, credits: true},
+}
+
+func bestEngine(v *dispatchVM, list []*roster.Upstream) *roster.Upstream {
+	return v.picker.Best(list, nil)
 }
 
 // dispatchVM is a simulated VM.
@@ -150,8 +176,10 @@
 	deployment deploymentSpec
 	vms        []*dispatchVM
 	engines    map[fleet.UpstreamID]*batchEngine
-	stop       chan struct{}
-	loops      sync.WaitGroup
+	// credits grants the prefill credits of all engines.
+	credits *prefill.Client
+	stop    chan struct{}
+	loops   sync.WaitGroup
 
 	mu sync.Mutex
 	// outcomes is indexed like deployment.classes, and guarded by mu.
@@ -160,6 +188,10 @@
 
 func newDispatchSim(deployment deploymentSpec) *dispatchSim {
 	s := &dispatchSim{deployment: deployment, stop: make(chan struct{}), outcomes: make([]classOutcome, len(deployment.classes)), engines: make(map[fleet.UpstreamID]*batchEngine)}
+	host := prefill.NewHost(newDiscardRecorder())
+	s.credits = prefill.NewClient(prefill.ClientConfig{
+		VM: "host", Own: host, Hosts: func(fleet.UpstreamID) []prefill.HostVM { return []prefill.HostVM{{VM: "host"}} },
+	})
 	for j := range deployment.engines {
 		e := newBatchEngine(deployment.engine)
 		s.engines[engineID(j)] = e
@@ -232,12 +264,19 @@
 		spec, size, prefixID := s.deployment.classes[class], drawSizeFactor(rng), rng.IntN(sharedPrefixes)
 		v := s.vms[rng.IntN(len(s.vms))]
 		prompt := max(int(float64(spec.prompt)*size), spec.sharedPrefix+1)
-		u := policy.pick(v)
-		flight := u.Begin(roster.Adapter{}, fleet.Tokens(prompt))
 		req := &batchRequest{
 			priority: spec.priority, prompt: prompt, sharedPrefix: spec.sharedPrefix, output: max(int(float64(spec.output)*size), 1), prefixID: prefixID,
 		}
-		streams.Go(func() { s.runStream(u, flight, class, req) })
+		a := dispatchAttempt{began: time.Now()}
+		if !policy.credits {
+			a.begin(policy.pick(v, v.roster.Upstreams()), prompt)
+		}
+		streams.Go(func() {
+			if policy.credits {
+				a.begin(s.chooseWithCredit(&a, v, policy, spec, prompt), prompt)
+			}
+			s.runStream(a, class, req)
+		})
 	}
 	streams.Wait()
 	close(s.stop)
@@ -252,21 +291,70 @@
 	return min(math.Exp(rng.NormFloat64()*sigma-sigma*sigma/2), 4)
 }
 
+// dispatchAttempt is a request at its engine.
+type dispatchAttempt struct {
+	began  time.Time
+	u      *roster.Upstream
+	flight *roster.Flight
+	credit *prefill.Credit
+}
+
+func (a *dispatchAttempt) begin(u *roster.Upstream, prompt int) {
+	a.u, a.flight = u, u.Begin(roster.Adapter{}, fleet.Tokens(prompt))
+}
+
+// chooseWithCredit chooses an engine, and waits for a prefill credit.
+func (s *dispatchSim) chooseWithCredit(a *dispatchAttempt, v *dispatchVM, policy enginePolicy, spec classSpec, prompt int) *roster.Upstream {
+	acquire := func(u *roster.Upstream, wait time.Duration) (*prefill.Credit, time.Duration, bool) {
+		return s.credits.Acquire(context.Background(), prefill.Request{
+			Upstream: u.ID, Tokens: fleet.Tokens(prompt), MaxPause: spec.maxPause, Slack: spec.maxFirstEvent - time.Since(a.began),
+			Rank: spec.priority, Wait: wait,
+		})
+	}
+	for {
+		list := slices.Clone(v.roster.Upstreams())
+		var shortest *roster.Upstream
+		var least time.Duration
+		for range min(creditCandidates, len(list)) {
+			u := policy.pick(v, list)
+			credit, wait, ok := acquire(u, 0)
+			if ok {
+				a.credit = credit
+				return u
+			}
+			if shortest == nil || wait < least {
+				shortest, least = u, wait
+			}
+			list = slices.DeleteFunc(list, func(other *roster.Upstream) bool { return other == u })
+		}
+		if credit, _, ok := acquire(shortest, creditWait); ok {
+			a.credit = credit
+			return shortest
+		}
+	}
+}
+
+// As in package serving: how many engines are asked for a credit, and how long a request then waits
+// at one of them.
+const (
+	creditCandidates = 3
+	creditWait       = 200 * time.Millisecond
+)
+
 // runStream sends one request, waits for the end of its stream and counts the outcome.
-func (s *dispatchSim) runStream(u *roster.Upstream, flight *roster.Flight, class int, req *batchRequest) {
-	spec := s.deployment.classes[class]
-	engine := s.engines[u.ID]
-	began := time.Now()
+func (s *dispatchSim) runStream(a dispatchAttempt, class int, req *batchRequest) {
+	spec, engine := s.deployment.classes[class], s.engines[a.u.ID]
 	var first, longest time.Duration
-	last := began
+	last := a.began
 	done := make(chan struct{})
 	req.onEvent = func() {
-		flight.Received()
+		a.flight.Received()
+		a.credit.FirstEvent()
 		now := time.Now()
 		if first == 0 {
-			first = now.Sub(began)
-			own, _ := u.InFlight()
-			u.SetOthersInFlight(max(engine.load()-own, 0)) // Response headers report the engine's load.
+			first = now.Sub(a.began)
+			own, _ := a.u.InFlight()
+			a.u.SetOthersInFlight(max(engine.load()-own, 0)) // Response headers report the engine's load.
 		} else {
 			longest = max(longest, now.Sub(last))
 		}
@@ -275,7 +363,7 @@
 	req.onDone = func() { close(done) }
 	engine.submit(req)
 	<-done
-	flight.End(false)
+	a.flight.End(false)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o := &s.outcomes[class]
@@ -301,7 +389,7 @@
 			"In time are streams whose first event came within its objective and with no longer pause after it than the sheet allows.",
 		},
 	}
-	for _, deployment := range []deploymentSpec{smallDeployment, largeDeployment} {
+	for _, deployment := range []deploymentSpec{smallDeployment, largeDeployment, hotModelDeployment} {
 		for _, pattern := range loadPatterns {
 			for _, policy := range enginePolicies {
 				s := newDispatchSim(deployment)
@@ -327,3 +415,10 @@
 
 // percentOf returns n/total as a percentage; a total of 0 counts as 1.
 func percentOf(n, total int) string { return percent(float64(n) / float64(max(total, 1))) }
+
+// newDiscardRecorder returns a recorder whose log is discarded.
+func newDiscardRecorder() *timeline.Recorder {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return timeline.New("measure", 1, logger)
+}
--- a/measure/dispatch_test.go
+++ b/measure/dispatch_test.go
@@ -56,6 +56,19 @@
 	}
 }
 
+// A shift of the demand or the loss of engines leaves few engines with the busiest model. They can
+// read all its prompts, but not at the times at which these arrive, so prompts have to wait at
+// the VMs. Without credits the streams pause.
+func TestPromptsOfHotModelWaitAtVMs(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	steady := loadPatterns[0]
+	without, _ := simulateLongStreams(t, hotModelDeployment, steady, policyNamed("this routing without credits"))
+	with, _ := simulateLongStreams(t, hotModelDeployment, steady, policyNamed("this routing"))
+	is.True(with >= requiredShare)
+	is.True(without < requiredShare)
+}
+
 func policyNamed(name string) enginePolicy {
 	for _, p := range enginePolicies {
 		if p.name == name {
--- /dev/null
+++ b/prefill/account.go
@@ -0,0 +1,208 @@
+package prefill
+
+import (
+	"time"
+)
+
+// Lifetimes in an account.
+const (
+	// creditLifetime is how long a credit counts that was not returned, because its VM is gone
+	// or the message was lost.
+	creditLifetime = 3 * time.Second
+	// pauseLifetime is how long the shortest permitted pause of an engine's streams counts
+	// after its last request.
+	pauseLifetime = 5 * time.Second
+)
+
+// account is the account of one start of an engine. Host.mu guards it.
+type account struct {
+	born    int64
+	credits map[CreditID]credit
+	// outstanding is the number of tokens of all credits.
+	outstanding float64
+	// unread estimates how many of them the engine has not read yet, as of unreadAt.
+	unread   float64
+	unreadAt time.Time
+	waiters  []*waiter
+	speed    estimator
+	// maxPause is the shortest permitted pause of the streams of recent requests, as of
+	// maxPauseAt.
+	maxPause   time.Duration
+	maxPauseAt time.Time
+	lastUsed   time.Time
+}
+
+// credit is a granted credit. load is the estimated number of unread tokens at its grant, its own
+// included.
+type credit struct {
+	tokens, load float64
+	granted      time.Time
+}
+
+// waiter is a request that waits for a credit. granted is closed when it gets one.
+type waiter struct {
+	Request
+	due     time.Time
+	granted chan struct{}
+}
+
+func newAccount(born int64) *account {
+	return &account{born: born, credits: make(map[CreditID]credit)}
+}
+
+// observePause records the permitted pause of a request's stream.
+func (a *account) observePause(now time.Time, d time.Duration) {
+	if a.maxPause == 0 || d <= a.maxPause || now.Sub(a.maxPauseAt) > pauseLifetime {
+		a.maxPause, a.maxPauseAt = d, now
+	}
+}
+
+// fits reports whether a prompt of n tokens fits into the window. One prompt always does.
+func (a *account) fits(now time.Time, n float64) bool {
+	return len(a.credits) == 0 || a.outstanding+n <= a.speed.window(now, a.maxPause)
+}
+
+// size returns the prompt tokens of a request as they count in the account. The caller of a team
+// states them, so they are bounded by the window of the fastest engine.
+func (r *Request) size() float64 {
+	return float64(min(r.Tokens, maxWindow))
+}
+
+// grant grants a credit. A repeated request keeps one credit.
+func (a *account) grant(now time.Time, r Request) {
+	if c, ok := a.credits[r.ID]; ok {
+		a.drop(r.ID, c)
+	}
+	n := r.size()
+	_, perToken := a.speed.estimate(now)
+	a.unread = min(max(a.unread-millis(now.Sub(a.unreadAt))/perToken, 0), a.outstanding) + n
+	a.unreadAt = now
+	a.outstanding += n
+	a.credits[r.ID] = credit{tokens: n, load: a.unread, granted: now}
+}
+
+// end ends a credit, or removes the waiting request.
+func (a *account) end(now time.Time, r Return) {
+	c, ok := a.credits[r.ID]
+	if !ok {
+		a.removeWaiter(r.ID)
+		return
+	}
+	a.drop(r.ID, c)
+	if r.FirstEvent > 0 {
+		a.speed.add(now, c.load, r.FirstEvent)
+	}
+}
+
+func (a *account) drop(id CreditID, c credit) {
+	delete(a.credits, id)
+	a.outstanding -= c.tokens
+	if len(a.credits) == 0 {
+		a.outstanding = 0
+	}
+}
+
+// expire drops the credits that were not returned in time.
+func (a *account) expire(now time.Time) {
+	for id, c := range a.credits {
+		if now.Sub(c.granted) > creditLifetime {
+			a.drop(id, c)
+		}
+	}
+}
+
+func (a *account) removeWaiter(id CreditID) {
+	for i, w := range a.waiters {
+		if w.ID == id {
+			a.waiters = append(a.waiters[:i], a.waiters[i+1:]...)
+			return
+		}
+	}
+}
+
+// dispatch grants credits to waiting requests in their order while they fit.
+func (a *account) dispatch(now time.Time) {
+	for len(a.waiters) > 0 {
+		w := a.first(a.order(now))
+		if !a.fits(now, w.size()) {
+			return
+		}
+		a.grant(now, w.Request)
+		a.removeWaiter(w.ID)
+		close(w.granted)
+	}
+}
+
+// order is the order of the requests that wait at an engine.
+type order struct {
+	// onTimeFrom is the earliest due time that a request still meets that is granted a credit now.
+	onTimeFrom time.Time
+	// urgentUntil is when the engine will have read all prompts that wait.
+	urgentUntil time.Time
+}
+
+// order returns the order at a time.
+func (a *account) order(now time.Time) order {
+	latency, perToken := a.speed.estimate(now)
+	waiting := 0.0
+	for _, w := range a.waiters {
+		waiting += w.size()
+	}
+	onTimeFrom := now.Add(fromMillis(latency + a.outstanding*perToken))
+	return order{onTimeFrom: onTimeFrom, urgentUntil: onTimeFrom.Add(fromMillis(waiting * perToken))}
+}
+
+// first returns the waiting request that is the next to be granted a credit.
+func (a *account) first(o order) *waiter {
+	best := a.waiters[0]
+	for _, w := range a.waiters[1:] {
+		if o.precedes(w, best) {
+			best = w
+		}
+	}
+	return best
+}
+
+// precedes reports whether w is granted a credit before other. Requests that can still be on time
+// precede late ones. Among those that would be late behind all others, and among late ones, the
+// more urgent rank comes first; the rest are ordered by due time.
+func (o order) precedes(w, other *waiter) bool {
+	group, otherGroup := o.group(w), o.group(other)
+	switch {
+	case group != otherGroup:
+		return group < otherGroup
+	case group != relaxed && w.Rank != other.Rank:
+		return w.Rank < other.Rank
+	}
+	return w.due.Before(other.due)
+}
+
+// Groups of waiting requests, in their order.
+const (
+	urgent = iota
+	relaxed
+	late
+)
+
+func (o order) group(w *waiter) int {
+	switch {
+	case w.due.Before(o.onTimeFrom):
+		return late
+	case w.due.Before(o.urgentUntil):
+		return urgent
+	}
+	return relaxed
+}
+
+// forecast returns how long a request has to wait behind the waiting requests that precede it.
+func (a *account) forecast(now time.Time, w *waiter) time.Duration {
+	ahead := a.outstanding + w.size() - a.speed.window(now, a.maxPause)
+	o := a.order(now)
+	for _, other := range a.waiters {
+		if other != w && o.precedes(other, w) {
+			ahead += other.size()
+		}
+	}
+	_, perToken := a.speed.estimate(now)
+	return fromMillis(max(ahead, 1) * perToken)
+}
--- a/serving/choose.go
+++ b/serving/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"toucanfall/fault"
+	"toucanfall/fleet"
 	"toucanfall/internal/loop"
 	"toucanfall/roster"
 )
@@ -35,12 +36,14 @@
 		if err := ctx.Err(); err != nil {
 			return nil, err
 		}
-		u, err := t.find(ctx)
+		u, credit, err := t.findWithCredit(ctx)
 		if err == nil {
 			var a *attempt
 			if a, err = t.acquirePermit(ctx, u); err == nil {
+				a.credit = credit
 				return a, nil
 			}
+			credit.Release()
 			if denied++; denied < maxPermitDenials {
 				continue
 			}
@@ -59,8 +62,8 @@
 
 // find chooses an upstream, or returns an error at once if there is none. It waits only if the call's
 // adapter has to be loaded on an engine.
-func (t *attempts) find(ctx context.Context) (*roster.Upstream, error) {
-	list := t.h.picker.Candidates(t.service, t.c, t.unreachable)
+func (t *attempts) find(ctx context.Context, busy []fleet.UpstreamID) (*roster.Upstream, error) {
+	list := t.h.picker.Candidates(t.service, t.c, slices.Concat(t.unreachable, busy))
 	if len(list) == 0 {
 		return nil, t.noUpstreamError()
 	}
@@ -70,7 +73,7 @@
 	}
 	ready := withAdapter(list, t.c)
 	if len(ready) == 0 {
-		return t.loadAdapter(ctx, nil)
+		return t.loadAdapter(ctx, busy)
 	}
 	bestReady := t.h.picker.Best(ready, t.tried)
 	_, bestReadyLoad := bestReady.InFlight()
@@ -78,32 +81,29 @@
 	if bestReadyLoad-bestLoad < replicateGap {
 		return bestReady, nil
 	}
-	return t.replicateAdapter(ctx, ready)
+	return t.replicateAdapter(ctx, ready, busy)
 }
 
 // replicateAdapter loads the adapter on one more engine besides those that have it. If that takes
 // longer than maxQueueTime, it returns one of these. They are listed again after the wait,
 // because an engine may have left meanwhile.
-func (t *attempts) replicateAdapter(ctx context.Context, ready []*roster.Upstream) (*roster.Upstream, error) {
+func (t *attempts) replicateAdapter(ctx context.Context, ready []*roster.Upstream, busy []fleet.UpstreamID) (*roster.Upstream, error) {
 	loadCtx, cancel := context.WithTimeout(ctx, t.maxQueueTime())
 	defer cancel()
-	u, err := t.loadAdapter(loadCtx, ready)
+	u, err := t.loadAdapter(loadCtx, append(ids(ready), busy...))
 	if err == nil {
 		return u, nil
 	}
-	ready = withAdapter(t.h.picker.Candidates(t.service, t.c, t.unreachable), t.c)
+	ready = withAdapter(t.h.picker.Candidates(t.service, t.c, slices.Concat(t.unreachable, busy)), t.c)
 	if len(ready) == 0 {
 		return nil, err
 	}
 	return t.h.picker.Best(ready, t.tried), nil
 }
 
-// loadAdapter loads the call's adapter on an engine that does not have it yet.
-func (t *attempts) loadAdapter(ctx context.Context, ready []*roster.Upstream) (*roster.Upstream, error) {
-	avoid := slices.Clone(t.unreachable)
-	for _, u := range slices.Concat(ready, t.h.picker.constrained(t.service, t.c)) {
-		avoid = append(avoid, u.ID)
-	}
+// loadAdapter loads the call's adapter on an engine that is not in exclude.
+func (t *attempts) loadAdapter(ctx context.Context, exclude []fleet.UpstreamID) (*roster.Upstream, error) {
+	avoid := slices.Concat(t.unreachable, exclude, ids(t.h.picker.constrained(t.service, t.c)))
 	id, err := t.h.cfg.Loader.LoadAdapter(ctx, t.service, t.c.modelAdapter(), avoid)
 	if err != nil {
 		return nil, fault.New(fault.NoUpstream, "adapter %q of model %q: %w", t.c.Adapter, t.c.Model, err).WithRetryAfter(adapterRetryAfter)
@@ -114,3 +114,12 @@
 	}
 	return u, nil
 }
+
+// ids returns the ids of upstreams.
+func ids(list []*roster.Upstream) []fleet.UpstreamID {
+	out := make([]fleet.UpstreamID, len(list))
+	for i, u := range list {
+		out[i] = u.ID
+	}
+	return out
+}
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -83,6 +83,7 @@
 	Roster     *roster.Roster
 	Rates      Rates
 	Permits    PermitSource
+	Prefill    PrefillCredits
 	Loader     Loader
 	Events     *timeline.Recorder
 	Metrics    *metric.Set
--- /dev/null
+++ b/serving/prefill.go
@@ -0,0 +1,119 @@
+package serving
+
+import (
+	"context"
+	"time"
+
+	"toucanfall/fault"
+	"toucanfall/fleet"
+	"toucanfall/prefill"
+	"toucanfall/roster"
+)
+
+// PrefillCredits grants credits for prompts, so that an engine is not sent more of them at a time
+// than the permitted pauses of its streams allow.
+type PrefillCredits interface {
+	// Acquire returns a credit, or false and a forecast of how long the request has to wait for
+	// one. The credit is nil if it is not accounted for.
+	Acquire(ctx context.Context, r prefill.Request) (*prefill.Credit, time.Duration, bool)
+}
+
+// Bounds of the wait for a prefill credit.
+const (
+	// maxCreditCandidates is how many engines are asked before a call waits at one of them.
+	maxCreditCandidates = 3
+	// creditWait is how long a call waits at one engine before it asks others again.
+	creditWait = 200 * time.Millisecond
+	// answerTimeDivisor gives the part of a call's time that is left for its answer: a call that
+	// has to wait longer for a credit is rejected at once.
+	answerTimeDivisor = 8
+)
+
+// needsCredit reports whether the call's prompt needs a credit.
+func (c *Call) needsCredit() bool {
+	return c.Model != "" && c.Route.MaxPause > 0 && c.TokensIn > 0
+}
+
+// findWithCredit chooses an upstream and acquires a credit for the prompt there. If the engines that
+// fit best have none, the call waits at the one with the shortest forecast. It is rejected if the
+// forecast leaves no time for the answer.
+func (t *attempts) findWithCredit(ctx context.Context) (*roster.Upstream, *prefill.Credit, error) {
+	if !t.c.needsCredit() {
+		u, err := t.find(ctx, nil)
+		return u, nil, err
+	}
+	for {
+		u, credit, wait, err := t.askCandidates(ctx)
+		if wait == 0 || err != nil {
+			return u, credit, err
+		}
+		if !t.hasTimeFor(wait) {
+			return nil, nil, fault.New(fault.Overloaded, "the engines cannot read the prompt in time").WithRetryAfter(max(wait, minRetryAfter))
+		}
+		credit, _, ok := t.h.cfg.Prefill.Acquire(ctx, t.creditRequest(u, creditWait))
+		if ok {
+			return u, credit, nil
+		}
+		if err := ctx.Err(); err != nil {
+			return nil, nil, err
+		}
+	}
+}
+
+// askCandidates asks the engines that fit best for a credit. If none has one, it returns the engine
+// with the shortest wait, and that wait; otherwise the wait is 0.
+func (t *attempts) askCandidates(ctx context.Context) (shortest *roster.Upstream, credit *prefill.Credit, least time.Duration, err error) {
+	var busy []fleet.UpstreamID
+	for len(busy) < maxCreditCandidates {
+		u, err := t.find(ctx, busy)
+		if err != nil && shortest != nil {
+			return shortest, nil, least, nil
+		}
+		if err != nil {
+			return nil, nil, 0, err
+		}
+		credit, wait, ok := t.h.cfg.Prefill.Acquire(ctx, t.creditRequest(u, 0))
+		if ok {
+			return u, credit, 0, nil
+		}
+		if err := ctx.Err(); err != nil {
+			return nil, nil, 0, err
+		}
+		if wait = max(wait, time.Millisecond); shortest == nil || wait < least {
+			shortest, least = u, wait
+		}
+		busy = append(busy, u.ID)
+	}
+	return shortest, nil, least, nil
+}
+
+// hasTimeFor reports whether the call has time for its answer after a wait.
+func (t *attempts) hasTimeFor(wait time.Duration) bool {
+	end := t.c.deadline()
+	return end.IsZero() || time.Until(end)-wait >= end.Sub(t.c.received)/answerTimeDivisor
+}
+
+// creditRequest returns the request for a credit at an upstream. The slack is that of the first
+// event, or of the next one if a stream is resumed.
+func (t *attempts) creditRequest(u *roster.Upstream, wait time.Duration) prefill.Request {
+	slack := t.c.Route.Objective - time.Since(t.c.received)
+	switch {
+	case t.out.headerSent:
+		slack = t.c.Route.MaxPause
+	case t.c.Route.Objective == 0:
+		slack = t.c.remaining(time.Now())
+	}
+	return prefill.Request{
+		Upstream: u.ID, Born: u.StartTime(), Tokens: t.c.TokensIn, MaxPause: t.c.Route.MaxPause,
+		Slack: slack, Rank: t.c.Priority, Wait: wait,
+	}
+}
+
+// acquireCredit acquires a credit for the call's prompt at an upstream without waiting for it.
+func (t *attempts) acquireCredit(ctx context.Context, u *roster.Upstream) (*prefill.Credit, bool) {
+	if !t.c.needsCredit() {
+		return nil, true
+	}
+	credit, _, ok := t.h.cfg.Prefill.Acquire(ctx, t.creditRequest(u, 0))
+	return credit, ok
+}
--- a/serving/replace.go
+++ b/serving/replace.go
@@ -60,11 +60,16 @@
 	if t.c.Adapter != "" {
 		list = withAdapter(list, t.c)
 	}
-	if len(list) == 0 || !t.h.cfg.Budget.TakeRetry() {
+	if len(list) == 0 || !t.h.cfg.Budget.AllowsRetry() {
 		return nil, ""
 	}
 	u := t.h.picker.Best(list, nil)
-	a := &attempt{u: u, lastEvent: t.out.resumeEventID(t.c)}
+	credit, ok := t.acquireCredit(ctx, u)
+	if !ok || !t.h.cfg.Budget.TakeRetry() {
+		credit.Release()
+		return nil, ""
+	}
+	a := &attempt{u: u, credit: credit, lastEvent: t.out.resumeEventID(t.c)}
 	t.begin(silent.parent, a)
 	stop := context.AfterFunc(ctx, a.cancel)
 	err := t.send(a)
@@ -91,6 +96,7 @@
 // discard cancels an attempt whose answer is not used.
 func (a *attempt) discard() {
 	a.cancel()
+	a.credit.Release()
 	if a.resp != nil {
 		_ = a.resp.Body.Close() // The rest is not needed.
 	}
--- a/serving/run.go
+++ b/serving/run.go
@@ -14,6 +14,7 @@
 	"toucanfall/fault"
 	"toucanfall/fleet"
 	"toucanfall/internal/loop"
+	"toucanfall/prefill"
 	"toucanfall/ratelimit"
 	"toucanfall/roster"
 	"toucanfall/timeline"
@@ -92,6 +93,8 @@
 	u *roster.Upstream
 	// permit allows the send; it is nil where the upstream announces no limit.
 	permit *ratelimit.Permit
+	// credit allows the prompt to be sent; it is nil if none is needed.
+	credit *prefill.Credit
 	// lastEvent is the id of the event after which the upstream is to resume the stream.
 	lastEvent string
 	trace     attemptTrace
@@ -191,6 +194,7 @@
 		return t.finish(a, w)
 	}
 	defer a.cancel()
+	a.credit.Release()
 	w.stop()
 	if errors.Is(err, transport.ErrWithheld) {
 		a.flight.Drop()
@@ -211,6 +215,7 @@
 func (t *attempts) finish(a *attempt, w *watchdog) (retry bool, err error) {
 	defer a.cancel()
 	defer a.resp.Body.Close()
+	defer a.credit.Release()
 	a.flight.Received()
 	retry, err = t.relayAnswer(a, w)
 	w.stop()
@@ -335,7 +340,11 @@
 	if t.out.headerSent && resp.Status != http.StatusOK {
 		return mayRetry, fault.New(fault.UpstreamFailed, "upstream %q answered %d to a resumed stream", u.ID, resp.Status)
 	}
-	err = t.out.copy(t.c, resp, func() { a.flight.Received(); w.activity() })
+	err = t.out.copy(t.c, resp, func() {
+		a.credit.FirstEvent()
+		a.flight.Received()
+		w.activity()
+	})
 	if err == nil {
 		t.recordServed(a, resp.Status)
 		return false, nil
