--- a/metric/metric.go
+++ b/metric/metric.go
@@ -42,6 +42,7 @@
 	noticesTotal        = Definition{"toucanfall_notices_total", Counter, []string{"notice"}, "Responses of upstreams with a notice in their headers: `leaving`, `wait` (no requests for some time), `intake` (a request rate limit), or `odd` for a malformed header."}
 	noticedSendsTotal   = Definition{"toucanfall_noticed_sends_total", Counter, []string{"notice"}, "Requests that were written to an upstream while a notice from it applied: that it is leaving (`leaving`), accepts no requests for some time (`wait`) or limits its request rate (`intake`)."}
 	permitsTotal        = Definition{"toucanfall_permits_total", Counter, []string{"outcome"}, "Permits requested to send to an upstream that announces a request rate limit, by outcome: `given`, or `denied`, after which another upstream is chosen or the request is rejected."}
+	prefillCreditsTotal = Definition{"toucanfall_prefill_credits_total", Counter, []string{"outcome"}, "Requests for a credit to send a prompt to an engine, by outcome: `given`, `denied` (the request waits or another engine is asked), or `unaccounted` (no host of the engine's account answered and the prompt was sent without a credit)."}
 	storeCallsTotal     = Definition{"toucanfall_store_calls_total", Counter, []string{"call", "outcome"}, "Calls to the platform's store by outcome: `answered` or `failed`."}
 	panicsTotal         = Definition{"toucanfall_panics_total", Counter, []string{"where"}, "Recovered panics, by place: `request`, the name of a background loop, or a method that peers call."}
 	openRequests        = Definition{"toucanfall_open_requests", Gauge, nil, "Requests in progress."}
@@ -58,7 +59,7 @@
 )
 
 // Registry lists all metrics, in the order of docs/METRICS.md.
-var Registry = []Definition{requestsTotal, firstPieceSeconds, longestPauseSeconds, attemptsTotal, noticesTotal, noticedSendsTotal, permitsTotal, storeCallsTotal, panicsTotal, openRequests, configStaleness, directoryAge, directoryAgeAtSend, configVersion, rateShare, isCoordinator, upstreamCount, upstreamLeaving, upstreamWait, upstreamLimit}
+var Registry = []Definition{requestsTotal, firstPieceSeconds, longestPauseSeconds, attemptsTotal, noticesTotal, noticedSendsTotal, permitsTotal, prefillCreditsTotal, storeCallsTotal, panicsTotal, openRequests, configStaleness, directoryAge, directoryAgeAtSend, configVersion, rateShare, isCoordinator, upstreamCount, upstreamLeaving, upstreamWait, upstreamLimit}
 
 // maxLabelValues bounds the number of values of a label that come from outside
 // the process (teams, upstreams); further ones are counted as otherLabelValue. The
@@ -90,6 +91,7 @@
 	notices            *prometheus.CounterVec
 	noticedSends       *prometheus.CounterVec
 	permits            *prometheus.CounterVec
+	prefillCredits     *prometheus.CounterVec
 	storeCalls         *prometheus.CounterVec
 	panics             *prometheus.CounterVec
 	teamValues         labelValues
@@ -105,6 +107,7 @@
 	s := &Set{registry: prometheus.NewRegistry()}
 	s.requests, s.attempts, s.storeCalls = s.counter(requestsTotal), s.counter(attemptsTotal), s.counter(storeCallsTotal)
 	s.notices, s.noticedSends, s.permits, s.panics = s.counter(noticesTotal), s.counter(noticedSendsTotal), s.counter(permitsTotal), s.counter(panicsTotal)
+	s.prefillCredits = s.counter(prefillCreditsTotal)
 	s.firstPiece, s.longestPause, s.directoryAgeAtSend = s.histogram(firstPieceSeconds), s.histogram(longestPauseSeconds), s.histogram(directoryAgeAtSend)
 	return s
 }
@@ -186,6 +189,18 @@
 	s.permits.WithLabelValues(outcome).Inc()
 }
 
+// Outcomes of requests for a prefill credit.
+const (
+	CreditGiven       = "given"
+	CreditDenied      = "denied"
+	CreditUnaccounted = "unaccounted"
+)
+
+// PrefillCredit counts a request for a prefill credit.
+func (s *Set) PrefillCredit(outcome string) {
+	s.prefillCredits.WithLabelValues(outcome).Inc()
+}
+
 // DirectoryAgeAtSend records the age of the directory of upstreams when a request is
 // written to an upstream.
 func (s *Set) DirectoryAgeAtSend(age time.Duration) {
--- a/metric/metric_test.go
+++ b/metric/metric_test.go
@@ -36,6 +36,7 @@
 	s.Notice("intake")
 	s.NoticedSend("intake")
 	s.Permit(true)
+	s.PrefillCredit(metric.CreditGiven)
 	s.Panic("request")
 	s.DirectoryAgeAtSend(time.Second)
 	text := scrape(s)
--- a/serving/prefill.go
+++ b/serving/prefill.go
@@ -6,6 +6,7 @@
 
 	"toucanfall/fault"
 	"toucanfall/fleet"
+	"toucanfall/metric"
 	"toucanfall/prefill"
 	"toucanfall/roster"
 )
@@ -50,7 +51,7 @@
 		if !t.hasTimeFor(wait) {
 			return nil, nil, fault.New(fault.Overloaded, "the engines cannot read the prompt in time").WithRetryAfter(max(wait, minRetryAfter))
 		}
-		credit, _, ok := t.h.cfg.Prefill.Acquire(ctx, t.creditRequest(u, creditWait))
+		credit, _, ok := t.acquireCredit(ctx, u, creditWait)
 		if ok {
 			return u, credit, nil
 		}
@@ -72,7 +73,7 @@
 		if err != nil {
 			return nil, nil, 0, err
 		}
-		credit, wait, ok := t.h.cfg.Prefill.Acquire(ctx, t.creditRequest(u, 0))
+		credit, wait, ok := t.acquireCredit(ctx, u, 0)
 		if ok {
 			return u, credit, 0, nil
 		}
@@ -109,11 +110,20 @@
 	}
 }
 
-// acquireCredit acquires a credit for the call's prompt at an upstream without waiting for it.
-func (t *attempts) acquireCredit(ctx context.Context, u *roster.Upstream) (*prefill.Credit, bool) {
+// acquireCredit acquires a credit for the call's prompt at an upstream, and waits for it at most as
+// long as wait. It returns false and a forecast if there is none.
+func (t *attempts) acquireCredit(ctx context.Context, u *roster.Upstream, wait time.Duration) (*prefill.Credit, time.Duration, bool) {
 	if !t.c.needsCredit() {
-		return nil, true
+		return nil, 0, true
 	}
-	credit, _, ok := t.h.cfg.Prefill.Acquire(ctx, t.creditRequest(u, 0))
-	return credit, ok
+	credit, forecast, ok := t.h.cfg.Prefill.Acquire(ctx, t.creditRequest(u, wait))
+	outcome := metric.CreditDenied
+	switch {
+	case ok && credit != nil:
+		outcome = metric.CreditGiven
+	case ok:
+		outcome = metric.CreditUnaccounted
+	}
+	t.h.cfg.Metrics.PrefillCredit(outcome)
+	return credit, forecast, ok
 }
--- a/serving/replace.go
+++ b/serving/replace.go
@@ -64,7 +64,7 @@
 		return nil, ""
 	}
 	u := t.h.picker.Best(list, nil)
-	credit, ok := t.acquireCredit(ctx, u)
+	credit, _, ok := t.acquireCredit(ctx, u, 0)
 	if !ok || !t.h.cfg.Budget.TakeRetry() {
 		credit.Release()
 		return nil, ""
