Shorten the sessions of VMs in small fleets

Change: the session timeout is 3.75 join intervals, at least 2.4 s (eight joins). Better served: all teams in the seconds after a cut or a kill of several VMs. Conclusion: kept; TestPartitionsOfKilledVMsAreAssignedSoon fails without it.

--- a/group/group.go
+++ b/group/group.go
@@ -107,9 +107,12 @@
 	// CoordinatorSessionTimeout is the session timeout of the coordinator: how long after its
 	// last join the store keeps its partitions. It allows four lost joins.
 	CoordinatorSessionTimeout = 1500 * time.Millisecond
-	// SessionTimeout is the session timeout of the other VMs. It allows three lost joins in a
-	// large fleet, and is how long buckets are still refilled in an outage of the store.
-	SessionTimeout = 4500 * time.Millisecond
+	// SessionTimeout is the session timeout of the other VMs of a large fleet: it allows three
+	// lost joins. In a smaller fleet, whose VMs join more often, it is shorter, down to
+	// minSessionTimeout, so that the shares of lost VMs are assigned to others sooner. It is
+	// also how long buckets are still refilled in an outage of the store.
+	SessionTimeout    = 4500 * time.Millisecond
+	minSessionTimeout = 2400 * time.Millisecond
 	// leadershipLease is how long after the last confirmed join a VM still acts as the
 	// coordinator. It is well below CoordinatorSessionTimeout, after which a successor may be
 	// named.
@@ -239,7 +242,7 @@
 	if m.leaderSince != 0 {
 		return CoordinatorSessionTimeout
 	}
-	return SessionTimeout
+	return max(SessionTimeout*m.interval()/maxJoinInterval, minSessionTimeout)
 }
 
 // applyAssignment applies the partitions that the store has assigned until expiry.
--- a/group/group_test.go
+++ b/group/group_test.go
@@ -258,3 +258,25 @@
 		is.True(ok)
 	})
 }
+
+// In a small fleet the partitions of killed VMs belong to the others soon, also if partition 0 was
+// first assigned to a VM that was killed at the same time.
+func TestPartitionsOfKilledVMsAreAssignedSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet()
+		defer f.close()
+		f.addAndElect(9)
+		for _, v := range f.vms[:6] {
+			v.stop()
+			v.disconnected.Store(true)
+		}
+		time.Sleep(3500 * time.Millisecond)
+		var sum float64
+		for _, v := range f.vms[6:] {
+			sum += v.activeShare(f.now())
+		}
+		is.Equal(sum, 1.0)
+		is.NoErr(f.checkInvariants())
+	})
+}
