Remove repeats that the prefill credits added

Ruled out: one notSent for serving and coordinator (they name different errors); a shared candidate loop for serving and the simulation of measure (they choose from other state).

--- a/measure/dispatch.go
+++ b/measure/dispatch.go
@@ -3,15 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"toucanfall/fleet"
 	"toucanfall/prefill"
 	"toucanfall/roster"
@@ -188,7 +185,7 @@
 
 func newDispatchSim(deployment deploymentSpec) *dispatchSim {
 	s := &dispatchSim{deployment: deployment, stop: make(chan struct{}), outcomes: make([]classOutcome, len(deployment.classes)), engines: make(map[fleet.UpstreamID]*batchEngine)}
-	host := prefill.NewHost(newDiscardRecorder())
+	host := prefill.NewHost(timeline.New("measure", 1, newDiscardLogger()))
 	s.credits = prefill.NewClient(prefill.ClientConfig{
 		VM: "host", Own: host, Hosts: func(fleet.UpstreamID) []prefill.HostVM { return []prefill.HostVM{{VM: "host"}} },
 	})
@@ -415,10 +412,3 @@
 
 // percentOf returns n/total as a percentage; a total of 0 counts as 1.
 func percentOf(n, total int) string { return percent(float64(n) / float64(max(total, 1))) }
-
-// newDiscardRecorder returns a recorder whose log is discarded.
-func newDiscardRecorder() *timeline.Recorder {
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	return timeline.New("measure", 1, logger)
-}
--- a/measure/ledger.go
+++ b/measure/ledger.go
@@ -5,14 +5,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"runtime"
 	"syscall"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"toucanfall/fleet"
 	"toucanfall/ledger"
 	"toucanfall/settings"
@@ -191,9 +188,7 @@
 }
 
 func newFollower() *ledger.Follower {
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	return ledger.NewFollower(emptyLog{}, ledger.NewState(), timeline.New("measure", timelineEntries, logger))
+	return ledger.NewFollower(emptyLog{}, ledger.NewState(), timeline.New("measure", timelineEntries, newDiscardLogger()))
 }
 
 // mustCPUTime returns the CPU time that the process has used, which excludes the time
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"time"
+
+	"github.com/sirupsen/logrus"
 )
 
 // Table describes one measurement, whose result is printed as a table.
@@ -72,3 +74,10 @@
 	}
 	return len(names) == 0
 }
+
+// newDiscardLogger returns a logger whose output is discarded.
+func newDiscardLogger() *logrus.Logger {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return logger
+}
--- a/measure/serving.go
+++ b/measure/serving.go
@@ -67,8 +67,7 @@
 // newBench starts the stand-ins and a VM, and waits until the VM serves requests. It must
 // be closed.
 func newBench() (*bench, error) {
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
+	logger := newDiscardLogger()
 	logger.SetLevel(logrus.ErrorLevel)
 	rec := timeline.New("measure", 1, logger)
 	b := &bench{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2 * costStreams, DisableCompression: true}}}
--- a/measure/vms.go
+++ b/measure/vms.go
@@ -4,14 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"toucanfall/fleet"
 	"toucanfall/internal/guard"
 	"toucanfall/keyring"
@@ -97,9 +94,7 @@
 }
 
 func (v *measuredVM) start() error {
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	v.rec = timeline.New(string(v.id), 1024, logger)
+	v.rec = timeline.New(string(v.id), 1024, newDiscardLogger())
 	v.incarnation = fleet.Incarnation(time.Now().UnixMilli())
 	v.client = peer.NewClientWithDial(v.dial)
 	state := ledger.NewState()
--- a/prefill/account.go
+++ b/prefill/account.go
@@ -163,6 +163,15 @@
 	return best
 }
 
+// isFirst reports whether a request precedes all that wait.
+func (a *account) isFirst(now time.Time, w *waiter) bool {
+	if len(a.waiters) == 0 {
+		return true
+	}
+	o := a.order(now)
+	return o.precedes(w, a.first(o))
+}
+
 // precedes reports whether w is granted a credit before other. Requests that can still be on time
 // precede late ones. Among those that would be late behind all others, and among late ones, the
 // more urgent rank comes first; the rest are ordered by due time.
--- a/prefill/host.go
+++ b/prefill/host.go
@@ -108,7 +108,7 @@
 	a.dispatch(now)
 	w := &waiter{Request: in, due: now.Add(in.Slack), granted: make(chan struct{})}
 	w.Returned = nil
-	if (len(a.waiters) == 0 || a.order(now).precedes(w, a.first(a.order(now)))) && a.fits(now, in.size()) {
+	if a.fits(now, in.size()) && a.isFirst(now, w) {
 		a.grant(now, w.Request)
 		return nil, a, Answer{Granted: true}
 	}
--- a/serving/prefill.go
+++ b/serving/prefill.go
@@ -39,10 +39,6 @@
 // fit best have none, the call waits at the one with the shortest forecast. It is rejected if the
 // forecast leaves no time for the answer.
 func (t *attempts) findWithCredit(ctx context.Context) (*roster.Upstream, *prefill.Credit, error) {
-	if !t.c.needsCredit() {
-		u, err := t.find(ctx, nil)
-		return u, nil, err
-	}
 	for {
 		u, credit, wait, err := t.askCandidates(ctx)
 		if wait == 0 || err != nil {
