Record how upstreams frame their answers

Events 404 and 841 name the framing, and toucanfall_unframed_answers_total counts answers without one. Ruled out: logging the end of each body, which says nothing where the framing proves it. No change of behaviour.

--- a/metric/metric.go
+++ b/metric/metric.go
@@ -39,6 +39,7 @@
 	firstPieceSeconds   = Definition{"toucanfall_first_piece_seconds", Histogram, []string{"kind"}, "Time from the arrival of a request to the first chunk of its response, for requests that were served."}
 	longestPauseSeconds = Definition{"toucanfall_longest_pause_seconds", Histogram, []string{"kind"}, "Longest pause between two chunks of a response, for requests that were served."}
 	attemptsTotal       = Definition{"toucanfall_attempts_total", Counter, []string{"upstream", "outcome"}, "Attempts by upstream and outcome: `served` or `failed`."}
+	unframedTotal       = Definition{"toucanfall_unframed_answers_total", Counter, []string{"outcome"}, "Answers of upstreams with neither a length nor chunks that were relayed, by outcome: `complete` or `broken`."}
 	noticesTotal        = Definition{"toucanfall_notices_total", Counter, []string{"notice"}, "Responses of upstreams with a notice in their headers: `leaving`, `wait` (no requests for some time), `intake` (a request rate limit), or `odd` for a malformed header."}
 	noticedSendsTotal   = Definition{"toucanfall_noticed_sends_total", Counter, []string{"notice"}, "Requests that were written to an upstream while a notice from it applied: that it is leaving (`leaving`), accepts no requests for some time (`wait`) or limits its request rate (`intake`)."}
 	permitsTotal        = Definition{"toucanfall_permits_total", Counter, []string{"outcome"}, "Permits requested to send to an upstream that announces a request rate limit, by outcome: `given`, or `denied`, after which another upstream is chosen or the request is rejected."}
@@ -59,7 +60,7 @@
 )
 
 // Registry lists all metrics, in the order of docs/METRICS.md.
-var Registry = []Definition{requestsTotal, firstPieceSeconds, longestPauseSeconds, attemptsTotal, noticesTotal, noticedSendsTotal, permitsTotal, prefillCreditsTotal, storeCallsTotal, panicsTotal, openRequests, configStaleness, directoryAge, directoryAgeAtSend, configVersion, rateShare, isCoordinator, upstreamCount, upstreamLeaving, upstreamWait, upstreamLimit}
+var Registry = []Definition{requestsTotal, firstPieceSeconds, longestPauseSeconds, attemptsTotal, unframedTotal, noticesTotal, noticedSendsTotal, permitsTotal, prefillCreditsTotal, storeCallsTotal, panicsTotal, openRequests, configStaleness, directoryAge, directoryAgeAtSend, configVersion, rateShare, isCoordinator, upstreamCount, upstreamLeaving, upstreamWait, upstreamLimit}
 
 // maxLabelValues bounds the number of values of a label that come from outside
 // the process (teams, upstreams); further ones are counted as otherLabelValue. The
@@ -88,6 +89,7 @@
 	// directoryAgeAtSend has no labels.
 	directoryAgeAtSend *prometheus.HistogramVec
 	attempts           *prometheus.CounterVec
+	unframed           *prometheus.CounterVec
 	notices            *prometheus.CounterVec
 	noticedSends       *prometheus.CounterVec
 	permits            *prometheus.CounterVec
@@ -107,7 +109,7 @@
 	s := &Set{registry: prometheus.NewRegistry()}
 	s.requests, s.attempts, s.storeCalls = s.counter(requestsTotal), s.counter(attemptsTotal), s.counter(storeCallsTotal)
 	s.notices, s.noticedSends, s.permits, s.panics = s.counter(noticesTotal), s.counter(noticedSendsTotal), s.counter(permitsTotal), s.counter(panicsTotal)
-	s.prefillCredits = s.counter(prefillCreditsTotal)
+	s.prefillCredits, s.unframed = s.counter(prefillCreditsTotal), s.counter(unframedTotal)
 	s.firstPiece, s.longestPause, s.directoryAgeAtSend = s.histogram(firstPieceSeconds), s.histogram(longestPauseSeconds), s.histogram(directoryAgeAtSend)
 	return s
 }
@@ -168,6 +170,15 @@
 	s.attempts.WithLabelValues(s.upstreamValues.bounded(string(u)), outcome).Inc()
 }
 
+// UnframedAnswer counts a relayed answer with neither a length nor chunks.
+func (s *Set) UnframedAnswer(complete bool) {
+	outcome := "broken"
+	if complete {
+		outcome = "complete"
+	}
+	s.unframed.WithLabelValues(outcome).Inc()
+}
+
 // Notice counts a response of an upstream with a notice in its headers.
 func (s *Set) Notice(notice string) {
 	s.notices.WithLabelValues(notice).Inc()
--- a/metric/metric_test.go
+++ b/metric/metric_test.go
@@ -37,6 +37,7 @@
 	s.NoticedSend("intake")
 	s.Permit(true)
 	s.PrefillCredit(metric.CreditGiven)
+	s.UnframedAnswer(true)
 	s.Panic("request")
 	s.DirectoryAgeAtSend(time.Second)
 	text := scrape(s)
--- a/serving/run.go
+++ b/serving/run.go
@@ -106,6 +106,14 @@
 	resp   *transport.Answer
 }
 
+// framing returns how the answer is framed, "" if there is none.
+func (a *attempt) framing() transport.Framing {
+	if a.resp == nil {
+		return ""
+	}
+	return a.resp.Framing
+}
+
 // run makes attempts until one has answered the call or no retry is allowed.
 func (t *attempts) run(ctx context.Context) error {
 	for {
@@ -277,6 +285,7 @@
 	t.h.cfg.Metrics.Attempt(a.u.ID, true)
 	t.h.cfg.Events.Record(event.AttemptFailed, a.trace.fields(timeline.Fields{
 		"request": string(t.c.ID), "upstream": string(a.u.ID), "reason": err.Error(), "sends": strconv.Itoa(t.sends),
+		"framing": string(a.framing()),
 	}))
 }
 
@@ -292,7 +301,7 @@
 		"upstream": string(u.ID), "own": strconv.Itoa(own), "all": strconv.Itoa(all),
 		"model": string(t.c.Model), "adapter": string(t.c.Adapter), "priority": strconv.Itoa(t.c.Priority),
 		"tokens_in": strconv.Itoa(int(t.c.TokensIn)), "tokens_out": strconv.Itoa(int(t.c.TokensOut)),
-		"status": strconv.Itoa(status), "sends": strconv.Itoa(t.sends), "pieces": strconv.Itoa(p.chunks),
+		"status": strconv.Itoa(status), "framing": string(a.framing()), "sends": strconv.Itoa(t.sends), "pieces": strconv.Itoa(p.chunks),
 		"first_ms": timeline.Millis(p.firstChunk), "longest_pause_ms": timeline.Millis(p.longestPause), "paused_until_ms": timeline.Millis(p.longestPauseEnd), "total_ms": timeline.Millis(time.Since(p.received)),
 	}))
 }
@@ -345,6 +354,9 @@
 		a.flight.Received()
 		w.activity()
 	})
+	if resp.Framing == transport.Unframed {
+		t.h.cfg.Metrics.UnframedAnswer(err == nil)
+	}
 	if err == nil {
 		t.recordServed(a, resp.Status)
 		return false, nil
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -56,7 +56,32 @@
 	Header http.Header
 	// Length is the length of the body, -1 if it is not known.
 	Length int64
-	Body   io.ReadCloser
+	// Framing is how the end of the body is marked.
+	Framing Framing
+	Body    io.ReadCloser
+}
+
+// Framing is how the end of an answer's body is marked (RFC 9112, section 6.3).
+type Framing string
+
+// The framings.
+const (
+	FramedByLength Framing = "length"
+	FramedByChunks Framing = "chunked"
+	// Unframed bodies end with the connection, so that a crash of the upstream may look like the
+	// end of the answer.
+	Unframed Framing = "connection"
+)
+
+// framingOf returns how the body of an answer is framed. An answer to HEAD has no body.
+func framingOf(resp *http.Response) Framing {
+	switch {
+	case resp.ContentLength >= 0 || resp.Request.Method == http.MethodHead:
+		return FramedByLength
+	case len(resp.TransferEncoding) > 0:
+		return FramedByChunks
+	}
+	return Unframed
 }
 
 // Do sends the request once and returns the answer as soon as its headers have been read. When ctx
@@ -117,7 +142,7 @@
 			}
 			return x.answer(resp), nil
 		}
-		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		if framingOf(resp) == Unframed {
 			break
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxForeignBodyBytes+1))
@@ -162,7 +187,7 @@
 
 func (x *exchange) answer(resp *http.Response) *Answer {
 	return &Answer{
-		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: framingOf(resp),
 		Body: &body{ReadCloser: resp.Body, x: x, resp: resp},
 	}
 }
