Take a stream that ends inside an event for broken off

Cause: an answer without length or chunks ends with its connection, so the end that a crash causes and the end of the answer are the same read; copyEvents took both for the end of the answer and wrote its own closing chunk. Class: the end of a transport is taken for the end of a message.

The form of a stream decides now, at one place for first attempts, resumptions and replacements: it is whole only if it ends with a whole event, and, if unframed, has one. Otherwise the caller's connection is closed without the closing chunk, or the stream is resumed where the route allows. An answer of another type is not an event stream: it is neither resumed nor joined to a stream that has begun. Streams without a type that carry a frame end where the frame ends, as before.

Ruled out: passing such streams on without a frame, which would leave the caller with the same doubt at every break; asking the engine before the last bytes, a call for each stream that a crashed engine does not answer either.

A crash exactly between two events of an unframed stream still cannot be told.

--- a/serving/answer.go
+++ b/serving/answer.go
@@ -64,7 +64,7 @@
 // copy sends an upstream's answer to the client. It calls onProgress for each part of an answer
 // that is streamed, but not for events without content (see hasProgress).
 func (a *answer) copy(c *Call, resp *transport.Answer, onProgress func()) error {
-	if c.Route.Kind == catalogue.Stream && resp.Status == http.StatusOK {
+	if c.Route.Kind == catalogue.Stream && isEventStream(resp) {
 		return a.copyEvents(resp, onProgress)
 	}
 	if resp.Length <= maxBufferedBytes {
@@ -135,6 +135,7 @@
 // when the upstream has ended the stream properly.
 func (a *answer) copyEvents(resp *transport.Answer, onProgress func()) error {
 	var pending []byte
+	hasEvents := false
 	buf := make([]byte, copyBufferSize)
 	for {
 		n, err := resp.Body.Read(buf)
@@ -142,6 +143,7 @@
 			pending = append(pending, buf[:n]...)
 			end := completeEvents(pending)
 			if hasProgress(pending[:end]) {
+				hasEvents = true
 				onProgress()
 			}
 			if err := a.writeEvents(resp, pending[:end]); err != nil {
@@ -153,8 +155,7 @@
 			return fmt.Errorf("the stream broke off: an event of more than %d bytes", maxEventBytes)
 		}
 		if errors.Is(err, io.EOF) {
-			a.sendHeader(resp)
-			return a.write(pending, true)
+			return a.endEvents(resp, pending, hasEvents)
 		}
 		if err != nil {
 			return fmt.Errorf("the stream broke off: %w", err)
@@ -162,6 +163,22 @@
 	}
 }
 
+// endEvents ends a stream that its upstream has ended after rest, which follows the last complete
+// event. The end of the connection, which alone ends an unframed stream, is also what a crash of the
+// upstream looks like. Such a stream is whole only if it ends with an event. A framed answer that does
+// not say that it is a stream of events ends where its frame ends.
+func (a *answer) endEvents(resp *transport.Answer, rest []byte, hasEvents bool) error {
+	switch {
+	case resp.Framing != transport.Unframed && resp.Header.Get("Content-Type") == "":
+	case insideEvent(rest):
+		return errors.New("the stream broke off inside an event")
+	case resp.Framing == transport.Unframed && !hasEvents:
+		return errors.New("the stream broke off before its first event")
+	}
+	a.sendHeader(resp)
+	return a.write(rest, true)
+}
+
 func (a *answer) writeEvents(resp *transport.Answer, b []byte) error {
 	if len(b) == 0 {
 		return nil
--- a/serving/events.go
+++ b/serving/events.go
@@ -3,6 +3,10 @@
 import (
 	"bytes"
 	"iter"
+	"net/http"
+	"strings"
+
+	"toucanfall/transport"
 )
 
 // eventTerminators are the empty lines that end an event. A line ends with LF, CRLF or CR.
@@ -19,6 +23,29 @@
 	return end
 }
 
+// insideEvent reports whether a stream that ends after rest, which follows its last complete event,
+// ends inside an event. A line without its end, and a CR that may be the first half of CRLF, are
+// inside; comments and empty lines between events are not.
+func insideEvent(rest []byte) bool {
+	if len(rest) > 0 && !bytes.ContainsAny(rest[len(rest)-1:], "\r\n") {
+		return true
+	}
+	for line := range eventLines(rest) {
+		if line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
+// isEventStream reports whether the body of an answer is a stream of events. Engines may leave out
+// the type of their streams.
+func isEventStream(resp *transport.Answer) bool {
+	kind, _, _ := strings.Cut(resp.Header.Get("Content-Type"), ";")
+	kind = strings.TrimSpace(kind)
+	return resp.Status == http.StatusOK && (kind == "" || strings.EqualFold(kind, "text/event-stream"))
+}
+
 // eventLines returns the non-empty lines of events.
 func eventLines(events []byte) iter.Seq[[]byte] {
 	return bytes.FieldsFuncSeq(events, func(r rune) bool { return r == '\n' || r == '\r' })
--- a/serving/events_test.go
+++ b/serving/events_test.go
@@ -33,6 +33,17 @@
 	}
 }
 
+// A stream has been broken off if it ends within an event or a line.
+func TestEndInsideEvent(t *testing.T) {
+	is := is.New(t)
+	for _, rest := range []string{"", "\n", "\r\n", ": comment\n", ": comment\r\n\r\n"} {
+		is.True(!insideEvent([]byte(rest))) // between events
+	}
+	for _, rest := range []string{"i", "id: 1", "id: 1\n", "data: a\r\n", "data: a\r\n\r", ": com", "retry: 5\n", ": c\ndata: a\n"} {
+		is.True(insideEvent([]byte(rest))) // within one
+	}
+}
+
 // The end of the complete events never lies beyond the input, and is never earlier with more
 // input, however malformed the events are.
 func FuzzEvents(f *testing.F) {
--- a/serving/run.go
+++ b/serving/run.go
@@ -346,8 +346,8 @@
 	if resp.Status >= http.StatusInternalServerError && mayRetry && t.h.cfg.Budget.AllowsRetry() {
 		return true, fault.New(fault.UpstreamFailed, "upstream %q answered %d", u.ID, resp.Status)
 	}
-	if t.out.headerSent && resp.Status != http.StatusOK {
-		return mayRetry, fault.New(fault.UpstreamFailed, "upstream %q answered %d to a resumed stream", u.ID, resp.Status)
+	if t.out.headerSent && !isEventStream(resp) {
+		return mayRetry, fault.New(fault.UpstreamFailed, "upstream %q answered %d without a stream to a resumed stream", u.ID, resp.Status)
 	}
 	err = t.out.copy(t.c, resp, func() {
 		a.credit.FirstEvent()
@@ -364,7 +364,7 @@
 	t.recordFailed(a, err)
 	var disconnected *clientDisconnected
 	// Once a part of the answer was sent, only a stream of events can be resumed.
-	resumable := !t.out.headerSent || t.c.Route.Kind == catalogue.Stream
+	resumable := !t.out.headerSent || t.c.Route.Kind == catalogue.Stream && isEventStream(resp)
 	return mayRetry && resumable && !errors.As(err, &disconnected), err
 }
 
