Reset the connection of an HTTP/1.0 caller whose answer broke off

Found while looking for the same cause elsewhere: the caller's side of the end of a connection. Answers of HTTP/1.1 have a frame and are closed as before. Ruled out: ending within an event, which a caller of a plain answer cannot see.

--- a/serving/answer.go
+++ b/serving/answer.go
@@ -195,6 +195,22 @@
 	return nil
 }
 
+// resetUnframed resets the connection of a client to whom its end would be the end of the answer:
+// one of HTTP/1.0.
+func (a *answer) resetUnframed(r *http.Request) error {
+	if r.ProtoAtLeast(1, 1) {
+		return nil
+	}
+	conn, _, err := a.rc.Hijack()
+	if err != nil {
+		return err
+	}
+	if c, ok := conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = c.SetLinger(0) // Fails only on a connection that is closed already.
+	}
+	return conn.Close()
+}
+
 // setReadDeadline sets the deadline for reads from the client, or none if t is zero. The error is
 // ignored: connections of net/http support deadlines, and test recorders never block.
 func (a *answer) setReadDeadline(t time.Time) {
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -163,6 +163,13 @@
 	}
 	if err != nil {
 		a.setReadDeadline(time.Now().Add(unreadBodyTimeout))
+		if errors.Is(err, errAnswerAborted) {
+			h.recordRejected(r, c, err)
+			if resetErr := a.resetUnframed(r); resetErr != nil {
+				h.cfg.Events.Record(event.CallerCut, timeline.Fields{"request": string(h.cfg.Wire.ID(r)), "reason": "cannot reset the connection: " + resetErr.Error()})
+			}
+			panic(http.ErrAbortHandler)
+		}
 		h.writeError(w, r, c, err)
 	}
 }
@@ -306,10 +313,9 @@
 	return nil
 }
 
-// writeError answers with an error, or closes the connection if an answer has begun.
-func (h *Handler) writeError(w http.ResponseWriter, r *http.Request, c *Call, err error) {
+// recordRejected records that a request failed, and refunds its charge if it has not run.
+func (h *Handler) recordRejected(r *http.Request, c *Call, err error) {
 	kind := fault.KindOf(err)
-	id := h.cfg.Wire.ID(r)
 	var route string
 	var team fleet.TeamID
 	if c != nil {
@@ -319,10 +325,13 @@
 		}
 	}
 	h.cfg.Metrics.Rejected(route, team, string(kind))
-	h.cfg.Events.Record(event.RequestRefused, timeline.Fields{"request": string(id), "kind": string(kind), "reason": err.Error(), "host": r.Host})
-	if errors.Is(err, errAnswerAborted) {
-		panic(http.ErrAbortHandler)
-	}
+	h.cfg.Events.Record(event.RequestRefused, timeline.Fields{"request": string(h.cfg.Wire.ID(r)), "kind": string(kind), "reason": err.Error(), "host": r.Host})
+}
+
+// writeError answers with an error.
+func (h *Handler) writeError(w http.ResponseWriter, r *http.Request, c *Call, err error) {
+	h.recordRejected(r, c, err)
+	id := h.cfg.Wire.ID(r)
 	// Closing a connection with unread bytes resets it, and the client loses the answer. A
 	// read error is ignored: it harms only this client.
 	_, _ = io.CopyN(io.Discard, r.Body, maxUnreadBytes)
