Frame a plain answer without a frame only if its text proves its end

A JSON document that is unfinished has been broken off: 502, or another attempt where the route allows one. A whole one proves its end and is framed as before. Any other text proves nothing and is passed on as it came, ending with the connection; if it breaks off by a reset, so does the caller's connection. Ruled out: refusing such answers, as toucand's bookings do, since callers of services that never frame would get none; the caller's connection cannot be kept after them, which is what it costs.

--- a/serving/answer.go
+++ b/serving/answer.go
@@ -1,11 +1,15 @@
 package serving
 
 import (
+	"bytes"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -40,7 +44,9 @@
 	rc         *http.ResponseController
 	wire       Wire
 	headerSent bool
-	timing     answerTiming
+	// unframed is set if the answer is sent without a frame, because nothing proves that it is whole.
+	unframed bool
+	timing   answerTiming
 
 	mu sync.Mutex
 	// lastEvent is the id of the last event sent to the client, "" before the first. Guarded by mu.
@@ -87,8 +93,11 @@
 	if h.Get("Content-Type") == "" {
 		h["Content-Type"] = nil // Keeps net/http from guessing one.
 	}
-	if resp.Length >= 0 {
+	switch {
+	case resp.Length >= 0:
 		h.Set("Content-Length", strconv.FormatInt(resp.Length, 10))
+	case a.unframed:
+		h.Set("Transfer-Encoding", "identity") // net/http then frames nothing and closes the connection.
 	}
 	a.w.WriteHeader(resp.Status)
 }
@@ -101,6 +110,9 @@
 		return nil
 	}
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
+	if err == nil && resp.Framing == transport.Unframed {
+		a.unframed, err = checkUnframed(resp, b)
+	}
 	if err != nil {
 		return fmt.Errorf("the answer broke off: %w", err)
 	}
@@ -111,6 +123,32 @@
 	return a.copyChunks(resp.Body, onProgress)
 }
 
+// checkUnframed returns an error if the text of an unframed answer shows that its upstream broke it
+// off, and unproved if nothing shows that it is whole. b holds at most the first maxBufferedBytes+1
+// bytes.
+func checkUnframed(resp *transport.Answer, b []byte) (unproved bool, err error) {
+	if len(b) > maxBufferedBytes || !isJSON(resp.Header.Get("Content-Type")) {
+		return true, nil
+	}
+	err = json.Unmarshal(b, new(json.RawMessage))
+	if err != nil && isUnfinished(b) {
+		return false, errors.New("its document is unfinished")
+	}
+	return err != nil, nil
+}
+
+// isUnfinished reports whether more bytes could make b a JSON document.
+func isUnfinished(b []byte) bool {
+	err := json.NewDecoder(bytes.NewReader(b)).Decode(new(json.RawMessage))
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
+// isJSON reports whether a media type is application/json or has the suffix +json (RFC 6839).
+func isJSON(contentType string) bool {
+	kind, _, err := mime.ParseMediaType(contentType)
+	return err == nil && (kind == "application/json" || strings.HasSuffix(kind, "+json"))
+}
+
 func (a *answer) copyChunks(body io.Reader, onProgress func()) error {
 	buf := make([]byte, copyBufferSize)
 	for {
@@ -196,9 +234,9 @@
 }
 
 // resetUnframed resets the connection of a client to whom its end would be the end of the answer:
-// one of HTTP/1.0.
+// one of HTTP/1.0, or one that gets the answer without a frame.
 func (a *answer) resetUnframed(r *http.Request) error {
-	if r.ProtoAtLeast(1, 1) {
+	if r.ProtoAtLeast(1, 1) && !a.unframed {
 		return nil
 	}
 	conn, _, err := a.rc.Hijack()
