Drop the byte order mark of a resumed run of a stream

The id of a first event after a mark was not read, so that a resumption began at the start and events came twice. Ruled out: dropping every mark, which would change an engine's bytes.

--- a/serving/answer.go
+++ b/serving/answer.go
@@ -173,7 +173,7 @@
 // when the upstream has ended the stream properly.
 func (a *answer) copyEvents(resp *transport.Answer, onProgress func()) error {
 	var pending []byte
-	hasEvents := false
+	hasEvents, resumed := false, a.headerSent
 	buf := make([]byte, copyBufferSize)
 	for {
 		n, err := resp.Body.Read(buf)
@@ -184,7 +184,11 @@
 				hasEvents = true
 				onProgress()
 			}
-			if err := a.writeEvents(resp, pending[:end]); err != nil {
+			events := pending[:end]
+			if resumed && end > 0 {
+				events, resumed = bytes.TrimPrefix(events, byteOrderMark), false
+			}
+			if err := a.writeEvents(resp, events); err != nil {
 				return err
 			}
 			pending = append(pending[:0], pending[end:]...)
@@ -217,6 +221,9 @@
 	return a.write(rest, true)
 }
 
+// byteOrderMark may stand at the beginning of a stream, and nowhere else.
+var byteOrderMark = []byte("\ufeff")
+
 func (a *answer) writeEvents(resp *transport.Answer, b []byte) error {
 	if len(b) == 0 {
 		return nil
--- a/serving/events.go
+++ b/serving/events.go
@@ -65,7 +65,7 @@
 
 // lastEventID returns the id of the last event that has one, and whether there is one.
 func lastEventID(events []byte) (id string, ok bool) {
-	for line := range eventLines(events) {
+	for line := range eventLines(bytes.TrimPrefix(events, byteOrderMark)) {
 		if value, has := bytes.CutPrefix(line, []byte("id:")); has {
 			id, ok = string(bytes.TrimSpace(value)), true
 		}
