--- a/fleet/id.go
+++ b/fleet/id.go
@@ -24,6 +24,9 @@
 // AdapterID identifies an adapter of a model.
 type AdapterID string
 
+// PartID identifies a part of a prompt that requests share.
+type PartID string
+
 // RouteID identifies a route.
 type RouteID string
 
--- a/serving/call.go
+++ b/serving/call.go
@@ -34,6 +34,8 @@
 	TokensOut fleet.Tokens
 	// HasTokenCounts is set if the client gave its token counts.
 	HasTokenCounts bool
+	// Parts are the parts of the prompt that other requests may share, in order: all but the last.
+	Parts []fleet.PartID
 	// LastEvent is the id of the event after which a stream is to be resumed, "" for a new one.
 	LastEvent string
 
