Send a request that comes again on a connection of its own

Cause: an answer is matched by the request's id alone, and the id is the same for each attempt. A repeat at an upstream that has had the request opens a new connection now, on which there is nothing from before. TestRepeatedRefusalIsNotTakenForAnswer failed before, for unsafe requests and streams. Ruled out: never sending a request to the same upstream twice, which leaves callers of a service with one engine without an answer; reading on after a refusal, since a second answer may come at any time later. The cost is one connection for each such repeat.

--- a/serving/run.go
+++ b/serving/run.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -87,6 +89,22 @@
 	failedReplacements atomic.Int32
 	// lastErr is why the last attempt failed.
 	lastErr error
+
+	mu sync.Mutex
+	// sentTo lists the upstreams of all sends, whatever became of them. Guarded by mu.
+	sentTo []fleet.UpstreamID
+}
+
+// markSent records that the request is about to be sent to an upstream, and reports whether it was
+// before.
+func (t *attempts) markSent(u fleet.UpstreamID) (again bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if slices.Contains(t.sentTo, u) {
+		return true
+	}
+	t.sentTo = append(t.sentTo, u)
+	return false
 }
 
 // attempt is one send of a call to one upstream.
@@ -255,7 +273,8 @@
 		head.Priority = min(max(t.c.Priority, 0), lowestPriority)
 	}
 	resp, err := t.h.pools.get(a.u).Do(a.ctx, &transport.Request{
-		Method: t.c.Method, Head: t.h.cfg.Wire.Head(t.c, head), Body: t.c.Body,
+		// A faulty upstream may write its last answer to a request that comes again once more.
+		Method: t.c.Method, Fresh: t.markSent(a.u.ID), Head: t.h.cfg.Wire.Head(t.c, head), Body: t.c.Body,
 		IsAnswer: func(status int, hd http.Header) bool { return t.h.cfg.Wire.IsAnswerTo(t.c, status, hd) },
 		Check:    func() error { return t.checkBeforeWrite(a) },
 	})
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -45,6 +45,8 @@
 	Body []byte
 	// IsAnswer reports whether an answer with this status and these headers answers this request.
 	IsAnswer func(status int, h http.Header) bool
+	// Fresh is set if the request must not be sent on a connection that has carried others.
+	Fresh bool
 	// Check, if not nil, is called once a connection is open, just before the first byte is
 	// written. If it returns an error, nothing is written.
 	Check func() error
@@ -88,7 +90,11 @@
 // ends, the connection is closed, even while the body is being read. The error wraps ErrNotSent or
 // ErrWithheld if nothing can have reached the upstream; after other errors the request may have run.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Answer, error) {
-	c, err := p.get(ctx)
+	connect := p.get
+	if r.Fresh {
+		connect = p.open
+	}
+	c, err := connect(ctx)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
