--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -220,7 +220,7 @@
 // configuration and the member list that this VM has.
 func (g *Gateway) relayRequest() relay.Ask {
 	version, _, _ := g.catalogue.ConfirmedVersion()
-	_, reports, _ := g.reports.Since(0)
+	reports, _ := g.reports.state()
 	return relay.Ask{Directory: g.directory.position(), Config: version, Members: g.memberList().Fingerprint, Reports: reports, WantsReports: true}
 }
 
--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -91,7 +91,7 @@
 
 // untilDue returns the time until this VM has to read the store, at most 0 if that is now.
 func (f *reportFollower) untilDue() time.Duration {
-	_, _, confirmedAt := f.Since(0)
+	_, confirmedAt := f.state()
 	if confirmedAt == 0 || f.IsCoordinator() {
 		return 0
 	}
@@ -154,8 +154,15 @@
 	}
 }
 
-// Since returns the reports after a position, the position up to which the log was read, and when it
-// was last confirmed on the clock Now, 0 if never.
+// state returns the position up to which the log was read, and when it was last confirmed on the clock
+// Now, 0 if never.
+func (f *reportFollower) state() (relay.Position, time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.position, f.confirmedAt
+}
+
+// Since returns the reports after a position, and the state.
 func (f *reportFollower) Since(from relay.Position) ([]quarantine.Report, relay.Position, time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/gateway/reports_test.go
+++ b/gateway/reports_test.go
@@ -85,7 +85,7 @@
 // follow passes the news of the coordinator on to a VM each 150 ms until ctx ends.
 func (v *reportVM) follow(ctx context.Context, source *reportVM) {
 	for ctx.Err() == nil {
-		_, from, _ := v.Since(0)
+		from, _ := v.state()
 		reports, at, confirmedAt := source.Since(from)
 		if now := v.Now(); confirmedAt > 0 {
 			v.ApplyNews(&relay.News{Reports: reports, ReportsAt: at, ReportsAge: now - confirmedAt, HasReports: true}, now)
@@ -149,6 +149,6 @@
 	is := is.New(t)
 	v := newReportVM(newReportStore(), func() time.Duration { return time.Hour }, false)
 	v.ApplyNews(&relay.News{}, time.Hour)
-	_, _, confirmedAt := v.Since(0)
+	_, confirmedAt := v.state()
 	is.Equal(confirmedAt, time.Duration(0))
 }
