Judge by answers of success only, and repeat requests of sound parts

From the reading of the quarantine as a newcomer. - An answer of an error counted as a run that went well, although the engine had begun to write nothing on the part: an engine that answers some requests with 4xx could have kept a fatal part out of quarantine.

--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -77,12 +77,17 @@
 // run reads the store whenever no relay has confirmed the reports recently, until ctx ends, and
 // returns its error.
 func (f *reportFollower) run(ctx context.Context) error {
+	failing := false
 	for ctx.Err() == nil {
 		if d := f.untilDue(); d > 0 {
 			loop.Sleep(ctx, d)
 			continue
 		}
-		if err := f.read(ctx); err != nil {
+		err := f.read(ctx)
+		if err != nil && !failing && ctx.Err() == nil {
+			f.Events.Record(event.GatewayFault, timeline.Fields{"reason": "crash reports cannot be read: " + err.Error()})
+		}
+		if failing = err != nil; failing {
 			loop.Sleep(ctx, maxRetryPause)
 		}
 	}
--- a/gateway/reports_test.go
+++ b/gateway/reports_test.go
@@ -3,17 +3,20 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
 
 	"toucanfall/internal/loop"
 	"toucanfall/platform"
 	"toucanfall/quarantine"
 	"toucanfall/relay"
+	"toucanfall/timeline"
 )
 
 // reportStore is a log of reports that counts the reads.
@@ -66,9 +69,11 @@
 }
 
 func newReportVM(store ReportStore, now func() time.Duration, coordinator bool) *reportVM {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
 	v := &reportVM{got: make(map[uint64]time.Duration)}
 	v.reportFollower = newReportFollower(reportConfig{
-		Store: store, Now: now, ConfigWithin: 2 * time.Second, OnUpdate: func() {}, IsCoordinator: func() bool { return coordinator }, IsRelay: never,
+		Store: store, Now: now, ConfigWithin: 2 * time.Second, OnUpdate: func() {}, IsCoordinator: func() bool { return coordinator }, IsRelay: never, Events: timeline.New("test", 8, logger),
 		Apply: func(reports []quarantine.Report) {
 			v.mu.Lock()
 			defer v.mu.Unlock()
--- a/quarantine/account.go
+++ b/quarantine/account.go
@@ -3,10 +3,10 @@
 //
 // A VM that loses a run together with its engine reports the parts of its prompt. Parts that sound
 // requests share with a fatal one are in as many reports, so that each report also says how many runs
-// with each part have lately gone well at the reporting VM. A VM at which runs
-// went well vouches for a part that is close to a quarantine. A part is quarantined once several
-// engines have crashed under it, lately more of them than runs went well by the reports of all VMs.
-// All VMs read the reports from one log.
+// with each part have lately gone well at the reporting VM. A VM at which runs went well vouches for a
+// part that is close to a quarantine. A part is quarantined once several engines have crashed under it,
+// lately more of them than runs went well by the reports of all VMs. All VMs read the reports from one
+// log.
 package quarantine
 
 import (
@@ -21,8 +21,7 @@
 
 // Bounds of an account.
 const (
-	// minCrashes is the number of engines that must have crashed under a part: the users' rule on
-	// such parts counts from the fifth crash, and a report may be lost or late.
+	// minCrashes is the number of engines that must have crashed under a part.
 	minCrashes = 3
 	// maxParts bounds the parts of an account. Callers can send any number of them.
 	maxParts = 1024
@@ -35,12 +34,12 @@
 	decisionTime = time.Second
 	// countLifetime is how long a count of sound runs, and a crash, count against each other.
 	countLifetime = 2 * countWindow
-	// doubtedTerm is the first such time for a part with which runs have gone well. Each further time
-	// is four times as long.
-	doubtedTerm = 5 * time.Second
 	// Lifetime is how long after its last crash a part is quarantined. A new version of the model
 	// may have made it sound. If it has not, the next crash quarantines it again.
 	Lifetime = time.Hour
+	// doubtedTerm is the same for a part with which runs have gone well, the first time. Each further
+	// time is four times as long.
+	doubtedTerm = 5 * time.Second
 )
 
 // EngineStart identifies one start of an engine.
@@ -272,7 +271,7 @@
 	case p.quarantined && sound > crashed:
 		p.quarantined = false
 		return []change{{part: id}}
-	case !p.quarantined && sound < crashed && now-p.firstCrash >= decisionTime && a.unexplained(id, p) >= minCrashes:
+	case !p.quarantined && sound < crashed && now-p.firstCrash >= decisionTime && len(p.engines) >= minCrashes && a.unexplained(id, p) >= minCrashes:
 		p.quarantined = true
 		engines := make([]EngineStart, len(p.engines))
 		for i, e := range p.engines {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -66,6 +66,17 @@
 	is.True(!a.has("popular"))
 }
 
+// After the first crash a part with which no run went well is suspected, so that the request is not sent
+// again; one with which runs go well is not.
+func TestFirstCrashSuspectsUnknownParts(t *testing.T) {
+	is := is.New(t)
+	a := newAccount()
+	now := applyEach(a, time.Hour, crashes(1, PartCount{"unknown", 0}, PartCount{"popular", 9})...)
+	is.True(a.suspected([]fleet.PartID{"popular", "unknown"}, now))
+	is.True(!a.suspected([]fleet.PartID{"popular"}, now))
+	is.True(!a.suspected(nil, now))
+}
+
 // Several reports of the end of one engine are one crash.
 func TestReportsOfOneCrashCountOnce(t *testing.T) {
 	is := is.New(t)
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -179,8 +179,7 @@
 }
 
 // Apply applies reports from the log, in their order. Those of the first call were made before this VM
-// started. Reports that are invalid, or older than
-// Lifetime by this VM's clock, are ignored.
+// started. Reports older than Lifetime by this VM's clock are ignored, invalid ones are recorded as odd.
 func (t *Tracker) Apply(reports []Report) {
 	t.mu.Lock()
 	now, oldest := t.cfg.Now(), time.Now().Add(-Lifetime).UnixMilli()
@@ -188,7 +187,11 @@
 	t.applied = true
 	var changes []change
 	for _, r := range reports {
-		if r.At >= oldest && r.Validate() == nil {
+		if err := r.Validate(); err != nil {
+			t.cfg.Events.Record(event.EntryOdd, timeline.Fields{"reason": err.Error()})
+			continue
+		}
+		if r.At >= oldest {
 			changes = append(changes, t.account.apply(r, now, old)...)
 		}
 	}
@@ -236,14 +239,14 @@
 	t.record(changes)
 }
 
-// writeQueue writes the queued reports, the oldest first, until none is left or ctx ends. A report stays
-// queued until it is written.
+// writeQueue writes the queued reports, the oldest first, until none is left or one cannot be written.
+// A report stays queued until it is written.
 func (t *Tracker) writeQueue(ctx context.Context) {
 	for r, ok := t.next(); ok && ctx.Err() == nil; r, ok = t.next() {
 		if err := t.write(ctx, r); err != nil {
 			t.cfg.Events.Record(event.GatewayFault, timeline.Fields{"reason": "crash report of request " + string(r.Request) + ": " + err.Error()})
 			loop.Sleep(ctx, publishPause)
-			continue
+			return
 		}
 		t.mu.Lock()
 		if len(t.queue) > 0 && t.queue[0].Number == r.Number {
--- a/serving/crash.go
+++ b/serving/crash.go
@@ -19,7 +19,8 @@
 type PromptParts interface {
 	// Quarantined returns the first of the parts that is in quarantine, and whether there is one.
 	Quarantined(parts []fleet.PartID) (fleet.PartID, bool)
-	// Suspected reports whether an engine has crashed under one of the parts that may not be sound.
+	// Suspected reports whether an engine has crashed under one of the parts of which no more runs
+	// went well than engines crashed.
 	Suspected(parts []fleet.PartID) bool
 	// RecordSound records a run that went well.
 	RecordSound(parts []fleet.PartID)
@@ -59,7 +60,7 @@
 
 // checkCrash looks whether the upstream of an attempt that broke off has crashed, and records it. It
 // returns whether the request may be retried, which retry reports apart from that: a request that may
-// have crashed its engine must not run at another one.
+// have crashed its engine must not run at another one, unless runs with all of its parts go well.
 func (t *attempts) checkCrash(a *attempt, retry bool) bool {
 	if t.c.Model == "" || a.sound || a.ctx.Err() != nil {
 		return retry
@@ -70,10 +71,7 @@
 	if !retry {
 		return false
 	}
-	if !<-crashed {
-		return true
-	}
-	return a.resp == nil && !t.h.cfg.Parts.Suspected(t.c.Parts)
+	return !<-crashed || !t.h.cfg.Parts.Suspected(t.c.Parts)
 }
 
 // crashDetector finds out whether upstreams that broke off a run have crashed. A connection that
--- a/serving/run.go
+++ b/serving/run.go
@@ -400,7 +400,7 @@
 	if err != nil {
 		return t.handleBreak(a, mayRetry, err)
 	}
-	if resp.Status < http.StatusInternalServerError {
+	if resp.Status < http.StatusMultipleChoices {
 		t.recordSound(a)
 	}
 	t.recordServed(a, resp.Status)
