Send crash reports only to VMs that want them

VMs of an earlier version do not say up to where they have the reports, and got all kept ones with each answer of a relay, up to 512 of some 300 bytes several times a second. TestReportsAreForVMsThatWantThem failed before.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -87,7 +87,7 @@
 
 	// Reports are the crash reports after the position of the request, up to ReportsAt. They were
 	// confirmed ReportsAge ago. All are valid if HasReports is set, which VMs of earlier versions
-	// never do.
+	// never do. Requests that do not want reports get none.
 	Reports    []quarantine.Report
 	ReportsAt  Position
 	ReportsAge time.Duration
--- a/relay/service.go
+++ b/relay/service.go
@@ -146,7 +146,7 @@
 			out.Document = s.packedDocument.get(cfg.Version, func() any { return cfg.Document })
 		}
 	}
-	if reports, position, at := s.cfg.Reports.Since(in.Reports); at > 0 {
+	if reports, position, at := s.cfg.Reports.Since(in.Reports); at > 0 && in.WantsReports {
 		out.Reports, out.ReportsAt, out.ReportsAge, out.HasReports = reports, position, now-at, true
 	}
 	if members, at := s.cfg.Membership.MemberList(); len(members.Members) > 0 {
