Let a new coordinator wait for crash reports

Found in the reading of the diff: a VM that a relay had told of an empty log kept the zero cursor, from which the store answers at once; as the coordinator it asked without a pause until the first report came. TestNewCoordinatorWaitsForReports failed before: more reads in 7 s than the 12 allowed.

--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -59,7 +59,8 @@
 	// each. position is up to where the log was read; 0 is before the first record.
 	kept     []positionedReport
 	position relay.Position
-	// cursor continues the reads of the store at position.
+	// cursor continues the reads of the store at position. It is the zero Cursor until the log was first
+	// read.
 	cursor platform.Cursor
 	// confirmedAt is when the newest read of the store was requested, 0 if there was none.
 	confirmedAt time.Duration
@@ -139,7 +140,7 @@
 func (f *reportFollower) update(reports []quarantine.Report, cursor platform.Cursor, confirmedAt time.Duration) {
 	f.Apply(reports)
 	f.mu.Lock()
-	if position := relay.Position(cursor.Position()); position > f.position || f.confirmedAt == 0 {
+	if position := relay.Position(cursor.Position()); position > f.position || f.cursor == (platform.Cursor{}) {
 		f.position, f.cursor = position, cursor
 		for _, r := range reports {
 			f.kept = append(f.kept, positionedReport{r, position})
@@ -154,9 +155,14 @@
 // ApplyNews applies the reports in the news of a relay that took them from its state at checkedAt or
 // later.
 func (f *reportFollower) ApplyNews(n *relay.News, checkedAt time.Duration) {
-	if n.HasReports {
-		f.update(n.Reports, platform.CursorAt(int64(n.ReportsAt)), checkedAt-n.ReportsAge)
+	if !n.HasReports {
+		return
 	}
+	cursor := platform.CursorAt(int64(n.ReportsAt))
+	if n.ReportsAt == 0 {
+		cursor = platform.CursorAtStart()
+	}
+	f.update(n.Reports, cursor, checkedAt-n.ReportsAge)
 }
 
 // state returns the position up to which the log was read, and when it was last confirmed on the clock
@@ -171,6 +177,9 @@
 func (f *reportFollower) Since(from relay.Position) ([]quarantine.Report, relay.Position, time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if from >= f.position {
+		return nil, f.position, f.confirmedAt
+	}
 	var out []quarantine.Report
 	for _, k := range f.kept {
 		if k.position > from {
--- a/gateway/reports_test.go
+++ b/gateway/reports_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -157,3 +158,34 @@
 	_, confirmedAt := v.state()
 	is.Equal(confirmedAt, time.Duration(0))
 }
+
+// Guards against a VM that asks the store without a pause once it is the coordinator: a relay had told it
+// that there are no reports, so that it had not read the store before.
+func TestNewCoordinatorWaitsForReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		now := clockOf(time.Now())
+		store := &emptyReportStore{}
+		v := newReportVM(store, now, true)
+		v.ApplyNews(&relay.News{HasReports: true}, now())
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = v.run(ctx) }()
+		time.Sleep(7 * time.Second)
+		cancel()
+		synctest.Wait()
+		is.True(store.reads.Load() <= 12) // One each 0.7 s, and one from the zero cursor.
+	})
+}
+
+// emptyReportStore is a log without reports, which answers reads from the zero cursor immediately.
+type emptyReportStore struct{ reads atomic.Int64 }
+
+func (s *emptyReportStore) ReadReports(ctx context.Context, from platform.Cursor, wait time.Duration) ([]quarantine.Report, platform.Cursor, error, error) {
+	if s.reads.Add(1) > 1000 {
+		return nil, from, nil, errors.New("too many reads")
+	}
+	if from != (platform.Cursor{}) {
+		loop.Sleep(ctx, wait)
+	}
+	return nil, platform.CursorAtStart(), nil, ctx.Err()
+}
