--- a/gateway/reports_test.go
+++ b/gateway/reports_test.go
@@ -41,6 +41,12 @@
 	s.added = make(chan struct{})
 }
 
+func (s *reportStore) readCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
 func (s *reportStore) ReadReports(ctx context.Context, from platform.Cursor, wait time.Duration) ([]quarantine.Report, platform.Cursor, error, error) {
 	s.mu.Lock()
 	s.reads++
@@ -69,6 +75,13 @@
 	got map[uint64]time.Duration
 }
 
+// receivedAt returns when the VM first applied a report, 0 if it has not.
+func (v *reportVM) receivedAt(number uint64) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.got[number]
+}
+
 func newReportVM(store ReportStore, now func() time.Duration, coordinator bool) *reportVM {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
@@ -123,18 +136,18 @@
 		time.Sleep(10 * time.Millisecond)
 		go func() { _ = v.run(ctx) }()
 		time.Sleep(10 * time.Second)
-		is.Equal(store.reads, 0)
-		is.True(coordinatorStore.reads < 20) // one each 0.7 s
+		is.Equal(store.readCount(), 0)
+		is.True(coordinatorStore.readCount() < 20) // one each 0.7 s
 		at := now()
 		add(1)
 		time.Sleep(time.Second)
-		is.True(v.got[1]-at <= 150*time.Millisecond)
+		is.True(v.receivedAt(1)-at <= 150*time.Millisecond)
 		fail()
 		synctest.Wait()
 		at = now()
 		add(2)
 		time.Sleep(3 * time.Second)
-		is.True(v.got[2] > 0 && v.got[2]-at < 2500*time.Millisecond)
+		is.True(v.receivedAt(2) > 0 && v.receivedAt(2)-at < 2500*time.Millisecond)
 		store.mu.Lock()
 		store.down = true
 		store.mu.Unlock()
@@ -144,7 +157,7 @@
 		store.mu.Unlock()
 		add(3)
 		time.Sleep(2500 * time.Millisecond)
-		is.True(v.got[3] > 0)
+		is.True(v.receivedAt(3) > 0)
 		cancel()
 		synctest.Wait()
 	})
