--- a/fleet/id.go
+++ b/fleet/id.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 // VMID identifies a VM of the platform. Ids are never reused.
 type VMID string
@@ -27,6 +30,18 @@
 // PartID identifies a part of a prompt that requests share.
 type PartID string
 
+// FormatParts returns the parts, separated by spaces.
+func FormatParts(parts []PartID) string {
+	var b strings.Builder
+	for i, p := range parts {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		b.WriteString(string(p))
+	}
+	return b.String()
+}
+
 // RouteID identifies a route.
 type RouteID string
 
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -84,6 +83,9 @@
 
 // Quarantined returns the first of the parts that is in quarantine, and whether there is one.
 func (t *Tracker) Quarantined(parts []fleet.PartID) (fleet.PartID, bool) {
+	if len(parts) == 0 {
+		return "", false
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.account.first(parts)
@@ -122,7 +124,7 @@
 
 // RecordCrash reports that a request with the parts was running at an engine that crashed.
 func (t *Tracker) RecordCrash(engine EngineStart, request fleet.RequestID, parts []fleet.PartID) {
-	t.cfg.Events.Record(event.EngineCrashed, timeline.Fields{"upstream": string(engine.Upstream), "request": string(request), "parts": formatParts(parts)})
+	t.cfg.Events.Record(event.EngineCrashed, timeline.Fields{"upstream": string(engine.Upstream), "request": string(request), "parts": fleet.FormatParts(parts)})
 	if len(parts) == 0 {
 		return
 	}
@@ -285,7 +287,3 @@
 		t.cfg.Events.Record(event.PartQuarantined, timeline.Fields{"part": string(c.part), "count": strconv.Itoa(len(engines)), "engines": strings.Join(engines, " ")})
 	}
 }
-
-func formatParts(parts []fleet.PartID) string {
-	return strings.Trim(fmt.Sprint(parts), "[]")
-}
--- a/serving/answer.go
+++ b/serving/answer.go
@@ -130,11 +130,13 @@
 	if len(b) > maxBufferedBytes || !isJSON(resp.Header.Get("Content-Type")) {
 		return true, nil
 	}
-	err = json.Unmarshal(b, new(json.RawMessage))
-	if err != nil && isUnfinished(b) {
+	if json.Valid(b) {
+		return false, nil
+	}
+	if isUnfinished(b) {
 		return false, errors.New("its document is unfinished")
 	}
-	return err != nil, nil
+	return true, nil
 }
 
 // isUnfinished reports whether more bytes could make b a JSON document.
--- a/serving/run.go
+++ b/serving/run.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -312,22 +311,10 @@
 	t.h.cfg.Metrics.Attempt(a.u.ID, true)
 	t.h.cfg.Events.Record(event.AttemptFailed, a.trace.fields(timeline.Fields{
 		"request": string(t.c.ID), "upstream": string(a.u.ID), "reason": err.Error(), "sends": strconv.Itoa(t.sends),
-		"framing": string(a.framing()), "parts": formatParts(t.c.Parts),
+		"framing": string(a.framing()), "parts": fleet.FormatParts(t.c.Parts),
 	}))
 }
 
-// formatParts formats the parts of a prompt for the log.
-func formatParts(parts []fleet.PartID) string {
-	var b strings.Builder
-	for i, p := range parts {
-		if i > 0 {
-			b.WriteByte(' ')
-		}
-		b.WriteString(string(p))
-	}
-	return b.String()
-}
-
 // recordServed records a served request and what determined its latency.
 func (t *attempts) recordServed(a *attempt, status int) {
 	u := a.u
