--- a/review/build.sh
+++ b/review/build.sh
@@ -6,7 +6,7 @@
 root=$PWD
 src=$(mktemp -d)
 trap 'rm -rf "$src"' EXIT
-for f in review/standin/*.txt; do
+for f in review/*.go.txt review/go.mod.txt; do
 	cp "$f" "$src/$(basename "$f" .txt)"
 done
 mkdir -p target/review
