--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"toucanfall/catalogue"
@@ -22,8 +23,11 @@
 	// some VMs for a long time.
 	minRetryPause = 100 * time.Millisecond
 	maxRetryPause = 800 * time.Millisecond
-	// immediateTimeout bounds a poll that the store answers without waiting for a change.
-	immediateTimeout = 300 * time.Millisecond
+	// immediateTimeout bounds a poll that the store answers without waiting for a change. It
+	// doubles with each further failure up to maxImmediateTimeout: the smallest VMs receive
+	// 1.2 MB a second, and a configuration can have several hundred kB.
+	immediateTimeout    = 300 * time.Millisecond
+	maxImmediateTimeout = 1200 * time.Millisecond
 	// relayPollInterval is the shortest pause between checks whether a relay still keeps
 	// this VM up to date.
 	relayPollInterval = 10 * time.Millisecond
@@ -90,6 +94,9 @@
 	immediate bool
 	// failures counts the failed polls since the last answer.
 	failures int
+	// relayed is set when a relay has brought a configuration that this VM has not read from
+	// the store itself.
+	relayed atomic.Bool
 }
 
 // pollTimes returns how long the store is to hold the next poll, and the timeout of that
@@ -97,7 +104,7 @@
 func (f *configFollower) pollTimes() (wait, timeout time.Duration) {
 	switch {
 	case f.immediate, f.failures > 1:
-		return 0, immediateTimeout
+		return 0, min(immediateTimeout<<min(f.failures, maxDoublings), maxImmediateTimeout)
 	case f.isCoordinator(), f.isRelay():
 		return f.times.coordinatorWait, f.times.coordinatorWait + f.times.margin
 	}
@@ -134,6 +141,11 @@
 			loop.Sleep(ctx, d)
 			continue
 		}
+		if f.relayed.Swap(false) {
+			// The records after the cursor hold every version that relays have brought since.
+			// On a slow link they take longer than the poll may; the snapshot holds one version.
+			cursor = platform.Cursor{}
+		}
 		next, err := f.poll(ctx, cursor)
 		f.immediate = false
 		if ctx.Err() != nil {
@@ -208,6 +220,7 @@
 	if err != nil {
 		return err
 	}
+	f.relayed.Store(true)
 	f.apply(cfg)
 	return nil
 }
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -1,8 +1,12 @@
 package gateway
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
+	"encoding/gob"
 	"errors"
+	"fmt"
 	"io"
 	"sync/atomic"
 	"testing"
@@ -336,3 +340,81 @@
 		is.Equal(<-ended, context.Canceled)
 	})
 }
+
+// slowLinkStore is a store behind a slow link: each version in an answer takes perVersion. It
+// counts the polls.
+type slowLinkStore struct {
+	newest     atomic.Int64
+	perVersion time.Duration
+	polls      atomic.Int64
+}
+
+func (s *slowLinkStore) ReadConfig(ctx context.Context, from platform.Cursor, wait time.Duration) (*catalogue.Config, platform.Cursor, bool, error) {
+	s.polls.Add(1)
+	newest := s.newest.Load()
+	versions := int64(1) // From the zero Cursor the store returns the newest version alone.
+	if from != (platform.Cursor{}) {
+		if versions = newest - from.Position(); versions == 0 {
+			time.Sleep(wait)
+			return nil, from, true, nil
+		}
+	}
+	select {
+	case <-time.After(time.Duration(versions) * s.perVersion):
+		return catalogue.NewConfig(catalogue.Version(newest), nil, nil, nil, catalogue.Limits{}), platform.CursorAt(newest), true, nil
+	case <-ctx.Done():
+		return nil, from, false, ctx.Err()
+	}
+}
+
+// newsOfConfig returns the news of a relay that has just confirmed a configuration version.
+func newsOfConfig(t *testing.T, version int64) *relay.News {
+	t.Helper()
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err == nil {
+		err = errors.Join(gob.NewEncoder(w).Encode(fmt.Appendf(nil, `{"Version":%d}`, version)), w.Close())
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &relay.News{Config: catalogue.Version(version), Document: b.Bytes()}
+}
+
+// Guards against a configuration that is applied too late (CONFIG) when the relay of a VM is lost
+// after several versions: on a VM with a slow link, reading all of them from the store took longer
+// than any poll may, so that the VM never caught up.
+func TestLostRelayAfterManyVersionsKeepsConfigBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		logger := logrus.New()
+		logger.SetOutput(io.Discard)
+		s, now := &slowLinkStore{perVersion: 200 * time.Millisecond}, clockOf(time.Now())
+		s.newest.Store(1)
+		var informed atomic.Bool
+		f := &configFollower{
+			store: s, holder: catalogue.NewHolder(now), events: timeline.New("test", 16, logger), now: now, times: testTimes,
+			informed: informed.Load, updateExpected: never, isCoordinator: never, isRelay: never, onUpdate: func() {},
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- f.run(ctx) }()
+		time.Sleep(time.Second)
+		informed.Store(true)
+		for range 20 {
+			is.True(f.applyNews(newsOfConfig(t, s.newest.Add(1)), now()))
+			time.Sleep(200 * time.Millisecond)
+		}
+		informed.Store(false)
+		s.newest.Add(1)
+		time.Sleep(2*time.Second - maxSendDelay)
+		version, _, _ := f.holder.ConfirmedVersion()
+		is.Equal(int64(version), s.newest.Load())
+		// In normal operation the polls of this VM continue from its cursor.
+		before := s.polls.Load()
+		time.Sleep(10 * time.Second)
+		is.True(s.polls.Load()-before <= int64(10*time.Second/testTimes.wait)+1)
+		cancel()
+		is.Equal(<-ended, context.Canceled)
+	})
+}
