Identify a process in the group, and let a claim end only by its own release or its wait

Cause: members and claims named the VM, so a call by a VM's former process affected its present one. A leave without an answer was executed after the next process had joined; partition 0 went to another VM, which claimed at once, since the holder was no longer in its member list (claimDelay). Both gave orders.

Change: a member is VM@ADDRESS@DATACENTRE@PROCESS, claims have a field "process", and a release counts only for the claim of its own process directly before it. A successor waits 1.2 s after its assignment where engines check fencing tokens, otherwise the lease, whatever the member list says. A process that lost a claim or has just started gives no orders for the lease and 300 ms, unless the newest claim is of its own VM or there is none. A member list counts a VM once; a new process ends its VM's former memberships; ranks of hosts and relays do not depend on the process. After a lost join, the share expires after the shorter session timeout, which a late execution of that join may have set in the store.

TestLateJoinOfFormerProcess, TestLateClaimAndRelease and TestPartitionsOfFormerProcessAreUsedSoon passed before too. Without the lease after a loss, and without the successor's wait, TestRandomHandovers fails; with both it passes 4,000 cases.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -110,7 +110,7 @@
 	}
 	g.panics = guard.NewPanicReporter(g.events, meters.Panic)
 	g.peers = peer.NewServer(g.panics.Report)
-	self := group.NewMember(cfg.VM, cfg.Peers, cfg.DataCentre)
+	self := group.NewMember(cfg.VM, cfg.Peers, cfg.DataCentre, group.NewProcess())
 	replica := relay.NewDirectory()
 	g.follower = relay.NewFollower(relay.FollowerConfig{
 		Self: self, Peers: g.peerClient, MemberList: g.memberList, NewRequest: g.relayRequest, ApplyNews: g.applyNews, Now: bootclock.Now, Events: g.events,
--- a/gateway/pool_hosts.go
+++ b/gateway/pool_hosts.go
@@ -51,7 +51,7 @@
 		n = 1
 	}
 	ranked := members.Ranked("keepers", n*hostsPerPool, func(m group.Member) bool {
-		return m != members.Coordinator || len(members.Members) <= hostsPerPool
+		return m.VM() != members.Coordinator.VM() || len(members.Members) <= hostsPerPool
 	})
 	out := make([][]ratelimit.PoolHost, min(n, len(ranked)))
 	for i, m := range ranked {
--- a/group/group.go
+++ b/group/group.go
@@ -1,17 +1,19 @@
 // Package group maintains this VM's membership of the fleet, and determines which VMs are
-// members and which of them is the coordinator.
+// members and which of them is the coordinator. A member is a process of a VM: the membership and
+// the claims of a former process never count for a later one of the same VM.
 //
 // The platform's store assigns a fixed number of partitions to the VMs that keep joining. Each
 // partition stands for an equal part of every team's rate, and the VM that holds partition 0
 // is to be the coordinator. The store takes a partition from a VM only after that VM has been
 // informed in an answer to a join, or has not joined for its session timeout. The coordinator
-// gives orders under a claim in the store, whose offset is the basis of the fencing token. If
-// the previous coordinator may still be running, the claim is made only after its lease has
-// expired.
+// gives orders under a claim in the store, whose offset is the basis of the fencing token. It
+// makes the claim only once the previous one has been released or its lease has expired.
 package group
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"slices"
@@ -25,38 +27,52 @@
 	"toucanfall/timeline"
 )
 
-// Member identifies a VM with its address and data centre, in the form in which it joins.
+// Member identifies a process of a VM with its address and data centre, in the form in which it
+// joins: VM@ADDRESS@DATACENTRE@PROCESS. The fourth part is missing in the names of processes of
+// earlier versions.
 type Member string
 
-// NewMember returns the Member of a VM in a data centre. address is that of the listener for
-// other VMs.
-func NewMember(vm fleet.VMID, address string, dc fleet.DataCentre) Member {
-	return Member(string(vm) + "@" + address + "@" + string(dc))
+// Process identifies a process among those of its VM: 16 hexadecimal digits, "" for a process
+// of an earlier version.
+type Process string
+
+// NewProcess returns a random Process. Each process of a VM must have its own.
+func NewProcess() Process {
+	// Random numbers from crypto/rand never fail.
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return Process(hex.EncodeToString(b[:]))
 }
 
-// split returns the parts that NewMember joined.
-func (m Member) split() (vm, address, dc string) {
-	vm, rest, _ := strings.Cut(string(m), "@")
-	address, dc, _ = strings.Cut(rest, "@")
-	return vm, address, dc
+// NewMember returns the Member of a process of a VM in a data centre. address is that of the
+// listener for other VMs.
+func NewMember(vm fleet.VMID, address string, dc fleet.DataCentre, process Process) Member {
+	return Member(string(vm) + "@" + address + "@" + string(dc) + "@" + string(process))
 }
 
-// VM returns the ID of the member's VM.
-func (m Member) VM() fleet.VMID {
-	vm, _, _ := m.split()
-	return fleet.VMID(vm)
+// split returns the parts that NewMember joined. Parts that are missing are "".
+func (m Member) split() (parts [4]string) {
+	copy(parts[:], strings.SplitN(string(m), "@", len(parts)))
+	return parts
 }
 
+// VM returns the ID of the member's VM.
+func (m Member) VM() fleet.VMID { return fleet.VMID(m.split()[0]) }
+
 // Address returns the address of the member's listener for other VMs.
-func (m Member) Address() string {
-	_, address, _ := m.split()
-	return address
-}
+func (m Member) Address() string { return m.split()[1] }
 
 // DataCentre returns the data centre of the member's VM.
-func (m Member) DataCentre() fleet.DataCentre {
-	_, _, dc := m.split()
-	return fleet.DataCentre(dc)
+func (m Member) DataCentre() fleet.DataCentre { return fleet.DataCentre(m.split()[2]) }
+
+// Process returns the member's process.
+func (m Member) Process() Process { return Process(m.split()[3]) }
+
+// WithoutProcess returns what the names of all processes of the member's VM have in common, as
+// long as its address stays the same.
+func (m Member) WithoutProcess() string {
+	parts := m.split()
+	return strings.Join(parts[:3], "@")
 }
 
 // Partition is the number of one of the equal partitions that the store assigns to the VMs.
@@ -68,16 +84,30 @@
 	Parts      []Partition
 }
 
-// Claim is the newest claim to be the coordinator.
+// Claimant is the process that wrote a claim, or the release of one. The zero Claimant is nobody.
+type Claimant struct {
+	VM      fleet.VMID
+	Process Process
+}
+
+// Claim is the newest record of the claims to be the coordinator.
 type Claim struct {
-	// Holder is the VM that made the claim, "" if there is no claim. Released is set if it has
-	// released the leadership since.
-	Holder   fleet.VMID
+	// Holder made the claim. It is zero if there is no claim.
+	Holder Claimant
+	// Released is set if the record is a release. Claimed is then the holder of the claim before
+	// it, which the release ends if both are the same; zero if that claim is not known.
 	Released bool
+	Claimed  Claimant
 	// Next is the offset at which the next claim has to be written.
 	Next int64
 }
 
+// ended reports whether the claim no longer binds anyone: there is none, or its own process has
+// released it.
+func (c Claim) ended() bool {
+	return c.Holder == Claimant{} || c.Released && c.Claimed == c.Holder
+}
+
 // Store is the part of the platform's store that a Membership uses.
 type Store interface {
 	// Join joins or renews a membership for sessionTimeout and returns the partitions assigned to
@@ -91,7 +121,7 @@
 	ReadClaim(ctx context.Context) (Claim, error)
 	// WriteClaim appends a claim, or the release of one, at an offset and returns that offset.
 	// It fails if another claim was appended there.
-	WriteClaim(ctx context.Context, holder fleet.VMID, released bool, offset int64) (int64, error)
+	WriteClaim(ctx context.Context, holder Claimant, released bool, offset int64) (int64, error)
 }
 
 // Times of memberships.
@@ -117,6 +147,11 @@
 	// coordinator. It is well below CoordinatorSessionTimeout, after which a successor may be
 	// named.
 	leadershipLease = 900 * time.Millisecond
+	// commandFlight is how long after its last check of the fencing token a coordinator's command
+	// may still arrive at an engine.
+	commandFlight = 300 * time.Millisecond
+	// lateJoinPeriod is how long after a join without an answer the store may execute it.
+	lateJoinPeriod = 6 * time.Second
 )
 
 // Config holds the dependencies of a Membership.
@@ -126,8 +161,8 @@
 	// Partitions is the number of partitions that are assigned: several for each VM, so that
 	// the VMs' shares differ little.
 	Partitions int
-	// Lease is how long a new coordinator waits before it gives orders if the previous one may
-	// still be running.
+	// Lease is the time within which engines must not get orders from one VM, then another, then
+	// the first again.
 	Lease time.Duration
 	// Fenced is set if engines check fencing tokens.
 	Fenced bool
@@ -164,9 +199,27 @@
 	// leaderSince is when partition 0 was assigned to this VM, 0 if it does not hold it.
 	leaderSince time.Duration
 	// fence is the fencing token of this VM's claim, 0 if it has none.
-	fence       int64
+	fence int64
+	// ordersAllowedAt is when this process may give orders, if another VM has made the newest
+	// claim. It is not valid before started is set, by the first join.
+	ordersAllowedAt time.Duration
+	started         bool
+	// claimAt is when the wait before the next claim ends, 0 if none is in progress.
+	claimAt     time.Duration
 	leaving     bool
 	joinFailing bool
+	// lostJoins are the joins without an answer that the store may still execute.
+	lostJoins []lostJoin
+	// ownersRead is set once this process has read the owners from the store. former holds the
+	// members of this VM's former processes whose memberships it has yet to end.
+	ownersRead bool
+	former     []Member
+}
+
+// lostJoin is a join without an answer.
+type lostJoin struct {
+	requestedAt    time.Duration
+	sessionTimeout time.Duration
 }
 
 // New returns a Membership that has not joined yet.
@@ -183,13 +236,17 @@
 	return ctx.Err()
 }
 
-// pause returns the time until the next join. A failed join is repeated after joinInterval.
+// pause returns the time until the next join. A failed join is repeated after joinInterval. The
+// next join is earlier if this VM may claim the leadership then.
 func (m *Membership) pause() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.joinFailing {
 		return joinInterval
 	}
+	if wait := m.claimAt - m.cfg.Now(); m.claimAt != 0 && wait > 0 {
+		return min(m.interval(), wait)
+	}
 	return m.interval()
 }
 
@@ -206,22 +263,30 @@
 // owners of the partitions and writes a claim, if either is needed. It does nothing if this
 // VM is leaving.
 func (m *Membership) joinOnce(ctx context.Context) {
+	requestedAt := m.cfg.Now()
 	m.mu.Lock()
+	if !m.started {
+		// The VM's former process may have given orders until just before the start.
+		m.started, m.ordersAllowedAt = true, m.ordersAllowedAfter(requestedAt)
+	}
 	leaving := m.leaving
 	generation, timeout := m.generation, m.sessionTimeout()
 	m.mu.Unlock()
 	if leaving {
 		return
 	}
-	requestedAt := m.cfg.Now()
 	callCtx, cancel := context.WithTimeout(ctx, joinTimeout)
 	assigned, err := m.cfg.Store.Join(callCtx, m.cfg.Self, m.cfg.Partitions, timeout, generation)
 	cancel()
 	if m.recordJoinResult(err); err != nil {
+		m.mu.Lock()
+		m.lostJoins = append(m.recentLostJoins(requestedAt), lostJoin{requestedAt, timeout})
+		m.mu.Unlock()
 		return
 	}
-	m.applyAssignment(assigned, requestedAt, requestedAt+timeout)
+	m.applyAssignment(assigned, requestedAt, timeout)
 	m.readOwners(ctx, assigned.Generation)
+	m.endFormerMemberships(ctx)
 	m.claim(ctx)
 }
 
@@ -245,8 +310,10 @@
 	return max(SessionTimeout*m.interval()/maxJoinInterval, minSessionTimeout)
 }
 
-// applyAssignment applies the partitions that the store has assigned until expiry.
-func (m *Membership) applyAssignment(d Dealt, requestedAt, expiry time.Duration) {
+// applyAssignment applies the partitions that the store has assigned in a join, at least for
+// sessionTimeout or, if an earlier join without an answer is executed late and replaces that
+// session timeout, for its shorter one.
+func (m *Membership) applyAssignment(d Dealt, requestedAt, sessionTimeout time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.leaving {
@@ -259,11 +326,21 @@
 	}
 	if m.cfg.Now()-m.confirmedAt >= m.sessionTimeout() {
 		// The membership may have ended, and another VM may have been the coordinator since.
-		m.leaderSince, m.fence = 0, 0
+		m.loseLeadership(m.confirmedAt + leadershipLease)
 	}
 	m.generation, m.confirmedAt = d.Generation, requestedAt
 	m.setLeader(slices.Contains(d.Parts, 0))
-	m.cfg.OnShare(float64(len(d.Parts))/float64(m.cfg.Partitions), expiry)
+	m.lostJoins = m.recentLostJoins(requestedAt)
+	for _, j := range m.lostJoins {
+		sessionTimeout = min(sessionTimeout, j.sessionTimeout)
+	}
+	m.cfg.OnShare(float64(len(d.Parts))/float64(m.cfg.Partitions), requestedAt+sessionTimeout)
+}
+
+// recentLostJoins returns the joins without an answer that the store may still execute at a time.
+// The caller holds mu.
+func (m *Membership) recentLostJoins(now time.Duration) []lostJoin {
+	return slices.DeleteFunc(m.lostJoins, func(j lostJoin) bool { return now-j.requestedAt > joinTimeout+lateJoinPeriod })
 }
 
 // setLeader records whether this VM holds partition 0 and is to be the coordinator. The caller
@@ -271,12 +348,28 @@
 func (m *Membership) setLeader(leader bool) {
 	switch {
 	case !leader:
-		m.leaderSince, m.fence = 0, 0
+		m.loseLeadership(m.cfg.Now())
 	case m.leaderSince == 0:
 		m.leaderSince = m.cfg.Now()
 	}
 }
 
+// loseLeadership records that this VM does not hold partition 0 any more and has given no orders
+// since the time at. The caller holds mu.
+func (m *Membership) loseLeadership(at time.Duration) {
+	m.loseClaim(at)
+	m.leaderSince, m.claimAt = 0, 0
+}
+
+// loseClaim records that this VM has no claim any more and has given no orders since the time at.
+// The caller holds mu.
+func (m *Membership) loseClaim(at time.Duration) {
+	if m.fence != 0 {
+		m.ordersAllowedAt = max(m.ordersAllowedAt, m.ordersAllowedAfter(at))
+	}
+	m.fence = 0
+}
+
 // ReportCoordinator reports whether the VM that is to be the coordinator has answered as such.
 // If it has not, the owners of the partitions are read again.
 func (m *Membership) ReportCoordinator(answered bool) {
@@ -325,14 +418,40 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.memberList, m.memberListGeneration, m.memberListAt = newMemberList(owners), generation, now
+	m.memberList, m.memberListGeneration, m.memberListAt = newMemberList(m.cfg.Self, owners), generation, now
+	m.ownersRead, m.former = true, formerMembers(m.cfg.Self, owners)
+}
+
+// endFormerMemberships ends the memberships of this VM's former processes, whose partitions would
+// otherwise be unused until their session timeouts. Their processes are dead, because this one has
+// opened their listeners' addresses before it joined. A call that fails is repeated after the next
+// join.
+func (m *Membership) endFormerMemberships(ctx context.Context) {
+	m.mu.Lock()
+	former := m.former
+	m.mu.Unlock()
+	if len(former) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	var failed []Member
+	for _, f := range former {
+		if err := m.cfg.Store.Leave(ctx, f); err != nil {
+			failed = append(failed, f)
+			m.cfg.Events.Record(event.JoinFailed, timeline.Fields{"reason": "leave of a former process: " + err.Error()})
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.former = failed
 }
 
 // ownersKnown reports whether the owners need not be read now. It resets rereadOwners if they
 // are to be read. The caller holds mu.
 func (m *Membership) ownersKnown(generation int64, now time.Duration, informed bool) bool {
 	leader := m.leaderSince != 0
-	if len(m.memberList.Members) == 0 {
+	if len(m.memberList.Members) == 0 || !m.ownersRead {
 		return false
 	}
 	if informed && !leader && (m.coordinatorLostAt == 0 || now-m.coordinatorLostAt < informedWait) {
@@ -390,7 +509,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if at > m.memberListAt && len(members.Members) > 0 {
-		m.memberList, m.memberListAt = members, at
+		m.memberList, m.memberListAt = members.withoutDuplicates(m.cfg.Self), at
 	}
 }
 
@@ -400,13 +519,13 @@
 	m.mu.Lock()
 	m.leaving = true
 	fence := m.fence
-	m.fence, m.leaderSince = 0, 0
+	m.loseLeadership(m.cfg.Now())
 	m.cfg.OnShare(0, 0)
 	m.mu.Unlock()
 	var released error
 	if fence != 0 {
 		// The claim is at offset fence-1, so its release must be written at the next one.
-		_, released = m.cfg.Store.WriteClaim(ctx, m.cfg.Self.VM(), true, fence)
+		_, released = m.cfg.Store.WriteClaim(ctx, m.claimant(), true, fence)
 	}
 	return errors.Join(released, m.cfg.Store.Leave(ctx, m.cfg.Self))
 }
--- a/group/leadership.go
+++ b/group/leadership.go
@@ -6,12 +6,16 @@
 	"time"
 
 	"toucanfall/event"
-	"toucanfall/fleet"
 	"toucanfall/timeline"
 )
 
+// claimant returns this process as the holder of a claim.
+func (m *Membership) claimant() Claimant {
+	return Claimant{VM: m.cfg.Self.VM(), Process: m.cfg.Self.Process()}
+}
+
 // claim writes this VM's claim to be the coordinator if it holds partition 0, has no claim yet
-// and need not wait for the previous holder.
+// and need not wait.
 func (m *Membership) claim(ctx context.Context) {
 	m.mu.Lock()
 	needed := m.leaderSince != 0 && m.fence == 0
@@ -27,11 +31,10 @@
 		m.cfg.Events.Record(event.ClaimFailed, timeline.Fields{"reason": err.Error()})
 		return
 	}
-	own := last.Holder == m.cfg.Self.VM() || last.Holder == ""
-	if !own && !last.Released && m.cfg.Now()-since < m.claimDelay(last.Holder) {
+	if m.mustWait(last, since) {
 		return
 	}
-	at, err := m.cfg.Store.WriteClaim(ctx, m.cfg.Self.VM(), false, last.Next)
+	at, err := m.cfg.Store.WriteClaim(ctx, m.claimant(), false, last.Next)
 	if err != nil {
 		m.cfg.Events.Record(event.ClaimFailed, timeline.Fields{"reason": err.Error()})
 		return
@@ -45,21 +48,47 @@
 	}
 }
 
-// claimDelay returns how long to wait with the claim after partition 0 was assigned to this
-// VM. A previous holder that is no longer a member has not joined for its session timeout and
-// has given no orders for some time: it was stopped or is out of contact, and engines that
-// check fencing tokens reject what it may still send. One that is still a member has lost
-// partition 0 in a new assignment, and its lease has to expire first.
-func (m *Membership) claimDelay(previous fleet.VMID) time.Duration {
+// mustWait reports whether this VM, to which partition 0 was assigned at since, has to wait before
+// it makes a claim after the claim last, and records until when. It need not wait after a claim of
+// its own VM: if another VM has acted, that was before this claim.
+//
+// A holder that has not released its claim may act until leadershipLease after the request of its
+// last confirmed join, and partition 0 was assigned to this VM after that join. Whether the holder
+// is in a member list says nothing about it: a late leave of its VM's former process has ended the
+// membership of a holder that was alive, and both VMs gave orders.
+func (m *Membership) mustWait(last Claim, since time.Duration) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.cfg.Fenced {
-		return m.cfg.Lease
+	m.claimAt = 0
+	if last.Holder == (Claimant{}) || last.Holder.VM == m.cfg.Self.VM() {
+		return false
+	}
+	until := m.ordersAllowedAt
+	if !last.ended() {
+		until = max(until, since+m.successorWait())
+	}
+	if m.cfg.Now() >= until {
+		return false
 	}
-	if m.memberList.contains(previous) {
-		return m.cfg.Lease
+	m.claimAt = until
+	return true
+}
+
+// successorWait returns how long after its assignment a successor waits if the previous holder has
+// not released its claim. Engines that check fencing tokens reject commands that arrive after the
+// successor's; where they do not, commands of both could alternate within the lease.
+func (m *Membership) successorWait() time.Duration {
+	if m.cfg.Fenced {
+		return leadershipLease + commandFlight
 	}
-	return 0
+	return m.cfg.Lease
+}
+
+// ordersAllowedAfter returns when a process may give orders again whose VM has given some until
+// the time at, if another VM has made a claim since. Its last command may have arrived at an engine
+// commandFlight later.
+func (m *Membership) ordersAllowedAfter(at time.Duration) time.Duration {
+	return at + commandFlight + m.cfg.Lease
 }
 
 // FencingToken returns the fencing token under which this VM may give orders now, and false if
@@ -79,7 +108,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.fence == fence {
-		m.fence = 0
+		m.loseClaim(m.cfg.Now())
 		m.leaderSince = m.cfg.Now()
 	}
 }
--- a/group/members.go
+++ b/group/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,20 +14,21 @@
 type MemberList struct {
 	// Coordinator holds partition 0; it is "" if nobody does.
 	Coordinator Member
-	// Members are all holders of partitions, each once, sorted.
+	// Members are all holders of partitions, sorted, and only one of each VM, also while its
+	// former process is still a member.
 	Members []Member
 	// Fingerprint is a hash: it is equal for two lists with the same members and coordinator.
 	Fingerprint uint64
 }
 
-// newMemberList returns the member list of the owners of partitions.
-func newMemberList(owners map[Partition]Member) MemberList {
+// newMemberList returns the member list of the owners of partitions, as seen by self.
+func newMemberList(self Member, owners map[Partition]Member) MemberList {
 	members := MemberList{Coordinator: owners[0]}
 	for _, m := range owners {
 		members.Members = append(members.Members, m)
 	}
-	slices.SortFunc(members.Members, cmp.Compare)
-	members.Members = slices.Compact(members.Members)
+	slices.Sort(members.Members)
+	members = members.withoutDuplicates(self)
 	h := xxhash.New()
 	for _, m := range append(slices.Clone(members.Members), members.Coordinator) {
 		// Writes to a hash never fail.
@@ -36,14 +38,39 @@
 	return members
 }
 
-// contains reports whether a VM is a member.
-func (l MemberList) contains(vm fleet.VMID) bool {
-	return slices.ContainsFunc(l.Members, func(m Member) bool { return m.VM() == vm })
+// withoutDuplicates returns the list with one member of each VM: self, or the coordinator, or else
+// the first. It keeps the fingerprint, which belongs to the list as it was read from the store.
+func (l MemberList) withoutDuplicates(self Member) MemberList {
+	chosen := make(map[fleet.VMID]Member, len(l.Members))
+	for _, m := range l.Members {
+		vm := m.VM()
+		if _, ok := chosen[vm]; !ok || m == self || m == l.Coordinator && chosen[vm] != self {
+			chosen[vm] = m
+		}
+	}
+	if len(chosen) == len(l.Members) {
+		return l
+	}
+	l.Members = slices.SortedFunc(maps.Values(chosen), cmp.Compare[Member])
+	return l
+}
+
+// formerMembers returns the members among the owners that are former processes of self's VM, at
+// self's address. At another address a process of that VM might still be running.
+func formerMembers(self Member, owners map[Partition]Member) []Member {
+	var former []Member
+	for _, m := range owners {
+		if m != self && m.WithoutProcess() == self.WithoutProcess() && !slices.Contains(former, m) {
+			former = append(former, m)
+		}
+	}
+	slices.Sort(former)
+	return former
 }
 
 // Ranked returns up to n of the eligible members by rendezvous hashing with the salt: the
 // order is the same on all VMs that know the same members, and changes little when one joins
-// or leaves.
+// or leaves. It does not depend on the members' processes, so it stays when a VM restarts.
 func (l MemberList) Ranked(salt string, n int, eligible func(Member) bool) []Member {
 	type ranked struct {
 		Member
@@ -52,7 +79,7 @@
 	var list []ranked
 	for _, m := range l.Members {
 		if eligible(m) {
-			list = append(list, ranked{m, xxhash.Sum64String(salt + string(m))})
+			list = append(list, ranked{m, xxhash.Sum64String(salt + m.WithoutProcess())})
 		}
 	}
 	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
--- a/relay/follower.go
+++ b/relay/follower.go
@@ -117,7 +117,7 @@
 	f.mu.Lock()
 	source := f.source
 	f.mu.Unlock()
-	if !f.Informed() || source == "" || source == f.cfg.MemberList().Coordinator {
+	if !f.Informed() || source == "" || source.VM() == f.cfg.MemberList().Coordinator.VM() {
 		return "", false
 	}
 	return source.Address(), true
@@ -131,7 +131,7 @@
 	f.mu.Lock()
 	failed := f.requestFailed
 	f.mu.Unlock()
-	follows := len(members.Members) == 0 || len(members.Members) > directMaxVMs && members.Coordinator != f.cfg.Self
+	follows := len(members.Members) == 0 || len(members.Members) > directMaxVMs && members.Coordinator.VM() != f.cfg.Self.VM()
 	return f.cfg.Now()-f.startedAt < startupWait && follows && !failed
 }
 
--- a/relay/sources.go
+++ b/relay/sources.go
@@ -30,7 +30,7 @@
 		coordinator = append(coordinator, members.Coordinator)
 	}
 	relays := relaysOf(self, members)
-	if len(members.Members) <= directMaxVMs || slices.Contains(relays, self) {
+	if len(members.Members) <= directMaxVMs || containsVM(relays, self) {
 		return coordinator
 	}
 	// The followers are spread over the relays.
@@ -44,16 +44,22 @@
 // IsRelay reports whether other VMs follow self as a relay, which itself follows the
 // coordinator. In a small fleet no VM is a relay.
 func IsRelay(self group.Member, members group.MemberList) bool {
-	return len(members.Members) > directMaxVMs && self.VM() != members.Coordinator.VM() && slices.Contains(relaysOf(self, members), self)
+	return len(members.Members) > directMaxVMs && self.VM() != members.Coordinator.VM() && containsVM(relaysOf(self, members), self)
 }
 
 // relaysOf returns the relays of a VM's data centre.
 func relaysOf(self group.Member, members group.MemberList) []group.Member {
 	return members.Ranked("relays", relaysPerDataCentre, func(m group.Member) bool {
-		return m.DataCentre() == self.DataCentre() && m != members.Coordinator
+		return m.DataCentre() == self.DataCentre() && m.VM() != members.Coordinator.VM()
 	})
 }
 
+// containsVM reports whether one of the members is a process of self's VM.
+func containsVM(members []group.Member, self group.Member) bool {
+	return slices.ContainsFunc(members, func(m group.Member) bool { return m.VM() == self.VM() })
+}
+
+// hash returns a hash of a member that stays the same when its VM restarts.
 func hash(m group.Member) uint64 {
-	return xxhash.Sum64String(string(m))
+	return xxhash.Sum64String(m.WithoutProcess())
 }
