Attribute responses without an attempt id by their connection

An engine may send a response a second time, late, in place of the next one on that connection. Wire.IsAnswerTo took each response with an error status and without an attempt id for the response to any client's request, so that a client could get the 409 of a command.

A response without the id is now accepted for a client's request only on a connection that has carried nothing else, and that connection is closed afterwards. A request without an id of its own opens its connection.

--- a/serving/handler.go
+++ b/serving/handler.go
@@ -33,8 +33,9 @@
 	ReadCall(r *http.Request) (*Call, error)
 	// Head returns the encoded request line and headers of an attempt.
 	Head(c *Call, a AttemptHeader) []byte
-	// IsAnswerTo reports whether an answer with this status and these headers answers the call.
-	IsAnswerTo(c *Call, status int, h http.Header) bool
+	// IsAnswerTo reports whether an answer with this status and these headers answers the call. alone is
+	// set if its connection has carried no other request.
+	IsAnswerTo(c *Call, status int, h http.Header, alone bool) bool
 	// ReadReply decodes what an upstream's answer states about the request.
 	ReadReply(status int, h http.Header) Reply
 	// ReadNotice decodes the notice in the headers of an upstream's answer.
--- a/serving/run.go
+++ b/serving/run.go
@@ -272,10 +272,13 @@
 		head.Priority = min(max(t.c.Priority, 0), lowestPriority)
 	}
 	resp, err := t.h.pools.get(a.u).Do(a.ctx, &transport.Request{
-		// A faulty upstream may write its last answer to a request that comes again once more.
-		Method: t.c.Method, Fresh: t.markSent(a.u.ID), Head: t.h.cfg.Wire.Head(t.c, head), Body: t.c.Body,
-		IsAnswer: func(status int, hd http.Header) bool { return t.h.cfg.Wire.IsAnswerTo(t.c, status, hd) },
-		Check:    func() error { return t.checkBeforeWrite(a) },
+		// A faulty upstream may write its last answer to a request that comes again once more, and
+		// answers to a request without an id cannot be told from others.
+		Method: t.c.Method, Fresh: t.markSent(a.u.ID) || t.c.ID == "", Head: t.h.cfg.Wire.Head(t.c, head), Body: t.c.Body,
+		IsAnswer: func(status int, hd http.Header, alone bool) bool {
+			return t.h.cfg.Wire.IsAnswerTo(t.c, status, hd, alone)
+		},
+		Check: func() error { return t.checkBeforeWrite(a) },
 	})
 	a.resp = resp
 	return err
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -25,6 +25,10 @@
 	// idleUntil is the time after which an idle connection must not be reused, because the upstream
 	// may close it; the zero time before the first answer.
 	idleUntil time.Time
+	// used is set once a request has been written.
+	used bool
+	// exclusive is set from an exclusive request until another request has been answered.
+	exclusive bool
 }
 
 // Dialer opens a connection to an upstream.
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -43,10 +43,16 @@
 	// Head is the request line and the headers, including the empty line after them.
 	Head []byte
 	Body []byte
-	// IsAnswer reports whether an answer with this status and these headers answers this request.
-	IsAnswer func(status int, h http.Header) bool
+	// IsAnswer reports whether an answer with this status and these headers answers this request. alone
+	// is set if the connection has carried no other request. A connection on which an answer was
+	// accepted only for that reason is not reused: a second copy could not be attributed either.
+	IsAnswer func(status int, h http.Header, alone bool) bool
 	// Fresh is set if the request must not be sent on a connection that has carried others.
 	Fresh bool
+	// Exclusive is set if a late second copy of the answer to another exclusive request could be taken
+	// for the answer to this one. A late copy arrives in place of the next answer, so that the request is
+	// only kept off connections whose last request was exclusive.
+	Exclusive bool
 	// Check, if not nil, is called once a connection is open, just before the first byte is
 	// written. If it returns an error, nothing is written.
 	Check func() error
@@ -61,6 +67,8 @@
 	// Framing is how the end of the body is marked.
 	Framing Framing
 	Body    io.ReadCloser
+	// abort closes the connection.
+	abort func()
 }
 
 // Framing is how the end of an answer's body is marked (RFC 9112, section 6.3).
@@ -90,11 +98,7 @@
 // ends, the connection is closed, even while the body is being read. The error wraps ErrNotSent or
 // ErrWithheld if nothing can have reached the upstream; after other errors the request may have run.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Answer, error) {
-	connect := p.get
-	if r.Fresh {
-		connect = p.open
-	}
-	c, err := connect(ctx)
+	c, err := p.connect(ctx, r)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
@@ -104,7 +108,8 @@
 			return nil, fmt.Errorf("%w: %w", ErrWithheld, err)
 		}
 	}
-	x := &exchange{pool: p, conn: c, sent: make(chan error, 1)}
+	x := &exchange{pool: p, conn: c, sent: make(chan error, 1), alone: !c.used}
+	c.used = true
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	go x.send(r)
 	a, err := x.receive(r)
@@ -118,9 +123,20 @@
 	return a, nil
 }
 
+func (p *Pool) connect(ctx context.Context, r *Request) (*conn, error) {
+	if r.Fresh {
+		return p.open(ctx)
+	}
+	return p.get(ctx, r.Exclusive)
+}
+
 // exchange is one request and its answer on one connection. stopCancel stops the closing of the
-// connection by the request's context, and reports whether it had not started.
+// connection by the request's context, and reports whether it had not started. alone is set if the
+// connection has carried no other request, unattributed if the answer was accepted for that reason.
 type exchange struct {
+	alone        bool
+	unattributed bool
+
 	pool       *Pool
 	conn       *conn
 	stopCancel func() bool
@@ -142,7 +158,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("no answer: %w", err)
 		}
-		if r.IsAnswer(resp.StatusCode, resp.Header) {
+		attributed := r.IsAnswer(resp.StatusCode, resp.Header, false)
+		if attributed || x.alone && r.IsAnswer(resp.StatusCode, resp.Header, true) {
+			x.unattributed, x.conn.exclusive = !attributed, r.Exclusive
 			if x.pool.onHead != nil {
 				x.pool.onHead(resp.StatusCode, resp.Header)
 			}
@@ -194,7 +212,7 @@
 func (x *exchange) answer(resp *http.Response) *Answer {
 	return &Answer{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: framingOf(resp),
-		Body: &body{ReadCloser: resp.Body, x: x, resp: resp},
+		Body: &body{ReadCloser: resp.Body, x: x, resp: resp}, abort: x.abort,
 	}
 }
 
@@ -206,11 +224,11 @@
 	})
 }
 
-// finish returns the connection to the pool if the answer was complete, the request was written
-// completely, and nothing was received after the answer. Otherwise it closes the connection.
+// finish returns the connection to the pool if the answer was complete and attributed, the request was
+// written completely, and nothing was received after the answer. Otherwise it closes the connection.
 func (x *exchange) finish(resp *http.Response) {
 	x.once.Do(func() {
-		reusable := x.stopCancel() && !resp.Close && x.conn.reader.Buffered() == 0 && x.requestWritten()
+		reusable := x.stopCancel() && !resp.Close && !x.unattributed && x.conn.reader.Buffered() == 0 && x.requestWritten()
 		if !reusable {
 			_ = x.conn.Close()
 			return
@@ -266,16 +284,20 @@
 	Body []byte
 	// IsAnswer reports whether an answer with these headers answers the call.
 	IsAnswer func(h http.Header) bool
-	// Check is as in [Request].
-	Check func() error
+	// Exclusive and Check are as in [Request].
+	Exclusive bool
+	Check     func() error
+	// Verify returns an error if the answer cannot be that to the call. The connection is then closed,
+	// as its answers may be out of step with the requests.
+	Verify func(status int, body []byte) error
 }
 
 // maxCallAnswerBytes is the most that is read of the body of an answer to a Call.
 const maxCallAnswerBytes = 1 << 20
 
-// Call sends a request of the VM itself, and returns the status and the body of its answer, whatever
-// the status is. A body longer than maxCallAnswerBytes is cut off there without an error. Errors are as
-// in [Pool.Do], or those of reading the body.
+// Call sends a request of the VM itself, and returns the status and the body of its answer. A body
+// longer than maxCallAnswerBytes is cut off there without an error. Errors are as in [Pool.Do], or those
+// of reading the body and of [Call.Verify].
 func (p *Pool) Call(ctx context.Context, c Call) (int, []byte, error) {
 	method := http.MethodGet
 	if c.Body != nil {
@@ -288,12 +310,18 @@
 		fmt.Fprintf(&head, "Content-Type: application/json\r\nContent-Length: %d\r\n", len(c.Body))
 	}
 	head.WriteString("\r\n")
-	r := &Request{Method: method, Head: head.Bytes(), Body: c.Body, IsAnswer: func(_ int, h http.Header) bool { return c.IsAnswer(h) }, Check: c.Check}
+	r := &Request{Method: method, Head: head.Bytes(), Body: c.Body, Exclusive: c.Exclusive, IsAnswer: func(_ int, h http.Header, _ bool) bool { return c.IsAnswer(h) }, Check: c.Check}
 	a, err := p.Do(ctx, r)
 	if err != nil {
 		return 0, nil, err
 	}
-	defer a.Body.Close()
 	b, err := io.ReadAll(io.LimitReader(a.Body, maxCallAnswerBytes))
-	return a.Status, b, err
+	if err == nil {
+		err = c.Verify(a.Status, b)
+	}
+	if err != nil {
+		a.abort()
+		return a.Status, b, err
+	}
+	return a.Status, b, a.Body.Close()
 }
--- a/transport/fuzz_test.go
+++ b/transport/fuzz_test.go
@@ -45,7 +45,7 @@
 		defer p.Close()
 		a, err := p.Do(ctx, &transport.Request{
 			Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"),
-			IsAnswer: func(int, http.Header) bool { return own },
+			IsAnswer: func(int, http.Header, bool) bool { return own },
 		})
 		if err != nil {
 			return
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -60,10 +61,11 @@
 	}
 }
 
-// get returns the idle connection that was used last, or a new one if none is reusable.
-func (p *Pool) get(ctx context.Context) (*conn, error) {
+// get returns the idle connection that was used last, or a new one if none is reusable. An exclusive
+// request gets none whose last request was exclusive too.
+func (p *Pool) get(ctx context.Context, exclusive bool) (*conn, error) {
 	for {
-		c := p.pop()
+		c := p.pop(exclusive)
 		if c == nil {
 			return p.open(ctx)
 		}
@@ -74,16 +76,16 @@
 	}
 }
 
-func (p *Pool) pop() *conn {
+func (p *Pool) pop(exclusive bool) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := len(p.idle)
-	if n == 0 {
-		return nil
+	for i, c := range slices.Backward(p.idle) {
+		if !exclusive || !c.exclusive {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
 	}
-	c := p.idle[n-1]
-	p.idle = p.idle[:n-1]
-	return c
+	return nil
 }
 
 // HasIdle reports whether the idle connection that was used last, which the next request gets, is
