Keep unframed streams unframed, and interrupt those of crashed engines

A stream without a length or chunks ends with its connection, and the system closes the connections of a killed process like regular ones. The gateway ended its own chunked response as complete.

Such a stream is now passed on without a frame, as plain responses are. When it ends, the gateway checks whether the engine has crashed; if so, the stream counts as interrupted. The end of an unframed part does not end a response that the client gets with a frame.

Failed before: TestUnframedStreamStaysUnframed (chunked), TestUnframedStreamOfCrashedUpstreamIsInterrupted (complete after one event of two), TestUnframedEndDoesNotEndFramedStream (complete with two attempts).

--- a/serving/answer.go
+++ b/serving/answer.go
@@ -176,6 +176,9 @@
 func (a *answer) copyEvents(resp *transport.Answer, onProgress func()) error {
 	var pending []byte
 	hasEvents, resumed := false, a.headerSent
+	if !resumed {
+		a.unframed = resp.Framing == transport.Unframed
+	}
 	buf := make([]byte, copyBufferSize)
 	for {
 		n, err := resp.Body.Read(buf)
@@ -209,8 +212,9 @@
 
 // endEvents ends a stream that its upstream has ended after rest, which follows the last complete
 // event. The end of the connection, which alone ends an unframed stream, is also what a crash of the
-// upstream looks like. Such a stream is whole only if it ends with an event. A framed answer that does
-// not say that it is a stream of events ends where its frame ends.
+// upstream looks like. Such a stream may be whole only if it ends with an event, and it cannot end an
+// answer that the client gets with a frame: the end of that frame would say that it is whole. A framed
+// answer that does not say that it is a stream of events ends where its frame ends.
 func (a *answer) endEvents(resp *transport.Answer, rest []byte, hasEvents bool) error {
 	switch {
 	case resp.Framing != transport.Unframed && resp.Header.Get("Content-Type") == "":
@@ -218,6 +222,8 @@
 		return errors.New("the stream broke off inside an event")
 	case resp.Framing == transport.Unframed && !hasEvents:
 		return errors.New("the stream broke off before its first event")
+	case resp.Framing == transport.Unframed && a.headerSent && !a.unframed:
+		return errors.New("nothing proves that the rest of the stream is whole")
 	}
 	a.sendHeader(resp)
 	return a.write(rest, true)
--- a/serving/crash.go
+++ b/serving/crash.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"toucanfall/catalogue"
 	"toucanfall/fault"
 	"toucanfall/fleet"
 	"toucanfall/quarantine"
@@ -74,6 +75,18 @@
 	return !<-crashed || !t.h.cfg.Parts.Suspected(t.c.Parts)
 }
 
+// checkEnd returns an error if an answer that was sent to the client is a stream without a frame whose
+// upstream has crashed: the crash ended the connection, and the stream with it.
+func (t *attempts) checkEnd(a *attempt) error {
+	if a.resp.Framing != transport.Unframed || t.c.Route.Kind != catalogue.Stream || !isEventStream(a.resp) {
+		return nil
+	}
+	if <-t.h.crashes.check(a.u, func() {}) {
+		return errors.New("the stream broke off: its upstream has crashed")
+	}
+	return nil
+}
+
 // crashDetector finds out whether upstreams that broke off a run have crashed. A connection that
 // ended says little of its upstream: one that refuses connections right after it has ended.
 type crashDetector struct {
--- a/serving/run.go
+++ b/serving/run.go
@@ -384,6 +384,9 @@
 		t.recordProgress(a)
 		w.activity()
 	})
+	if err == nil {
+		err = t.checkEnd(a)
+	}
 	if resp.Framing == transport.Unframed {
 		t.h.cfg.Metrics.UnframedAnswer(err == nil)
 	}
