Do not pass on guarantees of upstreams that may have run the request

408, 429 and 503 tell a client that its request has not run. An upstream that answers one of them without Toucanfall-Not-Executed may have run it, but its status was passed on, with its seal.

Such a response is no longer passed on.

Failed before: TestStatusOfRunRequestIsNoGuarantee (503, 429 and 408 for 502), TestRunRequestIsRetriedIfIdempotent (429 and 408 for 200).

--- a/serving/run.go
+++ b/serving/run.go
@@ -372,6 +372,11 @@
 	t.mayHaveRun = true
 	t.tried = append(t.tried, u.ID)
 	mayRetry := t.c.Route.Idempotent() && len(t.tried) < t.c.Route.Attempts
+	if guaranteesNotRun(resp.Status) {
+		err = fault.New(fault.UpstreamFailed, "upstream %q may have run the request and answered %d", u.ID, resp.Status)
+		t.recordFailed(a, err)
+		return mayRetry, err
+	}
 	if resp.Status >= http.StatusInternalServerError && mayRetry && t.h.cfg.Budget.AllowsRetry() {
 		return true, fault.New(fault.UpstreamFailed, "upstream %q answered %d", u.ID, resp.Status)
 	}
@@ -400,6 +405,16 @@
 	return false, nil
 }
 
+// guaranteesNotRun reports whether a status tells the client that its request has not run. The gateway
+// passes none of them on from an upstream that does not state that in another way.
+func guaranteesNotRun(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
 // handleBreak handles an answer that could not be sent completely. Once a part of it was sent, only a
 // stream of events can be resumed.
 func (t *attempts) handleBreak(a *attempt, mayRetry bool, err error) (retry bool, _ error) {
