--- a/serving/run.go
+++ b/serving/run.go
@@ -272,10 +272,13 @@
 		head.Priority = min(max(t.c.Priority, 0), lowestPriority)
 	}
 	resp, err := t.h.pools.get(a.u).Do(a.ctx, &transport.Request{
-		// A faulty upstream may write its last answer to a request that comes again once more.
-		Method: t.c.Method, Fresh: t.markSent(a.u.ID), Head: t.h.cfg.Wire.Head(t.c, head), Body: t.c.Body,
-		IsAnswer: func(status int, hd http.Header) bool { return t.h.cfg.Wire.IsAnswerTo(t.c, status, hd) },
-		Check:    func() error { return t.checkBeforeWrite(a) },
+		// A faulty upstream may write its last answer to a request that comes again once more, and
+		// answers to a request without an id cannot be told from others.
+		Method: t.c.Method, Fresh: t.markSent(a.u.ID) || t.c.ID == "", Head: t.h.cfg.Wire.Head(t.c, head), Body: t.c.Body,
+		IsAnswer: func(status int, hd http.Header, alone bool) bool {
+			return t.h.cfg.Wire.IsAnswerTo(t.c, status, hd, alone)
+		},
+		Check: func() error { return t.checkBeforeWrite(a) },
 	})
 	a.resp = resp
 	return err
@@ -369,6 +372,11 @@
 	t.mayHaveRun = true
 	t.tried = append(t.tried, u.ID)
 	mayRetry := t.c.Route.Idempotent() && len(t.tried) < t.c.Route.Attempts
+	if guaranteesNotRun(resp.Status) {
+		err = fault.New(fault.UpstreamFailed, "upstream %q may have run the request and answered %d", u.ID, resp.Status)
+		t.recordFailed(a, err)
+		return mayRetry, err
+	}
 	if resp.Status >= http.StatusInternalServerError && mayRetry && t.h.cfg.Budget.AllowsRetry() {
 		return true, fault.New(fault.UpstreamFailed, "upstream %q answered %d", u.ID, resp.Status)
 	}
@@ -381,6 +389,9 @@
 		t.recordProgress(a)
 		w.activity()
 	})
+	if err == nil {
+		err = t.checkEnd(a)
+	}
 	if resp.Framing == transport.Unframed {
 		t.h.cfg.Metrics.UnframedAnswer(err == nil)
 	}
@@ -394,6 +405,16 @@
 	return false, nil
 }
 
+// guaranteesNotRun reports whether a status tells the client that its request has not run. The gateway
+// passes none of them on from an upstream that does not state that in another way.
+func guaranteesNotRun(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
 // handleBreak handles an answer that could not be sent completely. Once a part of it was sent, only a
 // stream of events can be resumed.
 func (t *attempts) handleBreak(a *attempt, mayRetry bool, err error) (retry bool, _ error) {
