Count only runs since its release for a part that was in quarantine

Ruled out: counting only runs since the first crash from the beginning.

Change: reports also carry the sound runs since the first crash or the last release, and only these count once a quarantine has expired. VMs of earlier versions send and read the reports as before.

TestPartThatBecomesFatal fails without the rule and passes with it.

--- a/quarantine/account.go
+++ b/quarantine/account.go
@@ -84,6 +84,9 @@
 	// At is the time of the report, in Unix milliseconds by the clock of the VM.
 	At    int64       `json:"at"`
 	Parts []PartCount `json:"parts"`
+	// Since holds for each part how many of its sound runs ended after the first crash under it was
+	// known, and after its last quarantine expired. VMs of earlier versions leave it out.
+	Since []int `json:"since,omitempty"`
 }
 
 // Numbers of keys under which the log keeps the newest report of each kind.
@@ -122,9 +125,21 @@
 			return fmt.Errorf("crash report of VM %q: part %q with %d sound runs", r.VM, p.Part, p.Sound)
 		}
 	}
+	if len(r.Since) != 0 && len(r.Since) != len(r.Parts) || slices.ContainsFunc(r.Since, func(n int) bool { return n < 0 }) {
+		return fmt.Errorf("crash report of VM %q with the counts %v for %d parts", r.VM, r.Since, len(r.Parts))
+	}
 	return nil
 }
 
+// since returns the number of sound runs with the i-th part that Since counts, or all
+// of them if the VM does not tell these apart.
+func (r *Report) since(i int) int {
+	if len(r.Since) == 0 {
+		return r.Parts[i].Sound
+	}
+	return r.Since[i]
+}
+
 // reportID identifies a report.
 type reportID struct {
 	vm     fleet.VMID
@@ -160,28 +175,30 @@
 	at time.Duration
 }
 
-// receivedCount is the number of sound runs in a report that was received at a time.
+// receivedCount holds the numbers of sound runs in a report that was received at a time: all, and those
+// that ended after the first crash under the part.
 type receivedCount struct {
-	sound int
-	at    time.Duration
+	sound, since int
+	at           time.Duration
 }
 
-// recent returns the runs that went well and the engines that crashed, without those before
-// countLifetime.
-func (p *partState) recent(now time.Duration) (sound, crashed int) {
+// recent returns the runs that went well, those of them since the first crash, and the engines that
+// crashed, without those before countLifetime.
+func (p *partState) recent(now time.Duration) (sound, since, crashed int) {
 	for instance, c := range p.counts {
 		if now-c.at > countLifetime {
 			delete(p.counts, instance)
 			continue
 		}
 		sound += c.sound
+		since += c.since
 	}
 	for _, e := range p.engines {
 		if now-e.at <= countLifetime {
 			crashed++
 		}
 	}
-	return sound, crashed
+	return sound, since, crashed
 }
 
 // crashedUnder reports whether an engine crashed under the part.
@@ -205,7 +222,9 @@
 type change struct {
 	part        fleet.PartID
 	quarantined bool
-	engines     []EngineStart
+	// expired is set if the quarantine ended because its term was over.
+	expired bool
+	engines []EngineStart
 }
 
 // apply applies a report that was received at the time now, unless it has been applied before. old is
@@ -217,7 +236,7 @@
 	}
 	a.remember(id)
 	var out []change
-	for _, count := range r.Parts {
+	for i, count := range r.Parts {
 		p := a.parts[count.Part]
 		if p == nil {
 			if len(r.Engines) == 0 {
@@ -226,7 +245,7 @@
 			p = &partState{counts: make(map[uint64]receivedCount), firstCrash: now}
 			a.parts[count.Part] = p
 		}
-		p.add(r, count.Sound, now, old)
+		p.add(r, receivedCount{sound: count.Sound, since: r.since(i), at: now}, old)
 		out = append(out, a.judge(count.Part, p, now)...)
 	}
 	a.evict()
@@ -244,7 +263,8 @@
 
 // add adds what a report says of the part. An old crash does not count as recent: this VM does not know
 // all runs that went well at that time. The part of a summary was in quarantine.
-func (p *partState) add(r Report, sound int, now time.Duration, old bool) {
+func (p *partState) add(r Report, count receivedCount, old bool) {
+	now := count.at
 	at := now
 	if old && r.Kind != Summary {
 		at -= countLifetime + 1
@@ -259,14 +279,19 @@
 	if r.Kind == Summary {
 		p.firstCrash = min(p.firstCrash, now-decisionTime)
 	}
-	p.counts[r.Instance] = receivedCount{sound, now}
-	p.everSound = p.everSound || sound > 0
+	p.counts[r.Instance] = count
+	p.everSound = p.everSound || count.sound > 0
 }
 
 // judge decides whether a part is in quarantine, and returns what changed by that. A part stays there
-// until more runs with it went well than engines crashed.
+// until more runs with it went well than engines crashed. Once a quarantine has expired, only runs since
+// then count: those before the first crash say nothing about a part that has become fatal since, and
+// outweighed the crashes after each release until five more engines had ended.
 func (a *account) judge(id fleet.PartID, p *partState, now time.Duration) []change {
-	sound, crashed := p.recent(now)
+	sound, since, crashed := p.recent(now)
+	if p.releases > 0 {
+		sound = since
+	}
 	switch {
 	case p.quarantined && sound > crashed:
 		p.quarantined = false
@@ -277,7 +302,7 @@
 		for i, e := range p.engines {
 			engines[i] = e.EngineStart
 		}
-		return append(a.releaseExplained(), change{id, true, engines})
+		return append(a.releaseExplained(), change{part: id, quarantined: true, engines: engines})
 	}
 	return nil
 }
@@ -337,7 +362,7 @@
 			p.releases++
 			clear(p.counts)
 			p.engines = p.engines[max(len(p.engines)-(minCrashes-1), 0):]
-			out = append(out, change{part: id})
+			out = append(out, change{part: id, expired: true})
 		case !p.quarantined && now-p.lastCrash >= Lifetime:
 			delete(a.parts, id)
 		}
@@ -363,7 +388,7 @@
 		if p == nil {
 			return false
 		}
-		sound, crashed := p.recent(now)
+		sound, _, crashed := p.recent(now)
 		return len(p.engines) > 0 && sound <= crashed
 	})
 }
--- a/quarantine/counts.go
+++ b/quarantine/counts.go
@@ -46,3 +46,9 @@
 	c.rotate(now)
 	return c.current[id] + c.previous[id]
 }
+
+// forget drops the runs with a part.
+func (c *counts) forget(id fleet.PartID) {
+	delete(c.current, id)
+	delete(c.previous, id)
+}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -1,14 +1,19 @@
 package quarantine
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
 
 	"toucanfall/fleet"
+	"toucanfall/timeline"
 )
 
 // reporter makes the reports of a VM.
@@ -77,6 +82,45 @@
 	is.True(!a.suspected(nil, now))
 }
 
+// Guards against a part that became fatal after some sound runs, and ends several more engines after its
+// quarantine has expired, because these runs still outweigh the crashes.
+func TestPartThatBecomesFatal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		logger := logrus.New()
+		logger.SetOutput(io.Discard)
+		start := time.Now()
+		tracker := New(Config{VM: "x", Log: discardedReports{}, Now: func() time.Duration { return time.Since(start) + time.Hour }, Events: timeline.New("test", 1, logger)})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = tracker.Run(ctx) }() // It ends when ctx does.
+		parts := []fleet.PartID{"part"}
+		quarantined := func() bool {
+			_, ok := tracker.Quarantined(parts)
+			return ok
+		}
+		const soundRuns = 6
+		for range soundRuns {
+			tracker.RecordSound(parts)
+		}
+		for i := range soundRuns + 1 {
+			tracker.RecordCrash(EngineStart{Upstream: fleet.UpstreamID(fmt.Sprint("engine-", i)), Born: 1}, "request", parts)
+		}
+		time.Sleep(decisionTime + 2*vouchInterval)
+		is.True(quarantined())
+		time.Sleep(doubtedTerm)
+		is.True(!quarantined())
+		tracker.RecordCrash(EngineStart{Upstream: "another engine", Born: 1}, "request", parts)
+		is.True(quarantined())
+	})
+}
+
+// discardedReports is a log that keeps nothing.
+type discardedReports struct{}
+
+// WriteReport accepts a report.
+func (discardedReports) WriteReport(context.Context, Report) error { return nil }
+
 // Several reports of the end of one engine are one crash.
 func TestReportsOfOneCrashCountOnce(t *testing.T) {
 	is := is.New(t)
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -70,7 +70,10 @@
 	// applied is set by the first call of Apply.
 	applied bool
 	counts  counts
-	queue   []Report
+	// since counts the runs with parts under which an engine has crashed, since the first crash or
+	// the end of the last quarantine.
+	since counts
+	queue []Report
 	// vouched holds when this VM last vouched for a part, witnessed when an engine last crashed under a
 	// run of this VM with a part.
 	vouched, witnessed map[fleet.PartID]time.Duration
@@ -78,7 +81,7 @@
 
 // New returns a tracker without reports. [Tracker.Run] must be called to write its own.
 func New(cfg Config) *Tracker {
-	return &Tracker{cfg: cfg, wake: make(chan struct{}, 1), instance: rand.Uint64(), account: newAccount(), counts: newCounts(cfg.Now()), vouched: make(map[fleet.PartID]time.Duration), witnessed: make(map[fleet.PartID]time.Duration)}
+	return &Tracker{cfg: cfg, wake: make(chan struct{}, 1), instance: rand.Uint64(), account: newAccount(), counts: newCounts(cfg.Now()), since: newCounts(cfg.Now()), vouched: make(map[fleet.PartID]time.Duration), witnessed: make(map[fleet.PartID]time.Duration)}
 }
 
 // Quarantined returns the first of the parts that is in quarantine, and whether there is one.
@@ -119,7 +122,13 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.counts.add(t.cfg.Now(), parts)
+	now := t.cfg.Now()
+	t.counts.add(now, parts)
+	for _, id := range parts {
+		if t.account.parts[id] != nil {
+			t.since.add(now, []fleet.PartID{id})
+		}
+	}
 }
 
 // RecordCrash reports that a request with the parts was running at an engine that crashed.
@@ -164,6 +173,9 @@
 		slices.SortStableFunc(r.Parts, func(a, b PartCount) int { return a.Sound - b.Sound })
 		r.Parts = r.Parts[:maxReportParts]
 	}
+	for _, p := range r.Parts {
+		r.Since = append(r.Since, t.since.get(now, p.Part))
+	}
 	return r
 }
 
@@ -224,13 +236,18 @@
 	t.mu.Lock()
 	now := t.cfg.Now()
 	changes := t.account.update(now)
+	for _, c := range changes {
+		if c.expired {
+			t.since.forget(c.part)
+		}
+	}
 	t.summarize(changes, now)
 	for id, p := range t.account.parts {
 		at, vouched := t.vouched[id]
 		if len(p.engines) < minCrashes-1 || t.counts.get(now, id) == 0 || vouched && now-at < revouchAfter {
 			continue
 		}
-		if sound, crashed := p.recent(now); sound <= vouchFactor*crashed {
+		if sound, _, crashed := p.recent(now); sound <= vouchFactor*crashed {
 			t.vouched[id] = now
 			changes = append(changes, t.publish(t.newReport(Vouch, now, []fleet.PartID{id}), now)...)
 		}
