Limit requests to cold engines by permits

Cause: an engine is cold for some time after a start, and crashes when it gets more requests than ColdPerS a second. The gateway ignored the remaining cold time in directory entries and answers, so a cold engine got its full part of the traffic.

Change: a cold upstream counts as one that announces the limit ColdPerS of its service, so requests to it need permits of one pool host, as for announced limits. The lower of both limits applies. The cold time counts from its receipt and is never shortened; it belongs to one start. It is passed on in shared notices and, with the directory entries, through relays. A pool host drops stored permits of a higher rate when it learns of the cold time.

--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -77,6 +77,10 @@
 // Service is a group of interchangeable upstreams.
 type Service struct {
 	ID ServiceID
+	// ColdTime is how long an upstream is cold after a start. While it is cold, it takes ColdRate
+	// requests per second from all VMs together. There is no such limit if either is 0.
+	ColdTime time.Duration
+	ColdRate float64
 	// Engine is nil for plain services.
 	Engine *Engine
 }
--- a/coordinator/notices.go
+++ b/coordinator/notices.go
@@ -34,9 +34,10 @@
 
 // noticeEntry is the notice of an upstream that was last numbered, and its version.
 type noticeEntry struct {
-	event   uint64
-	leaving bool
-	version uint64
+	event     uint64
+	leaving   bool
+	coldEvent uint64
+	version   uint64
 }
 
 func newNoticeLog(r *roster.Roster, events *timeline.Recorder) *noticeLog {
@@ -60,9 +61,9 @@
 			continue
 		}
 		entry := w.entries[u.ID]
-		if entry.event != notice.Event || entry.leaving != notice.Leaving {
+		if entry.event != notice.Event || entry.leaving != notice.Leaving || entry.coldEvent != notice.ColdEvent {
 			w.version++
-			entry = noticeEntry{notice.Event, notice.Leaving, w.version}
+			entry = noticeEntry{notice.Event, notice.Leaving, notice.ColdEvent, w.version}
 			w.entries[u.ID] = entry
 		}
 		if entry.version > t.Version {
@@ -80,6 +81,9 @@
 		if notice.Limited {
 			f["intake"] = notice.Intake.String()
 		}
+		if notice.Cold > 0 {
+			f["cold_ms"] = timeline.Millis(notice.Cold)
+		}
 		w.events.Record(event.NoticeTold, f)
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -131,6 +131,7 @@
 	})
 	pool := ratelimit.NewPool(bootclock.Now, g.buckets.ShareExpired)
 	g.catalogue.OnChange(g.buckets.Configure)
+	g.catalogue.OnChange(func(c *catalogue.Config) { g.roster.SetColdLimits(roster.ColdLimits(c)) })
 	g.catalogue.OnChange(pool.Configure)
 	g.membership = group.New(group.Config{
 		Self: self, Store: g.store, Partitions: rateTopics * cfg.StorePartitions, Informed: g.follower.InformedOfMembers,
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -38,7 +38,10 @@
 	now := time.Now()
 	for _, u := range g.roster.Upstreams() {
 		s := u.NoticeStatus(now)
-		m := metric.NoticeStatus{Upstream: u.ID, Leaving: s.Leaving, Limited: s.Limited, Limit: float64(s.Intake)}
+		m := metric.NoticeStatus{Upstream: u.ID, Leaving: s.Leaving, Limited: !s.AnnouncedAt.IsZero(), Limit: float64(s.Announced)}
+		if s.ColdIntake > 0 {
+			m.Cold = s.ColdUntil.Sub(now)
+		}
 		if !s.WaitUntil.IsZero() {
 			m.Wait = s.WaitUntil.Sub(now)
 		}
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -40,9 +40,9 @@
 	longestPauseSeconds = Definition{"toucanfall_longest_pause_seconds", Histogram, []string{"kind"}, "Longest pause between two chunks of a response, for requests that were served."}
 	attemptsTotal       = Definition{"toucanfall_attempts_total", Counter, []string{"upstream", "outcome"}, "Attempts by upstream and outcome: `served` or `failed`."}
 	unframedTotal       = Definition{"toucanfall_unframed_answers_total", Counter, []string{"outcome"}, "Answers of upstreams with neither a length nor chunks that were relayed, by outcome: `complete` or `broken`."}
-	noticesTotal        = Definition{"toucanfall_notices_total", Counter, []string{"notice"}, "Responses of upstreams with a notice in their headers: `leaving`, `wait` (no requests for some time), `intake` (a request rate limit), or `odd` for a malformed header."}
-	noticedSendsTotal   = Definition{"toucanfall_noticed_sends_total", Counter, []string{"notice"}, "Requests that were written to an upstream while a notice from it applied: that it is leaving (`leaving`), accepts no requests for some time (`wait`) or limits its request rate (`intake`)."}
-	permitsTotal        = Definition{"toucanfall_permits_total", Counter, []string{"outcome"}, "Permits requested to send to an upstream that announces a request rate limit, by outcome: `given`, or `denied`, after which another upstream is chosen or the request is rejected."}
+	noticesTotal        = Definition{"toucanfall_notices_total", Counter, []string{"notice"}, "Responses of upstreams with a notice in their headers: `leaving`, `wait` (no requests for some time), `intake` (a request rate limit), `cold` (the remaining cold time), or `odd` for a malformed header."}
+	noticedSendsTotal   = Definition{"toucanfall_noticed_sends_total", Counter, []string{"notice"}, "Requests that were written to an upstream while a notice from it applied: that it is leaving (`leaving`), accepts no requests for some time (`wait`), limits its request rate (`intake`) or is cold (`cold`)."}
+	permitsTotal        = Definition{"toucanfall_permits_total", Counter, []string{"outcome"}, "Permits requested to send to an upstream that announces a request rate limit or is cold, by outcome: `given`, or `denied`, after which another upstream is chosen or the request is rejected."}
 	prefillCreditsTotal = Definition{"toucanfall_prefill_credits_total", Counter, []string{"outcome"}, "Requests for a credit to send a prompt to an engine, by outcome: `given`, `denied` (the request waits or another engine is asked), or `unaccounted` (no host of the engine's account answered and the prompt was sent without a credit)."}
 	storeCallsTotal     = Definition{"toucanfall_store_calls_total", Counter, []string{"call", "outcome"}, "Calls to the platform's store by outcome: `answered` or `failed`."}
 	panicsTotal         = Definition{"toucanfall_panics_total", Counter, []string{"where"}, "Recovered panics, by place: `request`, the name of a background loop, or a method that peers call."}
@@ -58,10 +58,11 @@
 	upstreamLeaving     = Definition{"toucanfall_upstream_leaving", Gauge, []string{"upstream"}, "1 for an upstream that announced in a response that it is leaving."}
 	upstreamWait        = Definition{"toucanfall_upstream_wait_seconds", Gauge, []string{"upstream"}, "Remaining time for which an upstream that rejected a request of this VM accepts no more from it."}
 	upstreamLimit       = Definition{"toucanfall_upstream_intake", Gauge, []string{"upstream"}, "Request rate limit that an upstream announces, in requests per second over all VMs. Absent while it announces none."}
+	upstreamCold        = Definition{"toucanfall_upstream_cold_seconds", Gauge, []string{"upstream"}, "Remaining time for which an upstream is cold and takes only the request rate that the configuration sets for cold upstreams of its service, over all VMs. Absent while it is not cold."}
 )
 
 // Registry lists all metrics, in the order of docs/METRICS.md.
-var Registry = []Definition{requestsTotal, firstPieceSeconds, longestPauseSeconds, attemptsTotal, unframedTotal, noticesTotal, noticedSendsTotal, permitsTotal, prefillCreditsTotal, storeCallsTotal, panicsTotal, openRequests, configStaleness, directoryAge, directoryAgeAtSend, configVersion, rateShare, isCoordinator, quarantinedParts, upstreamCount, upstreamLeaving, upstreamWait, upstreamLimit}
+var Registry = []Definition{requestsTotal, firstPieceSeconds, longestPauseSeconds, attemptsTotal, unframedTotal, noticesTotal, noticedSendsTotal, permitsTotal, prefillCreditsTotal, storeCallsTotal, panicsTotal, openRequests, configStaleness, directoryAge, directoryAgeAtSend, configVersion, rateShare, isCoordinator, quarantinedParts, upstreamCount, upstreamLeaving, upstreamWait, upstreamLimit, upstreamCold}
 
 // maxLabelValues bounds the number of values of a label that come from outside
 // the process (teams, upstreams); further ones are counted as otherLabelValue. The
--- a/metric/notice_status.go
+++ b/metric/notice_status.go
@@ -20,19 +20,21 @@
 	Limited bool
 	// Limit is the announced limit in requests per second over all VMs.
 	Limit float64
+	// Cold is for how long the upstream stays cold and its request rate is limited.
+	Cold time.Duration
 }
 
 // noticeCollector is a Prometheus collector with gauges of the upstreams that have an
 // active notice. It exposes no others: a large fleet has more upstreams than the number
 // of values that a VM exposes for a label.
 type noticeCollector struct {
-	read                 func() []NoticeStatus
-	leaving, wait, limit *prometheus.Desc
+	read                       func() []NoticeStatus
+	leaving, wait, limit, cold *prometheus.Desc
 }
 
 func newNoticeCollector(read func() []NoticeStatus) *noticeCollector {
 	describe := func(d Definition) *prometheus.Desc { return prometheus.NewDesc(d.Name, d.Text, d.Labels, nil) }
-	return &noticeCollector{read: read, leaving: describe(upstreamLeaving), wait: describe(upstreamWait), limit: describe(upstreamLimit)}
+	return &noticeCollector{read: read, leaving: describe(upstreamLeaving), wait: describe(upstreamWait), limit: describe(upstreamLimit), cold: describe(upstreamCold)}
 }
 
 // Describe sends the descriptors of the gauges. It implements prometheus.Collector.
@@ -40,6 +42,7 @@
 	out <- c.leaving
 	out <- c.wait
 	out <- c.limit
+	out <- c.cold
 }
 
 // Collect sends a gauge for each active notice of an upstream. It implements
@@ -58,5 +61,8 @@
 		if u.Limited {
 			send(c.limit, u.Limit)
 		}
+		if u.Cold > 0 {
+			send(c.cold, u.Cold.Seconds())
+		}
 	}
 }
--- a/ratelimit/permit.go
+++ b/ratelimit/permit.go
@@ -29,6 +29,10 @@
 	// Intake is the limit that the upstream announced Age ago, in requests per second.
 	Intake roster.Intake
 	Age    time.Duration
+	// Cold, ColdFor and OnlyCold are as in IntakeRequest.
+	Cold     roster.Intake
+	ColdFor  time.Duration
+	OnlyCold bool
 	Claimant
 }
 
@@ -144,6 +148,7 @@
 	s.mu.Lock()
 	in := IntakeRequest{
 		VM: c.cfg.VM, Upstream: r.Upstream, Born: r.StartTime, Intake: r.Intake, Age: r.Age,
+		Cold: r.Cold, ColdFor: r.ColdFor, OnlyCold: r.OnlyCold,
 		First: r.Claimant, Want: s.waiting, Turned: s.rejected,
 	}
 	s.rejected = nil
--- a/ratelimit/upstream_limits.go
+++ b/ratelimit/upstream_limits.go
@@ -118,6 +118,11 @@
 	announced   roster.Intake
 	announcedAt time.Duration
 	available   float64
+	// cold is the limit until coldUntil, in requests per second.
+	cold      roster.Intake
+	coldUntil time.Duration
+	// rate is the number of permits that are granted per second.
+	rate float64
 	// majorityTime and losses are those of the poolBindings at the last refill. availableSince
 	// is when the number of available permits reached one.
 	majorityTime   time.Duration
@@ -229,6 +234,12 @@
 	// Intake is the limit that the upstream announced Age ago, in requests per second.
 	Intake roster.Intake
 	Age    time.Duration
+	// Cold is the limit while the upstream is cold, and applies for ColdFor more; 0 if it is not
+	// cold. OnlyCold is set if the upstream has announced no limit: Intake then repeats Cold, for
+	// pool hosts of earlier versions.
+	Cold     roster.Intake
+	ColdFor  time.Duration
+	OnlyCold bool
 	// First is the request that is to be sent first, Want is how many requests wait. Turned
 	// holds requests of this VM that got no permit since its last IntakeRequest.
 	First  Claimant
@@ -239,10 +250,10 @@
 // Check returns an error if a field of the request is out of range.
 func (r *IntakeRequest) Check() error {
 	switch {
-	case !r.Intake.Valid():
-		return fmt.Errorf("an intake of %s requests a second", r.Intake)
-	case r.Age < 0 || r.Want < 0:
-		return fmt.Errorf("an age of %s, %d requests wanted", r.Age, r.Want)
+	case !r.Intake.Valid() || !r.Cold.Valid():
+		return fmt.Errorf("an intake of %s requests a second, %s while cold", r.Intake, r.Cold)
+	case r.Age < 0 || r.Want < 0 || r.ColdFor < 0:
+		return fmt.Errorf("an age of %s, a cold time of %s, %d requests wanted", r.Age, r.ColdFor, r.Want)
 	}
 	return nil
 }
@@ -278,7 +289,7 @@
 	bindings := s.advance(in.Pool, now)
 	l := s.limitOf(upstreamStart{in.Upstream, in.Born}, bindings, now)
 	l.refill(bindings, now)
-	l.updateAnnounced(in, now)
+	l.updateLimits(in, now)
 	l.lastRequest, l.requesters[in.VM] = now, now
 	for _, c := range in.Turned {
 		l.addRejected(c, now)
@@ -321,7 +332,16 @@
 
 // permitRate returns how many permits are granted per second.
 func (l *upstreamLimit) permitRate() float64 {
-	return usedFraction * float64(l.announced)
+	return l.rate
+}
+
+// lowestLimit returns the lowest limit that applies, 0 if none is known.
+func (l *upstreamLimit) lowestLimit(now time.Duration) roster.Intake {
+	hasAnnounced := l.announcedAt != math.MinInt64
+	if now < l.coldUntil && (!hasAnnounced || l.cold < l.announced) {
+		return l.cold
+	}
+	return l.announced
 }
 
 // refill adds the permits that have accrued since the last refill. Permits left from before
@@ -335,15 +355,32 @@
 	if l.available < 1 && available >= 1 {
 		l.availableSince = now - time.Duration((available-1)/l.permitRate()*float64(time.Second))
 	}
-	l.available = min(available, max(l.permitRate()*storedWindow.Seconds(), 1))
+	l.available = min(available, l.maxStored())
+}
+
+// maxStored returns how many unused permits are kept.
+func (l *upstreamLimit) maxStored() float64 {
+	return max(l.permitRate()*storedWindow.Seconds(), 1)
 }
 
-// updateAnnounced applies the limit of a request, if it was announced later than the known
-// one.
-func (l *upstreamLimit) updateAnnounced(in IntakeRequest, now time.Duration) {
-	if announcedAt := now - in.Age; announcedAt > l.announcedAt {
+// updateLimits applies the limits of a request: the announced one if it was announced later
+// than the known one, and a cold time if it ends later. Of two limits for cold upstreams, from
+// VMs with different configurations, the lower one applies.
+func (l *upstreamLimit) updateLimits(in IntakeRequest, now time.Duration) {
+	if announcedAt := now - in.Age; !in.OnlyCold && announcedAt > l.announcedAt {
 		l.announcedAt, l.announced = announcedAt, in.Intake
 	}
+	if in.ColdFor > 0 {
+		if now >= l.coldUntil || in.Cold < l.cold {
+			l.cold = in.Cold
+		}
+		l.coldUntil = max(l.coldUntil, now+in.ColdFor)
+	}
+	l.rate = usedFraction * float64(l.lowestLimit(now))
+	if now < l.coldUntil {
+		// Permits that were stored at a higher rate would reach a cold engine all at once.
+		l.available = min(l.available, l.maxStored())
+	}
 }
 
 // addRejected records that a request got no permit.
--- a/ratelimit/upstream_limits_test.go
+++ b/ratelimit/upstream_limits_test.go
@@ -315,7 +315,7 @@
 	f.syncAll(10)
 	nan, inf := math.NaN(), math.Inf(1)
 	for _, in := range []IntakeRequest{
-		{Intake: roster.Intake(nan)}, {Intake: roster.Intake(inf)}, {Intake: -1}, {Intake: 10, Age: -1}, {Intake: 10, Want: -1},
+		{Intake: roster.Intake(nan)}, {Intake: roster.Intake(inf)}, {Intake: -1}, {Intake: 10, Age: -1}, {Intake: 10, Want: -1}, {Intake: 10, Cold: -1}, {Intake: 10, Cold: roster.Intake(nan)}, {Intake: 10, Cold: 1, ColdFor: -1},
 	} {
 		_, err := f.vms[0].pool.Permit(in)
 		is.True(err != nil)
@@ -350,3 +350,101 @@
 		_ = limits.grant(in[i%len(in)])
 	}
 }
+
+// coldArrivals checks the requests that reach a cold engine.
+type coldArrivals struct{ arrivals }
+
+// maxInSecond returns the largest number of requests within any second.
+func (a *coldArrivals) maxInSecond() int {
+	most, first := 0, 0
+	for i, at := range a.at {
+		for at-a.at[first] >= time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// coldRequest returns the i-th request for a permit at an engine that stays cold for coldFor and has
+// announced a limit, or none if it is 0. Every third VM knows only the announced limit.
+func coldRequest(i int, cold, announced roster.Intake, coldFor time.Duration) PermitRequest {
+	r := PermitRequest{Upstream: "u", StartTime: 1, Intake: announced, Cold: cold, ColdFor: coldFor, OnlyCold: announced == 0}
+	switch {
+	case r.OnlyCold:
+		r.Intake = cold
+	case i%3 == 0 && i > 0:
+		r.Cold, r.ColdFor = 0, 0
+	}
+	return r
+}
+
+// loadColdEngine makes the VMs in turn ask for permits, and counts the valid ones.
+func (f *testFleet) loadColdEngine(a *coldArrivals, cold, announced roster.Intake, length time.Duration) {
+	const step = 5 * time.Millisecond
+	end := f.now + length
+	for i := 0; f.now < end; i++ {
+		f.now += step
+		for n, v := range f.vms {
+			if (i+n)%int(depositInterval/step) == 0 {
+				f.sync(v)
+			}
+		}
+		p, _ := f.vms[i%len(f.vms)].client.Permit(context.Background(), coldRequest(i, cold, announced, end-f.now))
+		if p != nil && p.Valid() {
+			a.at = append(a.at, f.now)
+		}
+	}
+}
+
+// Guards against more requests than a cold engine takes (1.5 times its rate and 5 more in any
+// second): some VMs know its cold time, some only the higher limit that it announces, and one
+// sends no regular messages and cannot be called. A lower announced limit still applies.
+func TestColdEngineIsLimited(t *testing.T) {
+	for _, vms := range []int{1, 7, 60, 195} {
+		for _, announced := range []roster.Intake{0, 4, 500} {
+			t.Run(fmt.Sprintf("vms=%d,announced=%g", vms, announced), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				const cold, length = 19, 10 * time.Second
+				f, a := newTestFleet(vms, 1, nil...), &coldArrivals{}
+				f.syncAll(20)
+				f.unreachable[fmt.Sprint(vms-1)] = vms > 1
+				f.loadColdEngine(a, cold, announced, length)
+				lowest := length.Seconds() * cold
+				if announced > 0 {
+					lowest = length.Seconds() * min(cold, float64(announced))
+				}
+				t.Logf("most %d in a second, %d in all", a.maxInSecond(), len(a.at))
+				is.True(float64(a.maxInSecond()) <= cold*1.5+5)
+				is.True(float64(len(a.at)) <= lowest+1)
+				is.True(float64(len(a.at)) >= 0.7*lowest)
+			})
+		}
+	}
+}
+
+// Guards against stored permits of a high announced limit that reach an engine at once when it becomes
+// cold, and against a cold limit that stays after the cold time.
+func TestColdTimeLowersStoredPermits(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(1, 1)
+	f.syncAll(20)
+	in := IntakeRequest{VM: "0", Pool: PoolID{0, 1}, Upstream: "u", Born: 1, Intake: 500, Want: 100}
+	grant := func() int {
+		out, err := f.vms[0].pool.Permit(in)
+		is.NoErr(err)
+		return out.Given
+	}
+	grant()
+	f.syncAll(5)
+	in.Cold, in.ColdFor = 10, time.Second
+	is.Equal(grant(), 1) // 0.9 * 10 a second for 0.2 s, of 90 that are stored.
+	in.Cold, in.ColdFor = 0, 0
+	f.syncAll(4)
+	is.True(grant() <= 2) // The cold time that another VM has reported still applies.
+	f.syncAll(10)
+	grant()
+	f.syncAll(5)
+	is.True(grant() > 50)
+}
--- a/relay/directory.go
+++ b/relay/directory.go
@@ -33,17 +33,30 @@
 	// ascending order.
 	pastPositions []Position
 	// lastChange is the position of the last change, allEntries the packed list of all
-	// entries as of then.
+	// entries as of then. While an upstream is cold, the list is packed again every
+	// coldPackInterval.
 	lastChange Position
-	allEntries packedCache[Position]
+	allEntries packedCache[packedVersion]
 }
 
 // positionedEntry is an entry with the position of the read that last found it changed.
 type positionedEntry struct {
-	entry     roster.Entry
+	entry roster.Entry
+	// coldUntil is until when the upstream is cold, counted from the receipt of the entry.
+	coldUntil time.Time
 	changedAt Position
 }
 
+// coldPackInterval bounds by how much a packed list overstates the remaining cold times.
+const coldPackInterval = time.Second
+
+// packedVersion identifies a packed list of all entries. coldInterval counts the intervals of
+// coldPackInterval, 0 if no upstream is cold.
+type packedVersion struct {
+	lastChange   Position
+	coldInterval int64
+}
+
 // removal records that an entry was removed, and the position of the read that found it.
 type removal struct {
 	id       fleet.UpstreamID
@@ -91,14 +104,20 @@
 	d.position = at
 }
 
-// put records an entry, as changed at a position unless only its adapters differ. The
-// caller must hold mu.
+// put records an entry, as changed at a position unless only its adapters differ. A cold time
+// is a change if it ends later than was known: the remaining time of every heartbeat differs.
+// The caller must hold mu.
 func (d *Directory) put(e roster.Entry, at Position) {
-	if old, ok := d.entries[e.ID]; ok && equalIgnoringAdapters(old.entry, e) {
-		d.entries[e.ID] = positionedEntry{e, old.changedAt}
+	coldUntil := time.Now().Add(e.Cold)
+	old, ok := d.entries[e.ID]
+	if ok && equalIgnoringAdapters(old.entry, e) && (e.Cold <= 0 || !coldUntil.After(old.coldUntil)) {
+		d.entries[e.ID] = positionedEntry{e, old.coldUntil, old.changedAt}
 		return
 	}
-	d.entries[e.ID] = positionedEntry{e, at}
+	if ok && old.entry.Born == e.Born && old.coldUntil.After(coldUntil) {
+		coldUntil = old.coldUntil
+	}
+	d.entries[e.ID] = positionedEntry{e, coldUntil, at}
 	d.lastChange = at
 }
 
@@ -170,7 +189,7 @@
 	case !d.differsFrom(from):
 		return
 	case from < d.removalsFrom || !d.hasBeenAt(from):
-		out.All = d.allEntries.get(d.lastChange, func() any { return d.entriesSince(-1) })
+		out.All = d.allEntries.get(d.packedVersion(), func() any { return d.entriesSince(-1) })
 		return
 	}
 	out.Entries = d.entriesSince(from)
@@ -184,9 +203,26 @@
 // entriesSince returns the entries that changed after a position. The caller must hold mu.
 func (d *Directory) entriesSince(from Position) []roster.Entry {
 	var out []roster.Entry
+	now := time.Now()
 	for _, p := range d.entries {
 		if p.changedAt > from {
-			out = append(out, p.entry)
+			e := p.entry
+			e.Cold = max(p.coldUntil.Sub(now), 0)
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// packedVersion returns the version of the packed list of all entries. The caller must hold
+// mu.
+func (d *Directory) packedVersion() packedVersion {
+	out := packedVersion{lastChange: d.lastChange}
+	now := time.Now()
+	for _, p := range d.entries {
+		if p.coldUntil.After(now) {
+			out.coldInterval = now.UnixNano() / int64(coldPackInterval)
+			break
 		}
 	}
 	return out
--- a/relay/directory_test.go
+++ b/relay/directory_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -179,3 +180,34 @@
 	is.Equal(n.Directory, Position(2))
 	is.Equal(n.DirectoryAge, time.Second)
 }
+
+// Guards against a cold engine that VMs behind a relay take for a warm one, against a cold time that
+// counts anew from each request although the relay has known it for long, and against an update for
+// each heartbeat of a cold engine.
+func TestColdTimeIsPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := NewDirectory()
+		cold := func(d time.Duration) []roster.Entry { return []roster.Entry{{ID: "u", Cold: d}} }
+		d.ApplyChanges(roster.Changes{Complete: true, Entries: cold(20 * time.Second)}, 1, time.Second)
+		sent := func(from Position) []roster.Entry {
+			var n News
+			d.fillNews(from, 3*time.Second, &n)
+			c, err := n.Changes()
+			is.NoErr(err)
+			return c.Entries
+		}
+		is.Equal(sent(0), cold(20*time.Second))
+		time.Sleep(5 * time.Second)
+		is.Equal(sent(0), cold(15*time.Second)) // The packed list is not that of 5 s ago.
+		d.ApplyChanges(roster.Changes{Entries: cold(15 * time.Second)}, 2, 2*time.Second)
+		is.True(!d.hasUpdateFor(1)) // A heartbeat of the same cold time.
+		d.ApplyChanges(roster.Changes{Entries: cold(0)}, 3, 2*time.Second)
+		is.True(!d.hasUpdateFor(1))
+		d.ApplyChanges(roster.Changes{Entries: cold(20 * time.Second)}, 4, 2*time.Second)
+		is.True(d.hasUpdateFor(3)) // Cold again.
+		is.Equal(sent(3), cold(20*time.Second))
+		time.Sleep(time.Minute)
+		is.Equal(sent(3), cold(0))
+	})
+}
--- a/roster/notice.go
+++ b/roster/notice.go
@@ -34,15 +34,23 @@
 	Intake  Intake
 	// Wait is how long this VM must send no more requests, 0 if the upstream does not ask to wait.
 	Wait time.Duration
+	// Cold is for how long the upstream stays cold, 0 if it announces nothing.
+	Cold time.Duration
 }
 
-// NoticeStatus is the combined effect of an upstream's notices at one time.
+// NoticeStatus is the combined effect of an upstream's notices at one time, and of its being cold.
 type NoticeStatus struct {
 	Leaving bool
+	// Limited is set if the upstream announces a limit or is cold. Intake is the lowest limit that
+	// applies.
 	Limited bool
 	Intake  Intake
-	// AnnouncedAt is when the limit was last announced.
+	// AnnouncedAt is when the limit Announced was last announced, the zero time if there is none.
 	AnnouncedAt time.Time
+	Announced   Intake
+	// ColdIntake is the limit while the upstream is cold, 0 if it is not. ColdUntil is when it ends.
+	ColdIntake Intake
+	ColdUntil  time.Time
 	// WaitUntil is the end of the longest wait that the upstream asked for, the zero time if none
 	// is pending.
 	WaitUntil time.Time
@@ -87,9 +95,12 @@
 func (u *Upstream) ApplyNotice(n Notice, served bool, now time.Time) (before, after NoticeStatus) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	before = u.notices.status(now)
+	before = u.status(now)
 	u.notices.apply(n, served, now)
-	return before, u.notices.status(now)
+	if u.cold.extend(n.Cold, now) {
+		u.cold.event = rand.Uint64()
+	}
+	return before, u.status(now)
 }
 
 // DenyUntil records that this VM gets no permit for the announced limit before the time until.
@@ -104,7 +115,7 @@
 func (u *Upstream) ClosedUntil(now time.Time) time.Time {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	until := u.notices.closedUntil(now)
+	until := u.closedUntil(now)
 	if until.IsZero() && u.notices.probing && u.inFlight > 0 {
 		return now.Add(probeInterval)
 	}
@@ -120,11 +131,13 @@
 	probeInterval = 100 * time.Millisecond
 )
 
-func (s *noticeState) closedUntil(now time.Time) time.Time {
+// closedUntil is ClosedUntil for a caller that holds mu, without the probe after a wait.
+func (u *Upstream) closedUntil(now time.Time) time.Time {
+	s := &u.notices
 	if now.Before(s.waitUntil) {
 		return s.waitUntil
 	}
-	if s.status(now).Limited && now.Before(s.deniedUntil) {
+	if u.status(now).Limited && now.Before(s.deniedUntil) {
 		return s.deniedUntil
 	}
 	return time.Time{}
@@ -134,7 +147,21 @@
 func (u *Upstream) NoticeStatus(now time.Time) NoticeStatus {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.notices.status(now)
+	return u.status(now)
+}
+
+// status is NoticeStatus for a caller that holds mu.
+func (u *Upstream) status(now time.Time) NoticeStatus {
+	out := u.notices.status(now)
+	cold := u.cold.remaining(now)
+	if cold == 0 {
+		return out
+	}
+	out.ColdIntake, out.ColdUntil = u.cold.limit.Rate, now.Add(cold)
+	if !out.Limited || out.ColdIntake < out.Intake {
+		out.Limited, out.Intake = true, out.ColdIntake
+	}
+	return out
 }
 
 func (s *noticeState) apply(n Notice, served bool, now time.Time) {
@@ -181,18 +208,28 @@
 	Limited bool
 	Intake  Intake
 	Age     time.Duration
-	// Event is the same in all shared notices that stem from the same answer.
+	// Cold is for how long the upstream stays cold, counted from the receipt of the notice; 0 if it
+	// is not cold. ColdEvent is the same in all shared notices whose cold time stems from the same
+	// answer, 0 if it stems from none. VMs of earlier versions neither send nor use them.
+	Cold      time.Duration
+	ColdEvent uint64
+	// Event is the same in all shared notices that stem from the same answer, 0 if only the cold
+	// time is shared.
 	Event uint64
 }
 
 // Check returns an error if the age or the limit is not a possible value.
 func (w *Word) Check() error {
-	if w.Age < 0 || !w.Intake.Valid() {
-		return fmt.Errorf("word of upstream %q: an age of %s and an intake of %g", w.Upstream, w.Age, w.Intake)
+	if w.Age < 0 || w.Cold < 0 || !w.Intake.Valid() {
+		return fmt.Errorf("word of upstream %q: an age of %s, a cold time of %s and an intake of %g", w.Upstream, w.Age, w.Cold, w.Intake)
 	}
 	return nil
 }
 
+// noLimitAge is the age in a shared notice of a VM that knows of no limit. It is longer than any limit
+// applies, so that the notice ends none on a VM of an earlier version.
+const noLimitAge = time.Hour
+
 // SharedNotice returns the upstream's notice for other VMs, and false if it has announced nothing.
 func (u *Upstream) SharedNotice(now time.Time) (Word, bool) {
 	u.mu.Lock()
@@ -201,8 +238,11 @@
 	w := Word{Upstream: u.ID, Born: u.entry.Born, Leaving: s.leaving, Limited: s.limited, Intake: s.limit, Event: s.eventID}
 	if !s.announcedAt.IsZero() {
 		w.Age = now.Sub(s.announcedAt)
+	} else if s.eventID == 0 {
+		w.Age = noLimitAge
 	}
-	return w, s.eventID != 0
+	w.Cold, w.ColdEvent = max(u.cold.until.Sub(now), 0), u.cold.event
+	return w, s.eventID != 0 || u.cold.event != 0
 }
 
 // ApplySharedNotices applies the shared notices of other VMs, whose ages refer to the time now, and
@@ -219,14 +259,17 @@
 func (u *Upstream) merge(w Word, now time.Time) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	before := u.notices.status(now)
+	before := u.status(now)
 	u.notices.merge(w, now)
-	after := u.notices.status(now)
-	return before.Leaving != after.Leaving || before.Limited != after.Limited || before.Intake != after.Intake
+	// A cold time counts from its receipt, unlike the age of a limit: now may be when the notice was
+	// requested.
+	u.cold.merge(w.Cold, w.ColdEvent, time.Now())
+	after := u.status(now)
+	return before.Leaving != after.Leaving || before.Limited != after.Limited || before.Intake != after.Intake || (before.ColdIntake > 0) != (after.ColdIntake > 0)
 }
 
 func (s *noticeState) merge(w Word, now time.Time) {
-	known := w.Event == s.eventID
+	known := w.Event == s.eventID || w.Event == 0
 	if w.Leaving && !s.leaving {
 		s.leaving, s.eventID = true, w.Event
 	}
@@ -245,7 +288,7 @@
 func (s *noticeState) status(now time.Time) NoticeStatus {
 	out := NoticeStatus{Leaving: s.leaving}
 	if s.limited && now.Sub(s.announcedAt) < limitLifetime+s.requiredSilence() {
-		out.Limited, out.Intake, out.AnnouncedAt = true, s.limit, s.announcedAt
+		out.Limited, out.Intake, out.Announced, out.AnnouncedAt = true, s.limit, s.limit, s.announcedAt
 	}
 	if now.Before(s.waitUntil) {
 		out.WaitUntil = s.waitUntil
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -25,6 +25,8 @@
 	// with another Born has kept no state.
 	Born     int64
 	Holdings []Holding
+	// Cold is for how long the upstream stays cold, counted from the receipt of the entry.
+	Cold time.Duration
 }
 
 // Changes is the result of one read of the directory.
@@ -58,6 +60,8 @@
 	sorted    []*Upstream // By id. It is replaced on each change, and never modified.
 	// dataCentres is the number of data centres with an upstream.
 	dataCentres int
+	// coldLimits holds the limits of the services that have one.
+	coldLimits map[catalogue.ServiceID]ColdLimit
 	// confirmedAt is when the roster was last known to match the directory, on the clock of the
 	// callers of Confirm; 0 if never.
 	confirmedAt time.Duration
@@ -75,13 +79,13 @@
 	defer r.mu.Unlock()
 	u, ok := r.upstreams[e.ID]
 	if ok && u.StartTime() == e.Born && u.Address() == e.Address {
-		u.update(e)
+		u.update(e, r.coldLimits[e.Service])
 		return
 	}
 	if ok {
 		u.markRemoved()
 	}
-	r.upstreams[e.ID] = newUpstream(e)
+	r.upstreams[e.ID] = newUpstream(e, r.coldLimits[e.Service])
 	r.rebuildIndex()
 }
 
@@ -116,6 +120,16 @@
 	}
 }
 
+// SetColdLimits replaces the limits of cold upstreams, by service.
+func (r *Roster) SetColdLimits(limits map[catalogue.ServiceID]ColdLimit) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.coldLimits = limits
+	for _, u := range r.upstreams {
+		u.setColdLimit(limits)
+	}
+}
+
 // Expire removes the upstreams whose entries vanished and were not restored in time.
 func (r *Roster) Expire(now time.Time) {
 	r.mu.Lock()
--- a/roster/upstream.go
+++ b/roster/upstream.go
@@ -62,6 +62,8 @@
 	backoff          time.Duration
 	// notices is the state from the notices of this start.
 	notices noticeState
+	// cold is the cold state of this start.
+	cold coldState
 	// adapters holds the adapters that are loaded or being loaded, with the time from which each
 	// can be used.
 	adapters map[Adapter]time.Time
@@ -78,7 +80,7 @@
 	Adapter fleet.AdapterID
 }
 
-func newUpstream(e Entry) *Upstream {
+func newUpstream(e Entry, cold ColdLimit) *Upstream {
 	u := &Upstream{
 		ID:       e.ID,
 		entry:    e,
@@ -87,6 +89,8 @@
 		adapters: make(map[Adapter]time.Time),
 	}
 	u.initAdapters(e)
+	u.cold.limit = cold
+	u.cold.extend(e.Cold, time.Now())
 	return u
 }
 
@@ -99,10 +103,12 @@
 	}
 }
 
-func (u *Upstream) update(e Entry) {
+func (u *Upstream) update(e Entry, cold ColdLimit) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.entry = e
+	u.cold.limit = cold
+	u.cold.extend(e.Cold, time.Now())
 	u.suspectedUntil = time.Time{}
 }
 
--- a/serving/admit.go
+++ b/serving/admit.go
@@ -23,7 +23,7 @@
 const maxPermitDenials = 8
 
 // acquirePermit prepares an attempt at an upstream, with a permit if the upstream announces a
-// request rate limit. If no permit is available, the upstream is closed to this VM until the
+// request rate limit or is cold. If no permit is available, the upstream is closed to this VM until the
 // retry-after time, and the error is fault.Overloaded.
 func (t *attempts) acquirePermit(ctx context.Context, u *roster.Upstream) (*attempt, error) {
 	a := &attempt{u: u, lastEvent: t.out.resumeEventID(t.c)}
@@ -32,10 +32,7 @@
 	if !s.Limited {
 		return a, nil
 	}
-	permit, after := t.h.cfg.Permits.Permit(ctx, ratelimit.PermitRequest{
-		Upstream: u.ID, StartTime: u.StartTime(), Intake: s.Intake, Age: now.Sub(s.AnnouncedAt),
-		Claimant: ratelimit.Claimant{Rank: t.c.Priority, Team: t.c.Team},
-	})
+	permit, after := t.h.cfg.Permits.Permit(ctx, t.permitRequest(u, s, now))
 	t.h.cfg.Metrics.Permit(permit != nil)
 	if permit == nil {
 		u.DenyUntil(time.Now().Add(after))
@@ -45,6 +42,21 @@
 	return a, nil
 }
 
+// permitRequest returns the request for a permit for an upstream with the given status.
+func (t *attempts) permitRequest(u *roster.Upstream, s roster.NoticeStatus, now time.Time) ratelimit.PermitRequest {
+	r := ratelimit.PermitRequest{
+		Upstream: u.ID, StartTime: u.StartTime(), Intake: s.Announced, Age: now.Sub(s.AnnouncedAt),
+		Claimant: ratelimit.Claimant{Rank: t.c.Priority, Team: t.c.Team},
+	}
+	if s.ColdIntake > 0 {
+		r.Cold, r.ColdFor = s.ColdIntake, s.ColdUntil.Sub(now)
+	}
+	if s.AnnouncedAt.IsZero() {
+		r.Intake, r.Age, r.OnlyCold = s.ColdIntake, 0, true
+	}
+	return r
+}
+
 // checkNotice returns an error if the upstream must not get the request because of what it
 // has announced since it was chosen.
 func (a *attempt) checkNotice() error {
@@ -56,7 +68,7 @@
 	case a.permit != nil && !a.permit.Valid():
 		return fmt.Errorf("the permit for upstream %q has expired", u.ID)
 	case a.permit == nil && s.Limited:
-		return fmt.Errorf("upstream %q now announces a request rate limit", u.ID)
+		return fmt.Errorf("upstream %q now announces a request rate limit or is cold", u.ID)
 	}
 	return nil
 }
--- a/serving/notice.go
+++ b/serving/notice.go
@@ -18,6 +18,7 @@
 	noticeLeaving   = "leaving"
 	noticeWait      = "wait"
 	noticeLimit     = "intake"
+	noticeCold      = "cold"
 	noticeMalformed = "odd"
 )
 
@@ -48,11 +49,12 @@
 	// announce it, so it must not end the limit.
 	served := r.Request != "" && status >= http.StatusOK && status < http.StatusMultipleChoices
 	before, after := u.ApplyNotice(r.Notice, served, time.Now())
-	countNotice(n.metrics.Notice, r.Notice.Leaving, r.Notice.Wait > 0, r.Notice.Limited)
+	countNotice(n.metrics.Notice, r.Notice.Leaving, r.Notice.Wait > 0, r.Notice.Limited, r.Notice.Cold > 0)
 	if len(r.Malformed) > 0 {
 		n.metrics.Notice(noticeMalformed)
 	}
-	if before.AnnouncedAt = after.AnnouncedAt; before != after {
+	before.AnnouncedAt, before.ColdUntil = after.AnnouncedAt, after.ColdUntil
+	if before != after {
 		n.events.Record(event.UpstreamNotice, noticeFields(u, r.Request, after))
 	}
 	for _, o := range r.Malformed {
@@ -65,7 +67,7 @@
 }
 
 // countNotice counts a notice by the label values of the metrics.
-func countNotice(count func(string), leaving, wait, limited bool) {
+func countNotice(count func(string), leaving, wait, limited, cold bool) {
 	if leaving {
 		count(noticeLeaving)
 	}
@@ -75,12 +77,15 @@
 	if limited {
 		count(noticeLimit)
 	}
+	if cold {
+		count(noticeCold)
+	}
 }
 
 // countWritten counts a request that is written to an upstream with an active notice.
 func (n *noticeHandler) countWritten(u *roster.Upstream) {
 	s := u.NoticeStatus(time.Now())
-	countNotice(n.metrics.NoticedSend, s.Leaving, !s.WaitUntil.IsZero(), s.Limited)
+	countNotice(n.metrics.NoticedSend, s.Leaving, !s.WaitUntil.IsZero(), !s.AnnouncedAt.IsZero(), s.ColdIntake > 0)
 }
 
 // markReported records that a malformed header of an upstream is logged, and reports whether it
@@ -109,8 +114,11 @@
 
 func noticeFields(u *roster.Upstream, id fleet.RequestID, s roster.NoticeStatus) timeline.Fields {
 	f := timeline.Fields{"upstream": string(u.ID), "request": string(id), "leaving": strconv.FormatBool(s.Leaving)}
-	if s.Limited {
-		f["intake"] = s.Intake.String()
+	if !s.AnnouncedAt.IsZero() {
+		f["intake"] = s.Announced.String()
+	}
+	if s.ColdIntake > 0 {
+		f["cold_ms"] = timeline.Millis(time.Until(s.ColdUntil))
 	}
 	if !s.WaitUntil.IsZero() {
 		f["wait_ms"] = timeline.Millis(time.Until(s.WaitUntil))
