Evacuate data centres at the request of operators

Cause: there was no way to keep requests away from the engines of a zone that is to be evacuated. A record evacuate/ZONE in the operators' topic was ignored.

Change: the records are read together with the configuration, and share its confirmation, its polls and its way through relays. Each VM knows the set as of a position of the topic; a VM never goes back to an earlier one. Upstreams of an evacuated data centre are not usable, which is checked again just before a request or an order is written. Requests whose engines are all evacuated are rejected at once. Where the setting evacuate_within is given, a VM whose relay runs an earlier version reads the store itself. The coordinator plans without the evacuated engines, and sends them no orders. When a zone returns, its engines count as cold anew. A malformed configuration does not hide evacuations.

ReadConfig returns a catalogue.Update in place of a configuration, so the fake stores of the tests change.

--- a/catalogue/holder.go
+++ b/catalogue/holder.go
@@ -3,10 +3,12 @@
 import (
 	"sync"
 	"time"
+
+	"toucanfall/fleet"
 )
 
 // Holder holds the active configuration of this VM. It never returns to a lower version. It is
-// safe for concurrent use, except for OnChange.
+// safe for concurrent use, except for OnChange and OnEvacuations.
 type Holder struct {
 	// now is the clock on which all times of the Holder are given, as durations since its zero.
 	now func() time.Duration
@@ -16,8 +18,14 @@
 	// confirmedAt is when the configuration was last confirmed to be the newest one, 0 if never. It
 	// and cfg are guarded by mu.
 	confirmedAt time.Duration
-	// onChange needs no lock: it does not change once a configuration is active.
-	onChange []func(*Config)
+	// evacuations are those of the same topic; a confirmation is of both. Guarded by mu.
+	evacuations Evacuations
+	// onChange and onEvacuations need no lock: they do not change once a configuration is active.
+	onChange      []func(*Config)
+	onEvacuations []func([]fleet.DataCentre)
+
+	// evacuationsMu is held while evacuations are changed and onEvacuations are called.
+	evacuationsMu sync.Mutex
 }
 
 // NewHolder returns a Holder without a configuration. The times that its methods take and return are
@@ -50,7 +58,7 @@
 }
 
 // Confirm records that the store answered a request which was sent at requestedAt, and that no
-// newer version than the active one existed then.
+// newer version than the active one and no other evacuations existed then.
 func (h *Holder) Confirm(requestedAt time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -77,7 +85,7 @@
 
 // ConfirmVersion is like [Holder.Confirm] for a confirmation that another VM has of version v,
 // where 0 stands for no configuration at all. It is ignored if this VM's active version is
-// lower than v.
+// lower than v. The evacuations of the other VM must have been adopted before.
 func (h *Holder) ConfirmVersion(v Version, confirmedAt time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/coordinator/engine.go
+++ b/coordinator/engine.go
@@ -94,7 +94,7 @@
 
 // notSent reports whether an error means that an order was not sent.
 func notSent(err error) bool {
-	return errors.Is(err, ErrNotCoordinator) || errors.Is(err, errRejected)
+	return errors.Is(err, ErrNotCoordinator) || errors.Is(err, errRejected) || errors.Is(err, errRemoved)
 }
 
 // inBackoff reports whether the engine has rejected this VM and its Retry-After has not
@@ -177,7 +177,10 @@
 	o.Holder, o.Fence = c.cfg.VM, fence
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	v, err := c.cfg.Engines.Order(ctx, c.cfg.Pool(e.u), e.u.ID, o, func() error { return c.checkFence(fence) })
+	v, err := c.cfg.Engines.Order(ctx, c.cfg.Pool(e.u), e.u.ID, o, func() error { return c.checkOrder(e, fence) })
+	if errors.Is(err, transport.ErrWithheld) && e.u.Evacuated() {
+		return Refused, errRemoved
+	}
 	if errors.Is(err, transport.ErrWithheld) {
 		return Refused, ErrNotCoordinator
 	}
@@ -192,6 +195,15 @@
 	return v, err
 }
 
+// checkOrder returns an error if an order must not be written to an engine any more. An engine in an
+// evacuated data centre keeps what it holds, so a move that was decided before ends.
+func (c *Coordinator) checkOrder(e *engine, fence int64) error {
+	if e.u.Evacuated() {
+		return errRemoved
+	}
+	return c.checkFence(fence)
+}
+
 // checkFence returns ErrNotCoordinator if the fencing token of this VM's leadership is not
 // fence any more: the leadership may end while a connection to an engine is made.
 func (c *Coordinator) checkFence(fence int64) error {
--- a/event/gateway.go
+++ b/event/gateway.go
@@ -7,7 +7,7 @@
 	ConfigApplied    = Event{801, "config_applied", logrus.InfoLevel, "A version of the operators' configuration was applied on this VM."}
 	StoreLost        = Event{802, "store_lost", logrus.WarnLevel, "The platform's store does not answer. Requests with keys are rejected once the last confirmation of the configuration is too old."}
 	StoreFound       = Event{803, "store_found", logrus.InfoLevel, "The platform's store answers again."}
-	EntryOdd         = Event{804, "entry_odd", logrus.WarnLevel, "An entry of the directory is malformed and is ignored. The field reason says why."}
+	EntryOdd         = Event{804, "entry_odd", logrus.WarnLevel, "An entry of the directory or another record of the store is malformed and is ignored. The field reason says why."}
 	UpstreamLeaving  = Event{805, "upstream_leaving", logrus.InfoLevel, "The directory says that an upstream takes no new requests. The field how is `draining` or `removed` (a restart counts as `removed`). doubted_ms is how long the upstream is still used while its removal is only suspected. cause is why the directory was read, asked_ms is the time since the store was asked, and before_ms is the age of the directory before this read."}
 	DirectoryLate    = Event{806, "directory_late", logrus.WarnLevel, "The directory is too old to choose upstreams from. Requests wait until it is read. If the store does not answer for some time, they use the last known directory. The field reason is the error of the last read, if it failed."}
 	DirectoryInTime  = Event{807, "directory_in_time", logrus.InfoLevel, "The directory is fresh again. The field late_ms is the maximum age that it reached."}
@@ -39,4 +39,7 @@
 	GatewayFault     = Event{833, "gateway_fault", logrus.ErrorLevel, "A component of the gateway failed. The field reason says how."}
 	LinesLeftOut     = Event{834, "lines_left_out", logrus.WarnLevel, "Log lines were dropped, because the log exceeded its rate limit or its reader was blocked. The field lines is the number of lines that were dropped before this one."}
 	RequestServed    = Event{841, "request_served", logrus.InfoLevel, "The complete response of an upstream was sent to the caller. The fields describe how the upstream was chosen, the requests in flight at it (from this VM in own, from all VMs in all), the time to the first chunk and the longest pause between chunks after it. framing is as in 404."}
+	EvacuationBegun  = Event{861, "evacuation_begun", logrus.WarnLevel, "Operators requested the evacuation of the data centre in the field data_centre. This VM sends no new requests to its upstreams from now on; requests that run there complete."}
+	EvacuationEnded  = Event{862, "evacuation_ended", logrus.InfoLevel, "The evacuation of the data centre in the field data_centre has ended. Its upstreams get requests again, at the rate of cold ones where the configuration limits that."}
+	UpstreamCold     = Event{863, "upstream_cold", logrus.InfoLevel, "An upstream is cold, for the time in cold_ms, by its entry in the directory, an earlier notice or the end of an evacuation. Until then it gets only the request rate that the configuration sets for cold upstreams of its service. Logged when the directory is read; 808 and 810 are the notices."}
 )
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -147,13 +147,13 @@
 	overdueAge time.Duration
 	// lastError is the error of the last read that failed.
 	lastError error
-	// logged holds the leaving upstreams that have been logged.
-	logged map[*roster.Upstream]bool
+	// logged holds the leaving upstreams that have been logged, loggedCold the cold ones.
+	logged, loggedCold map[*roster.Upstream]bool
 }
 
 func newDirectoryFollower(cfg directoryConfig) *directoryFollower {
 	f := &directoryFollower{
-		directoryConfig: cfg, results: make(chan readResult), updates: make(chan directoryUpdate), wake: make(chan struct{}, 1), logged: make(map[*roster.Upstream]bool),
+		directoryConfig: cfg, results: make(chan readResult), updates: make(chan directoryUpdate), wake: make(chan struct{}, 1), logged: make(map[*roster.Upstream]bool), loggedCold: make(map[*roster.Upstream]bool),
 	}
 	f.maxAge = max(cfg.DrainWithin-maxSendDelay, cfg.DrainWithin/2)
 	f.informedAge = max(f.maxAge-unreachableAfter-readRetryPause, f.maxAge/4)
@@ -330,6 +330,7 @@
 		known := f.Roster.Upstreams()
 		f.applyChanges(c, f.suspectUntil-now)
 		defer f.recordLeaving(known, read, now)
+		f.recordCold()
 	}
 	f.Roster.Confirm(read.requestedAt)
 	f.OnUpdate()
--- a/gateway/directory_log.go
+++ b/gateway/directory_log.go
@@ -29,6 +29,32 @@
 	}
 }
 
+// recordCold records which upstreams have become cold by their entries, once for each cold time.
+func (f *directoryFollower) recordCold() {
+	now := time.Now()
+	for _, u := range f.Roster.Upstreams() {
+		s := u.NoticeStatus(now)
+		cold := s.ColdIntake > 0
+		if cold && !f.loggedCold[u] {
+			f.Events.Record(event.UpstreamCold, timeline.Fields{"upstream": string(u.ID), "cold_ms": timeline.Millis(s.ColdUntil.Sub(now))})
+		}
+		if cold {
+			f.loggedCold[u] = true
+		} else {
+			delete(f.loggedCold, u)
+		}
+	}
+	f.retainKnown(f.loggedCold)
+}
+
+// retainKnown deletes the entries of upstreams that are not in the roster.
+func (f *directoryFollower) retainKnown(logged map[*roster.Upstream]bool) {
+	maps.DeleteFunc(logged, func(u *roster.Upstream, _ bool) bool {
+		now, ok := f.Roster.Get(u.ID)
+		return !ok || now != u
+	})
+}
+
 // recordLeaving records which of the known upstreams get no new requests any more, once for
 // each. The entry names the read that showed it.
 func (f *directoryFollower) recordLeaving(known []*roster.Upstream, read *directoryRead, now time.Duration) {
@@ -43,8 +69,5 @@
 			"asked_ms": timeline.Millis(now - read.requestedAt), "before_ms": timeline.Millis(read.ageBefore),
 		})
 	}
-	maps.DeleteFunc(f.logged, func(u *roster.Upstream, _ bool) bool {
-		now, ok := f.Roster.Get(u.ID)
-		return !ok || now != u
-	})
+	f.retainKnown(f.logged)
 }
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -63,11 +63,11 @@
 	return configTimes{wait: waitPercent * bound, coordinatorWait: coordinatorWaitPercent * bound, margin: marginPercent * bound, informedMaxAge: informedAgePercent * bound, relayMaxAge: relayAgePercent * bound}
 }
 
-// ConfigStore reads the operators' configuration. ReadConfig waits up to wait for a
-// configuration newer than the cursor from, and returns nil if there is none. The bool
-// reports whether the store held nothing newer when it answered.
+// ConfigStore reads the operators' configuration and evacuations. ReadConfig waits up to wait
+// for a record newer than the cursor from. The bool reports whether the store held nothing
+// newer when it answered. The evacuations are valid even if it fails.
 type ConfigStore interface {
-	ReadConfig(ctx context.Context, from platform.Cursor, wait time.Duration) (*catalogue.Config, platform.Cursor, bool, error)
+	ReadConfig(ctx context.Context, from platform.Cursor, wait time.Duration) (catalogue.Update, platform.Cursor, bool, error)
 }
 
 // configFollower keeps the catalogue up to date. Fields that change are used only by the
@@ -85,6 +85,10 @@
 	informed, updateExpected, isCoordinator, isRelay func() bool
 	// onUpdate is called after each answer of the store and each update from a relay.
 	onUpdate func()
+	// evacuationsBounded is set if there is a bound within which evacuations must take effect.
+	// The VM then reads the store itself while its relay runs an earlier version, which knows
+	// none.
+	evacuationsBounded bool
 	// immediate is set for a poll that the store is to answer without waiting, because a
 	// relay has kept this VM up to date until now.
 	immediate bool
@@ -162,12 +166,16 @@
 	wait, timeout := f.pollTimes()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	cfg, next, complete, err := f.store.ReadConfig(ctx, from, wait)
+	update, next, complete, err := f.store.ReadConfig(ctx, from, wait)
+	f.holder.ApplyEvacuations(update.Evacuations)
+	if update.Malformed != nil {
+		f.events.Record(event.EntryOdd, timeline.Fields{"reason": update.Malformed.Error()})
+	}
 	if err != nil {
 		return from, err
 	}
-	if cfg != nil {
-		f.apply(cfg)
+	if update.Config != nil {
+		f.apply(update.Config)
 	}
 	if complete {
 		f.holder.Confirm(requestedAt)
@@ -189,13 +197,20 @@
 	if n.ConfigAge == relay.UnknownAge {
 		return false
 	}
+	useful := n.ConfigAge < 2*f.times.informedMaxAge
+	if f.evacuationsBounded && !n.HasEvacuations {
+		return useful // Nothing of the topic is confirmed, so this VM reads it itself.
+	}
+	if n.HasEvacuations {
+		f.holder.AdoptEvacuations(catalogue.Evacuations{Known: true, Position: n.EvacuationsAt, DataCentres: n.Evacuated})
+	}
 	if err := f.applyDocument(n); err != nil {
 		f.events.Record(event.GatewayFault, timeline.Fields{"reason": fmt.Sprintf("configuration %d of a relay: %v", n.Config, err)})
 		return false
 	}
 	f.holder.ConfirmVersion(n.Config, checkedAt-n.ConfigAge)
 	f.onUpdate()
-	return n.ConfigAge < 2*f.times.informedMaxAge
+	return useful
 }
 
 // applyDocument applies the configuration in the news of a relay, if there is one.
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -121,9 +121,9 @@
 // failingStore is a store that rejects every read.
 type failingStore struct{ requests atomic.Int64 }
 
-func (a *failingStore) ReadConfig(context.Context, platform.Cursor, time.Duration) (*catalogue.Config, platform.Cursor, bool, error) {
+func (a *failingStore) ReadConfig(context.Context, platform.Cursor, time.Duration) (catalogue.Update, platform.Cursor, bool, error) {
 	a.requests.Add(1)
-	return nil, platform.Cursor{}, false, errors.New("the store rejects this VM")
+	return catalogue.Update{}, platform.Cursor{}, false, errors.New("the store rejects this VM")
 }
 
 // A store that keeps rejecting a VM is polled less and less often, down to about once a
@@ -290,17 +290,17 @@
 	losses atomic.Int64
 }
 
-func (v *versionedStore) ReadConfig(ctx context.Context, _ platform.Cursor, wait time.Duration) (*catalogue.Config, platform.Cursor, bool, error) {
+func (v *versionedStore) ReadConfig(ctx context.Context, _ platform.Cursor, wait time.Duration) (catalogue.Update, platform.Cursor, bool, error) {
 	lost := v.losses.Add(-1) >= 0
 	for end := time.Now().Add(wait); lost || v.newest.Load() == v.lastAnswered.Load() && time.Now().Before(end); {
 		select {
 		case <-ctx.Done():
-			return nil, platform.Cursor{}, false, ctx.Err()
+			return catalogue.Update{}, platform.Cursor{}, false, ctx.Err()
 		case <-time.After(time.Millisecond):
 		}
 	}
 	v.lastAnswered.Store(v.newest.Load())
-	return catalogue.NewConfig(catalogue.Version(v.newest.Load()), nil, nil, nil, catalogue.Limits{}), platform.Cursor{}, true, nil
+	return catalogue.Update{Config: catalogue.NewConfig(catalogue.Version(v.newest.Load()), nil, nil, nil, catalogue.Limits{})}, platform.Cursor{}, true, nil
 }
 
 // Guards against a configuration that is applied too late (CONFIG) when one answer of the
@@ -336,3 +336,24 @@
 		is.Equal(<-ended, context.Canceled)
 	})
 }
+
+// evacuatingStore reports one evacuation, with a configuration that cannot be decoded.
+type evacuatingStore struct{}
+
+func (evacuatingStore) ReadConfig(context.Context, platform.Cursor, time.Duration) (catalogue.Update, platform.Cursor, bool, error) {
+	return catalogue.Update{Evacuations: catalogue.EvacuationChanges{Complete: true, Position: 7, Requested: map[fleet.DataCentre]bool{"dc": true}}}, platform.Cursor{}, false, errors.New("the configuration cannot be decoded")
+}
+
+// Guards against an evacuation that does not take effect because the configuration beside it is
+// malformed. The malformed configuration is not confirmed.
+func TestEvacuationAppliesBesideMalformedConfig(t *testing.T) {
+	is := is.New(t)
+	now := 10 * time.Second
+	f := newTestConfigFollower(&now)
+	f.store = evacuatingStore{}
+	_, err := f.poll(t.Context(), platform.Cursor{})
+	is.True(err != nil)
+	is.Equal(f.holder.Evacuations().DataCentres, []fleet.DataCentre{"dc"})
+	_, confirmedAt := f.holder.Confirmed()
+	is.Equal(confirmedAt, time.Duration(0))
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -121,8 +121,9 @@
 	})
 	g.config = &configFollower{
 		store: g.store, holder: g.catalogue, now: bootclock.Now, events: g.events,
-		times:    newConfigTimes(time.Duration(cfg.ConfigWithin), time.Duration(cfg.RevokeWithin)),
+		times:    newConfigTimes(operatorBound(cfg), time.Duration(cfg.RevokeWithin)),
 		informed: g.follower.Informed, updateExpected: g.follower.UpdateExpected, isCoordinator: g.isCoordinator, isRelay: g.follower.IsRelay, onUpdate: g.notifyFollowers,
+		evacuationsBounded: cfg.EvacuateWithin > 0,
 	}
 	g.quarantine = quarantine.New(quarantine.Config{VM: cfg.VM, Log: g.store, Now: bootclock.Now, Events: g.events})
 	g.reports = newReportFollower(reportConfig{
@@ -133,6 +134,7 @@
 	g.catalogue.OnChange(g.buckets.Configure)
 	g.catalogue.OnChange(func(c *catalogue.Config) { g.roster.SetColdLimits(roster.ColdLimits(c)) })
 	g.catalogue.OnChange(pool.Configure)
+	g.catalogue.OnEvacuations(g.applyEvacuations)
 	g.membership = group.New(group.Config{
 		Self: self, Store: g.store, Partitions: rateTopics * cfg.StorePartitions, Informed: g.follower.InformedOfMembers,
 		Lease: time.Duration(cfg.Lease), Fenced: cfg.Fenced, Now: bootclock.Now, Events: g.events, OnShare: g.buckets.SetShare,
@@ -167,6 +169,27 @@
 	)
 }
 
+// operatorBound returns the time within which what operators write must take effect: a
+// configuration, or an evacuation where that has a shorter bound.
+func operatorBound(cfg *settings.Gateway) time.Duration {
+	if cfg.EvacuateWithin > 0 {
+		return time.Duration(min(cfg.ConfigWithin, cfg.EvacuateWithin))
+	}
+	return time.Duration(cfg.ConfigWithin)
+}
+
+// applyEvacuations applies and records a change of the evacuated data centres.
+func (g *Gateway) applyEvacuations(evacuated []fleet.DataCentre) {
+	begun, ended := g.roster.SetEvacuated(evacuated)
+	for _, dc := range begun {
+		g.events.Record(event.EvacuationBegun, timeline.Fields{"data_centre": string(dc)})
+	}
+	for _, dc := range ended {
+		g.events.Record(event.EvacuationEnded, timeline.Fields{"data_centre": string(dc)})
+	}
+	g.notifyFollowers()
+}
+
 func (g *Gateway) servingConfig() serving.Config {
 	return serving.Config{
 		DataCentre: g.cfg.DataCentre, Wire: platform.Wire{}, Dial: transport.Dial, Catalogue: g.catalogue, Roster: g.roster,
@@ -222,7 +245,7 @@
 func (g *Gateway) relayRequest() relay.Ask {
 	version, _, _ := g.catalogue.ConfirmedVersion()
 	reports, _ := g.reports.state()
-	return relay.Ask{Directory: g.directory.position(), Config: version, Members: g.memberList().Fingerprint, Reports: reports, WantsReports: true}
+	return relay.Ask{Directory: g.directory.position(), Config: version, Members: g.memberList().Fingerprint, Reports: reports, WantsReports: true, Evacuations: g.catalogue.Evacuations().Position, WantsEvacuations: true}
 }
 
 // applyNews applies the news of a relay that took them from its state at checkedAt or
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"toucanfall/fleet"
 	"toucanfall/metric"
 )
 
@@ -26,9 +27,10 @@
 			}
 			return 0
 		},
-		QuarantinedParts: func() float64 { return float64(g.quarantine.Size()) },
-		Upstreams:        func() float64 { return float64(len(g.roster.Upstreams())) },
-		NoticeStatuses:   g.noticeStatuses,
+		QuarantinedParts:     func() float64 { return float64(g.quarantine.Size()) },
+		Upstreams:            func() float64 { return float64(len(g.roster.Upstreams())) },
+		EvacuatedDataCentres: func() []fleet.DataCentre { return g.catalogue.Evacuations().DataCentres },
+		NoticeStatuses:       g.noticeStatuses,
 	}
 }
 
--- a/gateway/relay_update_test.go
+++ b/gateway/relay_update_test.go
@@ -110,3 +110,32 @@
 		is.Equal(ahead.sendable(), []fleet.UpstreamID{"1"})
 	})
 }
+
+// Guards against an evacuation that a VM never learns of because its relay runs an earlier version,
+// which does not know evacuations: the VM reads the store itself. Where evacuations have no bound, and
+// with a relay that knows them, the relay's confirmation counts as before.
+func TestRelayWithoutEvacuationsConfirmsNothing(t *testing.T) {
+	is := is.New(t)
+	now := 10 * time.Second
+	f := newTestConfigFollower(&now)
+	f.evacuationsBounded = true
+	is.True(f.applyNews(&relay.News{Config: 3}, now))
+	is.Equal(f.skipFor(), time.Duration(0))
+	is.True(!f.holder.Evacuations().Known)
+
+	is.True(f.applyNews(&relay.News{Config: 3, HasEvacuations: true, EvacuationsAt: 5, Evacuated: []fleet.DataCentre{"dc"}}, now))
+	is.Equal(f.skipFor(), testTimes.informedMaxAge)
+	is.Equal(f.holder.Evacuations(), catalogue.Evacuations{Known: true, Position: 5, DataCentres: []fleet.DataCentre{"dc"}})
+
+	// Part of the fleet is cut off: what is known stays known, and older news change nothing.
+	now += time.Hour
+	f.applyNews(&relay.News{Config: 3, HasEvacuations: true, EvacuationsAt: 4}, now)
+	is.Equal(len(f.holder.Evacuations().DataCentres), 1)
+	now += time.Hour
+	f.applyNews(&relay.News{Config: 3}, now)
+	is.Equal(f.skipFor(), time.Duration(0))
+
+	f.evacuationsBounded = false
+	f.applyNews(&relay.News{Config: 3}, now)
+	is.Equal(f.skipFor(), testTimes.informedMaxAge)
+}
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -59,10 +59,11 @@
 	upstreamWait        = Definition{"toucanfall_upstream_wait_seconds", Gauge, []string{"upstream"}, "Remaining time for which an upstream that rejected a request of this VM accepts no more from it."}
 	upstreamLimit       = Definition{"toucanfall_upstream_intake", Gauge, []string{"upstream"}, "Request rate limit that an upstream announces, in requests per second over all VMs. Absent while it announces none."}
 	upstreamCold        = Definition{"toucanfall_upstream_cold_seconds", Gauge, []string{"upstream"}, "Remaining time for which an upstream is cold and takes only the request rate that the configuration sets for cold upstreams of its service, over all VMs. Absent while it is not cold."}
+	evacuatedDC         = Definition{"toucanfall_evacuated", Gauge, []string{"data_centre"}, "1 for a data centre whose evacuation is requested, so that its upstreams get no new requests."}
 )
 
 // Registry lists all metrics, in the order of docs/METRICS.md.
-var Registry = []Definition{requestsTotal, firstPieceSeconds, longestPauseSeconds, attemptsTotal, unframedTotal, noticesTotal, noticedSendsTotal, permitsTotal, prefillCreditsTotal, storeCallsTotal, panicsTotal, openRequests, configStaleness, directoryAge, directoryAgeAtSend, configVersion, rateShare, isCoordinator, quarantinedParts, upstreamCount, upstreamLeaving, upstreamWait, upstreamLimit, upstreamCold}
+var Registry = []Definition{requestsTotal, firstPieceSeconds, longestPauseSeconds, attemptsTotal, unframedTotal, noticesTotal, noticedSendsTotal, permitsTotal, prefillCreditsTotal, storeCallsTotal, panicsTotal, openRequests, configStaleness, directoryAge, directoryAgeAtSend, configVersion, rateShare, isCoordinator, quarantinedParts, upstreamCount, upstreamLeaving, upstreamWait, upstreamLimit, upstreamCold, evacuatedDC}
 
 // maxLabelValues bounds the number of values of a label that come from outside
 // the process (teams, upstreams); further ones are counted as otherLabelValue. The
@@ -77,6 +78,8 @@
 // IsCoordinator returns 1 if this VM is the coordinator, otherwise 0.
 type Gauges struct {
 	OpenRequests, ConfigStaleness, DirectoryAge, ConfigVersion, RateShare, IsCoordinator, QuarantinedParts, Upstreams func() float64
+	// EvacuatedDataCentres returns the evacuated data centres.
+	EvacuatedDataCentres func() []fleet.DataCentre
 	// NoticeStatuses returns the notice status of upstreams. Those without an active notice
 	// are not exposed.
 	NoticeStatuses func() []NoticeStatus
@@ -136,7 +139,7 @@
 	} {
 		s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: d.Name, Help: d.Text}, f))
 	}
-	s.registry.MustRegister(newNoticeCollector(g.NoticeStatuses))
+	s.registry.MustRegister(newNoticeCollector(g.NoticeStatuses), evacuationCollector{g.EvacuatedDataCentres})
 }
 
 // Handler returns a handler that serves the metrics in the Prometheus text format.
--- a/metric/metric_test.go
+++ b/metric/metric_test.go
@@ -26,7 +26,7 @@
 	is := is.New(t)
 	s := metric.New()
 	one := func() float64 { return 1 }
-	s.RegisterGauges(metric.Gauges{OpenRequests: one, ConfigStaleness: one, DirectoryAge: one, ConfigVersion: one, RateShare: one, IsCoordinator: one, QuarantinedParts: one, Upstreams: one, NoticeStatuses: func() []metric.NoticeStatus {
+	s.RegisterGauges(metric.Gauges{OpenRequests: one, ConfigStaleness: one, DirectoryAge: one, ConfigVersion: one, RateShare: one, IsCoordinator: one, QuarantinedParts: one, Upstreams: one, EvacuatedDataCentres: func() []fleet.DataCentre { return []fleet.DataCentre{"dc"} }, NoticeStatuses: func() []metric.NoticeStatus {
 		return []metric.NoticeStatus{{Upstream: "u", Leaving: true, Wait: time.Second, Limited: true, Limit: 2.4, Cold: time.Second}, {Upstream: "silent"}}
 	}})
 	s.Served("stream", "team", 30*time.Millisecond, time.Second)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -52,7 +52,11 @@
 	// is set, which VMs of earlier versions never do.
 	Reports      Position
 	WantsReports bool
-	Mark         Mark
+	// Evacuations is the position up to which the VM knows the evacuations. It is valid if
+	// WantsEvacuations is set, which VMs of earlier versions never do.
+	Evacuations      catalogue.Position
+	WantsEvacuations bool
+	Mark             Mark
 }
 
 // News is the answer to an [Ask]. Ages are as of the moment when the relay took its state,
@@ -78,6 +82,13 @@
 	// Document is the packed configuration, set if the requester has an older one.
 	Document []byte
 
+	// Evacuated lists the evacuated data centres as of the position EvacuationsAt. ConfigAge is the
+	// age of their confirmation too. Both are valid if HasEvacuations is set, which VMs of earlier
+	// versions never do.
+	Evacuated      []fleet.DataCentre
+	EvacuationsAt  catalogue.Position
+	HasEvacuations bool
+
 	// Coordinator and Members are as of RollAge ago. Members is empty if the requester's
 	// fingerprint equals Print.
 	Coordinator group.Member
@@ -105,7 +116,7 @@
 			return errors.New("the news contain a negative time")
 		}
 	}
-	if n.Directory < 0 || n.Config < 0 || n.ReportsAt < 0 {
+	if n.Directory < 0 || n.Config < 0 || n.ReportsAt < 0 || n.EvacuationsAt < 0 {
 		return errors.New("the news contain a negative position or version")
 	}
 	return nil
--- a/relay/service.go
+++ b/relay/service.go
@@ -117,7 +117,9 @@
 	membersChanged := in.Mark.VM == s.cfg.Self.VM() && members.Fingerprint != in.Mark.Print
 	_, reports, _ := s.cfg.Reports.Since(in.Reports)
 	reportsAdded := in.WantsReports && reports > in.Reports
-	return ok && version > in.Config || s.cfg.Directory.hasUpdateFor(in.Directory) || membersChanged || reportsAdded
+	evacuations := s.cfg.Catalogue.Evacuations()
+	evacuationsChanged := in.WantsEvacuations && evacuations.Known && evacuations.Position > in.Evacuations
+	return ok && version > in.Config || evacuationsChanged || s.cfg.Directory.hasUpdateFor(in.Directory) || membersChanged || reportsAdded
 }
 
 // hasNewerConfirmation reports whether this VM has a newer confirmation than the one in the
@@ -136,7 +138,11 @@
 	now := s.cfg.Now()
 	out := News{Held: now - receivedAt, ConfigAge: UnknownAge, RollAge: UnknownAge, Mark: Mark{VM: s.cfg.Self.VM()}}
 	s.cfg.Directory.fillNews(in.Directory, now, &out)
+	// The confirmation is read first: one that comes later may be of later evacuations.
 	cfg, confirmedAt := s.cfg.Catalogue.Confirmed()
+	if e := s.cfg.Catalogue.Evacuations(); in.WantsEvacuations && e.Known {
+		out.Evacuated, out.EvacuationsAt, out.HasEvacuations = e.DataCentres, e.Position, true
+	}
 	if confirmedAt > 0 {
 		out.ConfigAge, out.Mark.Config = now-confirmedAt, confirmedAt
 	}
--- a/roster/cold_test.go
+++ b/roster/cold_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"toucanfall/catalogue"
+	"toucanfall/fleet"
 	"toucanfall/roster"
 )
 
@@ -130,3 +131,39 @@
 		is.True(statusOf(b).ColdIntake == 0)
 	})
 }
+
+// Guards against an evacuated data centre that still gets requests, and against engines that get full
+// traffic when it returns: they are cold then, and their entries may say so only later.
+func TestReturningDataCentreIsCold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := coldRoster(10 * time.Second)
+		entry := func(dc fleet.DataCentre) {
+			r.Put(roster.Entry{ID: "u", Service: "s", Born: 1, DataCentre: dc})
+		}
+		entry("a")
+		u, _ := r.Get("u")
+		begun, ended := r.SetEvacuated([]fleet.DataCentre{"a", "b"})
+		is.Equal(begun, []fleet.DataCentre{"a", "b"})
+		is.Equal(len(ended), 0)
+		is.True(!u.Usable())
+		is.True(u.Evacuated())
+		r.Put(roster.Entry{ID: "new", Service: "s", DataCentre: "b"})
+		other, _ := r.Get("new")
+		is.True(!other.Usable())
+		time.Sleep(time.Minute) // The cold time before the evacuation is over.
+		is.True(statusOf(r).ColdIntake == 0)
+		begun, ended = r.SetEvacuated([]fleet.DataCentre{"b"})
+		is.Equal(len(begun), 0)
+		is.Equal(ended, []fleet.DataCentre{"a"})
+		is.True(u.Usable())
+		is.True(!other.Usable())
+		is.Equal(statusOf(r).Intake, roster.Intake(19))
+		time.Sleep(20 * time.Second)
+		is.True(!statusOf(r).Limited)
+		entry("b") // Its entry names another data centre.
+		is.True(!u.Usable())
+		u.ApplyNotice(roster.Notice{Leaving: true}, true, time.Now())
+		is.True(!u.Evacuated()) // It would not be usable without the evacuation either.
+	})
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -62,6 +62,8 @@
 	dataCentres int
 	// coldLimits holds the limits of the services that have one.
 	coldLimits map[catalogue.ServiceID]ColdLimit
+	// evacuated holds the evacuated data centres.
+	evacuated map[fleet.DataCentre]bool
 	// confirmedAt is when the roster was last known to match the directory, on the clock of the
 	// callers of Confirm; 0 if never.
 	confirmedAt time.Duration
@@ -79,13 +81,13 @@
 	defer r.mu.Unlock()
 	u, ok := r.upstreams[e.ID]
 	if ok && u.StartTime() == e.Born && u.Address() == e.Address {
-		u.update(e, r.coldLimits[e.Service])
+		u.update(e, r.coldLimits[e.Service], r.evacuated[e.DataCentre])
 		return
 	}
 	if ok {
 		u.markRemoved()
 	}
-	r.upstreams[e.ID] = newUpstream(e, r.coldLimits[e.Service])
+	r.upstreams[e.ID] = newUpstream(e, r.coldLimits[e.Service], r.evacuated[e.DataCentre])
 	r.rebuildIndex()
 }
 
@@ -130,6 +132,31 @@
 	}
 }
 
+// SetEvacuated replaces the evacuated data centres. It returns those whose evacuation begins and
+// ends. Where it ends the upstreams count as cold anew: they had no traffic, and this VM may learn of
+// it before their entries say that they are cold.
+func (r *Roster) SetEvacuated(dataCentres []fleet.DataCentre) (begun, ended []fleet.DataCentre) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := r.evacuated
+	r.evacuated = make(map[fleet.DataCentre]bool, len(dataCentres))
+	for _, dc := range dataCentres {
+		r.evacuated[dc] = true
+		if !before[dc] {
+			begun = append(begun, dc)
+		}
+	}
+	for dc := range before {
+		if !r.evacuated[dc] {
+			ended = append(ended, dc)
+		}
+	}
+	for _, u := range r.upstreams {
+		u.setEvacuated(r.evacuated)
+	}
+	return begun, ended
+}
+
 // Expire removes the upstreams whose entries vanished and were not restored in time.
 func (r *Roster) Expire(now time.Time) {
 	r.mu.Lock()
--- a/roster/upstream.go
+++ b/roster/upstream.go
@@ -64,6 +64,8 @@
 	notices noticeState
 	// cold is the cold state of this start.
 	cold coldState
+	// evacuated is set while the data centre is evacuated.
+	evacuated bool
 	// adapters holds the adapters that are loaded or being loaded, with the time from which each
 	// can be used.
 	adapters map[Adapter]time.Time
@@ -80,7 +82,7 @@
 	Adapter fleet.AdapterID
 }
 
-func newUpstream(e Entry, cold ColdLimit) *Upstream {
+func newUpstream(e Entry, cold ColdLimit, evacuated bool) *Upstream {
 	u := &Upstream{
 		ID:       e.ID,
 		entry:    e,
@@ -91,6 +93,7 @@
 	u.initAdapters(e)
 	u.cold.limit = cold
 	u.cold.extend(e.Cold, time.Now())
+	u.evacuated = evacuated
 	return u
 }
 
@@ -103,12 +106,13 @@
 	}
 }
 
-func (u *Upstream) update(e Entry, cold ColdLimit) {
+func (u *Upstream) update(e Entry, cold ColdLimit, evacuated bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.entry = e
 	u.cold.limit = cold
 	u.cold.extend(e.Cold, time.Now())
+	u.evacuated = evacuated
 	u.suspectedUntil = time.Time{}
 }
 
@@ -177,9 +181,33 @@
 func (u *Upstream) Usable() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	return !u.evacuated && u.alive()
+}
+
+// alive reports whether the upstream could get new requests if its data centre were not evacuated.
+// The caller holds mu.
+func (u *Upstream) alive() bool {
 	return !u.removed && !u.entry.Draining && !u.notices.leaving && (u.suspectedUntil.IsZero() || time.Now().Before(u.suspectedUntil))
 }
 
+// Evacuated reports whether the upstream gets no new requests only because its data centre is
+// evacuated.
+func (u *Upstream) Evacuated() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.evacuated && u.alive()
+}
+
+func (u *Upstream) setEvacuated(evacuated map[fleet.DataCentre]bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	next := evacuated[u.entry.DataCentre]
+	if u.evacuated && !next {
+		u.cold.extend(u.cold.limit.Time, time.Now())
+	}
+	u.evacuated = next
+}
+
 // Leaving returns "draining" or "removed" if that is what the directory says of the upstream, else "".
 // If the removal is only suspected, usableFor is how much longer the upstream is used, otherwise 0.
 // Notices of the upstream itself are not considered.
--- a/serving/admit.go
+++ b/serving/admit.go
@@ -77,6 +77,13 @@
 // upstreams are only closed for a time, the error says when the first of them reopens.
 func (t *attempts) noUpstreamError() error {
 	after := t.earliestRetry()
+	if all, others := t.h.picker.evacuated(t.service, t.c); all {
+		err := fault.New(fault.NoUpstream, "the data centres of all upstreams of service %q that could serve the request are evacuated", t.service)
+		if others {
+			return err.WithRetryAfter(modelLoadRetryAfter)
+		}
+		return err
+	}
 	if after == 0 {
 		return fault.New(fault.NoUpstream, "no upstream of service %q holds model %q", t.service, t.c.Model).WithRetryAfter(modelLoadRetryAfter)
 	}
--- a/serving/choose.go
+++ b/serving/choose.go
@@ -54,6 +54,9 @@
 		if time.Since(t.c.received) > t.maxQueueTime() || ctx.Err() != nil {
 			return nil, err
 		}
+		if all, _ := t.h.picker.evacuated(t.service, t.c); all {
+			return nil, err // Waiting would not help.
+		}
 		loop.Sleep(ctx, queuePollInterval)
 	}
 }
--- a/serving/picker.go
+++ b/serving/picker.go
@@ -97,6 +97,23 @@
 	return u.Usable() && u.Service() == s && (c.Model == "" || u.Holds(c.Model))
 }
 
+// evacuated reports whether upstreams could serve a call, but all of them are in evacuated data
+// centres. others reports whether the service has other upstreams, which could load the model.
+func (p *Picker) evacuated(s catalogue.ServiceID, c *Call) (all, others bool) {
+	for _, u := range p.roster.Upstreams() {
+		switch {
+		case p.serves(u, s, c):
+			return false, true
+		case u.Service() != s:
+		case u.Usable():
+			others = true
+		case u.Evacuated() && (c.Model == "" || u.Holds(c.Model)):
+			all = true
+		}
+	}
+	return all, others
+}
+
 // closed returns the upstreams that could serve a call, but are closed to this VM now.
 func (p *Picker) closed(s catalogue.ServiceID, c *Call) []*roster.Upstream {
 	now := time.Now()
--- a/serving/run.go
+++ b/serving/run.go
@@ -288,6 +288,9 @@
 	if !t.h.cfg.Directory.Fresh() {
 		return fmt.Errorf("the directory was last confirmed %s ago", staleness.Round(time.Millisecond))
 	}
+	if a.u.Evacuated() {
+		return fmt.Errorf("the data centre of upstream %q is evacuated", a.u.ID)
+	}
 	if !a.u.Usable() {
 		return fmt.Errorf("upstream %q has left", a.u.ID)
 	}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -37,6 +37,9 @@
 	// DrainWithin is the time from the announcement that an upstream is leaving
 	// until it must receive no new requests.
 	DrainWithin Span `json:"drain_within"`
+	// EvacuateWithin is the time from the request to evacuate a data centre until its
+	// upstreams must receive no new requests. 0 sets no bound.
+	EvacuateWithin Span `json:"evacuate_within"`
 	// StopWithin is the time from SIGTERM until the platform kills the process.
 	StopWithin Span `json:"stop_within"`
 	// Lease is how long no other VM may give orders after a coordinator lost its
@@ -107,6 +110,9 @@
 			return &FieldError{Path: d.path, Value: time.Duration(d.value).String(), Reason: "must be above 0"}
 		}
 	}
+	if g.EvacuateWithin < 0 {
+		return &FieldError{Path: "evacuate_within", Value: time.Duration(g.EvacuateWithin).String(), Reason: "must not be negative"}
+	}
 	if g.StorePartitions <= 0 {
 		return &FieldError{Path: "store_partitions", Value: fmt.Sprint(g.StorePartitions), Reason: "must be above 0"}
 	}
