Send requests to allowed regions only

Cause: the fields AllowedRegions of routes and tenants were ignored, so a request could reach an engine in any region.

Change: the setting regions maps data centres to regions. An upstream is used for a request only if its region is known and allowed by both the route and the team, also for further attempts, hedged requests and adapter loads, and by the last check before the write. If no engine is allowed, the request is rejected at once. An empty list allows all regions.

--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -59,6 +59,8 @@
 	Public bool
 	// Resumable is set if a stream may be continued by another upstream.
 	Resumable bool
+	// AllowedRegions lists the regions whose upstreams may get the route's requests; empty means all.
+	AllowedRegions []fleet.Region
 	// Split lists the services among which requests are divided by weight.
 	Split []Weighted
 }
@@ -129,6 +131,8 @@
 	// does; 0 is the most urgent.
 	Priority    int
 	HasPriority bool
+	// AllowedRegions lists the regions whose upstreams may get the team's requests; empty means all.
+	AllowedRegions []fleet.Region
 }
 
 // Limits holds bounds on clients' requests.
--- a/fleet/id.go
+++ b/fleet/id.go
@@ -15,6 +15,9 @@
 // DataCentre names a data centre.
 type DataCentre string
 
+// Region names a region, in which there are one or more data centres.
+type Region string
+
 // TeamID identifies a team.
 type TeamID string
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -192,7 +192,7 @@
 
 func (g *Gateway) servingConfig() serving.Config {
 	return serving.Config{
-		DataCentre: g.cfg.DataCentre, Wire: platform.Wire{}, Dial: transport.Dial, Catalogue: g.catalogue, Roster: g.roster,
+		DataCentre: g.cfg.DataCentre, Regions: g.cfg.Regions, Wire: platform.Wire{}, Dial: transport.Dial, Catalogue: g.catalogue, Roster: g.roster,
 		Rates: g.rates, Permits: g.rates, Prefill: g.prefill, Parts: g.quarantine, Loader: g.coordinatorClient, Events: g.events, Metrics: g.meters, Panics: g.panics,
 		StaleAfter: g.staleAfter(),
 		Budget:     serving.NewRetryBudget(g.cfg.RepeatRatio, g.cfg.RepeatSlack, time.Duration(g.cfg.RepeatWindow), g.membership.Size),
--- a/serving/admit.go
+++ b/serving/admit.go
@@ -77,8 +77,8 @@
 // upstreams are only closed for a time, the error says when the first of them reopens.
 func (t *attempts) noUpstreamError() error {
 	after := t.earliestRetry()
-	if all, others := t.h.picker.evacuated(t.service, t.c); all {
-		err := fault.New(fault.NoUpstream, "the data centres of all upstreams of service %q that could serve the request are evacuated", t.service)
+	if all, others := t.h.picker.excluded(t.service, t.c); all {
+		err := fault.New(fault.NoUpstream, "all upstreams of service %q that could serve the request are in evacuated data centres or in regions that it does not allow", t.service)
 		if others {
 			return err.WithRetryAfter(modelLoadRetryAfter)
 		}
--- a/serving/call.go
+++ b/serving/call.go
@@ -45,6 +45,9 @@
 	// Priority is the rank of the request in the queues of engines; 0 is the most urgent.
 	Priority int
 
+	// allowedRegions holds the regions that the route and the team allow; an empty list allows all.
+	allowedRegions [2][]fleet.Region
+
 	received time.Time
 	// charged is what was taken from the team's limit, to be refunded if the request does not run.
 	charged fleet.Tokens
--- a/serving/choose.go
+++ b/serving/choose.go
@@ -54,7 +54,7 @@
 		if time.Since(t.c.received) > t.maxQueueTime() || ctx.Err() != nil {
 			return nil, err
 		}
-		if all, _ := t.h.picker.evacuated(t.service, t.c); all {
+		if all, _ := t.h.picker.excluded(t.service, t.c); all {
 			return nil, err // Waiting would not help.
 		}
 		loop.Sleep(ctx, queuePollInterval)
@@ -109,13 +109,13 @@
 
 // loadAdapter loads the call's adapter on an engine that is not in exclude.
 func (t *attempts) loadAdapter(ctx context.Context, exclude []fleet.UpstreamID) (*roster.Upstream, error) {
-	avoid := slices.Concat(t.unreachable, exclude, ids(t.h.picker.constrained(t.service, t.c)))
+	avoid := slices.Concat(t.unreachable, exclude, ids(t.h.picker.constrained(t.service, t.c)), ids(t.h.picker.disallowed(t.service, t.c)))
 	id, err := t.h.cfg.Loader.LoadAdapter(ctx, t.service, t.c.modelAdapter(), avoid)
 	if err != nil {
 		return nil, fault.New(fault.NoUpstream, "adapter %q of model %q: %w", t.c.Adapter, t.c.Model, err).WithRetryAfter(adapterRetryAfter)
 	}
 	u, ok := t.h.cfg.Roster.Get(id)
-	if !ok || !u.Usable() {
+	if !ok || !u.Usable() || !t.h.picker.allowed(u, t.c) {
 		return nil, fault.New(fault.NoUpstream, "the engine %q that has the adapter cannot be used", id)
 	}
 	return u, nil
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -77,18 +77,20 @@
 // Config holds the dependencies and bounds of a Handler.
 type Config struct {
 	DataCentre fleet.DataCentre
-	Wire       Wire
-	Dial       transport.Dialer
-	Catalogue  *catalogue.Holder
-	Roster     *roster.Roster
-	Rates      Rates
-	Permits    PermitSource
-	Prefill    PrefillCredits
-	Parts      PromptParts
-	Loader     Loader
-	Events     *timeline.Recorder
-	Metrics    *metric.Set
-	Panics     *guard.PanicReporter
+	// Regions maps data centres to their regions.
+	Regions   map[fleet.DataCentre]fleet.Region
+	Wire      Wire
+	Dial      transport.Dialer
+	Catalogue *catalogue.Holder
+	Roster    *roster.Roster
+	Rates     Rates
+	Permits   PermitSource
+	Prefill   PrefillCredits
+	Parts     PromptParts
+	Loader    Loader
+	Events    *timeline.Recorder
+	Metrics   *metric.Set
+	Panics    *guard.PanicReporter
 	// StaleAfter is the staleness of the configuration from which requests with a key are
 	// rejected.
 	StaleAfter time.Duration
@@ -114,10 +116,12 @@
 func New(cfg Config) *Handler {
 	n := newNoticeHandler(cfg)
 	p := newPools(cfg.Dial, n.receive)
+	picker := NewPicker(cfg.Roster, cfg.DataCentre, cfg.VMCount, p.connected, rand.Float64)
+	picker.regions = cfg.Regions
 	return &Handler{
 		cfg:     cfg,
 		pools:   p,
-		picker:  NewPicker(cfg.Roster, cfg.DataCentre, cfg.VMCount, p.connected, rand.Float64),
+		picker:  picker,
 		notices: n,
 		crashes: newCrashDetector(cfg.Dial),
 	}
@@ -219,8 +223,10 @@
 		return nil, nil, err
 	}
 	c.Route, c.received, c.Priority = route, a.timing.received, rank(route, team)
+	c.allowedRegions[0] = route.AllowedRegions
 	if team != nil {
 		c.Team = team.ID
+		c.allowedRegions[1] = team.AllowedRegions
 	}
 	c.Body, err = a.readBody(r, cfg.Limits.BodyBytes, c.deadline())
 	return c, team, err
--- a/serving/picker.go
+++ b/serving/picker.go
@@ -35,6 +35,8 @@
 	vmCount    func() float64
 	connected  func(*roster.Upstream) bool
 	random     func() float64
+	// regions maps data centres to their regions.
+	regions map[fleet.DataCentre]fleet.Region
 }
 
 // NewPicker returns a picker for a VM in data centre dc. vmCount returns how many VMs choose
@@ -44,13 +46,13 @@
 	return &Picker{roster: r, dataCentre: dc, vmCount: vmCount, connected: connected, random: random}
 }
 
-// service chooses one of the services of a route at random, by weight, among those that have a
-// usable upstream. It returns false if there is none.
-func (p *Picker) service(r *catalogue.Route) (catalogue.ServiceID, bool) {
+// service chooses one of the services of a call's route at random, by weight, among those that have a
+// usable upstream in an allowed region. It returns false if there is none.
+func (p *Picker) service(c *Call) (catalogue.ServiceID, bool) {
 	var total float64
 	var usable []catalogue.Weighted
-	for _, w := range r.Split {
-		if w.Weight > 0 && p.hasUsable(w.Service) {
+	for _, w := range c.Route.Split {
+		if w.Weight > 0 && p.hasUsable(w.Service, c) {
 			usable = append(usable, w)
 			total += w.Weight
 		}
@@ -64,12 +66,32 @@
 	return "", false
 }
 
-func (p *Picker) hasUsable(s catalogue.ServiceID) bool {
+func (p *Picker) hasUsable(s catalogue.ServiceID, c *Call) bool {
 	return slices.ContainsFunc(p.roster.Upstreams(), func(u *roster.Upstream) bool {
-		return u.Usable() && u.Service() == s
+		return u.Usable() && u.Service() == s && p.allowed(u, c)
 	})
 }
 
+// allowed reports whether a call may be sent to the region of an upstream. An upstream in no known
+// region gets only calls that are allowed everywhere.
+func (p *Picker) allowed(u *roster.Upstream, c *Call) bool {
+	for _, list := range c.allowedRegions {
+		if len(list) == 0 {
+			continue
+		}
+		region := p.regions[u.Entry().DataCentre]
+		if region == "" || !slices.Contains(list, region) {
+			return false
+		}
+	}
+	return true
+}
+
+// disallowed returns the upstreams of a service to whose region a call may not be sent.
+func (p *Picker) disallowed(s catalogue.ServiceID, c *Call) []*roster.Upstream {
+	return p.filter(func(u *roster.Upstream) bool { return u.Service() == s && !p.allowed(u, c) })
+}
+
 // Candidates returns the usable upstreams of a service that hold the call's model, if it names
 // one, without those in avoid and those that are closed to this VM now. Upstreams that could not
 // be connected to recently are left out if there are others.
@@ -94,24 +116,29 @@
 
 // serves reports whether an upstream belongs to a service and can serve a call.
 func (p *Picker) serves(u *roster.Upstream, s catalogue.ServiceID, c *Call) bool {
-	return u.Usable() && u.Service() == s && (c.Model == "" || u.Holds(c.Model))
+	return u.Usable() && u.Service() == s && p.allowed(u, c) && (c.Model == "" || u.Holds(c.Model))
 }
 
-// evacuated reports whether upstreams could serve a call, but all of them are in evacuated data
-// centres. others reports whether the service has other upstreams, which could load the model.
-func (p *Picker) evacuated(s catalogue.ServiceID, c *Call) (all, others bool) {
+// excluded reports whether no upstream can serve a call, either because all that could are in
+// evacuated data centres, or because the call may not be sent to the region of any. others reports
+// whether the service has other upstreams, which could load the model.
+func (p *Picker) excluded(s catalogue.ServiceID, c *Call) (all, others bool) {
+	var evacuated, allowed, disallowed bool
 	for _, u := range p.roster.Upstreams() {
 		switch {
 		case p.serves(u, s, c):
 			return false, true
-		case u.Service() != s:
+		case u.Service() != s || !u.Usable() && !u.Evacuated():
+		case !p.allowed(u, c):
+			disallowed = true
 		case u.Usable():
-			others = true
-		case u.Evacuated() && (c.Model == "" || u.Holds(c.Model)):
-			all = true
+			allowed, others = true, true
+		default:
+			allowed = true
+			evacuated = evacuated || c.Model == "" || u.Holds(c.Model)
 		}
 	}
-	return all, others
+	return evacuated || disallowed && !allowed, others
 }
 
 // closed returns the upstreams that could serve a call, but are closed to this VM now.
--- a/serving/run.go
+++ b/serving/run.go
@@ -54,7 +54,7 @@
 		defer cancel()
 	}
 	h.cfg.Directory.AwaitFresh(ctx)
-	service, ok := h.picker.service(c.Route)
+	service, ok := h.picker.service(c)
 	if !ok {
 		return fault.New(fault.NoUpstream, "no upstream of route %q can be used", c.Route.Name)
 	}
@@ -294,6 +294,9 @@
 	if !a.u.Usable() {
 		return fmt.Errorf("upstream %q has left", a.u.ID)
 	}
+	if !t.h.picker.allowed(a.u, t.c) {
+		return fmt.Errorf("upstream %q is in a region that the request does not allow", a.u.ID)
+	}
 	if err := a.checkNotice(); err != nil {
 		return err
 	}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -16,6 +16,9 @@
 type Gateway struct {
 	VM         fleet.VMID       `json:"vm"`
 	DataCentre fleet.DataCentre `json:"data_centre"`
+	// Regions maps data centres to regions. A request that is allowed in certain regions
+	// only is not sent to a data centre without a region.
+	Regions map[fleet.DataCentre]fleet.Region `json:"regions"`
 	// Callers, Ready and Peers are the addresses (IP:PORT) of the listeners for
 	// requests of callers, for readiness checks and for other VMs.
 	Callers string `json:"callers"`
