--- a/coordinator/relay_test.go
+++ b/coordinator/relay_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
+	"toucanfall/catalogue"
 	"toucanfall/coordinator"
 	"toucanfall/fleet"
 	"toucanfall/roster"
@@ -250,3 +251,34 @@
 		is.Equal(len(second.Words), 1)
 	})
 }
+
+// Guards against full traffic to a cold engine from VMs that got no answer of it, and against a cold
+// time that the messages between VMs keep alive: each counts it from the receipt. Two VMs get the
+// time from answers of the engine, again and again. All others know it two seconds after the first one.
+func TestColdTimeThroughRelays(t *testing.T) {
+	withRelayFleet(t, func(is *is.I, f *relayFleet, vms []*relayVM) {
+		f.mu.Lock()
+		f.latency = 20 * time.Millisecond
+		f.mu.Unlock()
+		for _, v := range vms {
+			v.roster.SetColdLimits(map[catalogue.ServiceID]roster.ColdLimit{"texts": {Rate: 19, Time: time.Minute}})
+		}
+		time.Sleep(3 * time.Second)
+		const coldTime = 20 * time.Second
+		until := time.Now().Add(coldTime)
+		for i := 0; time.Now().Before(until); i++ {
+			vms[3+5*(i%2)].receiveNotice(roster.Notice{Cold: time.Until(until)})
+			time.Sleep(time.Second)
+			for _, v := range vms {
+				is.True(i == 0 || !time.Now().Before(until) || v.engine().NoticeStatus(time.Now()).ColdIntake == 19)
+			}
+		}
+		f.mu.Lock()
+		f.latency = 0 // No message is on its way at the end of the test.
+		f.mu.Unlock()
+		time.Sleep(time.Second)
+		for _, v := range vms {
+			is.Equal(v.engine().NoticeStatus(time.Now()).ColdIntake, roster.Intake(0))
+		}
+	})
+}
