--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -59,6 +59,8 @@
 	Public bool
 	// Resumable is set if a stream may be continued by another upstream.
 	Resumable bool
+	// AllowedRegions lists the regions whose upstreams may get the route's requests; empty means all.
+	AllowedRegions []fleet.Region
 	// Split lists the services among which requests are divided by weight.
 	Split []Weighted
 }
@@ -77,6 +79,10 @@
 // Service is a group of interchangeable upstreams.
 type Service struct {
 	ID ServiceID
+	// ColdTime is how long an upstream is cold after a start. While it is cold, it takes ColdRate
+	// requests per second from all VMs together. There is no such limit if either is 0.
+	ColdTime time.Duration
+	ColdRate float64
 	// Engine is nil for plain services.
 	Engine *Engine
 }
@@ -125,6 +131,8 @@
 	// does; 0 is the most urgent.
 	Priority    int
 	HasPriority bool
+	// AllowedRegions lists the regions whose upstreams may get the team's requests; empty means all.
+	AllowedRegions []fleet.Region
 }
 
 // Limits holds bounds on clients' requests.
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"toucanfall/fleet"
 	"toucanfall/metric"
 )
 
@@ -26,9 +27,10 @@
 			}
 			return 0
 		},
-		QuarantinedParts: func() float64 { return float64(g.quarantine.Size()) },
-		Upstreams:        func() float64 { return float64(len(g.roster.Upstreams())) },
-		NoticeStatuses:   g.noticeStatuses,
+		QuarantinedParts:     func() float64 { return float64(g.quarantine.Size()) },
+		Upstreams:            func() float64 { return float64(len(g.roster.Upstreams())) },
+		EvacuatedDataCentres: func() []fleet.DataCentre { return g.catalogue.Evacuations().DataCentres },
+		NoticeStatuses:       g.noticeStatuses,
 	}
 }
 
@@ -38,7 +40,10 @@
 	now := time.Now()
 	for _, u := range g.roster.Upstreams() {
 		s := u.NoticeStatus(now)
-		m := metric.NoticeStatus{Upstream: u.ID, Leaving: s.Leaving, Limited: s.Limited, Limit: float64(s.Intake)}
+		m := metric.NoticeStatus{Upstream: u.ID, Leaving: s.Leaving, Limited: !s.AnnouncedAt.IsZero(), Limit: float64(s.Announced)}
+		if s.ColdIntake > 0 {
+			m.Cold = s.ColdUntil.Sub(now)
+		}
 		if !s.WaitUntil.IsZero() {
 			m.Wait = s.WaitUntil.Sub(now)
 		}
