--- a/script/unit.sh
+++ b/script/unit.sh
@@ -11,9 +11,11 @@
 if [ -f KNOWN-RED.txt ]; then
 	red=$(grep -v '^#' KNOWN-RED.txt | cut -d'|' -f1 | tr -d ' ' | grep . | paste -sd'|' -)
 fi
-# The soak runs real processes against the clock, so it runs by itself.
+# The soak runs real processes against the clock, and the floods of crowd fill a
+# process's memory, so each runs by itself.
 soak=toucanfall/platform/soak
-packages=$(go list ./... | grep -v "^$soak$")
+crowd=toucanfall/platform/crowd
+packages=$(go list ./... | grep -v -e "^$soak$" -e "^$crowd$")
 # The flags of rapid exist only in test binaries that import it.
 rapid=$(go list -f '{{range .TestImports}}{{if eq . "pgregory.net/rapid"}}{{println $.ImportPath}}{{end}}{{end}}{{range .XTestImports}}{{if eq . "pgregory.net/rapid"}}{{println $.ImportPath}}{{end}}{{end}}' ./... | grep . | sort -u)
 plain=$(comm -23 <(sort <<<"$packages") <(sort <<<"$rapid"))
@@ -26,6 +28,8 @@
 go test -race -timeout 20m ${red:+-skip "^($red)$"} $plain || code=1
 # shellcheck disable=SC2086
 go test -race -timeout 20m ${red:+-skip "^($red)$"} "$soak" || code=1
+# shellcheck disable=SC2086
+go test -race -timeout 20m ${red:+-skip "^($red)$"} "$crowd" || code=1
 if [ -n "$red" ]; then
 	echo "known red, passed over:"
 	grep -v '^#' KNOWN-RED.txt | grep .
