Keep listeners through temporary errors, and end the process with any part

peer.Server.Serve returned on any failed accept, also on EMFILE, and one part of the gateway could not be interrupted, so that the process neither served nor ended. Listeners now try again after errors that may be temporary (internal/accept), with a growing delay and one log line in 10 s. When a part of the gateway ends, the process ends within stop_within with a non-zero exit code, and abandons parts that hang (gateway/parts.go).

--- a/event/gateway.go
+++ b/event/gateway.go
@@ -38,5 +38,7 @@
 	SettingsRefused  = Event{832, "settings_refused", logrus.ErrorLevel, "The changed settings file is invalid; the previous settings stay active."}
 	GatewayFault     = Event{833, "gateway_fault", logrus.ErrorLevel, "A component of the gateway failed. The field reason says how."}
 	LinesLeftOut     = Event{834, "lines_left_out", logrus.WarnLevel, "Log lines were dropped, because the log exceeded its rate limit or its reader was blocked. The field lines is the number of lines that were dropped before this one."}
+	PartEnded        = Event{851, "part_ended", logrus.ErrorLevel, "A part of the process ended by itself, or the shutdown hung, so the process ends with a non-zero exit code. The field reason names the part and its error."}
+	AcceptFailed     = Event{852, "accept_failed", logrus.WarnLevel, "A listener could not accept a connection and tries again. Logged at most once in 10 s for each listener; count is the number of failures since the last such line. `too many open files` means that the process is at its limit of descriptors."}
 	RequestServed    = Event{841, "request_served", logrus.InfoLevel, "The complete response of an upstream was sent to the caller. The fields describe how the upstream was chosen, the requests in flight at it (from this VM in own, from all VMs in all), the time to the first chunk and the longest pause between chunks after it. framing is as in 404."}
 )
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,11 +8,11 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
-	"github.com/oklog/run"
 	"github.com/sirupsen/logrus"
 
 	"toucanfall/catalogue"
@@ -20,6 +20,7 @@
 	"toucanfall/event"
 	"toucanfall/fleet"
 	"toucanfall/group"
+	"toucanfall/internal/accept"
 	"toucanfall/internal/bootclock"
 	"toucanfall/internal/guard"
 	"toucanfall/internal/httpx"
@@ -277,44 +278,55 @@
 }
 
 // Run serves until ctx is cancelled, and then stops without interrupting requests, within
-// the time that the settings allow. It fails if a listener cannot be opened or a server
-// ends early; without the metrics' listener it goes on.
+// the time that the settings allow. It fails if a listener cannot be opened, if a part of the
+// gateway ends early, or if the shutdown hangs; without the metrics' listener it goes on. The
+// process must exit after Run has returned, because parts that hang may still run.
 func (g *Gateway) Run(ctx context.Context) error {
-	callers, err := listenConfig.Listen(ctx, "tcp", g.cfg.Callers)
+	callers, err := g.listen(ctx, "callers", g.cfg.Callers)
 	if err != nil {
-		return fmt.Errorf("callers' listener: %w", err)
+		return err
 	}
-	peers, err := listenConfig.Listen(ctx, "tcp", g.cfg.Peers)
+	peers, err := g.listen(ctx, "peers", g.cfg.Peers)
 	if err != nil {
-		return fmt.Errorf("peers' listener: %w", err)
+		return err
 	}
-	readiness, err := listenConfig.Listen(ctx, "tcp", g.cfg.Ready)
+	readiness, err := g.listen(ctx, "readiness", g.cfg.Ready)
 	if err != nil {
-		return fmt.Errorf("readiness listener: %w", err)
+		return err
 	}
 	g.events.Record(event.ProcessStarted, nil)
-	var all run.Group
-	g.addLoops(&all)
-	g.addServer(&all, g.callers, callers)
-	g.addServer(&all, httpx.NewServer(g.readinessHandler()), readiness)
-	g.addMetrics(ctx, &all)
-	all.Add(func() error { return g.peers.Serve(peers) }, func(error) { _ = peers.Close(); g.peers.Close() })
-	all.Add(func() error {
-		<-ctx.Done()
-		g.stop()
-		return nil
-	}, func(error) {})
-	err = all.Run()
+	all := newParts(time.Duration(g.cfg.StopWithin))
+	g.addLoops(all)
+	addServer(all, "callers", g.callers, callers)
+	addServer(all, "readiness", httpx.NewServer(g.readinessHandler()), readiness)
+	g.addMetrics(ctx, all)
+	all.add("peers", func() error { return g.peers.Serve(peers) }, func(error) { _ = peers.Close(); g.peers.Close() })
+	all.addStop(ctx, g.stop)
+	err = all.run(ctx)
+	if err != nil {
+		g.events.Record(event.PartEnded, timeline.Fields{"reason": err.Error()})
+	}
 	g.events.Record(event.ProcessStopped, nil)
 	return err
 }
 
+// listen opens the listener of a part. It outlives temporary errors, which are logged.
+func (g *Gateway) listen(ctx context.Context, part, address string) (net.Listener, error) {
+	l, err := listenConfig.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("%s' listener: %w", part, err)
+	}
+	return accept.New(l, func(err error, failures int) {
+		g.events.Record(event.AcceptFailed, timeline.Fields{"part": part, "reason": err.Error(), "count": strconv.Itoa(failures)})
+	}), nil
+}
+
 // listenConfig enables keep-alive probes, so that connections whose peer has disappeared
 // are detected.
 var listenConfig = net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3}}
 
 // addLoops adds the background loops, each guarded against panics.
-func (g *Gateway) addLoops(all *run.Group) {
+func (g *Gateway) addLoops(all *parts) {
 	for _, l := range []struct {
 		name string
 		run  func(context.Context) error
@@ -324,27 +336,27 @@
 	} {
 		ctx, cancel := context.WithCancel(context.Background())
 		guarded := g.panics.RestartOnPanic(l.name, l.run)
-		all.Add(func() error { return guarded(ctx) }, func(error) { cancel() })
+		all.add(l.name, func() error { return guarded(ctx) }, func(error) { cancel() })
 	}
 }
 
 // addMetrics adds the metrics server. If its listener cannot be opened, the fault is
 // recorded and the gateway runs without it.
-func (g *Gateway) addMetrics(ctx context.Context, all *run.Group) {
+func (g *Gateway) addMetrics(ctx context.Context, all *parts) {
 	if g.cfg.Metrics == "" {
 		return
 	}
-	l, err := listenConfig.Listen(ctx, "tcp", g.cfg.Metrics)
+	l, err := g.listen(ctx, "metrics", g.cfg.Metrics)
 	if err != nil {
-		g.events.Record(event.GatewayFault, timeline.Fields{"reason": "metrics' listener: " + err.Error()})
+		g.events.Record(event.GatewayFault, timeline.Fields{"reason": err.Error()})
 		return
 	}
-	g.addServer(all, httpx.NewServer(g.meters.Handler()), l)
+	addServer(all, "metrics", httpx.NewServer(g.meters.Handler()), l)
 }
 
-func (g *Gateway) addServer(all *run.Group, s *http.Server, l net.Listener) {
+func addServer(all *parts, name string, s *http.Server, l net.Listener) {
 	interrupted := make(chan struct{})
-	all.Add(func() error {
+	all.add(name, func() error {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -17,6 +17,7 @@
 	"sync"
 	"time"
 
+	"toucanfall/internal/accept"
 	"toucanfall/internal/guard"
 )
 
@@ -56,8 +57,10 @@
 }
 
 // Serve accepts connections and serves each in a goroutine of its own. It returns nil when
-// the listener is closed, and the error if accepting fails otherwise.
+// the listener is closed, and an error if the listener can never accept again. It waits out
+// errors that may be temporary.
 func (s *Server) Serve(l net.Listener) error {
+	l = accept.New(l, nil)
 	for {
 		conn, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
