--- a/ingress/admission.go
+++ b/ingress/admission.go
@@ -60,9 +60,10 @@
 
 // The kinds.
 const (
-	// ConnEvicted connections waited for a request and were closed for a new one.
+	// ConnEvicted connections waited for a request or a body and were closed for a new one.
 	ConnEvicted Kind = "connection_evicted"
-	// ConnRefused connections were closed at once, because all others had a request in progress.
+	// ConnRefused connections were closed at once, because all of the address with the most connections
+	// had a request in progress.
 	ConnRefused Kind = "connection_refused"
 	// HeadSlow is a head that was not complete within the header timeout.
 	HeadSlow Kind = "head_slow"
@@ -111,9 +112,9 @@
 
 // New returns the admission control of a process.
 func New(cfg Config) *Admission {
-	descriptors := cfg.Descriptors
-	if descriptors == 0 {
-		descriptors = ownDescriptors()
+	descriptors := ownDescriptors()
+	if cfg.Descriptors > 0 {
+		descriptors = min(descriptors, cfg.Descriptors)
 	}
 	share := func(percent int) int { return max((descriptors-reservedDescriptors)*percent/100, minConns) }
 	a := &Admission{cfg: cfg, rejected: make(map[Kind]int), ToEngines: &Dials{limit: share(enginesPercent)}, ToVMs: &Dials{limit: share(vmsPercent)}}
@@ -249,8 +250,8 @@
 	}
 }
 
-// Configure makes a server record which of its connections have a request in progress. Its listener must
-// be one of [Admission.Listener].
+// Configure makes a server record the state of its connections, whose requests count as reading their
+// body until the handler calls [Conn.Run]. The listener must be one of [Admission.Listener].
 func (a *Admission) Configure(s *http.Server) {
 	handler := s.Handler
 	s.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
--- a/ingress/conns.go
+++ b/ingress/conns.go
@@ -10,8 +10,8 @@
 
 // Conns is the set of open connections of one listener. It handles the load of clients that open
 // more connections than the process has descriptors for, and leave them open: at the limit a new
-// connection takes the place of one that waits without a request in progress, of the address with the
-// most connections. So clients with few connections are admitted and keep theirs, however many others
+// connection takes the place of one that waits without a request in progress, or whose body does not
+// arrive, of the address with the most connections. So clients with few connections are admitted and keep theirs, however many others
 // have. It is safe for concurrent use.
 type Conns struct {
 	limit int
@@ -38,8 +38,24 @@
 // Limit returns the greatest number of open connections.
 func (s *Conns) Limit() int { return s.limit }
 
-// Conn is a connection of a set. Its state is that of the requests on it: waiting for a request,
-// reading a request's head, or busy with a request.
+// state is what a connection does.
+type state int
+
+// The states.
+const (
+	// waiting connections wait for a request or for the rest of its head.
+	waiting state = iota
+	// reading connections have read a head, and may be reading a body. The request is not running.
+	reading
+	// running connections have a request in progress.
+	running
+)
+
+// readingGrace is how long a connection may read a body before it can be closed for a new one: an
+// ordinary body arrives in a fraction of it.
+const readingGrace = time.Second
+
+// Conn is a connection of a set.
 type Conn struct {
 	net.Conn
 	set     *Conns
@@ -48,10 +64,10 @@
 	awaitsHead atomic.Bool
 
 	// The fields below are guarded by set.mu.
-	busy   bool
+	state  state
 	closed bool
-	// waitingSince is when the connection was opened or its last request ended.
-	waitingSince time.Time
+	// since is when the state began.
+	since time.Time
 	// headSince is when the first byte of a head arrived that is not complete, or the zero time.
 	headSince time.Time
 }
@@ -64,13 +80,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.open >= s.limit {
-		evicted = s.longestWaiting()
+		evicted = s.replaceable()
 		if evicted == nil {
 			return nil, nil
 		}
 		s.remove(evicted)
 	}
-	c.waitingSince = s.now()
+	c.since = s.now()
 	own := s.addresses[c.address]
 	if own == nil {
 		own = make(map[*Conn]struct{}, 1)
@@ -81,22 +97,27 @@
 	return c, evicted
 }
 
-// longestWaiting returns the connection that has waited longest of those of the address with the most
-// connections, nil if all of these are busy. The caller must hold s.mu.
-func (s *Conns) longestWaiting() *Conn {
+// replaceable returns the connection to close for a new one, of those of the address with the most
+// connections: that which has waited longest, or if none waits that which has been reading a body for
+// longest. It returns nil if all are running, or have begun to read within readingGrace. The caller must
+// hold s.mu.
+func (s *Conns) replaceable() *Conn {
 	var most map[*Conn]struct{}
 	for _, conns := range s.addresses {
 		if len(conns) > len(most) {
 			most = conns
 		}
 	}
-	var longest *Conn
+	var longest [running]*Conn
 	for c := range most {
-		if !c.busy && (longest == nil || c.waitingSince.Before(longest.waitingSince)) {
-			longest = c
+		if c.state < running && (longest[c.state] == nil || c.since.Before(longest[c.state].since)) {
+			longest[c.state] = c
 		}
 	}
-	return longest
+	if c := longest[reading]; longest[waiting] == nil && c != nil && s.now().Sub(c.since) > readingGrace {
+		return c
+	}
+	return longest[waiting]
 }
 
 // remove removes a connection. The caller must hold s.mu.
@@ -121,7 +142,7 @@
 	now := s.now()
 	for _, conns := range s.addresses {
 		for c := range conns {
-			if !c.busy && !c.headSince.IsZero() && now.Sub(c.headSince) > d {
+			if c.state == waiting && !c.headSince.IsZero() && now.Sub(c.headSince) > d {
 				out = append(out, c)
 			}
 		}
@@ -149,33 +170,37 @@
 func (c *Conn) headBegun() {
 	c.set.mu.Lock()
 	defer c.set.mu.Unlock()
-	if !c.busy {
+	if c.state == waiting {
 		c.headSince = c.set.now()
 	}
 }
 
-// Begin records that a request is in progress. It returns false if the connection has been closed in
-// the meantime: the request must not be run.
-func (c *Conn) Begin() bool {
+// Begin records that the head of a request is complete. It returns false if the connection has been
+// closed in the meantime: the request must not be run.
+func (c *Conn) Begin() bool { return c.enter(reading) }
+
+// Run records that a request is in progress, whose body is complete. It returns false if the connection
+// has been closed in the meantime: the request must not be run.
+func (c *Conn) Run() bool { return c.enter(running) }
+
+func (c *Conn) enter(s state) bool {
 	c.set.mu.Lock()
 	defer c.set.mu.Unlock()
-	c.busy, c.headSince = true, time.Time{}
+	c.state, c.since, c.headSince = s, c.set.now(), time.Time{}
 	return !c.closed
 }
 
 // End records that the connection waits for its next request.
 func (c *Conn) End() {
 	c.awaitsHead.Store(true)
-	c.set.mu.Lock()
-	defer c.set.mu.Unlock()
-	c.busy, c.headSince, c.waitingSince = false, time.Time{}, c.set.now()
+	c.enter(waiting)
 }
 
 // expire closes a connection whose head is not complete, unless it has become so. It returns whether it
 // has closed it.
 func (c *Conn) expire() bool {
 	c.set.mu.Lock()
-	expired := !c.busy && !c.closed
+	expired := c.state == waiting && !c.closed
 	if expired {
 		c.headSince = time.Time{}
 		c.set.remove(c)
@@ -189,7 +214,7 @@
 func (c *Conn) headBroken() bool {
 	c.set.mu.Lock()
 	defer c.set.mu.Unlock()
-	broken := !c.busy && !c.headSince.IsZero()
+	broken := c.state == waiting && !c.headSince.IsZero()
 	c.headSince = time.Time{}
 	return broken
 }
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -56,6 +56,7 @@
 		}
 		server := &http.Server{ReadHeaderTimeout: serverTimeout, IdleTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/slow" {
+				ingress.ConnOf(r.Context()).Run()
 				<-s.slow
 			}
 			_, _ = io.WriteString(w, "ok")
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -243,6 +243,9 @@
 	if !a.space.GrowResponse() {
 		return c, team, fault.New(fault.Overloaded, "%w", ingress.ErrNoSpace)
 	}
+	if conn := ingress.ConnOf(r.Context()); conn != nil && !conn.Run() {
+		return c, team, fault.New(fault.InvalidRequest, "the connection was closed")
+	}
 	return c, team, nil
 }
 
