--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -31,6 +31,7 @@
 		Upstreams:            func() float64 { return float64(len(g.roster.Upstreams())) },
 		EvacuatedDataCentres: func() []fleet.DataCentre { return g.catalogue.Evacuations().DataCentres },
 		NoticeStatuses:       g.noticeStatuses,
+		Budgets:              g.budgets,
 	}
 }
 
