Count crashes by what engines show, however their port behaves

An engine counted as crashed only if it refused a connection right after it had broken off a run. An engine that was back at once, one that was silent and one behind a forwarder were never counted, so that a part of a prompt went on crashing them.

The gateway now asks the engine for its report, on a connection of its own. A refused connection, another start and another instance are crashes; the same start is none. What that leaves undecided, the directory decides within 10 s: by an entry of another start, or by an entry that vanishes without having drained. If no connection could be made the link may be cut, and an entry that vanishes says nothing. Runs of silent engines are looked at as well. Probes and undecided cases are bounded.

Failed before: TestCrashIsCountedWhateverThePortDoes (0 crashes for 1; 200 for 502). TestCheckBeginsAfterInterruption guards against the shared check. Upstreams of tests now also get probes: TestEndlessAnswerIsAborted, TestTrickledAnswerIsBoundByRouteTimeout and TestUnframedEndDoesNotEndFramedStream allow for them, and requestCount counts requests only.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -169,7 +169,7 @@
 func (g *Gateway) servingConfig() serving.Config {
 	return serving.Config{
 		DataCentre: g.cfg.DataCentre, Wire: platform.Wire{}, Dial: transport.Dial, Catalogue: g.catalogue, Roster: g.roster,
-		Rates: g.rates, Permits: g.rates, Prefill: g.prefill, Parts: g.quarantine, Loader: g.coordinatorClient, Events: g.events, Metrics: g.meters, Panics: g.panics,
+		Rates: g.rates, Permits: g.rates, Prefill: g.prefill, Parts: g.quarantine, Starts: platform.Engines{}, Loader: g.coordinatorClient, Events: g.events, Metrics: g.meters, Panics: g.panics,
 		StaleAfter: g.staleAfter(),
 		Budget:     serving.NewRetryBudget(g.cfg.RepeatRatio, g.cfg.RepeatSlack, time.Duration(g.cfg.RepeatWindow), g.membership.Size),
 		VMCount:    g.vmsPerDataCentre,
--- a/serving/crash.go
+++ b/serving/crash.go
@@ -3,15 +3,12 @@
 import (
 	"context"
 	"errors"
-	"sync"
-	"syscall"
 	"time"
 
 	"toucanfall/catalogue"
 	"toucanfall/fault"
 	"toucanfall/fleet"
 	"toucanfall/quarantine"
-	"toucanfall/roster"
 	"toucanfall/transport"
 )
 
@@ -61,91 +58,43 @@
 
 // checkCrash looks whether the upstream of an attempt that broke off has crashed, and records it. It
 // returns whether the request may be retried, which retry reports apart from that: a request that may
-// have crashed its engine must not run at another one, unless runs with all of its parts go well.
+// have crashed its engine must not run at another one, unless runs with all of its parts go well. The
+// result for an upstream that fell silent is not awaited: another one has the request already, or its
+// time is over.
 func (t *attempts) checkCrash(a *attempt, retry bool) bool {
-	if t.c.Model == "" || a.sound || a.ctx.Err() != nil {
+	if t.c.Model == "" || a.sound || a.ctx.Err() != nil && !a.silent() {
 		return retry
 	}
 	crashed := t.h.crashes.check(a.u, func() {
 		t.h.cfg.Parts.RecordCrash(quarantine.EngineStart{Upstream: a.u.ID, Born: a.u.StartTime()}, t.c.ID, t.c.Parts)
 	})
-	if !retry {
-		return false
+	if !retry || a.ctx.Err() != nil {
+		return retry
 	}
 	return !<-crashed || !t.h.cfg.Parts.Suspected(t.c.Parts)
 }
 
+// silent reports whether an attempt has ended because its upstream sent nothing: the watchdog has
+// cancelled it, or the time of the call is over.
+func (a *attempt) silent() bool {
+	err := a.parent.Err()
+	return err == nil || errors.Is(err, context.DeadlineExceeded)
+}
+
 // checkEnd returns an error if an answer that was sent to the client is a stream without a frame whose
 // upstream has crashed: the crash ended the connection, and the stream with it.
 func (t *attempts) checkEnd(a *attempt) error {
 	if a.resp.Framing != transport.Unframed || t.c.Route.Kind != catalogue.Stream || !isEventStream(a.resp) {
 		return nil
 	}
-	if <-t.h.crashes.check(a.u, func() {}) {
+	ended := false
+	if how, _ := a.u.Leaving(); how == "removed" && !a.u.Entry().Draining {
+		ended = t.h.crashes.refuses(a.u)
+	} else {
+		ended = <-t.h.crashes.check(a.u, func() {})
+	}
+	if ended {
 		return errors.New("the stream broke off: its upstream has crashed")
 	}
 	return nil
 }
-
-// crashDetector finds out whether upstreams that broke off a run have crashed. A connection that
-// ended says little of its upstream: one that refuses connections right after it has ended.
-type crashDetector struct {
-	dial transport.Dialer
-
-	mu sync.Mutex
-	// checks holds the checks in progress, and the functions to call if the upstream has crashed.
-	// Guarded by mu.
-	checks map[*roster.Upstream][]func(crashed bool)
-}
-
-func newCrashDetector(dial transport.Dialer) *crashDetector {
-	return &crashDetector{dial: dial, checks: make(map[*roster.Upstream][]func(bool))}
-}
-
-// check looks whether an upstream has crashed, with one connection for all calls at the same time. It
-// calls onCrash if it has, and then sends the result.
-func (d *crashDetector) check(u *roster.Upstream, onCrash func()) <-chan bool {
-	result := make(chan bool, 1)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	waiting, running := d.checks[u]
-	d.checks[u] = append(waiting, func(crashed bool) {
-		if crashed {
-			onCrash()
-		}
-		result <- crashed
-	})
-	if !running {
-		go d.run(u)
-	}
-	return result
-}
-
-// run connects to an upstream once, and reports to all that wait for the result.
-func (d *crashDetector) run(u *roster.Upstream) {
-	crashed := d.refusesConnections(u)
-	if crashed {
-		u.MarkUnreachable()
-	}
-	d.mu.Lock()
-	waiting := d.checks[u]
-	delete(d.checks, u)
-	d.mu.Unlock()
-	for _, report := range waiting {
-		report(crashed)
-	}
-}
-
-// refusesConnections reports whether nothing listens at the address of an upstream that is not
-// leaving. A connection that times out says nothing: the link may be cut.
-func (d *crashDetector) refusesConnections(u *roster.Upstream) bool {
-	if how, _ := u.Leaving(); how != "" {
-		return false
-	}
-	// The dialer has a timeout of its own.
-	conn, err := d.dial(context.Background(), u.Address())
-	if err == nil {
-		_ = conn.Close()
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -86,10 +86,12 @@
 	Permits    PermitSource
 	Prefill    PrefillCredits
 	Parts      PromptParts
-	Loader     Loader
-	Events     *timeline.Recorder
-	Metrics    *metric.Set
-	Panics     *guard.PanicReporter
+	// Starts asks engines that broke off a run for their start; nil if they cannot be asked.
+	Starts  StartProbe
+	Loader  Loader
+	Events  *timeline.Recorder
+	Metrics *metric.Set
+	Panics  *guard.PanicReporter
 	// StaleAfter is the staleness of the configuration from which requests with a key are
 	// rejected.
 	StaleAfter time.Duration
@@ -120,7 +122,7 @@
 		pools:   p,
 		picker:  NewPicker(cfg.Roster, cfg.DataCentre, cfg.VMCount, p.connected, rand.Float64),
 		notices: n,
-		crashes: newCrashDetector(cfg.Dial),
+		crashes: newCrashDetector(cfg.Dial, cfg.Roster, cfg.Starts),
 	}
 }
 
