List the parts in quarantine, and lift one

Operators could neither list the parts of prompts in quarantine nor end the quarantine of a part that is harmless, for example since its model was replaced.

`toucanfall quarantine list` prints the parts with the engines that crashed under them, `toucanfall quarantine lift` writes a report of the new kind lift to the log of the crash reports. Each VM forgets the part with its counts, so that new crashes put it back. VMs of earlier versions ignore the kind.

--- a/gateway/main.go
+++ b/gateway/main.go
@@ -26,6 +26,7 @@
 		Settings string `long:"settings" required:"true" description:"settings file, made from the template in deploy/"`
 		Check    bool   `long:"check" description:"check the settings and end"`
 	} `command:"gateway" description:"run the gateway of this VM"`
+	Quarantine quarantineOptions `command:"quarantine" description:"parts of prompts that crashed engines"`
 }
 
 // Main runs the toucanfall command with args and returns its exit code.
@@ -35,10 +36,15 @@
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	var opts options
-	if _, err := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args); err != nil {
+	parser := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.ParseArgs(args); err != nil {
 		code, _ := cli.Exit(err, stderr)
 		return code
 	}
+	if parser.Active.Name == "quarantine" {
+		code, _ := cli.Exit(runQuarantine(parser.Active.Active.Name, &opts.Quarantine, stdout, stderr), stderr)
+		return code
+	}
 	cfg, err := settings.ReadGateway(opts.Gateway.Settings)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
--- a/quarantine/account.go
+++ b/quarantine/account.go
@@ -67,6 +67,8 @@
 	Vouch Kind = "vouch"
 	// Summary lists the engines that crashed under a part, for VMs that start later.
 	Summary Kind = "summary"
+	// Lift ends the quarantine of a part by order of an operator.
+	Lift Kind = "lift"
 )
 
 // Report is what one VM reports about the parts of a prompt.
@@ -91,10 +93,11 @@
 	crashKeys   = 512
 	vouchKeys   = 1024
 	summaryKeys = 1024
+	liftKeys    = 1024
 )
 
 // Key returns the key of the report in the log. Their number is bounded, so that a report may replace
-// another one. A vouch replaces the last one of the same VM for its part, a summary that of its part.
+// another one. A vouch replaces the last one of the same VM for its part, a summary or a lift that of its part.
 func (r *Report) Key() string {
 	n := r.Number % crashKeys
 	switch r.Kind {
@@ -102,6 +105,8 @@
 		n = xxhash.Sum64String(string(r.VM)+" "+string(r.Parts[0].Part)) % vouchKeys
 	case Summary:
 		n = xxhash.Sum64String(string(r.Parts[0].Part)) % summaryKeys
+	case Lift:
+		n = xxhash.Sum64String(string(r.Parts[0].Part)) % liftKeys
 	}
 	return fmt.Sprintf("%s-%d", r.Kind, n)
 }
@@ -111,12 +116,15 @@
 
 // Validate returns an error if the report cannot come from a VM of this version.
 func (r *Report) Validate() error {
-	if r.Kind != Crash && r.Kind != Vouch && r.Kind != Summary {
+	if r.Kind != Crash && r.Kind != Vouch && r.Kind != Summary && r.Kind != Lift {
 		return fmt.Errorf("crash report of VM %q of the kind %q", r.VM, r.Kind)
 	}
 	if r.VM == "" || len(r.Parts) == 0 || len(r.Parts) > maxReportParts || len(r.Engines) > maxEngines {
 		return fmt.Errorf("crash report of VM %q with %d parts and %d engines", r.VM, len(r.Parts), len(r.Engines))
 	}
+	if r.Kind == Lift && (len(r.Parts) > 1 || len(r.Engines) > 0) {
+		return fmt.Errorf("lift by VM %q with %d parts and %d engines", r.VM, len(r.Parts), len(r.Engines))
+	}
 	for _, p := range r.Parts {
 		if p.Part == "" || p.Sound < 0 {
 			return fmt.Errorf("crash report of VM %q: part %q with %d sound runs", r.VM, p.Part, p.Sound)
@@ -216,6 +224,9 @@
 		return nil
 	}
 	a.remember(id)
+	if r.Kind == Lift {
+		return a.lift(r.Parts[0].Part)
+	}
 	var out []change
 	for _, count := range r.Parts {
 		p := a.parts[count.Part]
@@ -233,6 +244,16 @@
 	return out
 }
 
+// lift forgets all that is known of a part. It returns the change if the part was in quarantine.
+func (a *account) lift(id fleet.PartID) []change {
+	p := a.parts[id]
+	delete(a.parts, id)
+	if p == nil || !p.quarantined {
+		return nil
+	}
+	return []change{{part: id}}
+}
+
 func (a *account) remember(id reportID) {
 	a.seen[id] = true
 	a.seenOrder = append(a.seenOrder, id)
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -194,7 +194,7 @@
 
 // A malformed report is rejected, and no valid one has a key that is not bounded.
 func FuzzReport(f *testing.F) {
-	for _, s := range []string{`{"vm":"a","number":1,"kind":"vouch","parts":[{"part":"x","sound":-1}]}`, `{"vm":"a","parts":[]}`, `{"vm":"a","kind":"summary","parts":[{"part":"x"}],"engines":[{"upstream":"u","born":1}]}`} {
+	for _, s := range []string{`{"vm":"a","number":1,"kind":"vouch","parts":[{"part":"x","sound":-1}]}`, `{"vm":"a","parts":[]}`, `{"vm":"a","kind":"summary","parts":[{"part":"x"}],"engines":[{"upstream":"u","born":1}]}`, `{"vm":"a","kind":"lift","parts":[{"part":"x"}]}`} {
 		f.Add([]byte(s))
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
