--- a/serving/handler.go
+++ b/serving/handler.go
@@ -89,10 +89,12 @@
 	Permits   PermitSource
 	Prefill   PrefillCredits
 	Parts     PromptParts
-	Loader    Loader
-	Events    *timeline.Recorder
-	Metrics   *metric.Set
-	Panics    *guard.PanicReporter
+	// Starts asks engines that broke off a run for their start; nil if they cannot be asked.
+	Starts  StartProbe
+	Loader  Loader
+	Events  *timeline.Recorder
+	Metrics *metric.Set
+	Panics  *guard.PanicReporter
 	// StaleAfter is the staleness of the configuration from which requests with a key are
 	// rejected.
 	StaleAfter time.Duration
@@ -129,7 +131,7 @@
 		pools:   p,
 		picker:  picker,
 		notices: n,
-		crashes: newCrashDetector(cfg.Dial),
+		crashes: newCrashDetector(cfg.Dial, cfg.Roster, cfg.Starts),
 	}
 }
 
