--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -27,12 +27,12 @@
 	} `command:"lift" description:"end the quarantine of one part on all VMs"`
 }
 
-// operatorTimeout bounds the calls of a command to the store, retries of its client included.
-const operatorTimeout = 10 * time.Second
+// commandTimeout bounds the calls of a command to the store, retries of its client included.
+const commandTimeout = 10 * time.Second
 
 // runQuarantine runs one of the commands.
 func runQuarantine(command string, opts *quarantineOptions, stdout, stderr io.Writer) error {
-	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
 	defer cancel()
 	file := opts.List.Settings
 	if command == "lift" {
