Choose engines by expected time where they state it

Cause: a load header of four figures was discarded, so on deployments whose engines state their relative processing time a VM learned nothing from answers, and it chose engines by the number of requests whatever their speed.

Change: all four figures are decoded and kept in the roster with their age. Package servicetime smooths the relative processing time and turns work, slots and that time into an expected time, by which the picker chooses where a candidate has ever stated one. Without a fourth figure the cost is as before, also term by term. Slots and memory of engines are decoded from the configuration and from directory entries. The load in a 421, which comes from another upstream, is no longer recorded.

--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -91,7 +91,11 @@
 	// the weight store, for all engines together.
 	LoadsPerSecond float64
 	LoadsAtOnce    int
-	Models         map[fleet.ModelID]*Model
+	// Slots is how many requests an engine runs at the same time, and MemoryTokens how many tokens of
+	// prompts and answers it has memory for; 0 means that the operators state none.
+	Slots        int
+	MemoryTokens fleet.Tokens
+	Models       map[fleet.ModelID]*Model
 }
 
 // Model is a model of a service. Sizes are in MB.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -25,6 +25,8 @@
 	// with another Born has kept no state.
 	Born     int64
 	Holdings []Holding
+	// Slots is how many requests the upstream runs at the same time, 0 if it is not stated.
+	Slots int
 }
 
 // Changes is the result of one read of the directory.
--- a/roster/upstream.go
+++ b/roster/upstream.go
@@ -7,6 +7,7 @@
 
 	"toucanfall/catalogue"
 	"toucanfall/fleet"
+	"toucanfall/servicetime"
 )
 
 // Limits and weights by which an upstream is judged by its answers.
@@ -70,6 +71,11 @@
 	// coordinator's orders to load or unload models only later.
 	reportedModels   []fleet.ModelID
 	modelsReportedAt time.Time
+	// load is the load by the last answer that stated it, at loadAt; processingTime smooths its
+	// relative processing time.
+	load           Load
+	loadAt         time.Time
+	processingTime servicetime.Estimate
 }
 
 // Adapter identifies an adapter of a model, or the model itself if Adapter is empty.
--- a/serving/call.go
+++ b/serving/call.go
@@ -73,7 +73,7 @@
 	// one that lacks the model or adapter.
 	Misrouted bool
 	// Load is the upstream's load; it is valid if HasLoad is set.
-	Load    Load
+	Load    roster.Load
 	HasLoad bool
 }
 
@@ -91,11 +91,6 @@
 	Name, Value string
 }
 
-// Load is the number of requests that an upstream reports as running and as waiting.
-type Load struct {
-	Running, Waiting int
-}
-
 // modelAdapter returns the model and adapter of the call, the zero value at plain services.
 func (c *Call) modelAdapter() roster.Adapter {
 	return roster.Adapter{Model: c.Model, Adapter: c.Adapter}
--- a/serving/picker.go
+++ b/serving/picker.go
@@ -7,6 +7,7 @@
 	"toucanfall/catalogue"
 	"toucanfall/fleet"
 	"toucanfall/roster"
+	"toucanfall/servicetime"
 )
 
 // Weights of an upstream's cost. The unit is one request in flight at the upstream.
@@ -150,13 +151,20 @@
 	return out
 }
 
-// Best returns the upstream of least cost, nil if the list is empty.
+// Best returns the upstream of least cost, nil if the list is empty. Where an upstream has ever stated
+// its relative processing time, the cost of all is their expected time, otherwise their work.
 func (p *Picker) Best(list []*roster.Upstream, tried []fleet.UpstreamID) *roster.Upstream {
 	var best *roster.Upstream
 	var least float64
 	now, vmCount := time.Now(), p.vmCount()
+	timed := slices.ContainsFunc(list, func(u *roster.Upstream) bool { _, ok := u.ProcessingTime(now); return ok })
 	for _, u := range list {
-		c := p.cost(u, tried, now, vmCount)
+		c := p.work(u, now, vmCount)
+		if timed {
+			ratio, _ := u.ProcessingTime(now)
+			c = servicetime.Cost(c, u.Slots(), ratio)
+		}
+		c += p.surcharge(u, tried, now)
 		if best == nil || c < least {
 			best, least = u, c
 		}
@@ -164,17 +172,22 @@
 	return best
 }
 
-func (p *Picker) cost(u *roster.Upstream, tried []fleet.UpstreamID, now time.Time, vmCount float64) float64 {
+// work returns the work at an upstream, in requests in flight.
+func (p *Picker) work(u *roster.Upstream, now time.Time, vmCount float64) float64 {
 	_, all := u.InFlight()
-	// The random part makes VMs with the same information choose differently.
-	c := float64(all) + p.random()*0.4
 	// The other VMs choose by the same rule, and this VM learns of their requests only later.
-	c += (vmCount - 1) * float64(u.StartedSinceUpdate())
+	unseen := (vmCount - 1) * float64(u.StartedSinceUpdate())
+	return float64(all) + unseen + promptWeight*u.PendingPromptTokens(now)*vmCount
+}
+
+// surcharge returns the part of an upstream's cost that does not depend on its work.
+func (p *Picker) surcharge(u *roster.Upstream, tried []fleet.UpstreamID, now time.Time) float64 {
+	// The random part makes VMs with the same information choose differently.
+	c := p.random() * 0.4
 	if u.Entry().DataCentre != p.dataCentre {
 		c += otherDataCentreWeight
 	}
 	c += failingWeight * u.FailureShare(now)
-	c += promptWeight * u.PendingPromptTokens(now) * vmCount
 	if u.Silent(now) {
 		c += silentWeight
 	}
--- a/serving/run.go
+++ b/serving/run.go
@@ -359,9 +359,8 @@
 func (t *attempts) relayAnswer(a *attempt, w *watchdog) (retry bool, err error) {
 	u, resp := a.u, a.resp
 	reply := t.h.cfg.Wire.ReadReply(resp.Status, resp.Header)
-	if reply.HasLoad {
-		own, _ := u.InFlight()
-		u.SetOthersInFlight(max(reply.Load.Running+reply.Load.Waiting-own, 0))
+	if reply.HasLoad && !reply.Misrouted { // Otherwise the load is that of another upstream.
+		u.ApplyLoad(reply.Load, time.Now())
 	}
 	if reply.NotRun {
 		return t.handleNotRun(a, reply)
