Account for the slots and the memory of engines

Cause: a VM sees a small part of an engine's traffic, so together the VMs send more requests than engines have slots and memory for. Engines then preempt streams, which are late for good, and reject requests.

Change: where the setting contracts lists it, the host of an engine's prefill account also accounts for its runs. A run holds a slot and memory from its grant until its end. A request that cannot run in time is rejected at once with a forecast. Loads in answers correct the account, returns to a host that does not answer are kept, and the host's answers give the number of requests at the engine to the choice among engines. Without the setting, accounts are as before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -78,6 +78,7 @@
 	buckets           *ratelimit.Buckets
 	rates             *ratelimit.Client
 	prefill           *prefill.Client
+	prefillHost       *prefill.Host
 	coordinator       *coordinator.Coordinator
 	coordinatorClient *coordinator.Client
 	handler           *serving.Handler
@@ -149,8 +150,8 @@
 	g.rates = ratelimit.NewClient(ratelimit.ClientConfig{
 		VM: cfg.VM, OwnPool: pool, Buckets: g.buckets, Peers: g.peerClient, PoolHosts: newPoolHosts(g.memberList).pools, Now: bootclock.Now, Events: g.events,
 	})
-	prefillHost := prefill.NewHost(g.events)
-	g.prefill = prefill.NewClient(prefill.ClientConfig{VM: cfg.VM, Own: prefillHost, Peers: g.peerClient, Hosts: g.prefillHosts, Events: g.events})
+	g.prefillHost = prefill.NewHost(g.events)
+	g.prefill = prefill.NewClient(prefill.ClientConfig{VM: cfg.VM, Own: g.prefillHost, Peers: g.peerClient, Hosts: g.prefillHosts, OnAnswer: g.applyRuns, Events: g.events})
 	g.relay = relay.NewService(relay.ServiceConfig{Directory: replica, Catalogue: g.catalogue, Membership: g.membership, Reports: g.reports, Self: self, Now: bootclock.Now})
 	g.handler = serving.New(g.servingConfig())
 	g.callers = &http.Server{
@@ -162,14 +163,14 @@
 		g.peers.Register(coordinator.RelayServiceName, g.coordinatorClient.RelayService()),
 		g.peers.Register(relay.ServiceName, g.relay.Peer()),
 		g.peers.Register(ratelimit.ServiceName, pool.Service()),
-		g.peers.Register(prefill.ServiceName, prefillHost.Service()),
+		g.peers.Register(prefill.ServiceName, g.prefillHost.Service()),
 	)
 }
 
 func (g *Gateway) servingConfig() serving.Config {
 	return serving.Config{
 		DataCentre: g.cfg.DataCentre, Wire: platform.Wire{}, Dial: transport.Dial, Catalogue: g.catalogue, Roster: g.roster,
-		Rates: g.rates, Permits: g.rates, Prefill: g.prefill, Parts: g.quarantine, Loader: g.coordinatorClient, Events: g.events, Metrics: g.meters, Panics: g.panics,
+		Rates: g.rates, Permits: g.rates, Prefill: g.prefill, AccountRuns: platform.AccountsForRuns(g.cfg.Contracts), Parts: g.quarantine, Loader: g.coordinatorClient, Events: g.events, Metrics: g.meters, Panics: g.panics,
 		StaleAfter: g.staleAfter(),
 		Budget:     serving.NewRetryBudget(g.cfg.RepeatRatio, g.cfg.RepeatSlack, time.Duration(g.cfg.RepeatWindow), g.membership.Size),
 		VMCount:    g.vmsPerDataCentre,
@@ -210,6 +211,20 @@
 	return out
 }
 
+// applyRuns records the number of requests at an engine as the host of its account knows it.
+func (g *Gateway) applyRuns(id fleet.UpstreamID, a prefill.Answer) {
+	u, ok := g.roster.Get(id)
+	if !ok || !a.HasRuns {
+		return
+	}
+	others := a.Running + a.Waiting
+	if a.Granted {
+		others-- // The granted request is not in flight yet.
+	}
+	own, _ := u.InFlight()
+	u.SetOthersInFlight(max(others-own, 0))
+}
+
 // memberList returns the members of the fleet as this VM knows them.
 func (g *Gateway) memberList() group.MemberList {
 	members, _ := g.membership.MemberList()
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
 	"time"
 
+	"toucanfall/catalogue"
 	"toucanfall/metric"
 )
 
@@ -29,6 +32,7 @@
 		QuarantinedParts: func() float64 { return float64(g.quarantine.Size()) },
 		Upstreams:        func() float64 { return float64(len(g.roster.Upstreams())) },
 		NoticeStatuses:   g.noticeStatuses,
+		Capacities:       g.capacities,
 	}
 }
 
@@ -46,3 +50,24 @@
 	}
 	return out
 }
+
+// capacities returns the capacity of each service at the engines whose accounts this VM keeps. Engines
+// that have left are not counted.
+func (g *Gateway) capacities() []metric.Capacity {
+	sums := make(map[catalogue.ServiceID]metric.Capacity)
+	for _, u := range g.prefillHost.Usage() {
+		engine, ok := g.roster.Get(u.Upstream)
+		if !ok {
+			continue
+		}
+		s := sums[engine.Service()]
+		s.Service = string(engine.Service())
+		s.Slots += float64(u.Capacity.Slots)
+		s.Running += float64(u.Running)
+		s.Memory += float64(u.Capacity.Tokens)
+		s.Tokens += u.Tokens
+		s.Waiting += float64(u.Waiting)
+		sums[engine.Service()] = s
+	}
+	return slices.Collect(maps.Values(sums))
+}
--- a/gateway/reload.go
+++ b/gateway/reload.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"reflect"
 
 	"toucanfall/event"
 	"toucanfall/settings"
@@ -24,6 +25,6 @@
 			g.events.Record(event.SettingsRefused, timeline.Fields{"reason": err.Error()})
 			continue
 		}
-		g.events.Record(event.SettingsReloaded, timeline.Fields{"changed": fmt.Sprint(*next != *g.cfg)})
+		g.events.Record(event.SettingsReloaded, timeline.Fields{"changed": fmt.Sprint(!reflect.DeepEqual(next, g.cfg))})
 	}
 }
--- a/measure/dispatch.go
+++ b/measure/dispatch.go
@@ -303,10 +303,11 @@
 // chooseWithCredit chooses an engine, and waits for a prefill credit.
 func (s *dispatchSim) chooseWithCredit(a *dispatchAttempt, v *dispatchVM, policy enginePolicy, spec classSpec, prompt int) *roster.Upstream {
 	acquire := func(u *roster.Upstream, wait time.Duration) (*prefill.Credit, time.Duration, bool) {
-		return s.credits.Acquire(context.Background(), prefill.Request{
+		credit, denial, ok := s.credits.Acquire(context.Background(), prefill.Request{
 			Upstream: u.ID, Tokens: fleet.Tokens(prompt), MaxPause: spec.maxPause, Slack: spec.maxFirstEvent - time.Since(a.began),
 			Rank: spec.priority, Wait: wait,
 		})
+		return credit, denial.Wait, ok
 	}
 	for {
 		list := slices.Clone(v.roster.Upstreams())
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -44,6 +44,10 @@
 	noticedSendsTotal   = Definition{"toucanfall_noticed_sends_total", Counter, []string{"notice"}, "Requests that were written to an upstream while a notice from it applied: that it is leaving (`leaving`), accepts no requests for some time (`wait`) or limits its request rate (`intake`)."}
 	permitsTotal        = Definition{"toucanfall_permits_total", Counter, []string{"outcome"}, "Permits requested to send to an upstream that announces a request rate limit, by outcome: `given`, or `denied`, after which another upstream is chosen or the request is rejected."}
 	prefillCreditsTotal = Definition{"toucanfall_prefill_credits_total", Counter, []string{"outcome"}, "Requests for a credit to send a prompt to an engine, by outcome: `given`, `denied` (the request waits or another engine is asked), or `unaccounted` (no host of the engine's account answered and the prompt was sent without a credit)."}
+	capacityRejected    = Definition{"toucanfall_capacity_rejected_total", Counter, []string{"service", "reason"}, "Requests that were rejected because no engine could run them in time, by service and by what the engines lacked: `slots`, `memory`, or `prompts` (they have enough prompts to read)."}
+	capacityLimit       = Definition{"toucanfall_capacity_limit", Gauge, []string{"service", "kind"}, "Capacity of the engines whose accounts this VM keeps, by service and kind: `slots`, or `memory` in tokens."}
+	capacityInUse       = Definition{"toucanfall_capacity_in_use", Gauge, []string{"service", "kind"}, "Capacity in use at these engines, by service and kind."}
+	capacityWaiting     = Definition{"toucanfall_capacity_waiting", Gauge, []string{"service"}, "Requests that wait at this VM for capacity of these engines, by service."}
 	storeCallsTotal     = Definition{"toucanfall_store_calls_total", Counter, []string{"call", "outcome"}, "Calls to the platform's store by outcome: `answered` or `failed`."}
 	panicsTotal         = Definition{"toucanfall_panics_total", Counter, []string{"where"}, "Recovered panics, by place: `request`, the name of a background loop, or a method that peers call."}
 	openRequests        = Definition{"toucanfall_open_requests", Gauge, nil, "Requests in progress."}
@@ -61,7 +65,7 @@
 )
 
 // Registry lists all metrics, in the order of docs/METRICS.md.
-var Registry = []Definition{requestsTotal, firstPieceSeconds, longestPauseSeconds, attemptsTotal, unframedTotal, noticesTotal, noticedSendsTotal, permitsTotal, prefillCreditsTotal, storeCallsTotal, panicsTotal, openRequests, configStaleness, directoryAge, directoryAgeAtSend, configVersion, rateShare, isCoordinator, quarantinedParts, upstreamCount, upstreamLeaving, upstreamWait, upstreamLimit}
+var Registry = []Definition{requestsTotal, firstPieceSeconds, longestPauseSeconds, attemptsTotal, unframedTotal, noticesTotal, noticedSendsTotal, permitsTotal, prefillCreditsTotal, capacityRejected, capacityLimit, capacityInUse, capacityWaiting, storeCallsTotal, panicsTotal, openRequests, configStaleness, directoryAge, directoryAgeAtSend, configVersion, rateShare, isCoordinator, quarantinedParts, upstreamCount, upstreamLeaving, upstreamWait, upstreamLimit}
 
 // maxLabelValues bounds the number of values of a label that come from outside
 // the process (teams, upstreams); further ones are counted as otherLabelValue. The
@@ -79,6 +83,8 @@
 	// NoticeStatuses returns the notice status of upstreams. Those without an active notice
 	// are not exposed.
 	NoticeStatuses func() []NoticeStatus
+	// Capacities returns the capacity of services at the engines whose accounts this VM keeps.
+	Capacities func() []Capacity
 }
 
 // Set holds the metrics of a process. It is safe for concurrent use.
@@ -95,10 +101,12 @@
 	noticedSends       *prometheus.CounterVec
 	permits            *prometheus.CounterVec
 	prefillCredits     *prometheus.CounterVec
+	capacityRejected   *prometheus.CounterVec
 	storeCalls         *prometheus.CounterVec
 	panics             *prometheus.CounterVec
 	teamValues         labelValues
 	upstreamValues     labelValues
+	serviceValues      labelValues
 }
 
 // histogramBuckets are the upper bounds of the histogram buckets in seconds. In the
@@ -110,7 +118,7 @@
 	s := &Set{registry: prometheus.NewRegistry()}
 	s.requests, s.attempts, s.storeCalls = s.counter(requestsTotal), s.counter(attemptsTotal), s.counter(storeCallsTotal)
 	s.notices, s.noticedSends, s.permits, s.panics = s.counter(noticesTotal), s.counter(noticedSendsTotal), s.counter(permitsTotal), s.counter(panicsTotal)
-	s.prefillCredits, s.unframed = s.counter(prefillCreditsTotal), s.counter(unframedTotal)
+	s.prefillCredits, s.capacityRejected, s.unframed = s.counter(prefillCreditsTotal), s.counter(capacityRejected), s.counter(unframedTotal)
 	s.firstPiece, s.longestPause, s.directoryAgeAtSend = s.histogram(firstPieceSeconds), s.histogram(longestPauseSeconds), s.histogram(directoryAgeAtSend)
 	return s
 }
@@ -135,7 +143,7 @@
 	} {
 		s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: d.Name, Help: d.Text}, f))
 	}
-	s.registry.MustRegister(newNoticeCollector(g.NoticeStatuses))
+	s.registry.MustRegister(newNoticeCollector(g.NoticeStatuses), newCapacityCollector(g.Capacities))
 }
 
 // Handler returns a handler that serves the metrics in the Prometheus text format.
@@ -213,6 +221,11 @@
 	s.prefillCredits.WithLabelValues(outcome).Inc()
 }
 
+// CapacityRejected counts a request that was rejected because no engine could run it in time.
+func (s *Set) CapacityRejected(service, reason string) {
+	s.capacityRejected.WithLabelValues(s.serviceValues.bounded(service), reason).Inc()
+}
+
 // DirectoryAgeAtSend records the age of the directory of upstreams when a request is
 // written to an upstream.
 func (s *Set) DirectoryAgeAtSend(age time.Duration) {
--- a/metric/metric_test.go
+++ b/metric/metric_test.go
@@ -28,7 +28,10 @@
 	one := func() float64 { return 1 }
 	s.RegisterGauges(metric.Gauges{OpenRequests: one, ConfigStaleness: one, DirectoryAge: one, ConfigVersion: one, RateShare: one, IsCoordinator: one, QuarantinedParts: one, Upstreams: one, NoticeStatuses: func() []metric.NoticeStatus {
 		return []metric.NoticeStatus{{Upstream: "u", Leaving: true, Wait: time.Second, Limited: true, Limit: 2.4}, {Upstream: "silent"}}
+	}, Capacities: func() []metric.Capacity {
+		return []metric.Capacity{{Service: "s", Slots: 24, Running: 3}}
 	}})
+	s.CapacityRejected("s", "slots")
 	s.Served("stream", "team", 30*time.Millisecond, time.Second)
 	s.Rejected("", "", "not_found")
 	s.Attempt("u", true)
--- a/prefill/account.go
+++ b/prefill/account.go
@@ -25,6 +25,7 @@
 	unreadAt time.Time
 	waiters  []*waiter
 	speed    estimator
+	runs     *runs
 	// maxPause is the shortest permitted pause of the streams of recent requests, as of
 	// maxPauseAt.
 	maxPause   time.Duration
@@ -47,7 +48,7 @@
 }
 
 func newAccount(born int64) *account {
-	return &account{born: born, credits: make(map[CreditID]credit)}
+	return &account{born: born, credits: make(map[CreditID]credit), runs: newRuns(time.Now())}
 }
 
 // observePause records the permitted pause of a request's stream.
@@ -79,19 +80,25 @@
 	a.unreadAt = now
 	a.outstanding += n
 	a.credits[r.ID] = credit{tokens: n, load: a.unread, granted: now}
+	a.runs.grant(now, &r, a.waiters)
 }
 
-// end ends a credit, or removes the waiting request.
+// end ends a credit, or removes the waiting request. The run goes on after the first event.
 func (a *account) end(now time.Time, r Return) {
+	if r.HasLoad {
+		a.runs.observeLoad(now, r.Load, r.LoadAge)
+	}
 	c, ok := a.credits[r.ID]
-	if !ok {
-		a.removeWaiter(r.ID)
-		return
+	if ok {
+		a.drop(r.ID, c)
 	}
-	a.drop(r.ID, c)
-	if r.FirstEvent > 0 {
+	if ok && r.FirstEvent > 0 {
 		a.speed.add(now, c.load, r.FirstEvent)
 	}
+	ended := r.FirstEvent == 0 && a.runs.end(now, r.ID)
+	if !ok && !ended {
+		a.removeWaiter(r.ID)
+	}
 }
 
 func (a *account) drop(id CreditID, c credit) {
@@ -102,8 +109,9 @@
 	}
 }
 
-// expire drops the credits that were not returned in time.
+// expire drops the credits and the runs that were not returned in time.
 func (a *account) expire(now time.Time) {
+	a.runs.expire(now)
 	for id, c := range a.credits {
 		if now.Sub(c.granted) > creditLifetime {
 			a.drop(id, c)
@@ -122,6 +130,10 @@
 
 // dispatch grants credits to waiting requests in their order while they fit.
 func (a *account) dispatch(now time.Time) {
+	if a.runs.enabled() {
+		a.dispatchRuns(now)
+		return
+	}
 	for len(a.waiters) > 0 {
 		w := a.first(a.order(now))
 		if !a.fits(now, w.size()) {
@@ -133,6 +145,69 @@
 	}
 }
 
+// dispatchRuns is dispatch where the runs of the engine are accounted for. Patient requests that wait
+// only for what they leave free hold up no others.
+func (a *account) dispatchRuns(now time.Time) {
+	skipPatient := false
+	for {
+		w := a.firstRun(now, skipPatient)
+		switch {
+		case w == nil:
+			return
+		case a.shortage(now, &w.Request) == "":
+			a.grant(now, w.Request)
+			a.removeWaiter(w.ID)
+			close(w.granted)
+		case w.patient() && !skipPatient && !a.runs.starving(w.Rank):
+			skipPatient = true
+		default:
+			return
+		}
+	}
+}
+
+// shortage returns what a request lacks, "" if it can be granted a credit now.
+func (a *account) shortage(now time.Time, r *Request) Reason {
+	if !a.fits(now, r.size()) {
+		return ShortOfReading
+	}
+	return a.runs.shortage(now, r)
+}
+
+// firstRun returns the waiting request that is the next to run, nil if there is none.
+func (a *account) firstRun(now time.Time, skipPatient bool) *waiter {
+	o := a.order(now)
+	var best *waiter
+	for _, w := range a.waiters {
+		if skipPatient && w.patient() && !a.runs.starving(w.Rank) {
+			continue
+		}
+		if best == nil || a.runsBefore(o, w, best) {
+			best = w
+		}
+	}
+	return best
+}
+
+// runsBefore reports whether w runs before other: ranks that were passed over too often come first,
+// requests that are late already last. The rest are ordered by rank, by the active runs of their team
+// in that rank, and by due time.
+func (a *account) runsBefore(o order, w, other *waiter) bool {
+	if x, y := a.runs.starving(w.Rank), a.runs.starving(other.Rank); x != y {
+		return x
+	}
+	if x, y := w.due.Before(o.onTimeFrom), other.due.Before(o.onTimeFrom); x != y {
+		return y
+	}
+	if w.Rank != other.Rank {
+		return w.Rank < other.Rank
+	}
+	if x, y := a.runs.byTeam[teamRank{w.Team, w.Rank}], a.runs.byTeam[teamRank{other.Team, other.Rank}]; x != y {
+		return x < y
+	}
+	return w.due.Before(other.due)
+}
+
 // order is the order of the requests that wait at an engine.
 type order struct {
 	// onTimeFrom is the earliest due time that a request still meets that is granted a credit now.
@@ -163,6 +238,20 @@
 	return best
 }
 
+// isNext reports whether a new request is granted a credit at once.
+func (a *account) isNext(now time.Time, w *waiter) bool {
+	if !a.runs.enabled() {
+		return a.fits(now, w.size()) && a.isFirst(now, w)
+	}
+	if a.shortage(now, &w.Request) != "" {
+		return false
+	}
+	// The others that would precede it may wait only for what patient requests leave free.
+	o := a.order(now)
+	first := a.firstRun(now, !w.patient())
+	return first == nil || a.runsBefore(o, w, first)
+}
+
 // isFirst reports whether a request precedes all that wait.
 func (a *account) isFirst(now time.Time, w *waiter) bool {
 	if len(a.waiters) == 0 {
@@ -207,11 +296,26 @@
 func (a *account) forecast(now time.Time, w *waiter) time.Duration {
 	ahead := a.outstanding + w.size() - a.speed.window(now, a.maxPause)
 	o := a.order(now)
+	others, memory := 0.0, 0.0
 	for _, other := range a.waiters {
-		if other != w && o.precedes(other, w) {
+		if other != w && a.precedes(o, other, w) {
 			ahead += other.size()
+			others++
+			memory += other.memory()
 		}
 	}
 	_, perToken := a.speed.estimate(now)
-	return fromMillis(max(ahead, 1) * perToken)
+	wait := fromMillis(max(ahead, 1) * perToken)
+	if a.runs.enabled() {
+		wait = max(wait, a.runs.forecast(now, &w.Request, others, memory))
+	}
+	return wait
+}
+
+// precedes reports whether w is granted a credit before other.
+func (a *account) precedes(o order, w, other *waiter) bool {
+	if a.runs.enabled() {
+		return a.runsBefore(o, w, other)
+	}
+	return o.precedes(w, other)
 }
--- a/prefill/client.go
+++ b/prefill/client.go
@@ -40,8 +40,10 @@
 	Own   *Host
 	Peers Caller
 	// Hosts returns the VMs that may host the account of an engine, in order of preference.
-	Hosts  func(fleet.UpstreamID) []HostVM
-	Events *timeline.Recorder
+	Hosts func(fleet.UpstreamID) []HostVM
+	// OnAnswer, if not nil, is called with each answer of an engine's host.
+	OnAnswer func(fleet.UpstreamID, Answer)
+	Events   *timeline.Recorder
 }
 
 // Client acquires credits for the requests of its VM. It is safe for concurrent use.
@@ -56,11 +58,13 @@
 	// not answer, with the time of the next probe.
 	returned    map[HostVM][]Return
 	unreachable map[HostVM]time.Time
+	// scheduled holds the hosts to which returned is sent after returnDelay.
+	scheduled map[HostVM]bool
 }
 
 // NewClient returns a client.
 func NewClient(cfg ClientConfig) *Client {
-	return &Client{cfg: cfg, process: rand.Uint64(), returned: make(map[HostVM][]Return), unreachable: make(map[HostVM]time.Time)}
+	return &Client{cfg: cfg, process: rand.Uint64(), returned: make(map[HostVM][]Return), unreachable: make(map[HostVM]time.Time), scheduled: make(map[HostVM]bool)}
 }
 
 // Credit allows one prompt to be sent. Its methods may be called on a nil Credit, which stands
@@ -71,29 +75,79 @@
 	id       CreditID
 	upstream fleet.UpstreamID
 	granted  time.Time
-	once     sync.Once
+	// hasRun is set if the run is accounted for, and so is returned too.
+	hasRun bool
+
+	mu sync.Mutex
+	// The fields below are guarded by mu. read is set after FirstEvent, ended after Release.
+	read, ended bool
+	load        int
+	loadAt      time.Time
 }
 
-// FirstEvent returns the credit because the prompt has been read. Later calls do nothing.
+// ReportLoad records the number of requests that run and wait at the engine, as its answer states it.
+// The host gets it with the next return.
+func (cr *Credit) ReportLoad(n int) {
+	if cr == nil || !cr.hasRun {
+		return
+	}
+	cr.mu.Lock()
+	defer cr.mu.Unlock()
+	cr.load, cr.loadAt = n, time.Now()
+}
+
+// FirstEvent returns the credit because the prompt has been read. Later calls do nothing. A run that is
+// accounted for goes on.
 func (cr *Credit) FirstEvent() {
-	if cr != nil {
-		cr.once.Do(func() {
-			cr.c.giveBack(cr.host, Return{ID: cr.id, Upstream: cr.upstream, FirstEvent: time.Since(cr.granted)})
-		})
+	if cr == nil {
+		return
+	}
+	cr.mu.Lock()
+	defer cr.mu.Unlock()
+	if cr.read || cr.ended {
+		return
 	}
+	cr.read = true
+	cr.giveBack(max(time.Since(cr.granted), 1))
 }
 
-// Release returns the credit of a prompt that was not read. It does nothing after FirstEvent.
+// Release returns the credit of a prompt that was not read, and ends the run. Without an account of the
+// run it does nothing after FirstEvent.
 func (cr *Credit) Release() {
-	if cr != nil {
-		cr.once.Do(func() { cr.c.giveBack(cr.host, Return{ID: cr.id, Upstream: cr.upstream}) })
+	if cr == nil {
+		return
+	}
+	cr.mu.Lock()
+	defer cr.mu.Unlock()
+	if cr.ended || cr.read && !cr.hasRun {
+		return
 	}
+	cr.ended = true
+	cr.giveBack(0)
+}
+
+// giveBack returns the credit. The caller holds mu.
+func (cr *Credit) giveBack(firstEvent time.Duration) {
+	r := Return{ID: cr.id, Upstream: cr.upstream, FirstEvent: firstEvent}
+	if !cr.loadAt.IsZero() {
+		r.HasLoad, r.Load, r.LoadAge = true, cr.load, time.Since(cr.loadAt)
+		cr.loadAt = time.Time{}
+	}
+	cr.c.giveBack(cr.host, r)
+}
+
+// Denial says why a request was not granted a credit.
+type Denial struct {
+	// Wait is the forecast of how long the request has to wait.
+	Wait time.Duration
+	// Reason is what it lacked, "" where runs are not accounted for.
+	Reason Reason
 }
 
 // Acquire returns a credit, or false and a forecast of how long it has to wait for one. The
 // credit is nil if no host of the engine answers. It returns false without a forecast if ctx
 // ends.
-func (c *Client) Acquire(ctx context.Context, r Request) (*Credit, time.Duration, bool) {
+func (c *Client) Acquire(ctx context.Context, r Request) (*Credit, Denial, bool) {
 	r.ID = CreditID{c.process, c.number.Add(1)}
 	for _, host := range c.cfg.Hosts(r.Upstream) {
 		if !c.usable(host) {
@@ -102,19 +156,27 @@
 		r.Returned = c.takeReturned(host)
 		var out Answer
 		answered := c.call(ctx, host, r.Wait, "Acquire", r, &out)
+		if !answered {
+			// The request may still be granted. A return that is lost too leaves a run until its lifetime ends.
+			c.keepReturned(host, append(r.Returned, Return{ID: r.ID, Upstream: r.Upstream}))
+		}
 		if ctx.Err() != nil {
 			c.giveBack(host, Return{ID: r.ID, Upstream: r.Upstream})
-			return nil, 0, false
+			return nil, Denial{}, false
 		}
 		if !answered {
 			continue
 		}
+		if c.cfg.OnAnswer != nil {
+			c.cfg.OnAnswer(r.Upstream, out)
+		}
 		if !out.Granted {
-			return nil, out.Wait, false
+			return nil, Denial{Wait: out.Wait, Reason: out.Reason}, false
 		}
-		return &Credit{c: c, host: host, id: r.ID, upstream: r.Upstream, granted: time.Now()}, 0, true
+		hasRun := out.HasRuns && r.Capacity != Capacity{}
+		return &Credit{c: c, host: host, id: r.ID, upstream: r.Upstream, granted: time.Now(), hasRun: hasRun}, Denial{}, true
 	}
-	return nil, 0, true
+	return nil, Denial{}, true
 }
 
 // usable reports whether a host has answered its last call. It probes one that has not, once
@@ -126,7 +188,7 @@
 	probeAt, down := c.unreachable[host]
 	if down && !now.Before(probeAt) {
 		c.unreachable[host] = now.Add(probeInterval)
-		go c.call(context.Background(), host, 0, "Return", Returns{}, &struct{}{})
+		go c.probe(host)
 	}
 	return !down
 }
@@ -170,17 +232,44 @@
 	return c.cfg.Own.Service().Return(args.(Returns), out.(*struct{}))
 }
 
+// probe sends a message to a host that did not answer, with what could not be returned to it.
+func (c *Client) probe(host HostVM) {
+	list := c.takeReturned(host)
+	if !c.call(context.Background(), host, 0, "Return", Returns{Returned: list}, &struct{}{}) {
+		c.keepReturned(host, list)
+	}
+}
+
 // giveBack queues a returned credit for the next message to its host, which is sent after
 // returnDelay at the latest.
 func (c *Client) giveBack(host HostVM, r Return) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.returned[host] = append(c.returned[host], r)
-	if len(c.returned[host]) == 1 {
+	if !c.scheduled[host] {
+		c.scheduled[host] = true
 		time.AfterFunc(returnDelay, func() { c.sendReturned(host) })
 	}
 }
 
+// maxKept is how many returns are kept for a host that does not answer. Others end there with their
+// lifetimes.
+const maxKept = 1000
+
+// keepReturned queues returns that could not be delivered, for the next message or probe. Loads are left
+// out, because they are too old by then.
+func (c *Client) keepReturned(host HostVM, list []Return) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range list {
+		if len(c.returned[host]) >= maxKept {
+			return
+		}
+		r.HasLoad = false
+		c.returned[host] = append(c.returned[host], r)
+	}
+}
+
 func (c *Client) takeReturned(host HostVM) []Return {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -189,9 +278,13 @@
 	return list
 }
 
-// sendReturned returns credits to a host. If it does not answer they expire there.
+// sendReturned returns credits to a host. If it does not answer they are kept for the next message.
 func (c *Client) sendReturned(host HostVM) {
-	if list := c.takeReturned(host); len(list) > 0 {
-		c.call(context.Background(), host, 0, "Return", Returns{Returned: list}, &struct{}{})
+	c.mu.Lock()
+	delete(c.scheduled, host)
+	c.mu.Unlock()
+	list := c.takeReturned(host)
+	if len(list) > 0 && !c.call(context.Background(), host, 0, "Return", Returns{Returned: list}, &struct{}{}) {
+		c.keepReturned(host, list)
 	}
 }
--- a/prefill/host.go
+++ b/prefill/host.go
@@ -55,6 +55,9 @@
 	if in.Tokens < 0 || in.MaxPause <= 0 || in.Upstream == "" {
 		return fmt.Errorf("invalid request for a credit: %d tokens, pause %s, upstream %q", in.Tokens, in.MaxPause, in.Upstream)
 	}
+	if in.Capacity.Slots < 0 || in.Capacity.Tokens < 0 || in.Output < 0 {
+		return fmt.Errorf("invalid request for a credit: capacity of %d slots and %d tokens, answer of %d tokens", in.Capacity.Slots, in.Capacity.Tokens, in.Output)
+	}
 	*out = s.h.acquire(in)
 	return nil
 }
@@ -76,24 +79,45 @@
 	defer t.Stop()
 	select {
 	case <-w.granted:
-		return Answer{Granted: true}
 	case <-t.C:
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	now := time.Now()
 	select {
 	case <-w.granted:
-		return Answer{Granted: true}
+		return a.granted(now)
 	default:
 	}
-	now := time.Now()
-	answer = Answer{Wait: a.forecast(now, w)}
+	answer = a.denied(now, w)
 	a.removeWaiter(w.ID)
 	a.expire(now)
 	a.dispatch(now)
 	return answer
 }
 
+// granted returns the answer to a request that was granted a credit.
+func (a *account) granted(now time.Time) Answer {
+	return a.withRuns(now, Answer{Granted: true})
+}
+
+// denied returns the answer to a request that has to wait.
+func (a *account) denied(now time.Time, w *waiter) Answer {
+	out := Answer{Wait: a.forecast(now, w)}
+	if a.runs.enabled() {
+		out.Reason = a.shortage(now, &w.Request)
+	}
+	return a.withRuns(now, out)
+}
+
+// withRuns adds the numbers of requests that run and wait to an answer.
+func (a *account) withRuns(now time.Time, out Answer) Answer {
+	if a.runs.enabled() {
+		out.HasRuns, out.Running, out.Waiting = true, a.runs.running(now), len(a.waiters)
+	}
+	return out
+}
+
 // tryAcquire grants a credit or returns the answer, or a waiter if the request is to wait.
 func (h *Host) tryAcquire(in Request) (*waiter, *account, Answer) {
 	now := time.Now()
@@ -104,16 +128,19 @@
 	a := h.accountOf(in)
 	a.lastUsed = now
 	a.observePause(now, in.MaxPause)
+	a.runs.observe(now, &in)
 	a.expire(now)
 	a.dispatch(now)
 	w := &waiter{Request: in, due: now.Add(in.Slack), granted: make(chan struct{})}
 	w.Returned = nil
-	if a.fits(now, in.size()) && a.isFirst(now, w) {
+	if a.isNext(now, w) {
 		a.grant(now, w.Request)
-		return nil, a, Answer{Granted: true}
+		return nil, a, a.granted(now)
 	}
-	if in.Wait <= 0 || len(a.waiters) >= maxWaiting {
-		return nil, a, Answer{Wait: a.forecast(now, w)}
+	answer := a.denied(now, w)
+	inVain := in.Capacity != Capacity{} && answer.Wait > in.Patience
+	if in.Wait <= 0 || len(a.waiters) >= maxWaiting || inVain {
+		return nil, a, answer
 	}
 	a.waiters = append(a.waiters, w)
 	h.logAccounts(now)
@@ -171,6 +198,7 @@
 		return
 	}
 	h.loggedAt = now
+	h.logRuns(now)
 	var b strings.Builder
 	for _, id := range slices.Sorted(maps.Keys(h.accounts)) {
 		if a := h.accounts[id]; len(a.credits) > 0 {
@@ -180,3 +208,50 @@
 	}
 	h.events.Record(event.PrefillViewed, timeline.Fields{"engines": b.String()})
 }
+
+// logRuns logs the accounts of the engines whose runs are accounted for. The caller holds mu.
+func (h *Host) logRuns(now time.Time) {
+	var b strings.Builder
+	for _, u := range h.usage(now) {
+		fmt.Fprintf(&b, "%s=%d/%d,%.0f/%d,%d,%d ", u.Upstream, u.Running, u.Capacity.Slots, u.Tokens, u.Capacity.Tokens, u.Foreign, u.Waiting)
+	}
+	if b.Len() > 0 {
+		h.events.Record(event.CapacityViewed, timeline.Fields{"engines": b.String()})
+	}
+}
+
+// Usage is the use of an engine whose runs this host accounts for.
+type Usage struct {
+	Upstream fleet.UpstreamID
+	Capacity Capacity
+	// Running is the number of requests that run at the engine. Foreign of them are not in the account.
+	Running, Foreign int
+	// Tokens is the memory of the runs in the account.
+	Tokens float64
+	// Waiting is the number of requests that wait at the host.
+	Waiting int
+}
+
+// Usage returns the use of the engines whose runs this host accounts for, sorted by engine.
+func (h *Host) Usage() []Usage {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.usage(time.Now())
+}
+
+// usage is Usage for a caller that holds mu.
+func (h *Host) usage(now time.Time) []Usage {
+	var out []Usage
+	for _, id := range slices.Sorted(maps.Keys(h.accounts)) {
+		a := h.accounts[id]
+		if !a.runs.enabled() {
+			continue
+		}
+		a.expire(now)
+		out = append(out, Usage{
+			Upstream: id, Capacity: a.runs.capacity, Running: a.runs.running(now), Foreign: a.runs.foreignRuns(now),
+			Tokens: a.runs.tokens, Waiting: len(a.waiters),
+		})
+	}
+	return out
+}
--- a/serving/choose.go
+++ b/serving/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -51,7 +52,7 @@
 				continue
 			}
 		}
-		if time.Since(t.c.received) > t.maxQueueTime() || ctx.Err() != nil {
+		if time.Since(t.c.received) > t.maxQueueTime() || ctx.Err() != nil || errors.Is(err, errNoCapacity) {
 			return nil, err
 		}
 		loop.Sleep(ctx, queuePollInterval)
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -84,11 +84,14 @@
 	Rates      Rates
 	Permits    PermitSource
 	Prefill    PrefillCredits
-	Parts      PromptParts
-	Loader     Loader
-	Events     *timeline.Recorder
-	Metrics    *metric.Set
-	Panics     *guard.PanicReporter
+	// AccountRuns is set if requests are sent to an engine only while it has slots and memory for them,
+	// by the account of its host.
+	AccountRuns bool
+	Parts       PromptParts
+	Loader      Loader
+	Events      *timeline.Recorder
+	Metrics     *metric.Set
+	Panics      *guard.PanicReporter
 	// StaleAfter is the staleness of the configuration from which requests with a key are
 	// rejected.
 	StaleAfter time.Duration
--- a/serving/prefill.go
+++ b/serving/prefill.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"toucanfall/fault"
 	"toucanfall/fleet"
 	"toucanfall/metric"
 	"toucanfall/prefill"
@@ -16,7 +15,7 @@
 type PrefillCredits interface {
 	// Acquire returns a credit, or false and a forecast of how long the request has to wait for
 	// one. The credit is nil if it is not accounted for.
-	Acquire(ctx context.Context, r prefill.Request) (*prefill.Credit, time.Duration, bool)
+	Acquire(ctx context.Context, r prefill.Request) (*prefill.Credit, prefill.Denial, bool)
 }
 
 // Bounds of the wait for a prefill credit.
@@ -30,9 +29,10 @@
 	answerTimeDivisor = 8
 )
 
-// needsCredit reports whether the call's prompt needs a credit.
-func (c *Call) needsCredit() bool {
-	return c.Model != "" && c.Route.MaxPause > 0 && c.TokensIn > 0
+// needsCredit reports whether the call needs a credit: for its prompt, or for its run where runs are
+// accounted for.
+func (t *attempts) needsCredit() bool {
+	return t.c.Model != "" && (t.h.cfg.AccountRuns || t.c.Route.MaxPause > 0 && t.c.TokensIn > 0)
 }
 
 // findWithCredit chooses an upstream and acquires a credit for the prompt there. If the engines that
@@ -40,14 +40,14 @@
 // forecast leaves no time for the answer.
 func (t *attempts) findWithCredit(ctx context.Context) (*roster.Upstream, *prefill.Credit, error) {
 	for {
-		u, credit, wait, err := t.askCandidates(ctx)
-		if wait == 0 || err != nil {
+		u, credit, denial, err := t.askCandidates(ctx)
+		if denial.Wait == 0 || err != nil {
 			return u, credit, err
 		}
-		if !t.hasTimeFor(wait) {
-			return nil, nil, fault.New(fault.Overloaded, "the engines cannot read the prompt in time").WithRetryAfter(max(wait, minRetryAfter))
+		if !t.hasTimeFor(denial.Wait) {
+			return nil, nil, t.rejectForCredit(denial)
 		}
-		credit, _, ok := t.acquireCredit(ctx, u, creditWait)
+		credit, _, ok := t.acquireCredit(ctx, u, t.holdTime())
 		if ok {
 			return u, credit, nil
 		}
@@ -58,26 +58,26 @@
 }
 
 // askCandidates asks the engines that fit best for a credit. If none has one, it returns the engine
-// with the shortest wait, and that wait; otherwise the wait is 0.
-func (t *attempts) askCandidates(ctx context.Context) (shortest *roster.Upstream, credit *prefill.Credit, least time.Duration, err error) {
+// with the shortest wait, and its denial; otherwise the denial has no wait.
+func (t *attempts) askCandidates(ctx context.Context) (shortest *roster.Upstream, credit *prefill.Credit, least prefill.Denial, err error) {
 	var busy []fleet.UpstreamID
-	for len(busy) < maxCreditCandidates {
+	for len(busy) < t.maxCandidates() {
 		u, err := t.find(ctx, busy)
 		if err != nil && shortest != nil {
 			return shortest, nil, least, nil
 		}
 		if err != nil {
-			return nil, nil, 0, err
+			return nil, nil, prefill.Denial{}, err
 		}
-		credit, wait, ok := t.acquireCredit(ctx, u, 0)
+		credit, denial, ok := t.acquireCredit(ctx, u, 0)
 		if ok {
-			return u, credit, 0, nil
+			return u, credit, prefill.Denial{}, nil
 		}
 		if err := ctx.Err(); err != nil {
-			return nil, nil, 0, err
+			return nil, nil, prefill.Denial{}, err
 		}
-		if wait = max(wait, time.Millisecond); shortest == nil || wait < least {
-			shortest, least = u, wait
+		if denial.Wait = max(denial.Wait, time.Millisecond); shortest == nil || denial.Wait < least.Wait {
+			shortest, least = u, denial
 		}
 		busy = append(busy, u.ID)
 	}
@@ -86,6 +86,9 @@
 
 // hasTimeFor reports whether the call has time for its answer after a wait.
 func (t *attempts) hasTimeFor(wait time.Duration) bool {
+	if t.h.cfg.AccountRuns {
+		return wait <= t.patience()
+	}
 	end := t.c.deadline()
 	return end.IsZero() || time.Until(end)-wait >= end.Sub(t.c.received)/answerTimeDivisor
 }
@@ -100,19 +103,23 @@
 	case t.c.Route.Objective == 0:
 		slack = t.c.remaining(time.Now())
 	}
-	return prefill.Request{
+	r := prefill.Request{
 		Upstream: u.ID, Born: u.StartTime(), Tokens: t.c.TokensIn, MaxPause: t.c.Route.MaxPause,
 		Slack: slack, Rank: t.c.Priority, Wait: wait,
 	}
+	if t.h.cfg.AccountRuns {
+		t.addRun(&r, u)
+	}
+	return r
 }
 
 // acquireCredit acquires a credit for the call's prompt at an upstream, and waits for it at most as
 // long as wait. It returns false and a forecast if there is none.
-func (t *attempts) acquireCredit(ctx context.Context, u *roster.Upstream, wait time.Duration) (*prefill.Credit, time.Duration, bool) {
-	if !t.c.needsCredit() {
-		return nil, 0, true
+func (t *attempts) acquireCredit(ctx context.Context, u *roster.Upstream, wait time.Duration) (*prefill.Credit, prefill.Denial, bool) {
+	if !t.needsCredit() {
+		return nil, prefill.Denial{}, true
 	}
-	credit, forecast, ok := t.h.cfg.Prefill.Acquire(ctx, t.creditRequest(u, wait))
+	credit, denial, ok := t.h.cfg.Prefill.Acquire(ctx, t.creditRequest(u, wait))
 	outcome := metric.CreditDenied
 	switch {
 	case ok && credit != nil:
@@ -121,5 +128,5 @@
 		outcome = metric.CreditUnaccounted
 	}
 	t.h.cfg.Metrics.PrefillCredit(outcome)
-	return credit, forecast, ok
+	return credit, denial, ok
 }
--- a/serving/run.go
+++ b/serving/run.go
@@ -361,6 +361,7 @@
 	reply := t.h.cfg.Wire.ReadReply(resp.Status, resp.Header)
 	if reply.HasLoad && !reply.Misrouted { // Otherwise the load is that of another upstream.
 		u.ApplyLoad(reply.Load, time.Now())
+		a.credit.ReportLoad(reply.Load.Running + reply.Load.Waiting)
 	}
 	if reply.NotRun {
 		return t.handleNotRun(a, reply)
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -52,8 +52,11 @@
 	RepeatWindow Span    `json:"repeat_window"`
 	// MemoryMB is the memory of the VM in MiB, from which the limit of the heap is
 	// derived. 0 sets no limit.
-	MemoryMB int    `json:"memory_mb"`
-	LogLevel string `json:"log_level"`
+	MemoryMB int `json:"memory_mb"`
+	// Contracts lists what engines and clients of the deployment have agreed on. Names that this
+	// version does not know are ignored.
+	Contracts []string `json:"contracts"`
+	LogLevel  string   `json:"log_level"`
 }
 
 // ReadGateway reads and validates the settings file of a gateway.
