--- a/prefill/prefill_test.go
+++ b/prefill/prefill_test.go
@@ -31,9 +31,11 @@
 type testPeers struct {
 	hosts map[string]*Host
 	down  map[string]*atomic.Bool
+	calls atomic.Int64
 }
 
 func (p *testPeers) Call(ctx context.Context, address, _ string, args, reply any) error {
+	p.calls.Add(1)
 	if p.down[address].Load() {
 		<-ctx.Done()
 		return ctx.Err()
--- a/prefill/runs.go
+++ b/prefill/runs.go
@@ -26,12 +26,13 @@
 	ShortOfMemory  Reason = "memory"
 )
 
+// PatientObjective is the latency objective from which a request waits for capacity that others need at
+// once: a slot of an engine with 12 to 24 becomes free every 50 to 150 ms, and objectives below 2 s leave
+// no time to wait for several.
+const PatientObjective = 2 * time.Second
+
 // Bounds of the accounts of runs.
 const (
-	// patientObjective is the latency objective from which a request waits for capacity that others
-	// need at once: a slot of an engine with 12 to 24 becomes free every 50 to 150 ms, and objectives
-	// below 2 s leave no time to wait for several.
-	patientObjective = 2 * time.Second
 	// reservedFraction is the part of an engine that patient requests leave free while there are
 	// others. At 24 slots these are 3, and 3 to 8 more become free in the 400 ms that a request with an
 	// objective of 500 ms can wait.
@@ -152,7 +153,7 @@
 
 // patient reports whether a request can wait for capacity that others need at once.
 func (r *Request) patient() bool {
-	return r.Objective == 0 || r.Objective >= patientObjective
+	return r.Objective == 0 || r.Objective >= PatientObjective
 }
 
 // memory returns the tokens for which a request needs memory. The caller of a team states them.
--- a/prefill/runs_test.go
+++ b/prefill/runs_test.go
@@ -322,3 +322,33 @@
 		is.Equal(len(h.Usage()), 0)
 	})
 }
+
+// Guards against more messages than one a run beyond those of an account of prompts, and against returns
+// that are not sent together.
+func TestMessagesOfRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		messages := func(c Capacity, concurrent int) int64 {
+			client, peers := newTestClient()
+			var credits []*Credit
+			for i := range concurrent {
+				r := runRequest(uint64(i), 0, shortObjective)
+				r.Capacity = c
+				credit, _, ok := client.Acquire(t.Context(), r)
+				is.True(ok)
+				credits = append(credits, credit)
+			}
+			for _, step := range []func(*Credit){(*Credit).FirstEvent, (*Credit).Release} {
+				time.Sleep(100 * time.Millisecond)
+				for _, credit := range credits {
+					step(credit)
+				}
+			}
+			time.Sleep(100 * time.Millisecond)
+			return peers.calls.Load()
+		}
+		is.Equal(messages(Capacity{}, 1), int64(2))
+		is.Equal(messages(testCapacity, 1), int64(3))
+		is.Equal(messages(testCapacity, 4), int64(4+2))
+	})
+}
--- a/serving/capacity.go
+++ b/serving/capacity.go
@@ -15,8 +15,6 @@
 	// patientCandidates is how many engines a request asks before it waits that can wait for long: one
 	// message less for each of the many that wait in a burst.
 	patientCandidates = 2
-	// patientObjective is the objective from which a request can wait for long.
-	patientObjective = 2 * time.Second
 	// holdDivisor gives the part of the time that a request may wait for which it waits at one engine,
 	// and maxHold bounds it: the request then asks others, which may have become free.
 	holdDivisor = 4
@@ -86,7 +84,7 @@
 
 // canWait reports whether the call has a long latency objective, or none.
 func (t *attempts) canWait() bool {
-	return t.c.Route.Objective == 0 || t.c.Route.Objective >= patientObjective
+	return t.c.Route.Objective == 0 || t.c.Route.Objective >= prefill.PatientObjective
 }
 
 // maxCandidates returns how many engines are asked before the call waits at one of them.
