Forecast waits for capacity by the measured rate of grants

Cause: the forecast for requests with long objectives took their part of an engine from past shares of grants. In a burst it was up to twice the real wait, and requests were rejected that would have been on time; with the present shares it was worse.

Change: their rate of grants is measured while some wait, with a time constant of 3 s, and the forecast is their place in the queue divided by it. By the forecast a request may be late by half of its objective, at most 500 ms.

--- a/prefill/account.go
+++ b/prefill/account.go
@@ -1,6 +1,7 @@
 package prefill
 
 import (
+	"slices"
 	"time"
 )
 
@@ -85,6 +86,7 @@
 
 // end ends a credit, or removes the waiting request. The run goes on after the first event.
 func (a *account) end(now time.Time, r Return) {
+	a.advance(now)
 	if r.HasLoad {
 		a.runs.observeLoad(now, r.Load, r.LoadAge)
 	}
@@ -101,6 +103,14 @@
 	}
 }
 
+// advance records whether patient requests have waited since the last message. It is called before a
+// message changes which requests wait.
+func (a *account) advance(now time.Time) {
+	if a.runs.enabled() {
+		a.runs.patient.advance(now, slices.ContainsFunc(a.waiters, func(w *waiter) bool { return w.patient() }))
+	}
+}
+
 func (a *account) drop(id CreditID, c credit) {
 	delete(a.credits, id)
 	a.outstanding -= c.tokens
@@ -111,6 +121,7 @@
 
 // expire drops the credits and the runs that were not returned in time.
 func (a *account) expire(now time.Time) {
+	a.advance(now)
 	a.runs.expire(now)
 	for id, c := range a.credits {
 		if now.Sub(c.granted) > creditLifetime {
--- a/prefill/runs.go
+++ b/prefill/runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"toucanfall/fleet"
@@ -50,8 +51,13 @@
 	// assumedTokens is the memory of a run that the host knows nothing of, or that states no tokens:
 	// the mean prompt and answer in the capacity documentation.
 	assumedTokens = 1000
-	// maxUrgentShare bounds the share of the capacity that a forecast leaves to more urgent requests.
-	maxUrgentShare = 0.8
+	// throughputDecay is the time constant of the rate of grants to patient requests. It is shorter than
+	// the time for which they wait, so that a forecast follows the beginning of a burst.
+	throughputDecay = 3 * time.Second
+	// priorThroughput is the part of an engine that patient requests are assumed to get, with the weight
+	// of priorWaited.
+	priorThroughput = 0.5
+	priorWaited     = 500 * time.Millisecond
 )
 
 // Bounds of the correction of an account by the loads that the engine reports.
@@ -93,9 +99,10 @@
 	// passedOver counts, for each rank that waits, the grants to more urgent ranks since its last one.
 	passedOver map[int]int
 	urgentAt   time.Time
-	// duration is a decaying mean of the duration of runs in ms, urgentShare that of the share of
-	// grants to requests that are not patient.
-	duration, urgentShare mean
+	// duration is a decaying mean of the duration of runs in ms.
+	duration mean
+	// patient is the rate of grants to patient requests.
+	patient throughput
 }
 
 // run is an active run.
@@ -222,9 +229,19 @@
 	return s.passedOver[rank] >= maxPassedOver
 }
 
-// forecast returns how long a request waits until the engine can run it after a number of others.
+// forecast returns how long a request waits until the engine can run it after a number of others. A slot
+// that becomes free goes to requests that are not patient first, so for those it is what is missing of the
+// engine times the mean duration of runs. Patient ones get what is left, which is measured.
 func (s *runs) forecast(now time.Time, r *Request, others, otherTokens float64) time.Duration {
 	slots, tokens := s.missing(now, r, others, otherTokens)
+	if slots <= 0 && tokens <= 0 {
+		return 0
+	}
+	duration := s.duration.value(millis(priorDuration))
+	if r.patient() {
+		prior := priorThroughput * float64(max(s.capacity.Slots, 1)) / duration
+		return fromMillis((others + 1) / s.patient.perMilli(prior))
+	}
 	part := 0.0
 	if s.capacity.Slots > 0 {
 		part = slots / float64(s.capacity.Slots)
@@ -232,21 +249,41 @@
 	if s.capacity.Tokens > 0 {
 		part = max(part, tokens/float64(s.capacity.Tokens))
 	}
-	wait := max(part, 0) * s.duration.value(millis(priorDuration))
-	if r.patient() {
-		wait /= 1 - min(s.urgentShare.value(0), maxUrgentShare)
+	return fromMillis(max(part, 0) * duration)
+}
+
+// throughput measures the rate of grants to patient requests while some wait. Both sums decay.
+type throughput struct {
+	grants, waited float64 // waited is in ms.
+	updated        time.Time
+}
+
+// advance records whether patient requests have waited since the last call.
+func (t *throughput) advance(now time.Time, waiting bool) {
+	d := now.Sub(t.updated)
+	if t.updated.IsZero() {
+		d = 0
+	}
+	t.updated = now
+	f := math.Exp(-float64(d) / float64(throughputDecay))
+	t.grants, t.waited = t.grants*f, t.waited*f
+	if waiting {
+		t.waited += millis(d)
 	}
-	return fromMillis(wait)
+}
+
+// perMilli returns the grants in a millisecond.
+func (t *throughput) perMilli(prior float64) float64 {
+	w := millis(priorWaited)
+	return (t.grants + prior*w) / (t.waited + w)
 }
 
 // grant begins a run. waiting are the requests that go on waiting.
 func (s *runs) grant(now time.Time, r *Request, waiting []*waiter) {
 	s.recordPassedOver(r, waiting)
-	urgent := 1.0
-	if r.patient() {
-		urgent = 0
+	if r.patient() && slices.ContainsFunc(waiting, func(w *waiter) bool { return w.patient() }) {
+		s.patient.grants++
 	}
-	s.urgentShare.add(now, urgent)
 	if r.Capacity == (Capacity{}) {
 		return // Its VM runs an earlier version, and does not return the run.
 	}
--- a/serving/capacity.go
+++ b/serving/capacity.go
@@ -19,9 +19,10 @@
 	// and maxHold bounds it: the request then asks others, which may have become free.
 	holdDivisor = 4
 	maxHold     = time.Second
-	// lateAllowance is the part of its objective by which a request may be late and still be sent. A
-	// forecast is not exact, and a little late is better than rejected.
-	lateAllowance = 2
+	// lateAllowanceDivisor gives the part of its objective by which a request may be late by the
+	// forecast and still wait, and maxLateAllowance bounds it: a forecast is not exact.
+	lateAllowanceDivisor = 2
+	maxLateAllowance     = 500 * time.Millisecond
 	// answerPerToken is how long an answer takes for each of its tokens on an engine under load.
 	answerPerToken = 9 * time.Millisecond
 	// maxAnswerPart bounds the time that is left for the answer to a part of the call's time.
@@ -77,7 +78,7 @@
 		wait = time.Until(end) - answer
 	}
 	if o := t.c.Route.Objective; o > 0 && !t.out.headerSent {
-		wait = min(wait, o+o/lateAllowance-time.Since(t.c.received))
+		wait = min(wait, o+min(o/lateAllowanceDivisor, maxLateAllowance)-time.Since(t.c.received))
 	}
 	return max(wait, 0)
 }
