Count a passed-over rank once in forecasts, and let urgent requests wait longer

Cause: while a rank was passed over, the forecast of a more urgent request counted all its waiting requests as ahead, although only one of them is granted out of turn. Urgent requests were rejected with forecasts of 1.5 to 2 s that would have been on time. A retry after an attempt that may have run was rejected by its objective, which the client sees as a failure.

Change: forecasts leave the turn out. The estimate of the processing time is computed when an answer comes instead of at each choice.

Failed before: TestForecastOfUrgentRequestDoesNotCountPassedOverRank with the previous order in forecasts.

--- a/prefill/account.go
+++ b/prefill/account.go
@@ -207,6 +207,11 @@
 	if x, y := a.runs.starving(w.Rank), a.runs.starving(other.Rank); x != y {
 		return x
 	}
+	return a.usuallyBefore(o, w, other)
+}
+
+// usuallyBefore is runsBefore without the turns of ranks that were passed over.
+func (a *account) usuallyBefore(o order, w, other *waiter) bool {
 	if x, y := w.due.Before(o.onTimeFrom), other.due.Before(o.onTimeFrom); x != y {
 		return y
 	}
@@ -323,10 +328,11 @@
 	return wait
 }
 
-// precedes reports whether w is granted a credit before other.
+// precedes reports whether w is granted a credit before other. A rank that was passed over gets only its
+// next grant out of turn, which a forecast leaves out.
 func (a *account) precedes(o order, w, other *waiter) bool {
 	if a.runs.enabled() {
-		return a.runsBefore(o, w, other)
+		return a.usuallyBefore(o, w, other)
 	}
 	return o.precedes(w, other)
 }
--- a/prefill/runs_test.go
+++ b/prefill/runs_test.go
@@ -237,6 +237,27 @@
 	})
 }
 
+// Guards against a forecast by which all requests of a rank that was passed over precede an urgent one:
+// only one of them does.
+func TestForecastOfUrgentRequestDoesNotCountPassedOverRank(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := NewHost(newRecorder())
+		for i := range uint64(4) {
+			is.True(h.acquire(runRequest(i, 0, shortObjective)).Granted)
+		}
+		for i := range uint64(40) {
+			r := runRequest(100+i, 2, longObjective)
+			r.Wait = maxWait
+			go h.acquire(r)
+		}
+		synctest.Wait()
+		h.accounts["e"].runs.passedOver[2] = maxPassedOver
+		is.True(h.acquire(runRequest(200, 0, shortObjective)).Wait < shortObjective)
+		time.Sleep(2 * maxWait)
+	})
+}
+
 // Guards against a tenant with many requests that keeps others of its rank waiting.
 func TestTeamWithFewestRunsComesFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/servicetime/servicetime.go
+++ b/servicetime/servicetime.go
@@ -39,6 +39,8 @@
 type Estimate struct {
 	// samples holds the mean observation of each recent interval with observations, oldest first.
 	samples []sample
+	// median is the median of the samples that count, as of the newest observation.
+	median float64
 }
 
 // sample is the mean of the observations of one interval, which began at began.
@@ -61,12 +63,18 @@
 	if n := len(e.samples); n > 0 && now.Sub(e.samples[n-1].began) < interval {
 		s := &e.samples[n-1]
 		s.sum, s.count, s.newest = s.sum+ratio, s.count+1, now
-		return
+	} else {
+		e.samples = append(e.samples, sample{began: now, newest: now, sum: ratio, count: 1})
 	}
-	e.samples = append(e.samples, sample{began: now, newest: now, sum: ratio, count: 1})
+	e.samples = slices.DeleteFunc(e.samples, func(s sample) bool { return now.Sub(s.newest) >= sampleLifetime })
 	if len(e.samples) > intervals {
 		e.samples = slices.Delete(e.samples, 0, 1)
 	}
+	means := make([]float64, 0, intervals)
+	for _, s := range e.samples {
+		means = append(means, s.mean())
+	}
+	e.median = median(means)
 }
 
 // Ratio returns the relative processing time, which approaches 1 as the newest observation ages. It
@@ -75,15 +83,8 @@
 	if len(e.samples) == 0 {
 		return 1, false
 	}
-	newest := e.samples[len(e.samples)-1].newest
-	var means []float64
-	for _, s := range e.samples {
-		if newest.Sub(s.newest) < sampleLifetime {
-			means = append(means, s.mean())
-		}
-	}
-	trust := math.Exp(-float64(max(now.Sub(newest), 0)) / float64(trustDecay))
-	return 1 + (median(means)-1)*trust, true
+	age := max(now.Sub(e.samples[len(e.samples)-1].newest), 0)
+	return 1 + (e.median-1)*math.Exp(-float64(age)/float64(trustDecay)), true
 }
 
 // median returns the median of values, which it sorts. Of an even number it returns the lower of the
--- a/serving/capacity.go
+++ b/serving/capacity.go
@@ -19,10 +19,10 @@
 	// and maxHold bounds it: the request then asks others, which may have become free.
 	holdDivisor = 4
 	maxHold     = time.Second
-	// lateAllowanceDivisor gives the part of its objective by which a request may be late by the
-	// forecast and still wait, and maxLateAllowance bounds it: a forecast is not exact.
-	lateAllowanceDivisor = 2
-	maxLateAllowance     = 500 * time.Millisecond
+	// maxLateAllowance bounds how late a request may be by the forecast and still wait, which is at most
+	// its objective: a forecast is not exact. With half of an objective of 500 ms urgent requests were
+	// rejected that would have been on time.
+	maxLateAllowance = 500 * time.Millisecond
 	// answerPerToken is how long an answer takes for each of its tokens on an engine under load.
 	answerPerToken = 9 * time.Millisecond
 	// maxAnswerPart bounds the time that is left for the answer to a part of the call's time.
@@ -68,8 +68,8 @@
 }
 
 // patience returns how long the call may wait for capacity: so long that there is time for its answer,
-// and that its first event is not much later than its objective. A stream that is resumed is late
-// already.
+// and that its first event is not much later than its objective. The objective does not count once an
+// engine may have run the request: it cannot be rejected any more, and late is better than failed.
 func (t *attempts) patience() time.Duration {
 	wait := time.Duration(1<<63 - 1)
 	if end := t.c.deadline(); !end.IsZero() {
@@ -77,8 +77,8 @@
 		answer := min(max(total/answerTimeDivisor, time.Duration(t.c.TokensOut)*answerPerToken), total/maxAnswerPart)
 		wait = time.Until(end) - answer
 	}
-	if o := t.c.Route.Objective; o > 0 && !t.out.headerSent {
-		wait = min(wait, o+min(o/lateAllowanceDivisor, maxLateAllowance)-time.Since(t.c.received))
+	if o := t.c.Route.Objective; o > 0 && !t.mayHaveRun {
+		wait = min(wait, o+min(o, maxLateAllowance)-time.Since(t.c.received))
 	}
 	return max(wait, 0)
 }
