Leave a twelfth of an engine free instead of an eighth

Cause: in the burst test and in a trial with many engines urgent requests were on time with capacity to spare, while patient ones were rejected.

Change: requests with long objectives leave a twelfth of slots and memory free.

--- a/prefill/burst_test.go
+++ b/prefill/burst_test.go
@@ -274,7 +274,7 @@
 		t.Errorf("%d preempted, before %d", preempted, preemptedBefore)
 	}
 	for rank := range 2 {
-		// Plays differ by the order of goroutines; the least that was seen is 0.975.
+		// Plays differ by the order of goroutines; the least that was seen is 0.968.
 		if after[rank] < 0.94 {
 			t.Errorf("rank %d: %.3f on time, before %.3f", rank, after[rank], before[rank])
 		}
--- a/prefill/runs.go
+++ b/prefill/runs.go
@@ -35,9 +35,10 @@
 // Bounds of the accounts of runs.
 const (
 	// reservedFraction is the part of an engine that patient requests leave free while there are
-	// others. At 24 slots these are 3, and 3 to 8 more become free in the 400 ms that a request with an
-	// objective of 500 ms can wait.
-	reservedFraction = 1.0 / 8
+	// others. At 24 slots these are 2, and 3 to 8 more become free in the 400 ms that a request with an
+	// objective of 500 ms can wait. In the plays of TestBurstOfLeastUrgentClass an eighth serves some 2
+	// in 100 fewer patient requests in time, and a twenty-fourth more of them but fewer urgent ones.
+	reservedFraction = 1.0 / 12
 	// urgentLifetime is how long the last request that is not patient counts.
 	urgentLifetime = 30 * time.Second
 	// maxPassedOver is how many grants in a row less urgent ranks that wait are passed over: each rank
