Test the accounts of runs when their host is lost

Cause: no test lost a host with runs in its account.

Change: TestNextHostCountsRunsOfLostHost loses one, and checks that the next host counts the runs by the loads in answers and that the former one gets its returns.

--- a/prefill/runs_test.go
+++ b/prefill/runs_test.go
@@ -373,3 +373,48 @@
 		is.Equal(messages(testCapacity, 4), int64(4+2))
 	})
 }
+
+// Guards against an engine that gets too much after the host of its account was lost: the next host counts
+// the runs that the former one granted, by the loads that answers state, and the former one, once it is
+// back, gets the returns of its runs.
+func TestNextHostCountsRunsOfLostHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c, peers := newTestClient()
+		acquire := func() (*Credit, bool) {
+			credit, _, ok := c.Acquire(t.Context(), runRequest(0, 0, shortObjective))
+			return credit, ok
+		}
+		var lost []*Credit
+		for range 3 {
+			credit, ok := acquire()
+			is.True(ok)
+			credit.FirstEvent()
+			lost = append(lost, credit)
+		}
+		time.Sleep(time.Second)
+		peers.down["a"].Store(true)
+		credit, ok := acquire()
+		is.True(ok)
+		is.Equal(credit.host.VM, fleet.VMID("b"))
+		credit.ReportLoad(4)
+		credit.FirstEvent()
+		time.Sleep(100 * time.Millisecond)
+		_, ok = acquire()
+		is.True(!ok)
+		for _, credit := range lost {
+			credit.Release()
+		}
+		credit.Release()
+		time.Sleep(foreignLifetime + time.Second)
+		peers.down["a"].Store(false)
+		credit, ok = acquire()
+		is.True(ok)
+		credit.Release()
+		time.Sleep(2 * probeInterval)
+		for _, host := range []string{"a", "b"} {
+			is.Equal(peers.hosts[host].Usage()[0].Running, 0)
+		}
+		time.Sleep(2 * creditLifetime)
+	})
+}
