--- a/roster/roster.go
+++ b/roster/roster.go
@@ -27,6 +27,8 @@
 	Holdings []Holding
 	// Cold is for how long the upstream stays cold, counted from the receipt of the entry.
 	Cold time.Duration
+	// Slots is how many requests the upstream runs at the same time, 0 if it is not stated.
+	Slots int
 }
 
 // Changes is the result of one read of the directory.
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -88,7 +88,10 @@
 	Rates     Rates
 	Permits   PermitSource
 	Prefill   PrefillCredits
-	Parts     PromptParts
+	// AccountRuns is set if requests are sent to an engine only while it has slots and memory for them,
+	// by the account of its host.
+	AccountRuns bool
+	Parts       PromptParts
 	// Starts asks engines that broke off a run for their start; nil if they cannot be asked.
 	Starts  StartProbe
 	Loader  Loader
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -61,8 +61,11 @@
 	MemoryMB int `json:"memory_mb"`
 	// Descriptors is the number of descriptors that the process may have open, from which
 	// the numbers of connections are derived. 0 means the limit of the operating system.
-	Descriptors int    `json:"descriptors"`
-	LogLevel    string `json:"log_level"`
+	Descriptors int `json:"descriptors"`
+	// Contracts lists what engines and clients of the deployment have agreed on. Names that this
+	// version does not know are ignored.
+	Contracts []string `json:"contracts"`
+	LogLevel  string   `json:"log_level"`
 }
 
 // MinDescriptors is the least number of descriptors that can be set: 200 for files and some for each
