End a share with the shorter session timeout of a join without an answer

Cause: a join that gets no answer may have been executed. If its session timeout is shorter than that of the last confirmed join, because the VM has become the coordinator in between, the store assigns the partitions to others up to 0.9 s before this VM stops to use its share.

Change: a join without an answer limits the share to the session timeout that it may have set.

--- a/group/group.go
+++ b/group/group.go
@@ -208,6 +208,9 @@
 	claimAt     time.Duration
 	leaving     bool
 	joinFailing bool
+	// share is this VM's share of the rates, which it has until shareUntil.
+	share      float64
+	shareUntil time.Duration
 	// lostJoins are the joins without an answer that the store may still execute.
 	lostJoins []lostJoin
 	// ownersRead is set once this process has read the owners from the store. former holds the
@@ -279,9 +282,7 @@
 	assigned, err := m.cfg.Store.Join(callCtx, m.cfg.Self, m.cfg.Partitions, timeout, generation)
 	cancel()
 	if m.recordJoinResult(err); err != nil {
-		m.mu.Lock()
-		m.lostJoins = append(m.recentLostJoins(requestedAt), lostJoin{requestedAt, timeout})
-		m.mu.Unlock()
+		m.recordLostJoin(lostJoin{requestedAt, timeout})
 		return
 	}
 	m.applyAssignment(assigned, requestedAt, timeout)
@@ -334,7 +335,24 @@
 	for _, j := range m.lostJoins {
 		sessionTimeout = min(sessionTimeout, j.sessionTimeout)
 	}
-	m.cfg.OnShare(float64(len(d.Parts))/float64(m.cfg.Partitions), requestedAt+sessionTimeout)
+	m.setShare(float64(len(d.Parts))/float64(m.cfg.Partitions), requestedAt+sessionTimeout)
+}
+
+// setShare sets this VM's share of the rates and when it expires. The caller holds mu.
+func (m *Membership) setShare(share float64, until time.Duration) {
+	m.share, m.shareUntil = share, until
+	m.cfg.OnShare(share, until)
+}
+
+// recordLostJoin records a join without an answer. It may have been executed, and have set a session
+// timeout that ends before the one of the last confirmed join.
+func (m *Membership) recordLostJoin(j lostJoin) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lostJoins = append(m.recentLostJoins(j.requestedAt), j)
+	if until := j.requestedAt + j.sessionTimeout; until < m.shareUntil && !m.leaving {
+		m.setShare(m.share, until)
+	}
 }
 
 // recentLostJoins returns the joins without an answer that the store may still execute at a time.
@@ -520,7 +538,7 @@
 	m.leaving = true
 	fence := m.fence
 	m.loseLeadership(m.cfg.Now())
-	m.cfg.OnShare(0, 0)
+	m.setShare(0, 0)
 	m.mu.Unlock()
 	var released error
 	if fence != 0 {
--- a/group/handover_test.go
+++ b/group/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"sync/atomic"
@@ -129,6 +130,9 @@
 	fates []int
 	share int
 	next  atomic.Int64
+	// evicts is set if the store may end the memberships of processes that are alive. Their
+	// shares then add up to more than 1 until their next joins.
+	evicts bool
 }
 
 // fate returns the next fate: not answered in share of 100 cases.
@@ -140,7 +144,13 @@
 	return []fate{lost, unanswered, late}[n%3]
 }
 
+// add starts a process of a VM. A former one must be dead by then, as in each VM.
 func (f *randomFleet) add(id fleet.VMID) {
+	for _, v := range f.vms {
+		if v.id == id {
+			v.kill()
+		}
+	}
 	v := &testVM{id: id}
 	v.setFate(f.fate, time.Duration(rapid.IntRange(1000, 6000).Draw(f.t, "late"))*time.Millisecond)
 	f.startProcess(v)
@@ -168,28 +178,45 @@
 			v.membership.FenceRejected(fence)
 		}
 	case "evict":
-		// The store ends the membership of a process that is alive.
-		f.group.Leave(string(v.self))
+		if f.evicts {
+			f.group.Leave(string(v.self))
+		}
 	case "add":
 		// A name before the others' moves partition 0.
 		f.add(fleet.VMID(fmt.Sprintf("vm-%d", rapid.IntRange(-9, 9).Draw(f.t, "id")*10+100)))
 	}
 }
 
+// watch checks the turns during a period, and the shares of the processes that are alive.
 func (f *randomFleet) watch(ms int) {
-	if err := f.watchTurns(time.Duration(ms) * time.Millisecond); err != nil {
-		f.t.Fatal(err)
+	for end := f.now() + time.Duration(ms)*time.Millisecond; f.now() < end; {
+		if err := errors.Join(f.watchTurns(20*time.Millisecond), f.checkShares()); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+}
+
+func (f *randomFleet) checkShares() error {
+	var sum float64
+	for _, v := range f.vms {
+		if !v.dead.Load() {
+			sum += v.activeShare(f.now())
+		}
 	}
+	if sum > 1+1e-9 && !f.evicts {
+		return fmt.Errorf("at %s: shares add up to %v", f.now(), sum)
+	}
+	return nil
 }
 
 // Whichever processes are restarted, whichever calls are lost or executed late and however the
-// partitions are reassigned, no two processes are the coordinator at once, and no VM is the
-// coordinator twice within the lease with another one in between.
+// partitions are reassigned, no two processes are the coordinator at once, no VM is the coordinator
+// twice within the lease with another one in between, and the shares add up to at most 1.
 func TestRandomHandovers(t *testing.T) {
 	bubble.Check(t, func(t *rapid.T) {
 		f := &randomFleet{testFleet: newTestFleet(), t: t}
 		defer f.close()
-		f.fenced = rapid.Bool().Draw(t, "fenced")
+		f.fenced, f.evicts = rapid.Bool().Draw(t, "fenced"), rapid.Bool().Draw(t, "evicts")
 		f.share = rapid.IntRange(0, 35).Draw(t, "lossPercent")
 		f.fates = rapid.SliceOfN(rapid.IntRange(0, 99), 64, 64).Draw(t, "fates")
 		for i := range rapid.IntRange(2, 4).Draw(t, "vms") {
@@ -220,6 +247,25 @@
 	})
 }
 
+// Guards against a share that is used after the store's session timeout: a join without an answer may
+// have set a shorter one, since the VM has become the coordinator.
+func TestUnansweredJoinShortensShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet()
+		defer f.close()
+		time.Sleep(time.Second)
+		v := f.addAs("vm-0")
+		time.Sleep(10 * time.Millisecond) // The first join had the session timeout of other VMs.
+		v.setFate(always("join", unanswered), 0)
+		time.Sleep(300*time.Millisecond + unansweredFor)
+		v.disconnected.Store(true)
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		is.Equal(v.until, 1300*time.Millisecond+group.CoordinatorSessionTimeout)
+	})
+}
+
 // Guards against a share that is used after the store's session timeout: a late join replaces the
 // session timeout of a later join by its own, which is shorter if the VM was the coordinator then.
 func TestLateJoinShortensShare(t *testing.T) {
