--- a/quarantine/account.go
+++ b/quarantine/account.go
@@ -100,7 +100,8 @@
 )
 
 // Key returns the key of the report in the log. Their number is bounded, so that a report may replace
-// another one. A vouch replaces the last one of the same VM for its part, a summary or a lift that of its part.
+// another one. A vouch replaces the last one of the same VM for its part, a summary or a lift that of its
+// part.
 func (r *Report) Key() string {
 	n := r.Number % crashKeys
 	switch r.Kind {
@@ -119,7 +120,7 @@
 
 // Validate returns an error if the report cannot come from a VM of this version.
 func (r *Report) Validate() error {
-	if r.Kind != Crash && r.Kind != Vouch && r.Kind != Summary && r.Kind != Lift {
+	if !slices.Contains([]Kind{Crash, Vouch, Summary, Lift}, r.Kind) {
 		return fmt.Errorf("crash report of VM %q of the kind %q", r.VM, r.Kind)
 	}
 	if r.VM == "" || len(r.Parts) == 0 || len(r.Parts) > maxReportParts || len(r.Engines) > maxEngines {
@@ -133,14 +134,18 @@
 			return fmt.Errorf("crash report of VM %q: part %q with %d sound runs", r.VM, p.Part, p.Sound)
 		}
 	}
+	return r.validateSince()
+}
+
+func (r *Report) validateSince() error {
 	if len(r.Since) != 0 && len(r.Since) != len(r.Parts) || slices.ContainsFunc(r.Since, func(n int) bool { return n < 0 }) {
 		return fmt.Errorf("crash report of VM %q with the counts %v for %d parts", r.VM, r.Since, len(r.Parts))
 	}
 	return nil
 }
 
-// since returns the number of sound runs with the i-th part that Since counts, or all
-// of them if the VM does not tell these apart.
+// since returns the number of sound runs with the i-th part that Since counts, or all of them if the VM
+// does not tell these apart.
 func (r *Report) since(i int) int {
 	if len(r.Since) == 0 {
 		return r.Parts[i].Sound
