Treat an unframed stream as whole only if its engine shows that it lives

Cause: on a busy machine the system closes the listener of a killed process some time after its connections.

Change: when an unframed stream ends, its engine has to answer a probe, as the same start, within 1 s; concurrent ends share a probe. Otherwise the stream counts as interrupted.

TestPromiseNotRunIsTrue names the new kind slow_request and the test that checks it.

--- a/entry/not_run_test.go
+++ b/entry/not_run_test.go
@@ -79,10 +79,11 @@
 // kindsWithoutRequest lists the kinds that say that the request did not run and
 // that no request in this package can get. Stopping is returned only by the
 // readiness check, since a VM that is shutting down serves requests until the
-// load balancer stops sending them. ConfigStale and Quarantined are returned only
-// by the gateway, where TestStaleConfigurationRejectsAllKeys and
-// TestQuarantinedPartIsRejected in package platform check as much.
-var kindsWithoutRequest = []fault.Kind{fault.Stopping, fault.ConfigStale, fault.Quarantined}
+// load balancer stops sending them. ConfigStale, Quarantined and SlowRequest are
+// returned only by the gateway, where TestStaleConfigurationRejectsAllKeys,
+// TestQuarantinedPartIsRejected and TestSlowBodyIsBoundByRouteTimeout in package
+// platform check as much.
+var kindsWithoutRequest = []fault.Kind{fault.Stopping, fault.ConfigStale, fault.Quarantined, fault.SlowRequest}
 
 // TestPromiseNotRunIsTrue provokes every kind of error that says that the
 // request did not run, and checks that no upstream receives the request, then
--- a/serving/crash.go
+++ b/serving/crash.go
@@ -82,19 +82,14 @@
 }
 
 // checkEnd returns an error if an answer that was sent to the client is a stream without a frame whose
-// upstream has crashed: the crash ended the connection, and the stream with it.
+// upstream does not show that it still lives: its end, like a link that was cut, ends the connection, and
+// the stream with it.
 func (t *attempts) checkEnd(a *attempt) error {
 	if a.resp.Framing != transport.Unframed || t.c.Route.Kind != catalogue.Stream || !isEventStream(a.resp) {
 		return nil
 	}
-	ended := false
-	if how, _ := a.u.Leaving(); how == "removed" && !a.u.Entry().Draining {
-		ended = t.h.crashes.refuses(a.u)
-	} else {
-		ended = <-t.h.crashes.check(a.u, func() {})
-	}
-	if ended {
-		return errors.New("the stream broke off: its upstream has crashed")
+	if !t.h.crashes.confirm(a.u) {
+		return errors.New("the stream broke off: its upstream has crashed or does not answer")
 	}
 	return nil
 }
--- a/serving/crash_detector.go
+++ b/serving/crash_detector.go
@@ -18,10 +18,13 @@
 // ErrOtherInstance is the error of [StartProbe] if another upstream than the expected one answered.
 var ErrOtherInstance = errors.New("another upstream answers at this address")
 
+// ErrNoStart is the error of [StartProbe] if the upstream answered, but not with its start.
+var ErrNoStart = errors.New("the upstream does not say when it started")
+
 // StartProbe asks a model engine when it started.
 type StartProbe interface {
 	// EngineStart returns the start of the engine that answers on the pool, in Unix milliseconds, 0 if it
-	// does not name it. The error wraps ErrOtherInstance, or says that no answer came.
+	// does not name it. The error wraps ErrOtherInstance or ErrNoStart, or says that no answer came.
 	EngineStart(ctx context.Context, p *transport.Pool, u *roster.Upstream) (int64, error)
 }
 
@@ -43,6 +46,11 @@
 	// maxCases bounds the upstreams with undecided interruptions, maxCaseRuns the runs of each.
 	maxCases    = 256
 	maxCaseRuns = 64
+	// confirmTimeout is how long an upstream may take to show that it lives, confirmPause the pause
+	// between two attempts: several intervals between probes, and the delay of an engine on a busy
+	// machine.
+	confirmTimeout = time.Second
+	confirmPause   = 50 * time.Millisecond
 )
 
 // finding is what a check found out about an upstream.
@@ -78,6 +86,9 @@
 	checks   map[*roster.Upstream][]func(finding)
 	probedAt map[*roster.Upstream]time.Time
 	cases    map[*roster.Upstream]*crashCase
+	// aliveAt holds when the last probe began to which each upstream has answered as the same start.
+	// Guarded by mu.
+	aliveAt map[*roster.Upstream]time.Time
 }
 
 // crashCase holds the runs whose interruptions are undecided. They end at different times.
@@ -97,7 +108,49 @@
 	return &crashDetector{
 		dial: dial, roster: r, probe: probe, checks: make(map[*roster.Upstream][]func(finding)),
 		probedAt: make(map[*roster.Upstream]time.Time), cases: make(map[*roster.Upstream]*crashCase),
+		aliveAt: make(map[*roster.Upstream]time.Time),
+	}
+}
+
+// confirm reports whether an upstream shows within confirmTimeout that it still lives, leaving or not. All
+// calls at the same time share the probes. A connection that is accepted shows nothing: on a busy machine
+// the system closes the listener of a killed process some time after its connections.
+func (d *crashDetector) confirm(u *roster.Upstream) bool {
+	began := time.Now()
+	for time.Since(began) < confirmTimeout {
+		if d.probe == nil {
+			return !d.refuses(u)
+		}
+		f, _ := d.ask(u)
+		switch {
+		case f == crashed:
+			return false
+		case d.aliveSince(u, began):
+			return true
+		}
+		time.Sleep(confirmPause)
+	}
+	return false
+}
+
+// aliveSince reports whether an upstream has answered to a probe that began at a time or later.
+func (d *crashDetector) aliveSince(u *roster.Upstream, at time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.aliveAt[u].Before(at)
+}
+
+// recordAlive records that an upstream has answered to a probe that began at a time, and drops what is too
+// old to be asked for.
+func (d *crashDetector) recordAlive(u *roster.Upstream, at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for other, last := range d.aliveAt {
+		if at.Sub(last) > confirmTimeout {
+			delete(d.aliveAt, other)
+		}
 	}
+	d.aliveAt[u] = at
 }
 
 // check looks whether an upstream has crashed, and sends the result. All calls during one check share the
@@ -174,6 +227,7 @@
 func (d *crashDetector) ask(u *roster.Upstream) (_ finding, closes bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
+	began := time.Now()
 	conn, err := d.dial(ctx, u.Address())
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
@@ -192,7 +246,10 @@
 	case errors.Is(err, ErrOtherInstance), err == nil && start != 0 && known != 0 && start != known:
 		return crashed, false
 	case err == nil && start != 0 && start == known:
+		d.recordAlive(u, began)
 		return alive, false
+	case err == nil, errors.Is(err, ErrNoStart):
+		d.recordAlive(u, began)
 	}
 	return undecided, err != nil && ctx.Err() == nil
 }
