Release the claim of a coordinator that was restarted

Cause: when VMs are killed and restarted at once, no process releases the claim of the former coordinator, so its successor waits for the end of its lease. All VMs have just started, so each also waits for the 3.3 s after its start.

Change: a process that finds its VM's former process as the owner of partition 0 releases that process's claim, conditionally, before it ends the membership. A process that has just started does not wait after a released claim if the records of claims that the store retains show that its VM cannot have held one lately. The record before the first retained one counts as its own unless it is known: a holder may have claimed long ago and given orders until the end. TestExpiredClaimOfFormerProcessStillCounts fails without that rule (A, B, A in 1.9 s), and also without the check for records of the VM itself.

Limit: if the claim has expired in the store, its release does not count, as before for planned stops, and successors wait.

TestRandomHandovers also restarts all VMs, lets old claims expire and, in half of the runs, assigns the partitions in other orders. In that half the step that adds a VM ends the process that has its address, because a release for a former process relies on that process being dead; the other half adds VMs as before.

--- a/group/fleet_test.go
+++ b/group/fleet_test.go
@@ -30,6 +30,22 @@
 type claimLog struct {
 	mu   sync.Mutex
 	list []group.Claim
+	// written holds the time of each claim. If retention is not 0, claims that are older have
+	// expired, except the newest.
+	written   []time.Time
+	retention time.Duration
+}
+
+// first returns the offset of the first claim that has not expired. The caller holds mu.
+func (l *claimLog) first() int {
+	if l.retention == 0 {
+		return 0
+	}
+	i := slices.IndexFunc(l.written, func(at time.Time) bool { return time.Since(at) <= l.retention })
+	if i < 0 {
+		return len(l.list)
+	}
+	return i
 }
 
 // topic returns the topic of a partition; each topic has 8.
@@ -123,11 +139,31 @@
 	if n := len(s.claims.list); n > 0 {
 		c := s.claims.list[n-1]
 		c.Next = int64(n)
+		if s.claims.first() > n-2 {
+			c.Claimed = group.Claimant{}
+		}
 		return c, nil
 	}
 	return group.Claim{}, nil
 }
 
+func (s *testStore) ReadClaimHistory(_ context.Context, end int64) (out []group.ClaimRecord, err error) {
+	s.vm.historyReads.Add(1)
+	if s.vm.disconnected.Load() || s.vm.historyFails.Load() {
+		return nil, errUnreachable
+	}
+	s.claims.mu.Lock()
+	defer s.claims.mu.Unlock()
+	for i := s.claims.first(); i < len(s.claims.list); i++ {
+		c := s.claims.list[i]
+		out = append(out, group.ClaimRecord{Holder: c.Holder, Released: c.Released, Offset: int64(i)})
+	}
+	if len(out) == 0 || out[len(out)-1].Offset < end-1 {
+		return nil, errors.New("the newest claim has expired")
+	}
+	return out, nil
+}
+
 func (s *testStore) WriteClaim(ctx context.Context, holder group.Claimant, released bool, offset int64) (int64, error) {
 	conflict := false
 	err := s.callLater(ctx, "claim", func() {
@@ -138,6 +174,7 @@
 			claimed = s.claims.list[n-1].Holder
 		}
 		if conflict = offset != int64(len(s.claims.list)); !conflict {
+			s.claims.written = append(s.claims.written, time.Now())
 			s.claims.list = append(s.claims.list, group.Claim{Holder: holder, Released: released, Claimed: claimed})
 		}
 	})
@@ -162,11 +199,15 @@
 	informed atomic.Bool
 	// ownerReads counts the reads of the owners of partitions.
 	ownerReads atomic.Int64
-	membership *group.Membership
-	stop       context.CancelFunc
-	mu         sync.Mutex
-	share      float64
-	until      time.Duration
+	// historyReads counts the reads of the claim history.
+	historyReads atomic.Int64
+	// historyFails is set while these reads fail.
+	historyFails atomic.Bool
+	membership   *group.Membership
+	stop         context.CancelFunc
+	mu           sync.Mutex
+	share        float64
+	until        time.Duration
 }
 
 // activeShare returns the VM's share at a time, 0 if it has expired.
--- a/group/group.go
+++ b/group/group.go
@@ -102,6 +102,13 @@
 	Next int64
 }
 
+// ClaimRecord is a claim, or the release of one, as it stands in the store.
+type ClaimRecord struct {
+	Holder   Claimant
+	Released bool
+	Offset   int64
+}
+
 // ended reports whether the claim no longer binds anyone: there is none, or its own process has
 // released it.
 func (c Claim) ended() bool {
@@ -119,6 +126,10 @@
 	Owners(ctx context.Context, partitions int) (map[Partition]Member, error)
 	// ReadClaim returns the newest claim, or one without a holder if there is none.
 	ReadClaim(ctx context.Context) (Claim, error)
+	// ReadClaimHistory returns the records that are retained before the offset end, or the last
+	// of them if there are many, in the order of their offsets. It fails if the last is missing.
+	// The store retains all records of the last 20 s.
+	ReadClaimHistory(ctx context.Context, end int64) ([]ClaimRecord, error)
 	// WriteClaim appends a claim, or the release of one, at an offset and returns that offset.
 	// It fails if another claim was appended there.
 	WriteClaim(ctx context.Context, holder Claimant, released bool, offset int64) (int64, error)
@@ -200,10 +211,14 @@
 	leaderSince time.Duration
 	// fence is the fencing token of this VM's claim, 0 if it has none.
 	fence int64
-	// ordersAllowedAt is when this process may give orders, if another VM has made the newest
-	// claim. It is not valid before started is set, by the first join.
+	// ordersAllowedAt is when this process may give orders after the loss of a claim, if another
+	// VM has made the newest claim. startWaitUntil is the same for the orders of this VM's former
+	// processes; it is not valid before started is set, by the first join. historyRead is set once
+	// the claim history has shown whether they may have given any.
 	ordersAllowedAt time.Duration
+	startWaitUntil  time.Duration
 	started         bool
+	historyRead     bool
 	// claimAt is when the wait before the next claim ends, 0 if none is in progress.
 	claimAt     time.Duration
 	leaving     bool
@@ -211,9 +226,11 @@
 	// lostJoins are the joins without an answer that the store may still execute.
 	lostJoins []lostJoin
 	// ownersRead is set once this process has read the owners from the store. former holds the
-	// members of this VM's former processes whose memberships it has yet to end.
-	ownersRead bool
-	former     []Member
+	// members of this VM's former processes whose memberships it has yet to end. formerCoordinator
+	// is the one of them that holds partition 0 and whose claim is yet to be released, or "".
+	ownersRead        bool
+	former            []Member
+	formerCoordinator Member
 }
 
 // lostJoin is a join without an answer.
@@ -267,7 +284,7 @@
 	m.mu.Lock()
 	if !m.started {
 		// The VM's former process may have given orders until just before the start.
-		m.started, m.ordersAllowedAt = true, m.ordersAllowedAfter(requestedAt)
+		m.started, m.startWaitUntil = true, m.ordersAllowedAfter(requestedAt)
 	}
 	leaving := m.leaving
 	generation, timeout := m.generation, m.sessionTimeout()
@@ -419,13 +436,17 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.memberList, m.memberListGeneration, m.memberListAt = newMemberList(m.cfg.Self, owners), generation, now
-	m.ownersRead, m.former = true, formerMembers(m.cfg.Self, owners)
+	m.ownersRead, m.former, m.formerCoordinator = true, formerMembers(m.cfg.Self, owners), ""
+	if slices.Contains(m.former, owners[0]) {
+		m.formerCoordinator = owners[0]
+	}
 }
 
 // endFormerMemberships ends the memberships of this VM's former processes, whose partitions would
 // otherwise be unused until their session timeouts. Their processes are dead, because this one has
 // opened their listeners' addresses before it joined. A call that fails is repeated after the next
-// join.
+// join. The claim of a former coordinator is released first, because its successor may claim as
+// soon as the membership has ended.
 func (m *Membership) endFormerMemberships(ctx context.Context) {
 	m.mu.Lock()
 	former := m.former
@@ -433,6 +454,7 @@
 	if len(former) == 0 {
 		return
 	}
+	m.releaseFormerClaim(ctx)
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	var failed []Member
--- a/group/handover_test.go
+++ b/group/handover_test.go
@@ -128,7 +128,11 @@
 	// fates are used in turn, from next on.
 	fates []int
 	share int
-	next  atomic.Int64
+	// rotates is set if the partitions are also assigned in other orders. Then no VM has two live
+	// processes: a coordinator that lives on after the start of the next process of its VM is
+	// impossible, because the next one holds its address.
+	rotates bool
+	next    atomic.Int64
 }
 
 // fate returns the next fate: not answered in share of 100 cases.
@@ -150,7 +154,7 @@
 func (f *randomFleet) step() {
 	alive := slices.DeleteFunc(slices.Clone(f.vms), func(v *testVM) bool { return v.dead.Load() })
 	v := alive[rapid.IntRange(0, len(alive)-1).Draw(f.t, "vm")]
-	switch rapid.SampledFrom([]string{"restart", "crash", "cut", "heal", "fenced", "evict", "add", "wait", "wait"}).Draw(f.t, "what") {
+	switch rapid.SampledFrom([]string{"restart", "crash", "cut", "heal", "fenced", "evict", "add", "restart all", "rotate", "wait", "wait"}).Draw(f.t, "what") {
 	case "restart":
 		_ = v.membership.Leave(context.Background()) // It fails if a call has no answer.
 		v.kill()
@@ -170,9 +174,41 @@
 	case "evict":
 		// The store ends the membership of a process that is alive.
 		f.group.Leave(string(v.self))
+	case "restart all":
+		f.restart(alive)
+	case "rotate":
+		f.rotate()
 	case "add":
 		// A name before the others' moves partition 0.
-		f.add(fleet.VMID(fmt.Sprintf("vm-%d", rapid.IntRange(-9, 9).Draw(f.t, "id")*10+100)))
+		id := fleet.VMID(fmt.Sprintf("vm-%d", rapid.IntRange(-9, 9).Draw(f.t, "id")*10+100))
+		f.killBefore(id, alive)
+		f.add(id)
+	}
+}
+
+// restart kills processes and starts the next ones of their VMs at once.
+func (f *randomFleet) restart(all []*testVM) {
+	for _, v := range all {
+		v.kill()
+	}
+	for _, v := range all {
+		f.add(v.id)
+	}
+}
+
+// rotate changes the order in which partitions are assigned, if this fleet rotates.
+func (f *randomFleet) rotate() {
+	if f.rotates {
+		f.group.SetRotation(rapid.IntRange(0, 3).Draw(f.t, "rotation"))
+	}
+}
+
+// killBefore kills the processes of a VM that is to be added, if this fleet rotates.
+func (f *randomFleet) killBefore(id fleet.VMID, alive []*testVM) {
+	for _, v := range alive {
+		if f.rotates && v.id == id {
+			v.kill()
+		}
 	}
 }
 
@@ -190,6 +226,8 @@
 		f := &randomFleet{testFleet: newTestFleet(), t: t}
 		defer f.close()
 		f.fenced = rapid.Bool().Draw(t, "fenced")
+		f.rotates = rapid.Bool().Draw(t, "rotates")
+		f.claims.retention = rapid.SampledFrom([]time.Duration{0, 20 * time.Second}).Draw(t, "retention")
 		f.share = rapid.IntRange(0, 35).Draw(t, "lossPercent")
 		f.fates = rapid.SliceOfN(rapid.IntRange(0, 99), 64, 64).Draw(t, "fates")
 		for i := range rapid.IntRange(2, 4).Draw(t, "vms") {
@@ -270,6 +308,11 @@
 		// is 300 ms or 750 ms, and its wait after a crash, which is 1.2 s or the lease.
 		{"crash", true, 2, 3000 * time.Millisecond}, {"crash", true, 40, 3450 * time.Millisecond},
 		{"crash", false, 2, 4800 * time.Millisecond}, {"crash", false, 40, 5250 * time.Millisecond},
+		// The limits are the time of the restart and the successor's join interval.
+		{"restart", true, 2, 400 * time.Millisecond}, {"restart", true, 40, 850 * time.Millisecond},
+		{"restart", false, 2, 400 * time.Millisecond}, {"restart", false, 40, 850 * time.Millisecond},
+		{"restart all", true, 2, 400 * time.Millisecond}, {"restart all", true, 40, 850 * time.Millisecond},
+		{"restart all", false, 2, 400 * time.Millisecond}, {"restart all", false, 40, 850 * time.Millisecond},
 		{"stop", true, 2, 300 * time.Millisecond}, {"stop", true, 40, 750 * time.Millisecond},
 		{"stop", false, 2, 300 * time.Millisecond}, {"stop", false, 40, 750 * time.Millisecond},
 	} {
@@ -287,8 +330,9 @@
 	}
 }
 
-// timeWithoutCoordinator returns how long a new fleet has no coordinator after a crash or a planned
-// stop of the first one, which happens offset after a moment in the interval of the joins.
+// timeWithoutCoordinator returns how long a new fleet has no coordinator after a crash, a planned
+// stop or a restart of the first one, or a restart of all VMs, which happens offset after a moment
+// in the interval of the joins. The successor is another VM.
 func timeWithoutCoordinator(t *testing.T, what string, fenced bool, vms int, offset time.Duration) time.Duration {
 	f := newTestFleet()
 	defer f.close()
@@ -303,13 +347,142 @@
 	if what == "stop" {
 		_ = first.membership.Leave(t.Context()) // The fake store answers.
 	}
-	first.kill()
+	restarted := map[string][]*testVM{"restart": {first}, "restart all": slices.Clone(f.vms)}[what]
 	begin := f.now()
+	first.kill()
+	for _, v := range restarted {
+		v.kill()
+	}
+	if restarted != nil {
+		f.group.SetRotation(1)
+		time.Sleep(restartTime)
+	}
+	for _, v := range restarted {
+		f.addAs(v.id)
+	}
 	for len(f.holders()) == 0 {
 		time.Sleep(5 * time.Millisecond)
 		if f.now()-begin > time.Minute {
 			t.Fatal("no process became the coordinator")
 		}
 	}
+	if restarted != nil && f.holders()[0].id == first.id {
+		t.Fatal("the VM of the former coordinator is the successor")
+	}
 	return f.now() - begin
 }
+
+// restartTime is how long a process takes to start again after it was killed.
+const restartTime = 50 * time.Millisecond
+
+// Guards against a successor that waits for the lease although the former process of the
+// coordinator's VM is dead, and against a release that counts for a later claim when the store
+// executes it late.
+func TestClaimOfFormerCoordinatorIsReleased(t *testing.T) {
+	for _, what := range []fate{answered, lost, unanswered, late} {
+		for after := time.Duration(1000); after <= 6000; after += 500 {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newTestFleet()
+				f.fenced = false
+				defer f.close()
+				first, second := f.startTwo()
+				is.NoErr(f.checkTurns())
+				first.kill()
+				f.group.SetRotation(1)
+				next := &testVM{id: first.id}
+				next.setFate(always("claim", what), after*time.Millisecond)
+				f.startProcess(next)
+				is.NoErr(f.watchTurns(1300 * time.Millisecond))
+				_, ok := second.membership.FencingToken()
+				released := what == answered || what == unanswered
+				is.True(ok == released || what == late)
+				is.NoErr(f.watchTurns(20 * time.Second))
+				_, ok = second.membership.FencingToken()
+				is.True(ok)
+				claims := f.claims.list
+				former := group.Claimant{VM: first.id, Process: first.self.Process()}
+				is.Equal(claims[0].Holder, former)
+				if released {
+					is.Equal(claims[1], group.Claim{Holder: former, Released: true, Claimed: former})
+				}
+				is.Equal(next.historyReads.Load(), int64(0)) // It is not about to claim.
+			})
+		}
+	}
+}
+
+// Guards against A, B and A again within the lease where A has started just before: its former
+// process made a claim so long ago that the store has deleted it, but gave orders until the end.
+func TestExpiredClaimOfFormerProcessStillCounts(t *testing.T) {
+	for _, heldFor := range []time.Duration{5 * time.Second, 30 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newTestFleet()
+			f.claims.retention = 20 * time.Second
+			defer f.close()
+			first, second := f.startTwo()
+			is.NoErr(f.watchTurns(heldFor))
+			first.kill()
+			f.group.Leave(string(first.self)) // As after a leave whose release was lost.
+			is.NoErr(f.watchTurns(1600 * time.Millisecond))
+			_, ok := second.membership.FencingToken()
+			is.True(ok)
+			next := f.addAs(first.id)
+			is.NoErr(f.watchTurns(100 * time.Millisecond))
+			is.NoErr(second.membership.Leave(t.Context()))
+			second.kill()
+			is.NoErr(f.watchTurns(10 * time.Second))
+			_, ok = next.membership.FencingToken()
+			is.True(ok)
+		})
+	}
+}
+
+// A VM that has just started reads the claim history once if it is about to claim, and the others
+// do not read it at all. It does not wait if its VM has given no orders.
+func TestNewVMClaimsAfterOneReadOfHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet()
+		defer f.close()
+		first, second := f.startTwo()
+		third := f.addAs("vm-0a") // Gets partition 0 after vm-0.
+		time.Sleep(time.Second)
+		is.NoErr(first.membership.Leave(t.Context()))
+		first.kill()
+		is.NoErr(f.watchTurns(time.Second))
+		_, ok := third.membership.FencingToken()
+		is.True(ok)
+		is.NoErr(f.watchTurns(10 * time.Second))
+		is.Equal(third.historyReads.Load(), int64(1))
+		is.Equal(first.historyReads.Load()+second.historyReads.Load(), int64(0))
+	})
+}
+
+// Guards against a VM that claims at once after its start although it could not read the claim
+// history.
+func TestUnknownHistoryKeepsWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet()
+		defer f.close()
+		first, _ := f.startTwo()
+		begin := f.now()
+		third := &testVM{id: "vm-0a"}
+		third.historyFails.Store(true)
+		f.startProcess(third)
+		time.Sleep(time.Second)
+		is.NoErr(first.membership.Leave(t.Context()))
+		first.kill()
+		is.NoErr(f.watchTurns(lease - time.Second))
+		_, ok := third.membership.FencingToken()
+		is.True(!ok)
+		is.True(third.historyReads.Load() > 0)
+		for !ok && f.now()-begin < 10*time.Second {
+			time.Sleep(20 * time.Millisecond)
+			_, ok = third.membership.FencingToken()
+		}
+		is.True(ok && f.now()-begin >= lease)
+	})
+}
--- a/group/leadership.go
+++ b/group/leadership.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"toucanfall/event"
+	"toucanfall/fleet"
 	"toucanfall/timeline"
 )
 
@@ -31,6 +33,7 @@
 		m.cfg.Events.Record(event.ClaimFailed, timeline.Fields{"reason": err.Error()})
 		return
 	}
+	m.checkClaimHistory(ctx, last)
 	if m.mustWait(last, since) {
 		return
 	}
@@ -48,6 +51,67 @@
 	}
 }
 
+// releaseFormerClaim releases the newest claim if it is that of the former process of this VM that
+// holds partition 0. That process cannot do so, and its successor would wait for the end of its
+// lease. The former process is dead (see endFormerMemberships), so it gives no orders after the
+// release. A release that fails is not repeated: without it the successor waits.
+func (m *Membership) releaseFormerClaim(ctx context.Context) {
+	m.mu.Lock()
+	former := m.formerCoordinator
+	m.formerCoordinator = ""
+	m.mu.Unlock()
+	if former == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	holder := Claimant{VM: former.VM(), Process: former.Process()}
+	last, err := m.cfg.Store.ReadClaim(ctx)
+	if err == nil && last.Holder == holder && !last.Released {
+		_, err = m.cfg.Store.WriteClaim(ctx, holder, true, last.Next)
+	}
+	if err != nil {
+		m.cfg.Events.Record(event.ClaimFailed, timeline.Fields{"reason": "release for a former process: " + err.Error()})
+	}
+}
+
+// checkClaimHistory ends the wait after the start if the claim history shows that no former process
+// of this VM has given orders lately. It reads the history only after a claim that has ended, while
+// nothing else keeps this process waiting, and only once unless the read fails: former processes
+// make no claims any more.
+func (m *Membership) checkClaimHistory(ctx context.Context, last Claim) {
+	m.mu.Lock()
+	now := m.cfg.Now()
+	needed := !m.historyRead && now < m.startWaitUntil && now >= m.ordersAllowedAt &&
+		last.Holder != (Claimant{}) && last.Holder.VM != m.cfg.Self.VM() && last.ended()
+	m.mu.Unlock()
+	if !needed {
+		return
+	}
+	history, err := m.cfg.Store.ReadClaimHistory(ctx, last.Next)
+	if err != nil {
+		m.cfg.Events.Record(event.ClaimFailed, timeline.Fields{"reason": "claim history: " + err.Error()})
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.historyRead = true
+	if !mayHaveHeldClaim(m.cfg.Self.VM(), history) {
+		m.startWaitUntil = 0
+	}
+}
+
+// mayHaveHeldClaim reports whether a VM may have held a claim while the records of the history were
+// written. A holder stops giving orders before the next record of another VM. So the holder of the
+// record before the first one counts too, however old its claim is; it is known if the first record
+// is a release, which directly follows the claim that it ends.
+func mayHaveHeldClaim(vm fleet.VMID, history []ClaimRecord) bool {
+	if slices.ContainsFunc(history, func(r ClaimRecord) bool { return r.Holder.VM == vm }) {
+		return true
+	}
+	return len(history) == 0 || history[0].Offset != 0 && !history[0].Released
+}
+
 // mustWait reports whether this VM, to which partition 0 was assigned at since, has to wait before
 // it makes a claim after the claim last, and records until when. It need not wait after a claim of
 // its own VM: if another VM has acted, that was before this claim.
@@ -63,7 +127,7 @@
 	if last.Holder == (Claimant{}) || last.Holder.VM == m.cfg.Self.VM() {
 		return false
 	}
-	until := m.ordersAllowedAt
+	until := max(m.ordersAllowedAt, m.startWaitUntil)
 	if !last.ended() {
 		until = max(until, since+m.successorWait())
 	}
--- a/group/members_test.go
+++ b/group/members_test.go
@@ -72,3 +72,19 @@
 	is.True(!Claim{Holder: p1, Released: true}.ended()) // The claim before it is not known.
 	is.True(Claim{Holder: old, Released: true, Claimed: old}.ended())
 }
+
+// Guards against a VM that gives orders at once although its former process may have given some:
+// the holder of the record before the history is unknown, unless that was a claim whose release is
+// retained.
+func TestMayHaveHeldClaim(t *testing.T) {
+	is := is.New(t)
+	a, b, old := Claimant{VM: "vm-a", Process: "1"}, Claimant{VM: "vm-b", Process: "1"}, Claimant{VM: "vm-a"}
+	is.True(mayHaveHeldClaim("vm-a", nil))
+	is.True(!mayHaveHeldClaim("vm-a", []ClaimRecord{{Holder: b}}))
+	is.True(mayHaveHeldClaim("vm-a", []ClaimRecord{{Holder: b, Offset: 1}}))
+	is.True(!mayHaveHeldClaim("vm-a", []ClaimRecord{{Holder: b, Released: true, Offset: 1}}))
+	for _, own := range []Claimant{a, old} {
+		is.True(mayHaveHeldClaim("vm-a", []ClaimRecord{{Holder: own}, {Holder: b, Offset: 1}}))
+		is.True(mayHaveHeldClaim("vm-a", []ClaimRecord{{Holder: own, Released: true, Offset: 1}, {Holder: b, Offset: 2}}))
+	}
+}
