Remove repeated code from the new parts

The gateway, prefill, metric, quarantine and serving packages each had a loop, a formula or a call written twice; one piece now serves both places. A call whose upstreams are all excluded is recognised by its error instead of a second look at the roster, and the return of a cancelled request is queued once instead of twice.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -9,7 +9,6 @@
 	"toucanfall/ingress"
 	"toucanfall/internal/httpx"
 	"toucanfall/metric"
-	"toucanfall/settings"
 	"toucanfall/timeline"
 )
 
@@ -22,9 +21,9 @@
 const maxHeaderBytes = 16 << 10
 
 // newAdmission returns the admission control of this process.
-func (g *Gateway) newAdmission(cfg *settings.Gateway) *ingress.Admission {
+func (g *Gateway) newAdmission() *ingress.Admission {
 	return ingress.New(ingress.Config{
-		MemoryMB: cfg.MemoryMB, Descriptors: cfg.Descriptors, HeaderTimeout: g.headerTimeout, Now: time.Now,
+		MemoryMB: g.cfg.MemoryMB, Descriptors: g.cfg.Descriptors, HeaderTimeout: g.headerTimeout, Now: time.Now,
 		Count: func(k ingress.Kind) { g.meters.IngressRejection(string(k)) },
 		Report: func(rejected map[ingress.Kind]int) {
 			f := make(timeline.Fields, len(rejected))
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -123,7 +123,7 @@
 	case f.repeatsReads():
 		return 0, maxImmediateReads * immediateTimeout
 	case f.failures > 1:
-		return 0, min(immediateTimeout<<min(f.failures-1, maxDoublings), maxImmediateTimeout)
+		return 0, f.doubled(immediateTimeout, maxImmediateTimeout)
 	case f.isCoordinator(), f.isRelay():
 		return f.times.coordinatorWait, f.times.coordinatorWait + f.times.margin
 	}
@@ -180,10 +180,15 @@
 	return ctx.Err()
 }
 
+// doubled returns a time that doubles with each failed poll after the first, up to limit.
+func (f *configFollower) doubled(first, limit time.Duration) time.Duration {
+	return min(first<<min(f.failures-1, maxDoublings), limit)
+}
+
 // retryPause returns the pause after a failed poll, with up to 50 % of jitter so that VMs
 // that poll at the same time do not stay in step.
 func (f *configFollower) retryPause() time.Duration {
-	d := min(minRetryPause<<min(f.failures-1, maxDoublings), maxRetryPause)
+	d := f.doubled(minRetryPause, maxRetryPause)
 	return d + rand.N(d/2)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -111,7 +111,7 @@
 		store:     platform.NewStore(cfg.Store, cfg.StorePartitions, meters.StoreCall),
 		buckets:   ratelimit.NewBuckets(bootclock.Now),
 	}
-	g.admission = g.newAdmission(cfg)
+	g.admission = g.newAdmission()
 	g.peerClient = peer.NewClientWithDial(g.admission.ToVMs.Wrap(peer.DialTCP))
 	g.panics = guard.NewPanicReporter(g.events, meters.Panic)
 	g.peers = peer.NewServer(g.panics.Report)
--- a/group/group.go
+++ b/group/group.go
@@ -12,10 +12,9 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -38,10 +37,7 @@
 
 // NewProcess returns a random Process. Each process of a VM must have its own.
 func NewProcess() Process {
-	// Random numbers from crypto/rand never fail.
-	var b [8]byte
-	_, _ = rand.Read(b[:])
-	return Process(hex.EncodeToString(b[:]))
+	return Process(fmt.Sprintf("%016x", rand.Uint64()))
 }
 
 // NewMember returns the Member of a process of a VM in a data centre. address is that of the
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net"
-	"os"
 	"time"
 )
 
@@ -143,5 +142,5 @@
 
 func isTimeout(err error) bool {
 	var netErr net.Error
-	return errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &netErr) && netErr.Timeout()
+	return errors.As(err, &netErr) && netErr.Timeout()
 }
--- a/ingress/conns.go
+++ b/ingress/conns.go
@@ -11,8 +11,8 @@
 // Conns is the set of open connections of one listener. It handles the load of clients that open
 // more connections than the process has descriptors for, and leave them open: at the limit a new
 // connection takes the place of one that waits without a request in progress, or whose body does not
-// arrive, of the address with the most connections. So clients with few connections are admitted and keep theirs, however many others
-// have. It is safe for concurrent use.
+// arrive, of the address with the most connections. So clients with few connections are admitted and
+// keep theirs, however many others have. It is safe for concurrent use.
 type Conns struct {
 	limit int
 	now   func() time.Time
--- a/metric/budget.go
+++ b/metric/budget.go
@@ -15,8 +15,7 @@
 }
 
 func newBudgetCollector(read func() []Budget) *budgetCollector {
-	describe := func(d Definition) *prometheus.Desc { return prometheus.NewDesc(d.Name, d.Text, d.Labels, nil) }
-	return &budgetCollector{read: read, used: describe(ingressUsed), limit: describe(ingressLimit)}
+	return &budgetCollector{read: read, used: ingressUsed.desc(), limit: ingressLimit.desc()}
 }
 
 // Describe sends the descriptors of the gauges. It implements prometheus.Collector.
@@ -27,9 +26,6 @@
 
 // Collect sends the gauges of each budget. It implements prometheus.Collector.
 func (c *budgetCollector) Collect(out chan<- prometheus.Metric) {
-	if c.read == nil {
-		return
-	}
 	for _, b := range c.read() {
 		out <- prometheus.MustNewConstMetric(c.used, prometheus.GaugeValue, b.Used, b.Name)
 		out <- prometheus.MustNewConstMetric(c.limit, prometheus.GaugeValue, b.Limit, b.Name)
--- a/metric/capacity.go
+++ b/metric/capacity.go
@@ -24,8 +24,7 @@
 }
 
 func newCapacityCollector(read func() []Capacity) *capacityCollector {
-	describe := func(d Definition) *prometheus.Desc { return prometheus.NewDesc(d.Name, d.Text, d.Labels, nil) }
-	return &capacityCollector{read: read, limit: describe(capacityLimit), inUse: describe(capacityInUse), waiting: describe(capacityWaiting)}
+	return &capacityCollector{read: read, limit: capacityLimit.desc(), inUse: capacityInUse.desc(), waiting: capacityWaiting.desc()}
 }
 
 // Describe sends the descriptors of the gauges. It implements prometheus.Collector.
--- a/metric/evacuation.go
+++ b/metric/evacuation.go
@@ -14,7 +14,7 @@
 }
 
 // evacuatedDesc describes the gauge of evacuationCollector.
-var evacuatedDesc = prometheus.NewDesc(evacuatedDC.Name, evacuatedDC.Text, evacuatedDC.Labels, nil)
+var evacuatedDesc = evacuatedDC.desc()
 
 // Describe sends the descriptor of the gauge. It implements prometheus.Collector.
 func (c evacuationCollector) Describe(out chan<- *prometheus.Desc) {
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -33,6 +33,11 @@
 	Text string
 }
 
+// desc returns the descriptor with which a collector sends the metric.
+func (d Definition) desc() *prometheus.Desc {
+	return prometheus.NewDesc(d.Name, d.Text, d.Labels, nil)
+}
+
 // The metrics.
 var (
 	requestsTotal       = Definition{"toucanfall_requests_total", Counter, []string{"kind", "team", "outcome"}, "Requests by kind of route, team and outcome: `served`, or the code of the error."}
--- a/metric/notice_status.go
+++ b/metric/notice_status.go
@@ -33,8 +33,7 @@
 }
 
 func newNoticeCollector(read func() []NoticeStatus) *noticeCollector {
-	describe := func(d Definition) *prometheus.Desc { return prometheus.NewDesc(d.Name, d.Text, d.Labels, nil) }
-	return &noticeCollector{read: read, leaving: describe(upstreamLeaving), wait: describe(upstreamWait), limit: describe(upstreamLimit), cold: describe(upstreamCold)}
+	return &noticeCollector{read: read, leaving: upstreamLeaving.desc(), wait: upstreamWait.desc(), limit: upstreamLimit.desc(), cold: upstreamCold.desc()}
 }
 
 // Describe sends the descriptors of the gauges. It implements prometheus.Collector.
--- a/prefill/client.go
+++ b/prefill/client.go
@@ -157,14 +157,16 @@
 		var out Answer
 		answered := c.call(ctx, host, r.Wait, "Acquire", r, &out)
 		if !answered {
-			// The request may still be granted. A return that is lost too leaves a run until its lifetime ends.
-			c.keepReturned(host, append(r.Returned, Return{ID: r.ID, Upstream: r.Upstream}))
+			c.keepReturned(host, r.Returned)
 		}
+		// The request may still be granted. A return that is lost too leaves a run until its lifetime ends.
+		own := Return{ID: r.ID, Upstream: r.Upstream}
 		if ctx.Err() != nil {
-			c.giveBack(host, Return{ID: r.ID, Upstream: r.Upstream})
+			c.giveBack(host, own)
 			return nil, Denial{}, false
 		}
 		if !answered {
+			c.keepReturned(host, []Return{own})
 			continue
 		}
 		if c.cfg.OnAnswer != nil {
@@ -188,7 +190,7 @@
 	probeAt, down := c.unreachable[host]
 	if down && !now.Before(probeAt) {
 		c.unreachable[host] = now.Add(probeInterval)
-		go c.probe(host)
+		go func() { c.deliver(host, c.takeReturned(host)) }()
 	}
 	return !down
 }
@@ -232,9 +234,8 @@
 	return c.cfg.Own.Service().Return(args.(Returns), out.(*struct{}))
 }
 
-// probe sends a message to a host that did not answer, with what could not be returned to it.
-func (c *Client) probe(host HostVM) {
-	list := c.takeReturned(host)
+// deliver returns credits to a host. If it does not answer they are kept for the next message.
+func (c *Client) deliver(host HostVM, list []Return) {
 	if !c.call(context.Background(), host, 0, "Return", Returns{Returned: list}, &struct{}{}) {
 		c.keepReturned(host, list)
 	}
@@ -278,13 +279,12 @@
 	return list
 }
 
-// sendReturned returns credits to a host. If it does not answer they are kept for the next message.
+// sendReturned delivers the credits that are queued for a host.
 func (c *Client) sendReturned(host HostVM) {
 	c.mu.Lock()
 	delete(c.scheduled, host)
 	c.mu.Unlock()
-	list := c.takeReturned(host)
-	if len(list) > 0 && !c.call(context.Background(), host, 0, "Return", Returns{Returned: list}, &struct{}{}) {
-		c.keepReturned(host, list)
+	if list := c.takeReturned(host); len(list) > 0 {
+		c.deliver(host, list)
 	}
 }
--- a/prefill/runs.go
+++ b/prefill/runs.go
@@ -27,10 +27,16 @@
 	ShortOfMemory  Reason = "memory"
 )
 
-// PatientObjective is the latency objective from which a request waits for capacity that others need at
+// patientObjective is the latency objective from which a request waits for capacity that others need at
 // once: a slot of an engine with 12 to 24 becomes free every 50 to 150 ms, and objectives below 2 s leave
 // no time to wait for several.
-const PatientObjective = 2 * time.Second
+const patientObjective = 2 * time.Second
+
+// IsPatient reports whether a request with a latency objective, or with none if it is 0, can wait for
+// capacity that others need at once.
+func IsPatient(objective time.Duration) bool {
+	return objective == 0 || objective >= patientObjective
+}
 
 // Bounds of the accounts of runs.
 const (
@@ -161,7 +167,7 @@
 
 // patient reports whether a request can wait for capacity that others need at once.
 func (r *Request) patient() bool {
-	return r.Objective == 0 || r.Objective >= PatientObjective
+	return IsPatient(r.Objective)
 }
 
 // memory returns the tokens for which a request needs memory. The caller of a team states them.
--- a/prefill/runs_test.go
+++ b/prefill/runs_test.go
@@ -28,6 +28,15 @@
 	longObjective  = 8 * time.Second
 )
 
+// newFullHost returns a host whose engine runs as many requests as it has slots.
+func newFullHost(is *is.I) *Host {
+	h := NewHost(newRecorder())
+	for i := range uint64(testCapacity.Slots) {
+		is.True(h.acquire(runRequest(i, 0, shortObjective)).Granted)
+	}
+	return h
+}
+
 // returnRun returns a run to its host, or only its prompt if firstEvent is positive.
 func returnRun(h *Host, id CreditID, firstEvent time.Duration) {
 	_ = h.Service().Return(Returns{[]Return{{ID: id, Upstream: "e", FirstEvent: firstEvent}}}, nil)
@@ -187,10 +196,7 @@
 func TestRestartedEngineHasFreeCapacity(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		h := NewHost(newRecorder())
-		for i := range uint64(4) {
-			is.True(h.acquire(runRequest(i, 0, shortObjective)).Granted)
-		}
+		h := newFullHost(is)
 		r := runRequest(9, 0, shortObjective)
 		r.Born = 2
 		is.True(h.acquire(r).Granted)
@@ -242,10 +248,7 @@
 func TestForecastOfUrgentRequestDoesNotCountPassedOverRank(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		h := NewHost(newRecorder())
-		for i := range uint64(4) {
-			is.True(h.acquire(runRequest(i, 0, shortObjective)).Granted)
-		}
+		h := newFullHost(is)
 		for i := range uint64(40) {
 			r := runRequest(100+i, 2, longObjective)
 			r.Wait = maxWait
@@ -287,10 +290,7 @@
 func TestRequestThatWouldWaitInVainIsNotHeld(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		h := NewHost(newRecorder())
-		for i := range uint64(4) {
-			is.True(h.acquire(runRequest(i, 0, shortObjective)).Granted)
-		}
+		h := newFullHost(is)
 		r := runRequest(4, 0, shortObjective)
 		r.Patience, r.Wait = 20*time.Millisecond, maxWait
 		began := time.Now()
--- a/quarantine/account.go
+++ b/quarantine/account.go
@@ -214,6 +214,15 @@
 	return sound, since, crashed
 }
 
+// starts returns the engines that crashed under the part.
+func (p *partState) starts() []EngineStart {
+	out := make([]EngineStart, len(p.engines))
+	for i, e := range p.engines {
+		out[i] = e.EngineStart
+	}
+	return out
+}
+
 // crashedUnder reports whether an engine crashed under the part.
 func (p *partState) crashedUnder(e EngineStart) bool {
 	return slices.ContainsFunc(p.engines, func(c crashedEngine) bool { return c.EngineStart == e })
@@ -324,11 +333,7 @@
 		return []change{{part: id}}
 	case !p.quarantined && sound < crashed && now-p.firstCrash >= decisionTime && len(p.engines) >= minCrashes && a.unexplained(id, p) >= minCrashes:
 		p.quarantined = true
-		engines := make([]EngineStart, len(p.engines))
-		for i, e := range p.engines {
-			engines[i] = e.EngineStart
-		}
-		return append(a.releaseExplained(), change{part: id, quarantined: true, engines: engines})
+		return append(a.releaseExplained(), change{part: id, quarantined: true, engines: p.starts()})
 	}
 	return nil
 }
--- a/quarantine/lift.go
+++ b/quarantine/lift.go
@@ -29,14 +29,9 @@
 	}
 	var out []Part
 	for id, p := range a.parts {
-		if !p.quarantined {
-			continue
+		if p.quarantined {
+			out = append(out, Part{ID: id, Engines: p.starts()})
 		}
-		part := Part{ID: id}
-		for _, e := range p.engines {
-			part.Engines = append(part.Engines, e.EngineStart)
-		}
-		out = append(out, part)
 	}
 	slices.SortFunc(out, func(x, y Part) int { return cmp.Compare(x.ID, y.ID) })
 	return out
--- a/serving/admit.go
+++ b/serving/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -73,17 +74,21 @@
 	return nil
 }
 
+// errExcluded is the cause of the error for a call that no upstream may get. Such a call is rejected at
+// once, because waiting would not help.
+var errExcluded = errors.New("in evacuated data centres or in regions that it does not allow")
+
 // noUpstreamError returns the error for a call for which no upstream can be chosen. If suitable
 // upstreams are only closed for a time, the error says when the first of them reopens.
 func (t *attempts) noUpstreamError() error {
-	after := t.earliestRetry()
 	if all, others := t.h.picker.excluded(t.service, t.c); all {
-		err := fault.New(fault.NoUpstream, "all upstreams of service %q that could serve the request are in evacuated data centres or in regions that it does not allow", t.service)
+		err := fault.New(fault.NoUpstream, "all upstreams of service %q that could serve the request are %w", t.service, errExcluded)
 		if others {
 			return err.WithRetryAfter(modelLoadRetryAfter)
 		}
 		return err
 	}
+	after := t.earliestRetry()
 	if after == 0 {
 		return fault.New(fault.NoUpstream, "no upstream of service %q holds model %q", t.service, t.c.Model).WithRetryAfter(modelLoadRetryAfter)
 	}
--- a/serving/capacity.go
+++ b/serving/capacity.go
@@ -85,7 +85,7 @@
 
 // canWait reports whether the call has a long latency objective, or none.
 func (t *attempts) canWait() bool {
-	return t.c.Route.Objective == 0 || t.c.Route.Objective >= prefill.PatientObjective
+	return prefill.IsPatient(t.c.Route.Objective)
 }
 
 // maxCandidates returns how many engines are asked before the call waits at one of them.
--- a/serving/choose.go
+++ b/serving/choose.go
@@ -52,12 +52,9 @@
 				continue
 			}
 		}
-		if time.Since(t.c.received) > t.maxQueueTime() || ctx.Err() != nil || errors.Is(err, errNoCapacity) {
+		if time.Since(t.c.received) > t.maxQueueTime() || ctx.Err() != nil || errors.Is(err, errNoCapacity) || errors.Is(err, errExcluded) {
 			return nil, err
 		}
-		if all, _ := t.h.picker.excluded(t.service, t.c); all {
-			return nil, err // Waiting would not help.
-		}
 		loop.Sleep(ctx, queuePollInterval)
 	}
 }
--- a/serving/crash_detector.go
+++ b/serving/crash_detector.go
@@ -245,11 +245,11 @@
 	switch known := u.StartTime(); {
 	case errors.Is(err, ErrOtherInstance), err == nil && start != 0 && known != 0 && start != known:
 		return crashed, false
-	case err == nil && start != 0 && start == known:
-		d.recordAlive(u, began)
-		return alive, false
 	case err == nil, errors.Is(err, ErrNoStart):
 		d.recordAlive(u, began)
+		if err == nil && start != 0 && start == known {
+			return alive, false
+		}
 	}
 	return undecided, err != nil && ctx.Err() == nil
 }
