Log every answer that is broken off, with its request and the reason

A request was run to its end by its engine and its client got no complete answer; no line of the VM said which bound had ended it: request_refused said only "the answer was broken off", slow readers were logged by their number, and the forced end of a planned stop did not name the requests that it cut.

The handler keeps the requests in progress, so that the end of a planned stop can name those that it cuts, and package ingress reports a client's request whose connection it has closed for a new one. An answer that was broken off has no request_refused line any more, and still counts in toucanfall_requests_total.

--- a/event/event.go
+++ b/event/event.go
@@ -32,7 +32,7 @@
 	KeyHeardWithdrawn, OperatorCommand, WithdrawalAppended,
 	ConfigApplied, StoreLost, StoreFound, EntryOdd, UpstreamLeaving, DirectoryLate, DirectoryInTime, UpstreamNotice, NoticeOdd, NoticeTold,
 	JoinFailed, PartsDealt, ClaimFailed, DutyTaken, CoordinatorLost, CoordinatorFound, RelayFound, RelayLost, KeeperLost, KeeperChanged,
-	EngineOrdered, PlacementChanged, MoveFailed, PlacementViewed, ReportFailed, PrefillHostLost, PrefillViewed, EngineCrashed, PartQuarantined, PartReleased, SettingsReloaded, SettingsRefused, GatewayFault, LinesLeftOut, RequestServed, PartEnded, AcceptFailed, ClientsRejected,
+	EngineOrdered, PlacementChanged, MoveFailed, PlacementViewed, ReportFailed, PrefillHostLost, PrefillViewed, EngineCrashed, PartQuarantined, PartReleased, SettingsReloaded, SettingsRefused, GatewayFault, LinesLeftOut, RequestServed, AnswerBroken, PartEnded, AcceptFailed, ClientsRejected,
 	EvacuationBegun, EvacuationEnded, UpstreamCold, CapacityViewed,
 	FakeStarted, FakeServed,
 }
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"toucanfall/event"
@@ -50,6 +51,7 @@
 	defer cancel()
 	// Shutdown answers the requests that were read, also on the connections opened last.
 	if err := g.callers.Shutdown(ctx); err != nil {
-		g.events.Record(event.StopForced, timeline.Fields{"reason": err.Error()})
+		cut := g.handler.RecordCut()
+		g.events.Record(event.StopForced, timeline.Fields{"reason": err.Error(), "cut": strconv.Itoa(cut)})
 	}
 }
--- a/ingress/admission.go
+++ b/ingress/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math"
 	"net"
@@ -93,7 +94,10 @@
 	// Report is called at most once a second with the number of rejections since the last call, if
 	// there were any.
 	Report func(map[Kind]int)
-	Now    func() time.Time
+	// OnEvicted, if not nil, is called with a client's request whose connection was closed for a new one while
+	// its head was read.
+	OnEvicted func(*http.Request)
+	Now       func() time.Time
 }
 
 // Admission decides which connections and requests a process accepts. It is safe for concurrent use.
@@ -234,6 +238,9 @@
 	}
 }
 
+// ErrEvicted is the error of a request whose connection was closed for a new one before it ran.
+var ErrEvicted = errors.New("the connection was closed for a new one")
+
 type connKey struct{}
 
 // ConnOf returns the connection of a request that is served by a server of [Admission.Configure], nil
@@ -276,6 +283,9 @@
 	}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c := ConnOf(r.Context()); c != nil && !c.Begin() {
+			if c.set == a.Clients && a.cfg.OnEvicted != nil {
+				a.cfg.OnEvicted(r)
+			}
 			panic(http.ErrAbortHandler) // The connection was closed while the head was read.
 		}
 		handler.ServeHTTP(w, r)
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -45,6 +45,7 @@
 	longestPauseSeconds = Definition{"toucanfall_longest_pause_seconds", Histogram, []string{"kind"}, "Longest pause between two chunks of a response, for requests that were served."}
 	attemptsTotal       = Definition{"toucanfall_attempts_total", Counter, []string{"upstream", "outcome"}, "Attempts by upstream and outcome: `served` or `failed`."}
 	unframedTotal       = Definition{"toucanfall_unframed_answers_total", Counter, []string{"outcome"}, "Answers of upstreams with neither a length nor chunks that were relayed, by outcome: `complete` or `broken`."}
+	brokenTotal         = Definition{"toucanfall_answers_broken_total", Counter, []string{"reason"}, "Requests that were read and ended without a complete answer, by the reasons of the event `answer_broken_off`."}
 	noticesTotal        = Definition{"toucanfall_notices_total", Counter, []string{"notice"}, "Responses of upstreams with a notice in their headers: `leaving`, `wait` (no requests for some time), `intake` (a request rate limit), `cold` (the remaining cold time), or `odd` for a malformed header."}
 	noticedSendsTotal   = Definition{"toucanfall_noticed_sends_total", Counter, []string{"notice"}, "Requests that were written to an upstream while a notice from it applied: that it is leaving (`leaving`), accepts no requests for some time (`wait`), limits its request rate (`intake`) or is cold (`cold`)."}
 	permitsTotal        = Definition{"toucanfall_permits_total", Counter, []string{"outcome"}, "Permits requested to send to an upstream that announces a request rate limit or is cold, by outcome: `given`, or `denied`, after which another upstream is chosen or the request is rejected."}
@@ -75,7 +76,7 @@
 )
 
 // Registry lists all metrics, in the order of docs/METRICS.md.
-var Registry = []Definition{requestsTotal, firstPieceSeconds, longestPauseSeconds, attemptsTotal, unframedTotal, noticesTotal, noticedSendsTotal, permitsTotal, prefillCreditsTotal, capacityRejected, capacityLimit, capacityInUse, capacityWaiting, storeCallsTotal, panicsTotal, ingressRejected, ingressUsed, ingressLimit, openRequests, configStaleness, directoryAge, directoryAgeAtSend, configVersion, rateShare, isCoordinator, quarantinedParts, upstreamCount, upstreamLeaving, upstreamWait, upstreamLimit, upstreamCold, evacuatedDC}
+var Registry = []Definition{requestsTotal, firstPieceSeconds, longestPauseSeconds, attemptsTotal, unframedTotal, brokenTotal, noticesTotal, noticedSendsTotal, permitsTotal, prefillCreditsTotal, capacityRejected, capacityLimit, capacityInUse, capacityWaiting, storeCallsTotal, panicsTotal, ingressRejected, ingressUsed, ingressLimit, openRequests, configStaleness, directoryAge, directoryAgeAtSend, configVersion, rateShare, isCoordinator, quarantinedParts, upstreamCount, upstreamLeaving, upstreamWait, upstreamLimit, upstreamCold, evacuatedDC}
 
 // maxLabelValues bounds the number of values of a label that come from outside
 // the process (teams, upstreams); further ones are counted as otherLabelValue. The
@@ -111,6 +112,7 @@
 	directoryAgeAtSend *prometheus.HistogramVec
 	attempts           *prometheus.CounterVec
 	unframed           *prometheus.CounterVec
+	broken             *prometheus.CounterVec
 	notices            *prometheus.CounterVec
 	noticedSends       *prometheus.CounterVec
 	permits            *prometheus.CounterVec
@@ -134,7 +136,7 @@
 	s.requests, s.attempts, s.storeCalls = s.counter(requestsTotal), s.counter(attemptsTotal), s.counter(storeCallsTotal)
 	s.notices, s.noticedSends, s.permits, s.panics = s.counter(noticesTotal), s.counter(noticedSendsTotal), s.counter(permitsTotal), s.counter(panicsTotal)
 	s.prefillCredits, s.capacityRejected, s.unframed = s.counter(prefillCreditsTotal), s.counter(capacityRejected), s.counter(unframedTotal)
-	s.ingressRejected = s.counter(ingressRejected)
+	s.ingressRejected, s.broken = s.counter(ingressRejected), s.counter(brokenTotal)
 	s.firstPiece, s.longestPause, s.directoryAgeAtSend = s.histogram(firstPieceSeconds), s.histogram(longestPauseSeconds), s.histogram(directoryAgeAtSend)
 	return s
 }
@@ -210,6 +212,11 @@
 	s.unframed.WithLabelValues(outcome).Inc()
 }
 
+// AnswerBroken counts a request that was read and ended without a complete answer.
+func (s *Set) AnswerBroken(reason string) {
+	s.broken.WithLabelValues(reason).Inc()
+}
+
 // Notice counts a response of an upstream with a notice in its headers.
 func (s *Set) Notice(notice string) {
 	s.notices.WithLabelValues(notice).Inc()
--- a/metric/metric_test.go
+++ b/metric/metric_test.go
@@ -41,6 +41,7 @@
 	s.Permit(true)
 	s.PrefillCredit(metric.CreditGiven)
 	s.UnframedAnswer(true)
+	s.AnswerBroken("stop")
 	s.Panic("request")
 	s.IngressRejection("body_slow")
 	s.DirectoryAgeAtSend(time.Second)
--- a/serving/answer.go
+++ b/serving/answer.go
@@ -44,6 +44,9 @@
 	return "the client takes no more bytes: " + e.err.Error()
 }
 
+// slow reports whether the client did not accept bytes in time.
+func (e *clientDisconnected) slow() bool { return errors.Is(e.err, os.ErrDeadlineExceeded) }
+
 // answer writes the answer to one client. A resumed stream may take it from several upstreams.
 // Only lastEvent is read outside the goroutine that serves the call, by the watchdog.
 type answer struct {
@@ -54,6 +57,8 @@
 	// unframed is set if the answer is sent without a frame, because nothing proves that it is whole.
 	unframed bool
 	timing   answerTiming
+	// open is the request's entry among those in progress.
+	open *openRequest
 	// space is what is reserved for the request and its response.
 	space *ingress.Reservation
 	// blockedFor is how long the writes of the last written bytes took, at most a block of them.
@@ -69,8 +74,8 @@
 	lastEvent string
 }
 
-func newAnswer(w http.ResponseWriter, wire Wire, received time.Time) *answer {
-	return &answer{w: w, rc: http.NewResponseController(w), wire: wire, timing: answerTiming{received: received}, space: new(ingress.Reservation)}
+func newAnswer(w http.ResponseWriter, wire Wire, open *openRequest) *answer {
+	return &answer{w: w, rc: http.NewResponseController(w), wire: wire, timing: answerTiming{received: open.received}, space: new(ingress.Reservation), open: open}
 }
 
 // resumeEventID returns the id of the event after which the next attempt must resume the stream.
@@ -102,6 +107,7 @@
 		return
 	}
 	a.headerSent = true
+	a.open.begin(resp.Status)
 	h := a.w.Header()
 	for name, values := range a.wire.AnswerHeader(resp.Header) {
 		h[name] = values
@@ -236,7 +242,7 @@
 		return nil
 	}
 	if !a.space.Grow(int64(more)) {
-		return errors.New("no memory for an event")
+		return &breakError{BreakNoMemory, errors.New("no memory for an event")}
 	}
 	a.pendingReserved += more
 	return nil
@@ -304,8 +310,9 @@
 
 // disconnected returns the error of a failed write.
 func (a *answer) disconnected(err error) error {
-	a.readerSlow = errors.Is(err, os.ErrDeadlineExceeded)
-	return &clientDisconnected{err}
+	disconnected := &clientDisconnected{err}
+	a.readerSlow = disconnected.slow()
+	return disconnected
 }
 
 func (a *answer) write(b []byte, flush bool) error {
--- a/serving/crash.go
+++ b/serving/crash.go
@@ -89,7 +89,7 @@
 		return nil
 	}
 	if !t.h.crashes.confirm(a.u) {
-		return errors.New("the stream broke off: its upstream has crashed or does not answer")
+		return &breakError{BreakUnconfirmed, errors.New("the stream broke off: its upstream has crashed or does not answer")}
 	}
 	return nil
 }
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -121,6 +122,7 @@
 	picker  *Picker
 	notices *noticeHandler
 	crashes *crashDetector
+	open    openRequests
 }
 
 // New returns a handler.
@@ -171,9 +173,10 @@
 	if !stopAt.IsZero() {
 		w.Header().Set("Connection", "close")
 	}
-	a := newAnswer(w, h.cfg.Wire, received)
+	a := newAnswer(w, h.cfg.Wire, h.open.add(h.cfg.Wire.ID(r), received))
 	a.space = h.cfg.Space.Reservation()
 	defer a.space.Release()
+	defer a.open.remove()
 	var c *Call
 	err := guard.Run(func() (err error) {
 		c, err = h.handle(r, a, stopAt)
@@ -183,7 +186,7 @@
 	if errors.As(err, &p) {
 		h.cfg.Panics.Report("request", p)
 		if a.headerSent {
-			err = errAnswerAborted
+			err = &answerAborted{&breakError{BreakPanic, p}, nil}
 		}
 	}
 	if a.readerSlow && h.cfg.OnReject != nil {
@@ -191,17 +194,26 @@
 	}
 	if err != nil {
 		a.setReadDeadline(time.Now().Add(unreadBodyTimeout))
-		if errors.Is(err, errAnswerAborted) {
-			h.recordRejected(r, c, err)
-			if resetErr := a.resetUnframed(r); resetErr != nil {
-				h.cfg.Events.Record(event.CallerCut, timeline.Fields{"request": string(h.cfg.Wire.ID(r)), "reason": "cannot reset the connection: " + resetErr.Error()})
-			}
-			panic(http.ErrAbortHandler)
+		var aborted *answerAborted
+		if errors.As(err, &aborted) {
+			h.abort(r, c, a, aborted)
 		}
-		h.writeError(w, r, c, err)
+		h.writeError(w, r, c, a, err)
 	}
 }
 
+// abort breaks off an answer that has begun. It does not return: net/http closes the connection of a
+// handler that panics.
+func (h *Handler) abort(r *http.Request, c *Call, a *answer, aborted *answerAborted) {
+	h.countRejected(c, fault.KindOf(aborted))
+	err := aborted.err
+	if resetErr := a.resetUnframed(r); resetErr != nil {
+		err = fmt.Errorf("%w; the connection cannot be reset: %w", err, resetErr)
+	}
+	h.recordBroken(a.open, breakReason(aborted.err, aborted.cause), err)
+	panic(http.ErrAbortHandler)
+}
+
 // handle serves a request. It returns the error that the client is to get, and the call once the
 // request has been read.
 func (h *Handler) handle(r *http.Request, a *answer, stopAt time.Time) (*Call, error) {
@@ -255,8 +267,9 @@
 	if !a.space.GrowResponse() {
 		return c, team, fault.New(fault.Overloaded, "%w", ingress.ErrNoSpace)
 	}
+	a.open.isRead()
 	if conn := ingress.ConnOf(r.Context()); conn != nil && !conn.Run() {
-		return c, team, fault.New(fault.InvalidRequest, "the connection was closed")
+		return c, team, fault.New(fault.InvalidRequest, "%w", ingress.ErrEvicted)
 	}
 	return c, team, nil
 }
@@ -371,9 +384,8 @@
 	return nil
 }
 
-// recordRejected records that a request failed, and refunds its charge if it has not run.
-func (h *Handler) recordRejected(r *http.Request, c *Call, err error) {
-	kind := fault.KindOf(err)
+// countRejected counts a request that failed, and refunds its charge if it has not run.
+func (h *Handler) countRejected(c *Call, kind fault.Kind) {
 	var route string
 	var team fleet.TeamID
 	if c != nil {
@@ -383,6 +395,12 @@
 		}
 	}
 	h.cfg.Metrics.Rejected(route, team, string(kind))
+}
+
+// recordRejected records that a request failed.
+func (h *Handler) recordRejected(r *http.Request, c *Call, err error) {
+	kind := fault.KindOf(err)
+	h.countRejected(c, kind)
 	if k := rejectionKind(err); k != "" && h.cfg.OnReject != nil {
 		h.cfg.OnReject(k) // These are logged by their number, because a flood has many.
 		return
@@ -391,8 +409,11 @@
 }
 
 // writeError answers with an error.
-func (h *Handler) writeError(w http.ResponseWriter, r *http.Request, c *Call, err error) {
+func (h *Handler) writeError(w http.ResponseWriter, r *http.Request, c *Call, a *answer, err error) {
 	h.recordRejected(r, c, err)
+	if errors.Is(err, ingress.ErrEvicted) {
+		h.recordBroken(a.open, BreakEvicted, err)
+	}
 	id := h.cfg.Wire.ID(r)
 	// Closing a connection with unread bytes resets it, and the client loses the answer. A
 	// read error is ignored: it harms only this client.
@@ -405,8 +426,9 @@
 		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	}
 	w.Header().Set("Content-Type", "application/json")
+	a.open.begin(status)
 	w.WriteHeader(status)
 	if err := json.NewEncoder(w).Encode(body); err != nil {
-		h.cfg.Events.Record(event.CallerCut, timeline.Fields{"request": string(id), "reason": err.Error()})
+		h.recordBroken(a.open, BreakClientGone, err)
 	}
 }
--- /dev/null
+++ b/serving/open.go
@@ -0,0 +1,193 @@
+package serving
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"toucanfall/event"
+	"toucanfall/fleet"
+	"toucanfall/ingress"
+	"toucanfall/timeline"
+)
+
+// BreakReason is the reason for which an answer was broken off, or the connection of a request that was
+// read was closed. Its text is the field reason of the event and the label of the metric.
+type BreakReason string
+
+// The reasons.
+const (
+	// BreakReaderSlow is a client that did not accept bytes within writeTimeout.
+	BreakReaderSlow BreakReason = "reader_slow"
+	// BreakClientGone is a client that closed its connection.
+	BreakClientGone BreakReason = "client_gone"
+	// BreakNoMemory is an incomplete event for which the budget of bytes has no space.
+	BreakNoMemory BreakReason = "no_memory"
+	// BreakUnconfirmed is an unframed stream whose upstream did not show after it that it still lives.
+	BreakUnconfirmed BreakReason = "upstream_unconfirmed"
+	// BreakUpstream is an upstream that broke off its answer, or whose answer cannot be proved whole.
+	BreakUpstream BreakReason = "upstream_broke_off"
+	// BreakTimeout is the end of the route's or the client's timeout.
+	BreakTimeout BreakReason = "timeout"
+	// BreakStop is the end of a planned stop.
+	BreakStop BreakReason = "stop"
+	// BreakPanic is a panic while the request was served.
+	BreakPanic BreakReason = "panic"
+	// BreakEvicted is a connection that package ingress closed for a new one.
+	BreakEvicted BreakReason = "connection_evicted"
+)
+
+// BreakReasons lists all reasons.
+var BreakReasons = []BreakReason{
+	BreakReaderSlow, BreakClientGone, BreakNoMemory, BreakUnconfirmed, BreakUpstream, BreakTimeout, BreakStop, BreakPanic, BreakEvicted,
+}
+
+// breakError is an error with the reason for which it breaks off an answer.
+type breakError struct {
+	reason BreakReason
+	err    error
+}
+
+// Error returns the text of the cause.
+func (e *breakError) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *breakError) Unwrap() error { return e.err }
+
+// breakReason returns the reason for which err breaks off an answer. cause is that of the call's context.
+func breakReason(err, cause error) BreakReason {
+	var known *breakError
+	var client *clientDisconnected
+	switch {
+	case errors.As(err, &known):
+		return known.reason
+	case errors.As(err, &client) && client.slow():
+		return BreakReaderSlow
+	case errors.As(err, &client):
+		return BreakClientGone
+	case errors.As(cause, &known):
+		return known.reason
+	case isDeadline(cause):
+		return BreakTimeout
+	case cause != nil:
+		return BreakClientGone
+	}
+	return BreakUpstream
+}
+
+// openRequests holds the requests in progress. The zero openRequests has none. It is safe for concurrent
+// use.
+type openRequests struct {
+	mu   sync.Mutex
+	open map[*openRequest]struct{} // Guarded by mu.
+}
+
+// openRequest is a request in progress.
+type openRequest struct {
+	set      *openRequests
+	id       fleet.RequestID
+	received time.Time
+
+	// The fields below are guarded by set.mu.
+	read   bool
+	status int // 0 until the answer has begun.
+	// upstream is the upstream whose answer is sent, or was last awaited.
+	upstream fleet.UpstreamID
+}
+
+func (s *openRequests) add(id fleet.RequestID, received time.Time) *openRequest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open == nil {
+		s.open = make(map[*openRequest]struct{})
+	}
+	o := &openRequest{set: s, id: id, received: received}
+	s.open[o] = struct{}{}
+	return o
+}
+
+func (o *openRequest) remove() {
+	o.set.mu.Lock()
+	defer o.set.mu.Unlock()
+	delete(o.set.open, o)
+}
+
+// isRead records that the request was read completely.
+func (o *openRequest) isRead() {
+	o.set.mu.Lock()
+	defer o.set.mu.Unlock()
+	o.read = true
+}
+
+// sentTo records the upstream whose answer is awaited.
+func (o *openRequest) sentTo(u fleet.UpstreamID) {
+	o.set.mu.Lock()
+	defer o.set.mu.Unlock()
+	o.upstream = u
+}
+
+// begin records that an answer with a status begins.
+func (o *openRequest) begin(status int) {
+	o.set.mu.Lock()
+	defer o.set.mu.Unlock()
+	o.status = status
+}
+
+// fields describes the request for the log.
+func (o *openRequest) fields() timeline.Fields {
+	o.set.mu.Lock()
+	defer o.set.mu.Unlock()
+	return timeline.Fields{
+		"request": string(o.id), "upstream": string(o.upstream), "begun": strconv.FormatBool(o.status != 0),
+		"status": strconv.Itoa(o.status), "age_ms": timeline.Millis(time.Since(o.received)),
+	}
+}
+
+// recordBroken records that a request ends without a complete answer.
+func (h *Handler) recordBroken(o *openRequest, reason BreakReason, err error) {
+	h.cfg.Metrics.AnswerBroken(string(reason))
+	f := o.fields()
+	f["reason"], f["detail"] = string(reason), err.Error()
+	h.cfg.Events.Record(event.AnswerBroken, f)
+}
+
+// RecordEvicted records that the connection of a request was closed by package ingress before the request
+// ran.
+func (h *Handler) RecordEvicted(r *http.Request) {
+	o := h.open.add(h.cfg.Wire.ID(r), time.Now())
+	defer o.remove()
+	h.recordBroken(o, BreakEvicted, ingress.ErrEvicted)
+}
+
+// errStopped is the cause of the end of requests that a planned stop cuts.
+var errStopped = &breakError{BreakStop, errors.New("this VM has to stop")}
+
+// RecordCut records the requests that were read and are still in progress as ended by the stop of the
+// process. It returns their number.
+func (h *Handler) RecordCut() int {
+	n := 0
+	for _, o := range h.open.list() {
+		h.recordBroken(o, BreakStop, errStopped)
+		n++
+	}
+	return n
+}
+
+// list returns the requests that were read.
+func (s *openRequests) list() []*openRequest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []*openRequest
+	for o := range s.open {
+		if o.read {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+// isDeadline reports whether a context ended at its deadline.
+func isDeadline(cause error) bool { return errors.Is(cause, context.DeadlineExceeded) }
--- a/serving/progress_test.go
+++ b/serving/progress_test.go
@@ -45,7 +45,7 @@
 	done := make(chan struct{})
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		defer close(done)
-		a := newAnswer(w, nil, time.Now())
+		a := newAnswer(w, nil, new(openRequests).add("", time.Now()))
 		for range 64 {
 			if a.write(make([]byte, 2<<10), true) != nil {
 				break
--- a/serving/run.go
+++ b/serving/run.go
@@ -42,9 +42,12 @@
 	maxSends = 4
 )
 
-// errAnswerAborted is the error of a call that failed after its answer had begun: no error can be
-// sent any more, and the connection is closed.
-var errAnswerAborted = errors.New("the answer was broken off")
+// answerAborted is the error of a call that failed after its answer had begun: no error can be sent any
+// more, and the connection is closed. cause is that of the call's context, nil if it had not ended.
+type answerAborted struct{ err, cause error }
+
+// Error returns the text of the error that ended the call.
+func (e *answerAborted) Error() string { return "the answer was broken off: " + e.err.Error() }
 
 // run sends a call to upstreams until one of them has answered it.
 func (h *Handler) run(ctx context.Context, c *Call, out *answer) error {
@@ -187,7 +190,7 @@
 func (t *attempts) finalError(ctx context.Context, err error) error {
 	switch {
 	case t.out.headerSent:
-		return errAnswerAborted
+		return &answerAborted{err, context.Cause(ctx)}
 	case ctx.Err() != nil && t.mayHaveRun:
 		return fault.New(fault.Timeout, "no answer in time: %w", err)
 	case ctx.Err() != nil:
@@ -217,6 +220,7 @@
 // execute makes one attempt. It returns retry if the outcome allows another one.
 func (t *attempts) execute(ctx context.Context, a *attempt) (retry bool, err error) {
 	t.sends++
+	t.out.open.sentTo(a.u.ID)
 	t.begin(ctx, a)
 	w := t.startWatchdog(a)
 	err = t.send(a)
@@ -238,6 +242,7 @@
 // adoptReplacement relays the answer of a replacement, whose headers have been received.
 func (t *attempts) adoptReplacement(a *attempt) (retry bool, err error) {
 	t.sends++
+	t.out.open.sentTo(a.u.ID)
 	return t.finish(a, t.startWatchdog(a))
 }
 
