Take only what a stopping VM can answer, and answer what it took

Requests that came late in the grace time of a planned stop were accepted, sent to an upstream and cut at its end without an answer, unsafe ones too. The check on receipt counted a request by its tokens, so that one without tokens counted as 1.2 to 1.5 s however long those of its route last, and nothing answered the requests that were still open at the end.

A request whose expected end lies after the stop is refused as not run. Once the balancer sends no more, the estimate has a margin, and a request of a route of which too few were seen is taken by its tokens, if it names them, or if its deadline comes before the stop. - The check is made again before each attempt and each replacement, so a request that waited is refused and no repeat starts that cannot end. - 300 ms before the end what has no answer yet gets one: 503 not run, or 504 once it was sent. 100 ms before it the answers that have begun are broken off, each with its log line.

--- a/fault/fault.go
+++ b/fault/fault.go
@@ -78,7 +78,7 @@
 	{NotReady, 503, true, time.Second, "The VM has no state yet."},
 	{Stopping, 503, true, time.Second, "The VM is shutting down."},
 	{ConfigStale, 503, true, time.Second, "The last confirmation that the VM's configuration is the newest one is too old."},
-	{Timeout, 504, false, time.Second, "The deadline passed after an attempt had started."},
+	{Timeout, 504, false, time.Second, "The deadline passed, or the VM had to stop, after an attempt had started."},
 	{Internal, 500, false, 0, "An internal error."},
 }
 
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -7,6 +7,7 @@
 
 	"toucanfall/event"
 	"toucanfall/internal/bootclock"
+	"toucanfall/serving"
 	"toucanfall/timeline"
 )
 
@@ -36,6 +37,10 @@
 	end := time.Now().Add(time.Duration(g.cfg.StopWithin) - killMargin)
 	g.stopAt.Store(&end)
 	g.events.Record(event.StopRequested, nil)
+	unanswered := time.AfterFunc(time.Until(end.Add(-serving.UnansweredLead)), g.handler.EndUnanswered)
+	defer unanswered.Stop()
+	cut := time.AfterFunc(time.Until(end.Add(-serving.CutLead)), g.handler.CutAnswers)
+	defer cut.Stop()
 	time.Sleep(notReadyPeriod)
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	g.rates.Leave(ctx)
@@ -51,7 +56,7 @@
 	defer cancel()
 	// Shutdown answers the requests that were read, also on the connections opened last.
 	if err := g.callers.Shutdown(ctx); err != nil {
-		cut := g.handler.RecordCut()
-		g.events.Record(event.StopForced, timeline.Fields{"reason": err.Error(), "cut": strconv.Itoa(cut)})
+		remaining := g.handler.RecordCut()
+		g.events.Record(event.StopForced, timeline.Fields{"reason": err.Error(), "cut": strconv.Itoa(remaining)})
 	}
 }
--- a/servicetime/servicetime.go
+++ b/servicetime/servicetime.go
@@ -1,5 +1,5 @@
-// Package servicetime estimates how long an engine takes for work, relative to what is usual, and
-// what that means for the choice of an engine.
+// Package servicetime estimates how long work takes: how fast an engine is, relative to what is usual,
+// and what that means for the choice of an engine; and how long the requests of a route last.
 //
 // Load pattern: engines of unequal speed, each of which is also slowed down for fractions of a second
 // by work that the fleet does not see. The speed of a machine is to be followed; a slowdown that is
--- a/serving/answer.go
+++ b/serving/answer.go
@@ -97,6 +97,9 @@
 	if resp.Length <= maxBufferedBytes {
 		return a.copyBuffered(c, resp, onProgress)
 	}
+	if a.open.isStopped() {
+		return errStopped
+	}
 	a.sendHeader(resp)
 	return a.copyChunks(resp.Body, onProgress)
 }
@@ -274,6 +277,9 @@
 	if len(b) == 0 {
 		return nil
 	}
+	if !a.headerSent && a.open.isStopped() {
+		return errStopped
+	}
 	a.sendHeader(resp)
 	if err := a.write(b, true); err != nil {
 		return err
--- a/serving/call.go
+++ b/serving/call.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"toucanfall/catalogue"
-	"toucanfall/fault"
 	"toucanfall/fleet"
 	"toucanfall/roster"
 )
@@ -120,40 +119,3 @@
 	}
 	return max(deadline.Sub(now), time.Millisecond)
 }
-
-// latency is how long a request takes: the time to its first byte, and the time per token.
-type latency struct{ firstByte, perToken time.Duration }
-
-// Latencies by which a VM that is about to stop rejects requests that could not end in time.
-var (
-	// typicalLatency is that of an engine under load. It is used while the balancer still sends
-	// requests; a request that takes longer may be cut off at the stop, which is tolerated because it
-	// was expected to end in time when it was accepted.
-	typicalLatency = latency{firstByte: 1200 * time.Millisecond, perToken: 9 * time.Millisecond}
-	// slowLatency is that of the engines with the most load. It is used once the balancer sends
-	// no more requests, when every accepted request has to end.
-	slowLatency = latency{firstByte: 1500 * time.Millisecond, perToken: 25 * time.Millisecond}
-)
-
-// balancerStopLead is how long before its end a stopping VM stops getting connections from the
-// balancer.
-const balancerStopLead = 4600 * time.Millisecond
-
-// checkStop returns a fault.Stopping error if the call may not end before the process stops at
-// stopAt. A zero stopAt means that no stop is planned.
-func (c *Call) checkStop(stopAt time.Time) error {
-	if stopAt.IsZero() {
-		return nil
-	}
-	left, estimate := time.Until(stopAt), typicalLatency
-	if left < balancerStopLead {
-		estimate = slowLatency
-	}
-	if left > estimate.firstByte+time.Duration(c.TokensOut)*estimate.perToken {
-		return nil
-	}
-	return fault.New(fault.Stopping, "this VM stops before the request could end").WithRetryAfter(stopRetryAfter)
-}
-
-// stopRetryAfter is the retry-after time for callers that another VM can serve immediately.
-const stopRetryAfter = 20 * time.Millisecond
--- a/serving/choose.go
+++ b/serving/choose.go
@@ -40,6 +40,9 @@
 		if err := t.h.checkParts(t.c); err != nil {
 			return nil, err
 		}
+		if err := t.checkStop(); err != nil {
+			return nil, err
+		}
 		u, credit, err := t.findWithCredit(ctx)
 		if err == nil {
 			var a *attempt
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -20,6 +20,7 @@
 	"toucanfall/internal/guard"
 	"toucanfall/metric"
 	"toucanfall/roster"
+	"toucanfall/servicetime"
 	"toucanfall/timeline"
 	"toucanfall/transport"
 )
@@ -123,6 +124,8 @@
 	notices *noticeHandler
 	crashes *crashDetector
 	open    openRequests
+	// durations estimates how long requests last.
+	durations servicetime.Durations
 }
 
 // New returns a handler.
@@ -169,8 +172,7 @@
 // closes the connection.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	received := time.Now()
-	stopAt := h.cfg.StopAt()
-	if !stopAt.IsZero() {
+	if !h.cfg.StopAt().IsZero() {
 		w.Header().Set("Connection", "close")
 	}
 	a := newAnswer(w, h.cfg.Wire, h.open.add(h.cfg.Wire.ID(r), received))
@@ -179,7 +181,7 @@
 	defer a.open.remove()
 	var c *Call
 	err := guard.Run(func() (err error) {
-		c, err = h.handle(r, a, stopAt)
+		c, err = h.handle(r, a)
 		return err
 	})
 	var p *guard.Panic
@@ -216,19 +218,23 @@
 
 // handle serves a request. It returns the error that the client is to get, and the call once the
 // request has been read.
-func (h *Handler) handle(r *http.Request, a *answer, stopAt time.Time) (*Call, error) {
+func (h *Handler) handle(r *http.Request, a *answer) (*Call, error) {
 	c, team, err := h.admit(r, a)
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
 	if err == nil {
-		err = c.checkStop(stopAt)
+		a.open.isRead(cancel)
+		err = h.checkStop(c)
 	}
 	if err == nil {
 		err = h.checkParts(c)
 	}
 	if err == nil {
-		err = h.charge(r.Context(), c, team)
+		err = h.charge(ctx, c, team)
 	}
 	if err == nil {
-		err = h.run(r.Context(), c, a)
+		err = h.run(ctx, c, a)
+		h.recordDuration(c, err)
 	}
 	return c, err
 }
@@ -267,7 +273,6 @@
 	if !a.space.GrowResponse() {
 		return c, team, fault.New(fault.Overloaded, "%w", ingress.ErrNoSpace)
 	}
-	a.open.isRead()
 	if conn := ingress.ConnOf(r.Context()); conn != nil && !conn.Run() {
 		return c, team, fault.New(fault.InvalidRequest, "%w", ingress.ErrEvicted)
 	}
--- a/serving/open.go
+++ b/serving/open.go
@@ -83,6 +83,8 @@
 type openRequests struct {
 	mu   sync.Mutex
 	open map[*openRequest]struct{} // Guarded by mu.
+	// unansweredEnded is set once the requests whose answer has not begun have been ended. Guarded by mu.
+	unansweredEnded bool
 }
 
 // openRequest is a request in progress.
@@ -92,8 +94,12 @@
 	received time.Time
 
 	// The fields below are guarded by set.mu.
-	read   bool
+
+	// cancel ends the request; it is nil until the request was read completely.
+	cancel context.CancelCauseFunc
 	status int // 0 until the answer has begun.
+	// broken is set once the event of its end without an answer was recorded.
+	broken bool
 	// upstream is the upstream whose answer is sent, or was last awaited.
 	upstream fleet.UpstreamID
 }
@@ -115,11 +121,21 @@
 	delete(o.set.open, o)
 }
 
-// isRead records that the request was read completely.
-func (o *openRequest) isRead() {
+// isRead records that the request was read completely, and how to end it.
+func (o *openRequest) isRead(cancel context.CancelCauseFunc) {
+	o.set.mu.Lock()
+	defer o.set.mu.Unlock()
+	o.cancel = cancel
+	if o.set.unansweredEnded {
+		cancel(errStopped)
+	}
+}
+
+// isStopped reports whether a planned stop has ended the requests whose answer has not begun.
+func (o *openRequest) isStopped() bool {
 	o.set.mu.Lock()
 	defer o.set.mu.Unlock()
-	o.read = true
+	return o.set.unansweredEnded
 }
 
 // sentTo records the upstream whose answer is awaited.
@@ -136,6 +152,22 @@
 	o.status = status
 }
 
+// firstBreak reports whether the end of the request without an answer was not recorded before.
+func (o *openRequest) firstBreak() bool {
+	o.set.mu.Lock()
+	defer o.set.mu.Unlock()
+	first := !o.broken
+	o.broken = true
+	return first
+}
+
+// hasBegun reports whether the answer has begun.
+func (o *openRequest) hasBegun() bool {
+	o.set.mu.Lock()
+	defer o.set.mu.Unlock()
+	return o.status != 0
+}
+
 // fields describes the request for the log.
 func (o *openRequest) fields() timeline.Fields {
 	o.set.mu.Lock()
@@ -148,6 +180,9 @@
 
 // recordBroken records that a request ends without a complete answer.
 func (h *Handler) recordBroken(o *openRequest, reason BreakReason, err error) {
+	if !o.firstBreak() {
+		return
+	}
 	h.cfg.Metrics.AnswerBroken(string(reason))
 	f := o.fields()
 	f["reason"], f["detail"] = string(reason), err.Error()
@@ -165,15 +200,34 @@
 // errStopped is the cause of the end of requests that a planned stop cuts.
 var errStopped = &breakError{BreakStop, errors.New("this VM has to stop")}
 
+// EndUnanswered ends the requests that were read and whose answer has not begun, now and from now on. They
+// get an error: that the request has not run, or, once it was sent to an upstream, that it may have.
+func (h *Handler) EndUnanswered() {
+	h.open.mu.Lock()
+	defer h.open.mu.Unlock()
+	h.open.unansweredEnded = true
+	for o := range h.open.open {
+		if o.cancel != nil && o.status == 0 {
+			o.cancel(errStopped)
+		}
+	}
+}
+
+// CutAnswers breaks off the answers that have begun.
+func (h *Handler) CutAnswers() {
+	for _, o := range h.open.list() {
+		o.cancel(errStopped)
+	}
+}
+
 // RecordCut records the requests that were read and are still in progress as ended by the stop of the
 // process. It returns their number.
 func (h *Handler) RecordCut() int {
-	n := 0
-	for _, o := range h.open.list() {
+	all := h.open.list()
+	for _, o := range all {
 		h.recordBroken(o, BreakStop, errStopped)
-		n++
 	}
-	return n
+	return len(all)
 }
 
 // list returns the requests that were read.
@@ -182,7 +236,7 @@
 	defer s.mu.Unlock()
 	var out []*openRequest
 	for o := range s.open {
-		if o.read {
+		if o.cancel != nil {
 			out = append(out, o)
 		}
 	}
--- a/serving/replace.go
+++ b/serving/replace.go
@@ -60,7 +60,7 @@
 	if t.c.Adapter != "" {
 		list = withAdapter(list, t.c)
 	}
-	if len(list) == 0 || !t.h.cfg.Budget.AllowsRetry() {
+	if len(list) == 0 || t.checkStop() != nil || !t.h.cfg.Budget.AllowsRetry() {
 		return nil, ""
 	}
 	u := t.h.picker.Best(list, nil)
--- a/serving/run.go
+++ b/serving/run.go
@@ -191,6 +191,10 @@
 	switch {
 	case t.out.headerSent:
 		return &answerAborted{err, context.Cause(ctx)}
+	case errors.Is(context.Cause(ctx), errStopped) && t.mayHaveRun:
+		return fault.New(fault.Timeout, "%w before the answer was complete", errStopped)
+	case errors.Is(context.Cause(ctx), errStopped):
+		return stoppingError()
 	case ctx.Err() != nil && t.mayHaveRun:
 		return fault.New(fault.Timeout, "no answer in time: %w", err)
 	case ctx.Err() != nil:
@@ -311,6 +315,9 @@
 	if err := t.h.checkParts(t.c); err != nil {
 		return err
 	}
+	if err := t.checkStop(); err != nil {
+		return err
+	}
 	t.h.notices.countWritten(a.u)
 	a.trace.writtenAfter, a.trace.directoryAge = time.Since(t.c.received), staleness
 	t.h.cfg.Metrics.DirectoryAgeAtSend(staleness)
--- /dev/null
+++ b/serving/stop.go
@@ -0,0 +1,101 @@
+package serving
+
+import (
+	"errors"
+	"time"
+
+	"toucanfall/fault"
+	"toucanfall/servicetime"
+)
+
+// Times of a planned stop, before the time at which it ends the process.
+const (
+	// UnansweredLead is how long before it the requests without an answer get an error: there has to be
+	// time to write it on a machine with a part of a core.
+	UnansweredLead = 300 * time.Millisecond
+	// CutLead is how long before it the answers that have begun are broken off, so that each is logged.
+	CutLead = 100 * time.Millisecond
+	// balancerStopLead is how long before it the VM stops getting connections from the balancer.
+	balancerStopLead = 4600 * time.Millisecond
+)
+
+// latency is how long a request takes: the time to its first byte, and the time per token.
+type latency struct{ firstByte, perToken time.Duration }
+
+// Latencies of requests of whose route too few have been seen.
+var (
+	// typicalLatency is that of an engine under load. It is used while the balancer still sends
+	// requests; a request that takes longer may be cut off at the stop, which is tolerated because it
+	// was expected to end in time when it was accepted.
+	typicalLatency = latency{firstByte: 1200 * time.Millisecond, perToken: 9 * time.Millisecond}
+	// slowLatency is that of the engines with the most load. It is used once the balancer sends
+	// no more requests, when every accepted request has to end.
+	slowLatency = latency{firstByte: 1500 * time.Millisecond, perToken: 25 * time.Millisecond}
+)
+
+// of returns how long a call takes.
+func (l latency) of(c *Call) time.Duration {
+	return l.firstByte + time.Duration(c.TokensOut)*l.perToken
+}
+
+// stopRetryAfter is the retry-after time for callers that another VM can serve immediately.
+const stopRetryAfter = 20 * time.Millisecond
+
+func stoppingError() error {
+	return fault.New(fault.Stopping, "this VM stops before the request could end").WithRetryAfter(stopRetryAfter)
+}
+
+// checkStop returns a fault.Stopping error if a planned stop is expected to end the process before the
+// call ends. A call whose deadline comes first gets its answer or its timeout by then.
+func (h *Handler) checkStop(c *Call) error {
+	stopAt := h.cfg.StopAt()
+	if stopAt.IsZero() {
+		return nil
+	}
+	end := stopAt.Add(-UnansweredLead)
+	if d := c.deadline(); !d.IsZero() && d.Add(answerGrace).Before(end) {
+		return nil
+	}
+	if d, ok := h.expectedDuration(c, time.Until(stopAt) >= balancerStopLead); ok && d < time.Until(end) {
+		return nil
+	}
+	return stoppingError()
+}
+
+// expectedDuration returns how long a call lasts. With lenient it may be exceeded by a few; otherwise it
+// is an upper bound, and false if nothing gives one.
+func (h *Handler) expectedDuration(c *Call, lenient bool) (time.Duration, bool) {
+	longest, withMargin, known := h.durations.Longest(time.Now(), c.class())
+	switch {
+	case known && lenient:
+		return longest, true
+	case known:
+		return withMargin, true
+	case lenient:
+		return max(longest, typicalLatency.of(c)), true
+	}
+	return max(withMargin, slowLatency.of(c)), c.HasTokenCounts
+}
+
+func (c *Call) class() servicetime.Class {
+	return servicetime.NewClass(c.Route.Name, c.TokensOut)
+}
+
+// recordDuration records how long a call lasted. One that was broken off or timed out would have lasted
+// longer still; one that failed in another way tells nothing.
+func (h *Handler) recordDuration(c *Call, err error) {
+	var aborted *answerAborted
+	if err == nil || errors.As(err, &aborted) || fault.KindOf(err) == fault.Timeout {
+		now := time.Now()
+		h.durations.Add(now, c.class(), now.Sub(c.received))
+	}
+}
+
+// checkStop returns an error if no further attempt may be started because of a planned stop. A stream that
+// has begun may always be resumed: without that it is broken off at once.
+func (t *attempts) checkStop() error {
+	if t.out.open.hasBegun() {
+		return nil
+	}
+	return t.h.checkStop(t.c)
+}
