--- a/servicetime/durations.go
+++ b/servicetime/durations.go
@@ -65,6 +65,17 @@
 	o.current, o.began = [durationBuckets]uint32{}, now
 }
 
+// addTo adds the observations to counts, and returns their number.
+func (o *observations) addTo(counts *[durationBuckets]int) int {
+	n := 0
+	for i := range counts {
+		k := int(o.current[i] + o.previous[i])
+		counts[i] += k
+		n += k
+	}
+	return n
+}
+
 // bucketOf returns the bucket of a duration: the first whose limit is not below it.
 func bucketOf(d time.Duration) int {
 	ms := float64(d) / float64(time.Millisecond)
@@ -116,25 +127,25 @@
 
 // Longest returns the time within which nearly all recent requests of a class ended, rounded up by at
 // most a fifth, and the same with a margin for requests that last longer than any of them, which is the
-// larger the fewer there were. known is false if there were fewer than minDurations.
+// larger the fewer there were. If there were fewer than minDurations, those of the route with more tokens
+// count too, which last longer. known is false if there are still too few.
 func (d *Durations) Longest(now time.Time, c Class) (longest, withMargin time.Duration, known bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	o := d.classes[c]
-	if o == nil {
-		return 0, 0, false
-	}
-	o.age(now)
+	var counts [durationBuckets]int
 	n := 0
-	for i := range o.current {
-		n += int(o.current[i] + o.previous[i])
+	for ; n < minDurations && c.size <= bits.UintSize; c.size++ {
+		if o := d.classes[c]; o != nil {
+			o.age(now)
+			n += o.addTo(&counts)
+		}
 	}
 	if n == 0 {
 		return 0, 0, false
 	}
 	ignored, bucket := n/ignoredShare, durationBuckets-1
 	for ; bucket > 0; bucket-- {
-		if ignored -= int(o.current[bucket] + o.previous[bucket]); ignored < 0 {
+		if ignored -= counts[bucket]; ignored < 0 {
 			break
 		}
 	}
--- a/servicetime/durations_test.go
+++ b/servicetime/durations_test.go
@@ -75,6 +75,10 @@
 	is.True(withMargin > longest && withMargin < 2*longest)
 	longest, _, _ = d.Longest(now, long)
 	is.True(longest >= 9*time.Second)
+	longest, _, known = d.Longest(now, NewClass("r", 200)) // Without any of its own.
+	is.True(known && longest >= 9*time.Second)
+	_, _, known = d.Longest(now, NewClass("r", 5000))
+	is.True(!known)
 	for range minDurations {
 		now = now.Add(10 * time.Second)
 		d.Add(now, long, time.Second)
--- a/serving/stop.go
+++ b/serving/stop.go
@@ -19,25 +19,13 @@
 	balancerStopLead = 4600 * time.Millisecond
 )
 
-// latency is how long a request takes: the time to its first byte, and the time per token.
-type latency struct{ firstByte, perToken time.Duration }
-
-// Latencies of requests of whose route too few have been seen.
-var (
-	// typicalLatency is that of an engine under load. It is used while the balancer still sends
-	// requests; a request that takes longer may be cut off at the stop, which is tolerated because it
-	// was expected to end in time when it was accepted.
-	typicalLatency = latency{firstByte: 1200 * time.Millisecond, perToken: 9 * time.Millisecond}
-	// slowLatency is that of the engines with the most load. It is used once the balancer sends
-	// no more requests, when every accepted request has to end.
-	slowLatency = latency{firstByte: 1500 * time.Millisecond, perToken: 25 * time.Millisecond}
+// The time to the first byte and the time per token of an engine under load. They are used for requests
+// of whose route too few have been seen, while the balancer still sends requests.
+const (
+	typicalFirstByte = 1200 * time.Millisecond
+	typicalPerToken  = 9 * time.Millisecond
 )
 
-// of returns how long a call takes.
-func (l latency) of(c *Call) time.Duration {
-	return l.firstByte + time.Duration(c.TokensOut)*l.perToken
-}
-
 // stopRetryAfter is the retry-after time for callers that another VM can serve immediately.
 const stopRetryAfter = 20 * time.Millisecond
 
@@ -62,8 +50,9 @@
 	return stoppingError()
 }
 
-// expectedDuration returns how long a call lasts. With lenient it may be exceeded by a few; otherwise it
-// is an upper bound, and false if nothing gives one.
+// expectedDuration returns how long a call lasts. With lenient, while the balancer still sends requests, a
+// few may last longer. Otherwise every accepted request has to end, so that the estimate has a margin, and
+// is false if too few requests of the route have been seen.
 func (h *Handler) expectedDuration(c *Call, lenient bool) (time.Duration, bool) {
 	longest, withMargin, known := h.durations.Longest(time.Now(), c.class())
 	switch {
@@ -72,9 +61,9 @@
 	case known:
 		return withMargin, true
 	case lenient:
-		return max(longest, typicalLatency.of(c)), true
+		return max(longest, typicalFirstByte+time.Duration(c.TokensOut)*typicalPerToken), true
 	}
-	return max(withMargin, slowLatency.of(c)), c.HasTokenCounts
+	return 0, false
 }
 
 func (c *Call) class() servicetime.Class {
--- a/serving/stop_test.go
+++ b/serving/stop_test.go
@@ -9,6 +9,8 @@
 
 	"toucanfall/catalogue"
 	"toucanfall/fault"
+	"toucanfall/fleet"
+	"toucanfall/servicetime"
 )
 
 // Guards against a request that a stopping VM takes and cannot answer, and against one that it refuses
@@ -17,31 +19,29 @@
 	for name, c := range map[string]struct {
 		observed, left, timeout time.Duration
 		n                       int
-		tokens                  bool
+		tokens                  fleet.Tokens
 		taken                   bool
 	}{
-		"short ones late":             {observed: 100 * time.Millisecond, n: 200, left: 700 * time.Millisecond, taken: true},
-		"short ones at the end":       {observed: 100 * time.Millisecond, n: 200, left: 400 * time.Millisecond},
-		"long ones while sent":        {observed: 4 * time.Second, n: 200, left: 4800 * time.Millisecond, taken: true},
-		"long ones late":              {observed: 4 * time.Second, n: 200, left: 4500 * time.Millisecond},
-		"long ones with a timeout":    {observed: 4 * time.Second, n: 200, left: 3 * time.Second, timeout: 2 * time.Second, taken: true},
-		"unknown while sent":          {left: 5 * time.Second, taken: true},
-		"unknown late":                {left: 3 * time.Second},
-		"unknown late with tokens":    {left: 3 * time.Second, tokens: true, taken: true},
-		"few longer ones late":        {observed: 2 * time.Second, n: 3, left: 3 * time.Second, tokens: true},
-		"unknown, tokens, at the end": {left: time.Second, tokens: true},
+		"short ones late":            {observed: 100 * time.Millisecond, n: 200, left: 700 * time.Millisecond, taken: true},
+		"short ones at the end":      {observed: 100 * time.Millisecond, n: 200, left: 400 * time.Millisecond},
+		"long ones while sent":       {observed: 4 * time.Second, n: 200, left: 4800 * time.Millisecond, taken: true},
+		"long ones late":             {observed: 4 * time.Second, n: 200, left: 4500 * time.Millisecond},
+		"long ones with a timeout":   {observed: 4 * time.Second, n: 200, left: 3 * time.Second, timeout: 2 * time.Second, taken: true},
+		"unknown while sent":         {left: 5 * time.Second, taken: true},
+		"unknown late":               {left: 3 * time.Second},
+		"unknown late with tokens":   {left: 3 * time.Second, tokens: 20},
+		"few late":                   {observed: time.Second, n: 3, left: 3 * time.Second},
+		"known by larger ones":       {observed: time.Second, n: 200, left: 3 * time.Second, tokens: 20, taken: true},
+		"larger than all known ones": {observed: time.Second, n: 200, left: 3 * time.Second, tokens: 2000},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				stopAt := time.Now().Add(c.left)
 				h := &Handler{cfg: Config{StopAt: func() time.Time { return stopAt }}}
-				call := &Call{Route: &catalogue.Route{Name: "r", Timeout: c.timeout}, HasTokenCounts: c.tokens, received: time.Now()}
-				if c.tokens {
-					call.TokensOut = 20
-				}
-				for range c.n {
-					h.durations.Add(time.Now(), call.class(), c.observed)
+				call := &Call{Route: &catalogue.Route{Name: "r", Timeout: c.timeout}, TokensOut: c.tokens, received: time.Now()}
+				for range c.n { // With more tokens than the call, up to 900.
+					h.durations.Add(time.Now(), servicetime.NewClass("r", min(c.tokens*10, 900)), c.observed)
 				}
 				err := h.checkStop(call)
 				is.Equal(err == nil, c.taken)
