--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -24,8 +24,8 @@
 func (g *Gateway) newAdmission() *ingress.Admission {
 	return ingress.New(ingress.Config{
 		MemoryMB: g.cfg.MemoryMB, Descriptors: g.cfg.Descriptors, HeaderTimeout: g.headerTimeout, Now: time.Now,
-		Count:     func(k ingress.Kind) { g.meters.IngressRejection(string(k)) },
-		OnEvicted: func(r *http.Request) { g.handler.RecordEvicted(r) },
+		Count:    func(k ingress.Kind) { g.meters.IngressRejection(string(k)) },
+		OnClosed: func(r *http.Request) { g.handler.RecordClosed(r) },
 		Report: func(rejected map[ingress.Kind]int) {
 			f := make(timeline.Fields, len(rejected))
 			for k, n := range rejected {
--- a/ingress/admission.go
+++ b/ingress/admission.go
@@ -94,10 +94,10 @@
 	// Report is called at most once a second with the number of rejections since the last call, if
 	// there were any.
 	Report func(map[Kind]int)
-	// OnEvicted, if not nil, is called with a client's request whose connection was closed for a new one while
-	// its head was read.
-	OnEvicted func(*http.Request)
-	Now       func() time.Time
+	// OnClosed, if not nil, is called with a client's request whose connection this process closed while its
+	// head was read.
+	OnClosed func(*http.Request)
+	Now      func() time.Time
 }
 
 // Admission decides which connections and requests a process accepts. It is safe for concurrent use.
@@ -238,8 +238,9 @@
 	}
 }
 
-// ErrEvicted is the error of a request whose connection was closed for a new one before it ran.
-var ErrEvicted = errors.New("the connection was closed for a new one")
+// ErrClosed is the error of a request whose connection this process closed before it ran: for a new one, or
+// because it was idle at a stop.
+var ErrClosed = errors.New("the connection was closed before its request ran")
 
 type connKey struct{}
 
@@ -283,8 +284,8 @@
 	}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c := ConnOf(r.Context()); c != nil && !c.Begin() {
-			if c.set == a.Clients && a.cfg.OnEvicted != nil {
-				a.cfg.OnEvicted(r)
+			if c.set == a.Clients && a.cfg.OnClosed != nil {
+				a.cfg.OnClosed(r)
 			}
 			panic(http.ErrAbortHandler) // The connection was closed while the head was read.
 		}
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -274,7 +274,7 @@
 		return c, team, fault.New(fault.Overloaded, "%w", ingress.ErrNoSpace)
 	}
 	if conn := ingress.ConnOf(r.Context()); conn != nil && !conn.Run() {
-		return c, team, fault.New(fault.InvalidRequest, "%w", ingress.ErrEvicted)
+		return c, team, fault.New(fault.InvalidRequest, "%w", ingress.ErrClosed)
 	}
 	return c, team, nil
 }
@@ -416,8 +416,8 @@
 // writeError answers with an error.
 func (h *Handler) writeError(w http.ResponseWriter, r *http.Request, c *Call, a *answer, err error) {
 	h.recordRejected(r, c, err)
-	if errors.Is(err, ingress.ErrEvicted) {
-		h.recordBroken(a.open, BreakEvicted, err)
+	if errors.Is(err, ingress.ErrClosed) {
+		h.recordBroken(a.open, BreakClosed, err)
 	}
 	id := h.cfg.Wire.ID(r)
 	// Closing a connection with unread bytes resets it, and the client loses the answer. A
--- a/serving/open.go
+++ b/serving/open.go
@@ -36,13 +36,14 @@
 	BreakStop BreakReason = "stop"
 	// BreakPanic is a panic while the request was served.
 	BreakPanic BreakReason = "panic"
-	// BreakEvicted is a connection that package ingress closed for a new one.
-	BreakEvicted BreakReason = "connection_evicted"
+	// BreakClosed is a connection that this process closed before its request ran: for a new one, or idle
+	// at a stop.
+	BreakClosed BreakReason = "connection_closed"
 )
 
 // BreakReasons lists all reasons.
 var BreakReasons = []BreakReason{
-	BreakReaderSlow, BreakClientGone, BreakNoMemory, BreakUnconfirmed, BreakUpstream, BreakTimeout, BreakStop, BreakPanic, BreakEvicted,
+	BreakReaderSlow, BreakClientGone, BreakNoMemory, BreakUnconfirmed, BreakUpstream, BreakTimeout, BreakStop, BreakPanic, BreakClosed,
 }
 
 // breakError is an error with the reason for which it breaks off an answer.
@@ -189,12 +190,11 @@
 	h.cfg.Events.Record(event.AnswerBroken, f)
 }
 
-// RecordEvicted records that the connection of a request was closed by package ingress before the request
-// ran.
-func (h *Handler) RecordEvicted(r *http.Request) {
+// RecordClosed records that this process closed the connection of a request before the request ran.
+func (h *Handler) RecordClosed(r *http.Request) {
 	o := h.open.add(h.cfg.Wire.ID(r), time.Now())
 	defer o.remove()
-	h.recordBroken(o, BreakEvicted, ingress.ErrEvicted)
+	h.recordBroken(o, BreakClosed, ingress.ErrClosed)
 }
 
 // errStopped is the cause of the end of requests that a planned stop cuts.
