Keep the listener of a stopping VM open until what waits for it is answered

After a poll that comes late the listener stays open for another one. It closes 800 ms before the end in any case instead of 150 ms, which leaves time for that; hardly any request could still be served then, and a refused connection tells the client that nothing ran. The shutdown may take 150 ms beyond the end, at which all answers have ended, before the platform would kill the process.

--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -25,12 +25,35 @@
 	// balancer still sends connections to VMs that are not ready while too few others are
 	// ready.
 	idlePeriod = 800 * time.Millisecond
-	// listenerCloseMargin is how long before the end the listener closes in any case. A
-	// connection that is being opened at that moment gets no answer, so the process ends
-	// soon after.
-	listenerCloseMargin = 150 * time.Millisecond
+	// listenerCloseMargin is how long before the end the listener closes in any case: hardly
+	// any request could still be served, and a client whose connection is refused knows that
+	// its request has not run.
+	listenerCloseMargin = 800 * time.Millisecond
+	// latePoll is the time between two polls from which the process may have been suspended.
+	latePoll = 3 * idlePollInterval
+	// shutdownMargin is how long after the end, at which all answers have ended or were broken
+	// off, the connections may take to close.
+	shutdownMargin = 150 * time.Millisecond
 )
 
+// closeCheck decides when a stopping VM closes its listener.
+type closeCheck struct {
+	// polledAt is the time of the last poll.
+	polledAt time.Duration
+}
+
+// mayClose reports whether the listener may close at now: when requests no longer come, and in any case when
+// left, the time until the end, is short. After a late poll it may not: a process that was suspended has yet
+// to answer the connections that were opened meanwhile, which the close would reset.
+func (c *closeCheck) mayClose(now, left, lastRequest time.Duration, open int64) bool {
+	late := now-c.polledAt >= latePoll
+	c.polledAt = now
+	if left <= 0 {
+		return true
+	}
+	return !late && (left <= listenerCloseMargin || open == 0 && now-lastRequest >= idlePeriod)
+}
+
 // stop ends the gateway without interrupting requests that finish before the process has to
 // end.
 func (g *Gateway) stop() {
@@ -49,10 +72,11 @@
 	}
 	cancel()
 	g.callers.SetKeepAlivesEnabled(false)
-	for time.Until(end) > listenerCloseMargin && (g.openRequests.Load() > 0 || bootclock.Now()-time.Duration(g.lastRequest.Load()) < idlePeriod) {
+	check := closeCheck{polledAt: bootclock.Now()}
+	for !check.mayClose(bootclock.Now(), time.Until(end), time.Duration(g.lastRequest.Load()), g.openRequests.Load()) {
 		time.Sleep(idlePollInterval)
 	}
-	ctx, cancel = context.WithDeadline(context.Background(), end)
+	ctx, cancel = context.WithDeadline(context.Background(), end.Add(shutdownMargin))
 	defer cancel()
 	// Shutdown answers the requests that were read, also on the connections opened last.
 	if err := g.callers.Shutdown(ctx); err != nil {
