Close the connection with each answer of a stopping VM

An answer to a request that was in progress when SIGTERM came left its connection open, and the client's next request on it could cross its close some seconds later. Whether a stop has begun is now looked up when the answer begins and not when the request arrives.

TestAnswerDuringStopClosesConnection failed before: neither the answer nor the error closed the connection.

--- a/serving/answer.go
+++ b/serving/answer.go
@@ -57,6 +57,9 @@
 	// unframed is set if the answer is sent without a frame, because nothing proves that it is whole.
 	unframed bool
 	timing   answerTiming
+	// stopping, if not nil, reports whether a planned stop has begun: the connection then takes no further
+	// request.
+	stopping func() bool
 	// open is the request's entry among those in progress.
 	open *openRequest
 	// space is what is reserved for the request and its response.
@@ -115,6 +118,9 @@
 	for name, values := range a.wire.AnswerHeader(resp.Header) {
 		h[name] = values
 	}
+	if a.stopping != nil && a.stopping() {
+		h.Set("Connection", "close")
+	}
 	if h.Get("Content-Type") == "" {
 		h["Content-Type"] = nil // Keeps net/http from guessing one.
 	}
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -172,10 +172,8 @@
 // closes the connection.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	received := time.Now()
-	if !h.cfg.StopAt().IsZero() {
-		w.Header().Set("Connection", "close")
-	}
 	a := newAnswer(w, h.cfg.Wire, h.open.add(h.cfg.Wire.ID(r), received))
+	a.stopping = func() bool { return !h.cfg.StopAt().IsZero() }
 	a.space = h.cfg.Space.Reservation()
 	defer a.space.Release()
 	defer a.open.remove()
@@ -423,7 +421,7 @@
 	// Closing a connection with unread bytes resets it, and the client loses the answer. A
 	// read error is ignored: it harms only this client.
 	_, _ = io.CopyN(io.Discard, r.Body, maxUnreadBytes)
-	if rejectionKind(err) != "" {
+	if rejectionKind(err) != "" || a.stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	status, after, body := fault.Describe(err, string(id))
