Count the strict part of a stop from SIGTERM, not from its end

From when on every request that is taken has to end was 4.6 s before the end of the stop, which is 3 s after SIGTERM only where stop_within is 8 s: with 10 s it was 5 s after it, and requests that came between could be taken and cut. It is now stop_within less the time for which the VM reports not ready, which with 8 s is 2.6 s after SIGTERM as the process sees it: the signal may reach a busy process late.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -205,7 +205,8 @@
 		StaleAfter: g.staleAfter(),
 		Budget:     serving.NewRetryBudget(g.cfg.RepeatRatio, g.cfg.RepeatSlack, time.Duration(g.cfg.RepeatWindow), g.membership.Size),
 		VMCount:    g.vmsPerDataCentre,
-		StopAt:     g.stopTime, Directory: g.directory, Space: g.admission.Bytes, OnReject: g.admission.Reject,
+		// killMargin earlier than the VM reports not ready for, because the signal may come late.
+		StopAt: g.stopTime, BalancerStopLead: time.Duration(g.cfg.StopWithin) - notReadyPeriod, Directory: g.directory, Space: g.admission.Bytes, OnReject: g.admission.Reject,
 	}
 }
 
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -108,8 +108,10 @@
 	// VMCount returns how many VMs choose among the same upstreams, this one included.
 	VMCount func() float64
 	// StopAt returns when a planned stop ends the process, the zero time if none is planned.
-	StopAt    func() time.Time
-	Directory Directory
+	StopAt func() time.Time
+	// BalancerStopLead is how long before that time the VM stops getting connections from the balancer.
+	BalancerStopLead time.Duration
+	Directory        Directory
 	// Space is the budget for bodies and responses, nil if there is none.
 	Space *ingress.Bytes
 	// OnReject, if not nil, is called for each request that a bound of package ingress ends.
--- a/serving/stop.go
+++ b/serving/stop.go
@@ -15,8 +15,6 @@
 	UnansweredLead = 300 * time.Millisecond
 	// CutLead is how long before it the answers that have begun are broken off, so that each is logged.
 	CutLead = 100 * time.Millisecond
-	// balancerStopLead is how long before it the VM stops getting connections from the balancer.
-	balancerStopLead = 4600 * time.Millisecond
 )
 
 // The time to the first byte and the time per token of an engine under load. They are used for requests
@@ -44,7 +42,7 @@
 	if d := c.deadline(); !d.IsZero() && d.Add(answerGrace).Before(end) {
 		return nil
 	}
-	if d, ok := h.expectedDuration(c, time.Until(stopAt) >= balancerStopLead); ok && d < time.Until(end) {
+	if d, ok := h.expectedDuration(c, time.Until(stopAt) >= h.cfg.BalancerStopLead); ok && d < time.Until(end) {
 		return nil
 	}
 	return stoppingError()
--- a/serving/stop_test.go
+++ b/serving/stop_test.go
@@ -24,8 +24,8 @@
 	}{
 		"short ones late":            {observed: 100 * time.Millisecond, n: 200, left: 700 * time.Millisecond, taken: true},
 		"short ones at the end":      {observed: 100 * time.Millisecond, n: 200, left: 400 * time.Millisecond},
-		"long ones while sent":       {observed: 4 * time.Second, n: 200, left: 4800 * time.Millisecond, taken: true},
-		"long ones late":             {observed: 4 * time.Second, n: 200, left: 4500 * time.Millisecond},
+		"long ones while sent":       {observed: 4 * time.Second, n: 200, left: 5200 * time.Millisecond, taken: true},
+		"long ones late":             {observed: 4 * time.Second, n: 200, left: 4900 * time.Millisecond},
 		"long ones with a timeout":   {observed: 4 * time.Second, n: 200, left: 3 * time.Second, timeout: 2 * time.Second, taken: true},
 		"unknown while sent":         {left: 5 * time.Second, taken: true},
 		"unknown late":               {left: 3 * time.Second},
@@ -38,7 +38,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				stopAt := time.Now().Add(c.left)
-				h := &Handler{cfg: Config{StopAt: func() time.Time { return stopAt }}}
+				h := &Handler{cfg: Config{StopAt: func() time.Time { return stopAt }, BalancerStopLead: 5 * time.Second}}
 				call := &Call{Route: &catalogue.Route{Name: "r", Timeout: c.timeout}, TokensOut: c.tokens, received: time.Now()}
 				for range c.n { // With more tokens than the call, up to 900.
 					h.durations.Add(time.Now(), servicetime.NewClass("r", min(c.tokens*10, 900)), c.observed)
