Mend a data race of the watchdog with the goroutine that serves the call

While the watchdog asks for the credit of a replacement it reads whether an upstream may have run the request, and whether the answer has begun, and the goroutine of the call sets both when the silent upstream answers meanwhile. A wrong value could let the credit's request name the wrong slack or patience; no such case was seen. TestAnswerDuringSearchForReplacement failed under the race detector: write in relayAnswer, read in patience. For the second value, by reading only: the detector did not show it.

--- a/serving/capacity.go
+++ b/serving/capacity.go
@@ -77,7 +77,7 @@
 		answer := min(max(total/answerTimeDivisor, time.Duration(t.c.TokensOut)*answerPerToken), total/maxAnswerPart)
 		wait = time.Until(end) - answer
 	}
-	if o := t.c.Route.Objective; o > 0 && !t.mayHaveRun {
+	if o := t.c.Route.Objective; o > 0 && !t.mayHaveRun.Load() {
 		wait = min(wait, o+min(o, maxLateAllowance)-time.Since(t.c.received))
 	}
 	return max(wait, 0)
--- a/serving/prefill.go
+++ b/serving/prefill.go
@@ -98,7 +98,7 @@
 func (t *attempts) creditRequest(u *roster.Upstream, wait time.Duration) prefill.Request {
 	slack := t.c.Route.Objective - time.Since(t.c.received)
 	switch {
-	case t.out.headerSent:
+	case t.out.open.hasBegun():
 		slack = t.c.Route.MaxPause
 	case t.c.Route.Objective == 0:
 		slack = t.c.remaining(time.Now())
--- a/serving/run.go
+++ b/serving/run.go
@@ -81,8 +81,8 @@
 	tried []fleet.UpstreamID
 	// unreachable lists the upstreams to which no connection could be made.
 	unreachable []fleet.UpstreamID
-	// mayHaveRun is set once an upstream may have run the request.
-	mayHaveRun bool
+	// mayHaveRun is set once an upstream may have run the request. The watchdog reads it.
+	mayHaveRun atomic.Bool
 	// replacement is an answered attempt that replaces a silent one. The watchdog sets it, and it is
 	// read only after watchdog.stop, which waits for that.
 	replacement *attempt
@@ -191,15 +191,15 @@
 	switch {
 	case t.out.headerSent:
 		return &answerAborted{err, context.Cause(ctx)}
-	case errors.Is(context.Cause(ctx), errStopped) && t.mayHaveRun:
+	case errors.Is(context.Cause(ctx), errStopped) && t.mayHaveRun.Load():
 		return fault.New(fault.Timeout, "%w before the answer was complete", errStopped)
 	case errors.Is(context.Cause(ctx), errStopped):
 		return stoppingError()
-	case ctx.Err() != nil && t.mayHaveRun:
+	case ctx.Err() != nil && t.mayHaveRun.Load():
 		return fault.New(fault.Timeout, "no answer in time: %w", err)
 	case ctx.Err() != nil:
 		return fault.New(fault.DeadlineUnmeetable, "no upstream could take the request in time")
-	case t.mayHaveRun:
+	case t.mayHaveRun.Load():
 		return fault.New(fault.UpstreamFailed, "%w", err)
 	}
 	return err
@@ -370,7 +370,7 @@
 		t.unreachable = append(t.unreachable, u.ID)
 		return true, fault.New(fault.NoUpstream, "upstream %q cannot be reached: %w", u.ID, err)
 	}
-	t.mayHaveRun = true
+	t.mayHaveRun.Store(true)
 	t.tried = append(t.tried, u.ID)
 	return t.checkCrash(a, t.c.Route.Idempotent() && len(t.tried) < t.c.Route.Attempts), err
 }
@@ -387,7 +387,7 @@
 	if reply.NotRun {
 		return t.handleNotRun(a, reply)
 	}
-	t.mayHaveRun = true
+	t.mayHaveRun.Store(true)
 	t.tried = append(t.tried, u.ID)
 	mayRetry := t.c.Route.Idempotent() && len(t.tried) < t.c.Route.Attempts
 	if guaranteesNotRun(resp.Status) {
