--- a/serving/handler.go
+++ b/serving/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -19,6 +20,7 @@
 	"toucanfall/internal/guard"
 	"toucanfall/metric"
 	"toucanfall/roster"
+	"toucanfall/servicetime"
 	"toucanfall/timeline"
 	"toucanfall/transport"
 )
@@ -106,8 +108,10 @@
 	// VMCount returns how many VMs choose among the same upstreams, this one included.
 	VMCount func() float64
 	// StopAt returns when a planned stop ends the process, the zero time if none is planned.
-	StopAt    func() time.Time
-	Directory Directory
+	StopAt func() time.Time
+	// BalancerStopLead is how long before that time the VM stops getting connections from the balancer.
+	BalancerStopLead time.Duration
+	Directory        Directory
 	// Space is the budget for bodies and responses, nil if there is none.
 	Space *ingress.Bytes
 	// OnReject, if not nil, is called for each request that a bound of package ingress ends.
@@ -121,6 +125,9 @@
 	picker  *Picker
 	notices *noticeHandler
 	crashes *crashDetector
+	open    openRequests
+	// durations estimates how long requests last.
+	durations servicetime.Durations
 }
 
 // New returns a handler.
@@ -167,23 +174,21 @@
 // closes the connection.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	received := time.Now()
-	stopAt := h.cfg.StopAt()
-	if !stopAt.IsZero() {
-		w.Header().Set("Connection", "close")
-	}
-	a := newAnswer(w, h.cfg.Wire, received)
+	a := newAnswer(w, h.cfg.Wire, h.open.add(h.cfg.Wire.ID(r), received))
+	a.stopping = func() bool { return !h.cfg.StopAt().IsZero() }
 	a.space = h.cfg.Space.Reservation()
 	defer a.space.Release()
+	defer a.open.remove()
 	var c *Call
 	err := guard.Run(func() (err error) {
-		c, err = h.handle(r, a, stopAt)
+		c, err = h.handle(r, a)
 		return err
 	})
 	var p *guard.Panic
 	if errors.As(err, &p) {
 		h.cfg.Panics.Report("request", p)
 		if a.headerSent {
-			err = errAnswerAborted
+			err = &answerAborted{&breakError{BreakPanic, p}, nil}
 		}
 	}
 	if a.readerSlow && h.cfg.OnReject != nil {
@@ -191,32 +196,45 @@
 	}
 	if err != nil {
 		a.setReadDeadline(time.Now().Add(unreadBodyTimeout))
-		if errors.Is(err, errAnswerAborted) {
-			h.recordRejected(r, c, err)
-			if resetErr := a.resetUnframed(r); resetErr != nil {
-				h.cfg.Events.Record(event.CallerCut, timeline.Fields{"request": string(h.cfg.Wire.ID(r)), "reason": "cannot reset the connection: " + resetErr.Error()})
-			}
-			panic(http.ErrAbortHandler)
+		var aborted *answerAborted
+		if errors.As(err, &aborted) {
+			h.abort(r, c, a, aborted)
 		}
-		h.writeError(w, r, c, err)
+		h.writeError(w, r, c, a, err)
 	}
 }
 
+// abort breaks off an answer that has begun. It does not return: net/http closes the connection of a
+// handler that panics.
+func (h *Handler) abort(r *http.Request, c *Call, a *answer, aborted *answerAborted) {
+	h.countRejected(c, fault.KindOf(aborted))
+	err := aborted.err
+	if resetErr := a.resetUnframed(r); resetErr != nil {
+		err = fmt.Errorf("%w; the connection cannot be reset: %w", err, resetErr)
+	}
+	h.recordBroken(a.open, breakReason(aborted.err, aborted.cause), err)
+	panic(http.ErrAbortHandler)
+}
+
 // handle serves a request. It returns the error that the client is to get, and the call once the
 // request has been read.
-func (h *Handler) handle(r *http.Request, a *answer, stopAt time.Time) (*Call, error) {
+func (h *Handler) handle(r *http.Request, a *answer) (*Call, error) {
 	c, team, err := h.admit(r, a)
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
 	if err == nil {
-		err = c.checkStop(stopAt)
+		a.open.isRead(cancel)
+		err = h.checkStop(c)
 	}
 	if err == nil {
 		err = h.checkParts(c)
 	}
 	if err == nil {
-		err = h.charge(r.Context(), c, team)
+		err = h.charge(ctx, c, team)
 	}
 	if err == nil {
-		err = h.run(r.Context(), c, a)
+		err = h.run(ctx, c, a)
+		h.recordDuration(c, err)
 	}
 	return c, err
 }
@@ -256,7 +274,7 @@
 		return c, team, fault.New(fault.Overloaded, "%w", ingress.ErrNoSpace)
 	}
 	if conn := ingress.ConnOf(r.Context()); conn != nil && !conn.Run() {
-		return c, team, fault.New(fault.InvalidRequest, "the connection was closed")
+		return c, team, fault.New(fault.InvalidRequest, "%w", ingress.ErrClosed)
 	}
 	return c, team, nil
 }
@@ -371,9 +389,8 @@
 	return nil
 }
 
-// recordRejected records that a request failed, and refunds its charge if it has not run.
-func (h *Handler) recordRejected(r *http.Request, c *Call, err error) {
-	kind := fault.KindOf(err)
+// countRejected counts a request that failed, and refunds its charge if it has not run.
+func (h *Handler) countRejected(c *Call, kind fault.Kind) {
 	var route string
 	var team fleet.TeamID
 	if c != nil {
@@ -383,6 +400,12 @@
 		}
 	}
 	h.cfg.Metrics.Rejected(route, team, string(kind))
+}
+
+// recordRejected records that a request failed.
+func (h *Handler) recordRejected(r *http.Request, c *Call, err error) {
+	kind := fault.KindOf(err)
+	h.countRejected(c, kind)
 	if k := rejectionKind(err); k != "" && h.cfg.OnReject != nil {
 		h.cfg.OnReject(k) // These are logged by their number, because a flood has many.
 		return
@@ -391,13 +414,16 @@
 }
 
 // writeError answers with an error.
-func (h *Handler) writeError(w http.ResponseWriter, r *http.Request, c *Call, err error) {
+func (h *Handler) writeError(w http.ResponseWriter, r *http.Request, c *Call, a *answer, err error) {
 	h.recordRejected(r, c, err)
+	if errors.Is(err, ingress.ErrClosed) {
+		h.recordBroken(a.open, BreakClosed, err)
+	}
 	id := h.cfg.Wire.ID(r)
 	// Closing a connection with unread bytes resets it, and the client loses the answer. A
 	// read error is ignored: it harms only this client.
 	_, _ = io.CopyN(io.Discard, r.Body, maxUnreadBytes)
-	if rejectionKind(err) != "" {
+	if rejectionKind(err) != "" || a.stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	status, after, body := fault.Describe(err, string(id))
@@ -405,8 +431,9 @@
 		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	}
 	w.Header().Set("Content-Type", "application/json")
+	a.open.begin(status)
 	w.WriteHeader(status)
 	if err := json.NewEncoder(w).Encode(body); err != nil {
-		h.cfg.Events.Record(event.CallerCut, timeline.Fields{"request": string(id), "reason": err.Error()})
+		h.recordBroken(a.open, BreakClientGone, err)
 	}
 }
--- a/serving/run.go
+++ b/serving/run.go
@@ -42,9 +42,12 @@
 	maxSends = 4
 )
 
-// errAnswerAborted is the error of a call that failed after its answer had begun: no error can be
-// sent any more, and the connection is closed.
-var errAnswerAborted = errors.New("the answer was broken off")
+// answerAborted is the error of a call that failed after its answer had begun: no error can be sent any
+// more, and the connection is closed. cause is that of the call's context, nil if it had not ended.
+type answerAborted struct{ err, cause error }
+
+// Error returns the text of the error that ended the call.
+func (e *answerAborted) Error() string { return "the answer was broken off: " + e.err.Error() }
 
 // run sends a call to upstreams until one of them has answered it.
 func (h *Handler) run(ctx context.Context, c *Call, out *answer) error {
@@ -78,8 +81,8 @@
 	tried []fleet.UpstreamID
 	// unreachable lists the upstreams to which no connection could be made.
 	unreachable []fleet.UpstreamID
-	// mayHaveRun is set once an upstream may have run the request.
-	mayHaveRun bool
+	// mayHaveRun is set once an upstream may have run the request. The watchdog reads it.
+	mayHaveRun atomic.Bool
 	// replacement is an answered attempt that replaces a silent one. The watchdog sets it, and it is
 	// read only after watchdog.stop, which waits for that.
 	replacement *attempt
@@ -187,12 +190,16 @@
 func (t *attempts) finalError(ctx context.Context, err error) error {
 	switch {
 	case t.out.headerSent:
-		return errAnswerAborted
-	case ctx.Err() != nil && t.mayHaveRun:
+		return &answerAborted{err, context.Cause(ctx)}
+	case errors.Is(context.Cause(ctx), errStopped) && t.mayHaveRun.Load():
+		return fault.New(fault.Timeout, "%w before the answer was complete", errStopped)
+	case errors.Is(context.Cause(ctx), errStopped):
+		return stoppingError()
+	case ctx.Err() != nil && t.mayHaveRun.Load():
 		return fault.New(fault.Timeout, "no answer in time: %w", err)
 	case ctx.Err() != nil:
 		return fault.New(fault.DeadlineUnmeetable, "no upstream could take the request in time")
-	case t.mayHaveRun:
+	case t.mayHaveRun.Load():
 		return fault.New(fault.UpstreamFailed, "%w", err)
 	}
 	return err
@@ -217,6 +224,7 @@
 // execute makes one attempt. It returns retry if the outcome allows another one.
 func (t *attempts) execute(ctx context.Context, a *attempt) (retry bool, err error) {
 	t.sends++
+	t.out.open.sentTo(a.u.ID)
 	t.begin(ctx, a)
 	w := t.startWatchdog(a)
 	err = t.send(a)
@@ -238,6 +246,7 @@
 // adoptReplacement relays the answer of a replacement, whose headers have been received.
 func (t *attempts) adoptReplacement(a *attempt) (retry bool, err error) {
 	t.sends++
+	t.out.open.sentTo(a.u.ID)
 	return t.finish(a, t.startWatchdog(a))
 }
 
@@ -306,6 +315,9 @@
 	if err := t.h.checkParts(t.c); err != nil {
 		return err
 	}
+	if err := t.checkStop(); err != nil {
+		return err
+	}
 	t.h.notices.countWritten(a.u)
 	a.trace.writtenAfter, a.trace.directoryAge = time.Since(t.c.received), staleness
 	t.h.cfg.Metrics.DirectoryAgeAtSend(staleness)
@@ -358,7 +370,7 @@
 		t.unreachable = append(t.unreachable, u.ID)
 		return true, fault.New(fault.NoUpstream, "upstream %q cannot be reached: %w", u.ID, err)
 	}
-	t.mayHaveRun = true
+	t.mayHaveRun.Store(true)
 	t.tried = append(t.tried, u.ID)
 	return t.checkCrash(a, t.c.Route.Idempotent() && len(t.tried) < t.c.Route.Attempts), err
 }
@@ -375,7 +387,7 @@
 	if reply.NotRun {
 		return t.handleNotRun(a, reply)
 	}
-	t.mayHaveRun = true
+	t.mayHaveRun.Store(true)
 	t.tried = append(t.tried, u.ID)
 	mayRetry := t.c.Route.Idempotent() && len(t.tried) < t.c.Route.Attempts
 	if guaranteesNotRun(resp.Status) {
