Let calls in progress end when another call to the same peer fails

What callers saw: all VMs of a data centre lost their relay by "use of closed network connection" and "reading body ... use of closed network connection", again and again, while bytes of the answer were arriving.

Cause: a Client has one connection to each address and closed it when any call got no answer in its time. A call with a short timeout (Gather.Sync 300 ms, Pool.* 150 ms) so ended the request to a relay that was held or whose answer was being received.

Evidence: the new tests failed before with the errors of the record: TestUnansweredCallEndsNoOtherCall: err: use of closed network connection TestArrivingAnswerIsNotCut: err: reading body io: read/write on closed pipe TestRetiredConnectionsAreClosed: 0 != 1 // The one with the held call. TestCallsOnDeadConnectionFailEarly passed before and keeps the other half: a dead connection is still noticed.

Now the connection is retired: the next call dials a new one, as before, so that a connection that a device has lost is left just as early. Calls in progress on it go on until they end, until nothing has been received on it for 500 ms, or until the client is closed. Its last call closes it, so a call that is alone on its connection closes it as before, and there are never more retired connections than calls in progress.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -2,8 +2,9 @@
 //
 // A [Server] serves the services of several packages on one listener. [Client] keeps
 // one connection to each address. Every call has a deadline. A connection on
-// which a call received no answer is closed and dialled again for the next call,
-// because a device between the two ends may have lost its state of the connection.
+// which a call received no answer is retired: the next call dials a new one, because a
+// device between the two ends may have lost its state of the connection. Other calls in
+// progress on a retired connection may still end.
 package peer
 
 import (
@@ -15,6 +16,7 @@
 	"net/rpc"
 	"reflect"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"toucanfall/ingress"
@@ -32,6 +34,10 @@
 	idleTimeout = 15 * time.Second
 	// writeTimeout bounds a write to a connection whose peer does not read.
 	writeTimeout = 5 * time.Second
+	// retiredSilence is after how long without received bytes a retired connection is closed, so
+	// that its calls fail earlier than at their own deadlines. Answers of the relay may be held
+	// for 400 ms.
+	retiredSilence = 500 * time.Millisecond
 )
 
 // Server serves calls of peers. It is safe for concurrent use.
@@ -143,8 +149,11 @@
 type Client struct {
 	dial DialFunc
 
-	mu    sync.Mutex             // guards conns
+	// mu guards the fields below, and the calls and the retired state of connections.
+	mu    sync.Mutex
 	conns map[string]*connection // by address
+	// retired holds the connections that are used only by the calls in progress on them.
+	retired map[*connection]struct{}
 }
 
 // NewClient returns a client over TCP, or over mutual TLS if config is not nil. It opens
@@ -190,14 +199,14 @@
 
 // NewClientWithDial returns a client over connections that dial opens.
 func NewClientWithDial(dial DialFunc) *Client {
-	return &Client{dial: dial, conns: make(map[string]*connection)}
+	return &Client{dial: dial, conns: make(map[string]*connection), retired: make(map[*connection]struct{})}
 }
 
 // Call calls a method of the peer at address and waits for the answer, at most until
 // ctx ends or callTimeout has passed. reply must be a non-nil pointer; it is set only
 // if Call returns nil. After an error other than an rpc.ServerError the method may
-// still have taken effect. A call that fails without an answer closes the connection,
-// unless the caller cancelled ctx.
+// still have taken effect. After a call that fails without an answer the connection is not
+// used for further calls, unless the caller cancelled ctx.
 func (cl *Client) Call(ctx context.Context, address, method string, args, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -205,6 +214,7 @@
 	if err != nil {
 		return err
 	}
+	defer cl.release(c)
 	done := make(chan *rpc.Call, 1)
 	// The answer is decoded into a separate value, because one that arrives after
 	// Call has returned must not modify reply.
@@ -221,7 +231,7 @@
 	}
 	var serverErr rpc.ServerError
 	if err != nil && !errors.As(err, &serverErr) && !errors.Is(err, context.Canceled) {
-		cl.remove(address, c)
+		cl.retire(address, c)
 	}
 	return err
 }
@@ -229,6 +239,9 @@
 // connection is an RPC client on one connection to a peer.
 type connection struct {
 	*rpc.Client
+	received *receiveTimer
+	// calls is how many calls use the connection.
+	calls int
 	// sendSlot is a semaphore for one writer. A peer that does not read blocks the
 	// writer, and the mutex of net/rpc would block all other calls beyond their
 	// deadlines.
@@ -236,7 +249,30 @@
 }
 
 func newConnection(conn net.Conn) *connection {
-	return &connection{Client: rpc.NewClientWithCodec(clientCodec{newCodec(conn)}), sendSlot: make(chan struct{}, 1)}
+	received := &receiveTimer{Conn: conn, opened: time.Now()}
+	return &connection{Client: rpc.NewClientWithCodec(clientCodec{newCodec(received)}), received: received, sendSlot: make(chan struct{}, 1)}
+}
+
+// receiveTimer is a connection that records when bytes were last received.
+type receiveTimer struct {
+	net.Conn
+	opened time.Time
+	// last is the time of the last received bytes since opened.
+	last atomic.Int64
+}
+
+// Read reads and records the time.
+func (r *receiveTimer) Read(b []byte) (int, error) {
+	n, err := r.Conn.Read(b)
+	if n > 0 {
+		r.last.Store(int64(time.Since(r.opened)))
+	}
+	return n, err
+}
+
+// silence returns for how long nothing was received.
+func (r *receiveTimer) silence() time.Duration {
+	return time.Since(r.opened) - time.Duration(r.last.Load())
 }
 
 // send starts a call in the background. It is not written if ctx ends before sendSlot
@@ -260,13 +296,14 @@
 		_ = c.Close()
 		delete(cl.conns, address)
 	}
+	for c := range cl.retired {
+		cl.closeRetired(c)
+	}
 }
 
+// connect returns a connection to address for one call, which must release it.
 func (cl *Client) connect(ctx context.Context, address string) (*connection, error) {
-	cl.mu.Lock()
-	c, ok := cl.conns[address]
-	cl.mu.Unlock()
-	if ok {
+	if c, ok := cl.existing(address); ok {
 		return c, nil
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -278,6 +315,16 @@
 	return cl.store(address, newConnection(conn)), nil
 }
 
+func (cl *Client) existing(address string) (*connection, bool) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	c, ok := cl.conns[address]
+	if ok {
+		c.calls++
+	}
+	return c, ok
+}
+
 // store stores a new connection. If another call stored one first, store closes the new
 // one and returns the existing one.
 func (cl *Client) store(address string, c *connection) *connection {
@@ -285,17 +332,53 @@
 	defer cl.mu.Unlock()
 	if existing, ok := cl.conns[address]; ok {
 		_ = c.Close()
-		return existing
+		c = existing
 	}
 	cl.conns[address] = c
+	c.calls++
 	return c
 }
 
-func (cl *Client) remove(address string, c *connection) {
+// release ends the use of a connection by a call.
+func (cl *Client) release(c *connection) {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
-	if cl.conns[address] == c {
-		delete(cl.conns, address)
+	c.calls--
+	if _, ok := cl.retired[c]; ok && c.calls == 0 {
+		cl.closeRetired(c)
+	}
+}
+
+// retire makes further calls use another connection. The calls in progress may end unless the
+// connection is silent for retiredSilence.
+func (cl *Client) retire(address string, c *connection) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	if cl.conns[address] != c {
+		return // Another call retired it, or the client was closed.
 	}
+	delete(cl.conns, address)
+	cl.retired[c] = struct{}{}
+	time.AfterFunc(retiredSilence, func() { cl.closeSilent(c) })
+}
+
+// closeSilent closes a retired connection if it has been silent for retiredSilence, and otherwise
+// checks again later.
+func (cl *Client) closeSilent(c *connection) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	if _, ok := cl.retired[c]; !ok {
+		return
+	}
+	if remaining := retiredSilence - c.received.silence(); remaining > 0 {
+		time.AfterFunc(remaining, func() { cl.closeSilent(c) })
+		return
+	}
+	cl.closeRetired(c)
+}
+
+// closeRetired closes a retired connection. The caller must hold mu.
+func (cl *Client) closeRetired(c *connection) {
+	delete(cl.retired, c)
 	_ = c.Close()
 }
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -49,6 +49,12 @@
 	})
 }
 
+// Fill returns n bytes.
+func (e *echoService) Fill(n int, reply *[]byte) error {
+	*reply = make([]byte, n)
+	return nil
+}
+
 func say(client *peer.Client, address, text string) error {
 	var reply string
 	return client.Call(context.Background(), address, "Echo.Say", text, &reply)
@@ -146,21 +152,58 @@
 	is.Equal(proxy.connCount(), 2)
 }
 
+// testConn is a connection that takes a time for each byte that it receives, and calls onClose once
+// when it is closed.
+type testConn struct {
+	net.Conn
+	perByte time.Duration
+	onClose func()
+}
+
+// Read reads at most a packet.
+func (c testConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b[:min(len(b), 1500)])
+	time.Sleep(time.Duration(n) * c.perByte)
+	return n, err
+}
+
+// Close calls onClose.
+func (c testConn) Close() error {
+	c.onClose()
+	return c.Conn.Close()
+}
+
 // runInMemory runs f with a client of a server at "b" over an in-memory network.
 func runInMemory(t *testing.T, f func(is *is.I, n *standin.Network, client *peer.Client, dials *atomic.Int64)) {
+	runOverLink(t, 0, func(is *is.I, n *standin.Network, client *peer.Client, dials, _ *atomic.Int64) {
+		f(is, n, client, dials)
+	})
+}
+
+// runOverLink is like runInMemory, over a link that takes perByte for each byte that the client
+// receives. open counts the client's open connections.
+func runOverLink(t *testing.T, perByte time.Duration, f func(is *is.I, n *standin.Network, client *peer.Client, dials, open *atomic.Int64)) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		n := standin.NewNetwork()
 		l, err := n.Listen("b", "b")
 		is.NoErr(err)
 		serve(t, l)
-		var dials atomic.Int64
+		var dials, open atomic.Int64
 		client := peer.NewClientWithDial(func(ctx context.Context, address string) (net.Conn, error) {
 			dials.Add(1)
-			return n.Dial(ctx, "a", address)
+			conn, err := n.Dial(ctx, "a", address)
+			if err != nil {
+				return nil, err
+			}
+			open.Add(1)
+			return testConn{conn, perByte, sync.OnceFunc(func() { open.Add(-1) })}, nil
 		})
-		defer client.Close()
-		f(is, n, client, &dials)
+		defer func() {
+			client.Close()
+			time.Sleep(time.Second) // Reads that are delayed by the link end.
+		}()
+		f(is, n, client, &dials, &open)
 	})
 }
 
@@ -220,3 +263,84 @@
 		is.True(errors.Is(err, io.EOF))
 	})
 }
+
+// sayIn calls Echo.Say with a timeout.
+func sayIn(client *peer.Client, timeout time.Duration, text string) (reply string, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	err = client.Call(ctx, "b", "Echo.Say", text, &reply)
+	return reply, err
+}
+
+// Guards against a call with a short timeout that ends the other calls to the same peer: all VMs of a
+// data centre lost their relay by "use of closed network connection".
+func TestUnansweredCallEndsNoOtherCall(t *testing.T) {
+	runInMemory(t, func(is *is.I, _ *standin.Network, client *peer.Client, dials *atomic.Int64) {
+		late := make(chan error, 1)
+		go func() {
+			_, err := sayIn(client, 3*time.Second, "late")
+			late <- err
+		}()
+		time.Sleep(1900 * time.Millisecond) // The answer comes after 2 s.
+		_, err := sayIn(client, 50*time.Millisecond, "block")
+		is.True(errors.Is(err, context.DeadlineExceeded))
+		is.NoErr(say(client, "b", "next"))
+		is.Equal(dials.Load(), int64(2)) // The next call doesn't trust the connection.
+		is.NoErr(<-late)
+	})
+}
+
+// Guards against an answer that is cut although its bytes arrive, because a small call behind it on the
+// same connection has timed out.
+func TestArrivingAnswerIsNotCut(t *testing.T) {
+	const size = 1 << 20
+	runOverLink(t, 2*time.Microsecond, func(is *is.I, _ *standin.Network, client *peer.Client, _, _ *atomic.Int64) {
+		large := make(chan error, 1)
+		go func() {
+			var b []byte
+			err := client.Call(context.Background(), "b", "Echo.Fill", size, &b)
+			if err == nil && len(b) != size {
+				err = errors.New("the answer is not whole")
+			}
+			large <- err
+		}()
+		time.Sleep(100 * time.Millisecond)
+		_, err := sayIn(client, 150*time.Millisecond, "small")
+		is.True(errors.Is(err, context.DeadlineExceeded))
+		is.NoErr(<-large)
+	})
+}
+
+// Guards against calls that wait for their own deadlines on a connection that another call has found
+// dead.
+func TestCallsOnDeadConnectionFailEarly(t *testing.T) {
+	runInMemory(t, func(is *is.I, n *standin.Network, client *peer.Client, _ *atomic.Int64) {
+		held := make(chan error, 1)
+		go func() { held <- say(client, "b", "block") }()
+		synctest.Wait()
+		n.Cut("a", "b")
+		began := time.Now()
+		_, err := sayIn(client, 150*time.Millisecond, "lost")
+		is.True(errors.Is(err, context.DeadlineExceeded))
+		is.True(<-held != nil)
+		is.True(time.Since(began) < time.Second)
+	})
+}
+
+// Guards against retired connections that stay open: they end with their last call, and with the client.
+func TestRetiredConnectionsAreClosed(t *testing.T) {
+	runOverLink(t, 0, func(is *is.I, _ *standin.Network, client *peer.Client, dials, open *atomic.Int64) {
+		held := make(chan error, 1)
+		go func() { held <- say(client, "b", "block") }()
+		synctest.Wait()
+		for range 3 {
+			_, err := sayIn(client, 50*time.Millisecond, "block")
+			is.True(errors.Is(err, context.DeadlineExceeded))
+		}
+		is.Equal(dials.Load(), int64(3))
+		is.Equal(open.Load(), int64(1)) // The one with the held call.
+		client.Close()
+		is.True(<-held != nil)
+		is.Equal(open.Load(), int64(0))
+	})
+}
