Dial a new connection if the peer has closed the one to it

What callers saw: a VM lost a relay or a pool host that worked, by "connection is shut down", when it called it again after 15 s without a call.

Cause: servers close idle connections after 15 s. The client noticed it only by the failure of its next call.

Evidence: TestClosedConnectionIsNotUsed failed before with "err: connection is shut down".

A connection whose read has failed can't receive an answer, so a call on it can't succeed. Calls now leave it before they are sent, which needs no repetition of a call that may have taken effect.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -253,20 +253,25 @@
 	return &connection{Client: rpc.NewClientWithCodec(clientCodec{newCodec(received)}), received: received, sendSlot: make(chan struct{}, 1)}
 }
 
-// receiveTimer is a connection that records when bytes were last received.
+// receiveTimer is a connection that records when bytes were last received, and whether a read has
+// failed.
 type receiveTimer struct {
 	net.Conn
 	opened time.Time
 	// last is the time of the last received bytes since opened.
-	last atomic.Int64
+	last   atomic.Int64
+	failed atomic.Bool
 }
 
-// Read reads and records the time.
+// Read reads and records the outcome.
 func (r *receiveTimer) Read(b []byte) (int, error) {
 	n, err := r.Conn.Read(b)
 	if n > 0 {
 		r.last.Store(int64(time.Since(r.opened)))
 	}
+	if err != nil {
+		r.failed.Store(true)
+	}
 	return n, err
 }
 
@@ -315,14 +320,21 @@
 	return cl.store(address, newConnection(conn)), nil
 }
 
+// existing returns the open connection to address, false if there is none that can be read from.
 func (cl *Client) existing(address string) (*connection, bool) {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	c, ok := cl.conns[address]
-	if ok {
-		c.calls++
+	if !ok {
+		return nil, false
+	}
+	if c.received.failed.Load() {
+		delete(cl.conns, address)
+		_ = c.Close()
+		return nil, false
 	}
-	return c, ok
+	c.calls++
+	return c, true
 }
 
 // store stores a new connection. If another call stored one first, store closes the new
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -344,3 +344,14 @@
 		is.Equal(open.Load(), int64(0))
 	})
 }
+
+// Guards against a call that fails because the peer had closed the connection before, as servers do with
+// idle ones: a VM then lost a relay or a pool host that worked.
+func TestClosedConnectionIsNotUsed(t *testing.T) {
+	runInMemory(t, func(is *is.I, _ *standin.Network, client *peer.Client, dials *atomic.Int64) {
+		is.NoErr(say(client, "b", "first"))
+		time.Sleep(20 * time.Second)
+		is.NoErr(say(client, "b", "after the idle timeout"))
+		is.Equal(dials.Load(), int64(2))
+	})
+}
