Bound the answers of relays by what arrives, on connections of their own

What callers saw: after a new configuration the VMs of a data centre lost their relay again and again, and pool hosts and the coordinator with it.

Cause: a request to a relay had 700 ms for the whole answer. 20 answers of 100 kB over 10 Mbit/s take 1.6 s; all were given up and all asked for again, so none ever arrived. On the shared connection small calls (Pool.Put, Gather.Sync) waited behind the large answer and timed out.

Now a follower gives an answer up after 700 ms without received bytes, and after 5 s in all, and its calls have connections of their own. A relay that is silent is noticed as early as before. The ages of confirmations count from the request, so a slow answer makes none younger; a VM that is not kept up to date meanwhile reads the store itself, as before. relay_lost states how much of the answer had arrived in what time.

--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -96,10 +96,10 @@
 // oldRelays answers requests as VMs of an earlier version do.
 type oldRelays struct{ relay.Caller }
 
-func (o oldRelays) Call(ctx context.Context, address, method string, args, reply any) error {
+func (o oldRelays) CallReceiving(ctx context.Context, address, method string, args, reply any, silence time.Duration) error {
 	in := args.(relay.Ask)
 	in.WantsEvacuations = false
-	return o.Caller.Call(ctx, address, method, in, reply)
+	return o.Caller.CallReceiving(ctx, address, method, in, reply, silence)
 }
 
 // startEvacuationVM starts a VM of the fleet list.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -119,7 +119,7 @@
 	self := group.NewMember(cfg.VM, cfg.Peers, cfg.DataCentre, group.NewProcess())
 	replica := relay.NewDirectory()
 	g.follower = relay.NewFollower(relay.FollowerConfig{
-		Self: self, Peers: g.peerClient, MemberList: g.memberList, NewRequest: g.relayRequest, ApplyNews: g.applyNews, Now: bootclock.Now, Events: g.events,
+		Self: self, Peers: peer.NewClientWithDial(g.admission.ToVMs.Wrap(peer.DialTCP)), MemberList: g.memberList, NewRequest: g.relayRequest, ApplyNews: g.applyNews, Now: bootclock.Now, Events: g.events,
 	})
 	g.directory = newDirectoryFollower(directoryConfig{
 		Store: g.store, Roster: g.roster, Now: bootclock.Now, DrainWithin: time.Duration(cfg.DrainWithin),
--- a/gateway/partition_test.go
+++ b/gateway/partition_test.go
@@ -123,7 +123,9 @@
 	from  *configReader
 }
 
-func (net network) Call(ctx context.Context, address, _ string, args, reply any) error {
+func (net network) CallReceiving(ctx context.Context, address, _ string, args, reply any, silence time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, silence)
+	defer cancel()
 	n := net.fleet.node(address)
 	if n != nil && !n.reader.partitioned.Load() && !net.from.partitioned.Load() {
 		// Follow never fails.
--- a/gateway/tree_test.go
+++ b/gateway/tree_test.go
@@ -57,8 +57,11 @@
 
 var errUnreachable = errors.New("the VM cannot be reached")
 
-// Call sends a request to a VM, which may freeze after it has read its state.
-func (net *fakeNetwork) Call(ctx context.Context, address, _ string, args, reply any) error {
+// CallReceiving sends a request to a VM, which may freeze after it has read its state. An answer
+// arrives in one piece.
+func (net *fakeNetwork) CallReceiving(ctx context.Context, address, _ string, args, reply any, silence time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, silence)
+	defer cancel()
 	n, ok := net.lookUp(address)
 	if !ok {
 		<-ctx.Done()
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -208,9 +208,20 @@
 // still have taken effect. After a call that fails without an answer the connection is not
 // used for further calls, unless the caller cancelled ctx.
 func (cl *Client) Call(ctx context.Context, address, method string, args, reply any) error {
+	return cl.call(ctx, address, method, args, reply, callTimeout)
+}
+
+// CallReceiving is like Call for an answer that may be large: it also fails once nothing has been
+// received from the peer for the time silence. Its client should be used for no other calls, whose bytes
+// would count too. The text of its error states how much was received.
+func (cl *Client) CallReceiving(ctx context.Context, address, method string, args, reply any, silence time.Duration) error {
+	return cl.call(ctx, address, method, args, reply, silence)
+}
+
+func (cl *Client) call(ctx context.Context, address, method string, args, reply any, silence time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	c, err := cl.connect(ctx, address)
+	c, err := cl.connect(ctx, address, silence)
 	if err != nil {
 		return err
 	}
@@ -219,21 +230,41 @@
 	// The answer is decoded into a separate value, because one that arrives after
 	// Call has returned must not modify reply.
 	answer := reflect.New(reflect.TypeOf(reply).Elem())
+	sentAt, before := time.Now(), c.received.bytes.Load()
 	c.send(ctx, method, args, answer.Interface(), done)
-	select {
-	case call := <-done:
-		err = call.Error
-		if err == nil {
-			reflect.ValueOf(reply).Elem().Set(answer.Elem())
-		}
-	case <-ctx.Done():
-		err = fmt.Errorf("%s at %s: %w", method, address, ctx.Err())
-	}
+	err = c.wait(ctx, done, silence)
 	var serverErr rpc.ServerError
-	if err != nil && !errors.As(err, &serverErr) && !errors.Is(err, context.Canceled) {
+	switch {
+	case err == nil:
+		reflect.ValueOf(reply).Elem().Set(answer.Elem())
+		return nil
+	case errors.As(err, &serverErr):
+		return err
+	case !errors.Is(err, context.Canceled):
 		cl.retire(address, c)
 	}
-	return err
+	return fmt.Errorf("%s at %s: %d bytes received in %s: %w", method, address, c.received.bytes.Load()-before, time.Since(sentAt).Round(time.Millisecond), err)
+}
+
+// wait waits for the end of a call that was just sent, until ctx ends or nothing has been received
+// for the time silence.
+func (c *connection) wait(ctx context.Context, done <-chan *rpc.Call, silence time.Duration) error {
+	silent := time.NewTimer(silence)
+	defer silent.Stop()
+	for {
+		select {
+		case call := <-done:
+			return call.Error
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-silent.C:
+			remaining := silence - c.received.silence()
+			if remaining <= 0 {
+				return context.DeadlineExceeded
+			}
+			silent.Reset(remaining)
+		}
+	}
 }
 
 // connection is an RPC client on one connection to a peer.
@@ -253,13 +284,14 @@
 	return &connection{Client: rpc.NewClientWithCodec(clientCodec{newCodec(received)}), received: received, sendSlot: make(chan struct{}, 1)}
 }
 
-// receiveTimer is a connection that records when bytes were last received, and whether a read has
-// failed.
+// receiveTimer is a connection that records how many bytes were received and when, and whether a read
+// has failed.
 type receiveTimer struct {
 	net.Conn
 	opened time.Time
 	// last is the time of the last received bytes since opened.
 	last   atomic.Int64
+	bytes  atomic.Int64
 	failed atomic.Bool
 }
 
@@ -267,6 +299,7 @@
 func (r *receiveTimer) Read(b []byte) (int, error) {
 	n, err := r.Conn.Read(b)
 	if n > 0 {
+		r.bytes.Add(int64(n))
 		r.last.Store(int64(time.Since(r.opened)))
 	}
 	if err != nil {
@@ -306,12 +339,13 @@
 	}
 }
 
-// connect returns a connection to address for one call, which must release it.
-func (cl *Client) connect(ctx context.Context, address string) (*connection, error) {
+// connect returns a connection to address for one call, which must release it. A new one is dialled
+// within timeout.
+func (cl *Client) connect(ctx context.Context, address string, timeout time.Duration) (*connection, error) {
 	if c, ok := cl.existing(address); ok {
 		return c, nil
 	}
-	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	dialCtx, cancel := context.WithTimeout(ctx, min(dialTimeout, timeout))
 	defer cancel()
 	conn, err := cl.dial(dialCtx, address)
 	if err != nil {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -355,3 +356,21 @@
 		is.Equal(dials.Load(), int64(2))
 	})
 }
+
+// Guards against an answer that is given up although its bytes arrive, and against a call that waits for
+// its whole deadline when none do. The error states how much has arrived.
+func TestReceivingCallIsBoundedBySilence(t *testing.T) {
+	runOverLink(t, 2*time.Microsecond, func(is *is.I, n *standin.Network, client *peer.Client, _, _ *atomic.Int64) {
+		var b []byte
+		began := time.Now()
+		is.NoErr(client.CallReceiving(context.Background(), "b", "Echo.Fill", 1<<20, &b, 700*time.Millisecond))
+		is.True(time.Since(began) > 2*time.Second)
+		time.AfterFunc(time.Second, func() { n.Silence("a", "b") })
+		began = time.Now()
+		err := client.CallReceiving(context.Background(), "b", "Echo.Fill", 1<<20, &b, 700*time.Millisecond)
+		is.True(errors.Is(err, context.DeadlineExceeded))
+		is.True(time.Since(began) < 1800*time.Millisecond)
+		is.True(strings.HasPrefix(err.Error(), "Echo.Fill at b: 50"))
+		is.True(strings.Contains(err.Error(), " bytes received in 1.7"))
+	})
+}
--- a/relay/follower.go
+++ b/relay/follower.go
@@ -13,8 +13,10 @@
 
 // Times of the requests to relays.
 const (
-	// answerTimeout bounds one request.
-	answerTimeout = maxAnswerDelay + 300*time.Millisecond
+	// answerSilence is after how long a request fails if nothing arrives: a relay holds it for up to
+	// maxAnswerDelay. answerTimeout bounds a request whose answer is arriving, on a slow link.
+	answerSilence = maxAnswerDelay + 300*time.Millisecond
+	answerTimeout = 5 * time.Second
 	// failedBackoff is how long a relay is not used after it failed to answer or was less
 	// current than the store would be; startingBackoff is the same for one that has just
 	// started and has no state yet.
@@ -27,18 +29,20 @@
 	// before it reads the store.
 	startupWait = 2 * time.Second
 	// informedTTL is how long after the last useful answer a VM counts as informed.
-	informedTTL = answerTimeout + maxAnswerDelay
+	informedTTL = answerSilence + maxAnswerDelay
 )
 
 // Caller calls a method of the service at a peer's address. It returns an error if the call
-// fails or ctx ends.
+// fails, if ctx ends, or if nothing is received for the time silence.
 type Caller interface {
-	Call(ctx context.Context, address, method string, args, reply any) error
+	CallReceiving(ctx context.Context, address, method string, args, reply any, silence time.Duration) error
 }
 
 // FollowerConfig holds the dependencies of a Follower.
 type FollowerConfig struct {
-	Self  group.Member
+	Self group.Member
+	// Peers must use connections of their own, so that small calls do not wait behind large
+	// answers.
 	Peers Caller
 	// MemberList returns the members as this VM knows them.
 	MemberList func() group.MemberList
@@ -156,7 +160,7 @@
 	requestedAt := f.cfg.Now()
 	callCtx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
-	err := f.cfg.Peers.Call(callCtx, m.Address(), ServiceName+".Follow", in, &out)
+	err := f.cfg.Peers.CallReceiving(callCtx, m.Address(), ServiceName+".Follow", in, &out, answerSilence)
 	if err == nil {
 		err = out.Validate()
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -108,8 +108,8 @@
 // unreachablePeers is a network on which no VM answers.
 type unreachablePeers struct{}
 
-// Call always fails.
-func (unreachablePeers) Call(context.Context, string, string, any, any) error {
+// CallReceiving always fails.
+func (unreachablePeers) CallReceiving(context.Context, string, string, any, any, time.Duration) error {
 	return errors.New("the peer is unreachable")
 }
 
