Send large answers of a relay to two followers at a time

What callers saw: around a new configuration small calls to a VM that is a relay (pools, Gather.Sync) were late, and the VMs got the configuration one as late as the other.

Cause: a relay began the answers to all its followers at once. On a slow link each then takes as long as all together, and everything else that the VM sends waits behind them.

A follower's next request shows that it has received the answer. Requests beyond two wait as long as a request may be held; then they are answered without the large parts, marked as busy, and with nothing confirmed that was left out. A busy relay is not lost, so its followers do not move to the next one together. Their confirmations age, and they read the store themselves in time. VMs of earlier versions, which name no VM in their requests, are answered at once as before.

--- a/relay/follower.go
+++ b/relay/follower.go
@@ -155,7 +155,7 @@
 // request sends one request to a VM, and reports whether its answer was useful.
 func (f *Follower) request(ctx context.Context, m group.Member) bool {
 	in := f.cfg.NewRequest()
-	in.Mark = f.lastMark
+	in.Mark, in.VM = f.lastMark, f.cfg.Self.VM()
 	var out News
 	requestedAt := f.cfg.Now()
 	callCtx, cancel := context.WithTimeout(ctx, answerTimeout)
@@ -166,6 +166,9 @@
 	}
 	f.lastMark = out.Mark
 	useful := err == nil && f.cfg.ApplyNews(ctx, &out, requestedAt+out.Held)
+	if out.Busy && !useful {
+		return false // The relay works, and has no time for this VM yet.
+	}
 	backoff := failedBackoff
 	if err == nil && (out.DirectoryAge == UnknownAge || out.ConfigAge == UnknownAge) {
 		backoff = startingBackoff
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -57,6 +57,8 @@
 	Evacuations      catalogue.Position
 	WantsEvacuations bool
 	Mark             Mark
+	// VM identifies the requester, which VMs of earlier versions do not.
+	VM fleet.VMID
 }
 
 // News is the answer to an [Ask]. Ages are as of the moment when the relay took its state,
@@ -103,6 +105,10 @@
 	ReportsAt  Position
 	ReportsAge time.Duration
 	HasReports bool
+
+	// Busy is set if a large part is left out because other VMs are receiving theirs. Without
+	// entries of the directory DirectoryAge is UnknownAge.
+	Busy bool
 }
 
 // UnknownAge is the age of state that the relay does not have.
@@ -122,6 +128,24 @@
 	return nil
 }
 
+// entrySize is an estimate of the size of an entry that is not packed, in bytes.
+const entrySize = 200
+
+// size returns about how many bytes the news have on the wire.
+func (n *News) size() int {
+	return len(n.All) + len(n.Document) + entrySize*len(n.Entries)
+}
+
+// withholdLarge leaves out the configuration document and the entries of the directory. What remains
+// confirms nothing that the requester does not have, in earlier versions too.
+func (n *News) withholdLarge() {
+	n.Busy, n.Document = true, nil
+	if len(n.All)+len(n.Entries) > 0 {
+		n.All, n.Entries, n.Removed = nil, nil, nil
+		n.Directory, n.DirectoryAge, n.Mark.Directory = 0, UnknownAge, 0
+	}
+}
+
 // Changes returns the changes of the directory. It fails if the packed entries cannot be
 // decoded.
 func (n *News) Changes() (roster.Changes, error) {
--- a/relay/service.go
+++ b/relay/service.go
@@ -45,6 +45,7 @@
 type Service struct {
 	cfg            ServiceConfig
 	packedDocument packedCache[catalogue.Version]
+	transfers      *transfers
 
 	mu sync.Mutex
 	// changed is closed and replaced at each call of NotifyFollowers. It is guarded by mu.
@@ -53,7 +54,7 @@
 
 // NewService returns a service. Register its [Service.Peer] under [ServiceName].
 func NewService(cfg ServiceConfig) *Service {
-	return &Service{cfg: cfg, changed: make(chan struct{})}
+	return &Service{cfg: cfg, transfers: newTransfers(), changed: make(chan struct{})}
 }
 
 // NotifyFollowers wakes the held requests. It must be called after this VM has applied an
@@ -80,11 +81,21 @@
 }
 
 // Follow answers a request once there is an update or a newer confirmation, and at the
-// latest after maxAnswerDelay. It never fails.
+// latest after maxAnswerDelay. The large parts of an answer are left out while others receive
+// theirs. It never fails.
 func (p *Peer) Follow(in Ask, out *News) error {
-	receivedAt := p.s.cfg.Now()
-	p.s.waitForNews(in)
-	*out = p.s.answer(in, receivedAt)
+	s, receivedAt := p.s, p.s.cfg.Now()
+	s.transfers.end(in.VM)
+	s.waitForNews(in)
+	*out = s.answer(in, receivedAt)
+	if out.size() <= maxSmallAnswer || in.VM == "" {
+		return nil // A VM of an earlier version does not wait longer than before.
+	}
+	begun := s.transfers.wait(in.VM, maxAnswerDelay-(s.cfg.Now()-receivedAt), s.cfg.Now)
+	*out = s.answer(in, receivedAt) // The state may have changed during the wait.
+	if !begun {
+		out.withholdLarge()
+	}
 	return nil
 }
 
--- a/relay/slow_link_test.go
+++ b/relay/slow_link_test.go
@@ -31,9 +31,11 @@
 	perByte time.Duration
 
 	mu sync.Mutex
-	// The fields below are guarded by mu: when the link is free, and the bytes sent.
-	free  time.Time
-	bytes int
+	// The fields below are guarded by mu: when the link is free, the bytes sent, and the number of
+	// large answers on it, now and at most.
+	free          time.Time
+	bytes         int
+	large, atOnce int
 }
 
 // CallReceiving calls the relay and waits until its answer has arrived. Other VMs do not answer.
@@ -43,7 +45,11 @@
 	}
 	var out News
 	_ = l.service.Peer().Follow(args.(Ask), &out)
-	for rest := len(out.Document) + 100; rest > 0; rest -= 1500 {
+	if out.size() > maxSmallAnswer {
+		l.countLarge(1)
+		defer l.countLarge(-1)
+	}
+	for rest := out.size() + 100; rest > 0; rest -= 1500 {
 		select {
 		case <-time.After(l.send(min(rest, 1500))):
 		case <-ctx.Done():
@@ -54,6 +60,13 @@
 	return nil
 }
 
+func (l *slowLink) countLarge(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.large += n
+	l.atOnce = max(l.atOnce, l.large)
+}
+
 // send queues n bytes and returns how long they take.
 func (l *slowLink) send(n int) time.Duration {
 	l.mu.Lock()
@@ -139,5 +152,6 @@
 		running.Wait()
 		is.True(took < 2*followers*size*perByte) // The answers take 1.6 s after each other.
 		is.True(link.bytes < followers*size*3/2) // None is sent twice.
+		is.True(link.atOnce <= maxTransfers)
 	})
 }
