--- a/event/gateway.go
+++ b/event/gateway.go
@@ -21,7 +21,7 @@
 	CoordinatorLost  = Event{815, "coordinator_lost", logrus.WarnLevel, "The coordinator does not answer. This VM continues with its own share of the rates and with the adapters that are already loaded on engines."}
 	CoordinatorFound = Event{816, "coordinator_found", logrus.InfoLevel, "The coordinator answers again."}
 	RelayFound       = Event{817, "relay_found", logrus.InfoLevel, "This VM follows the contents of the store through another VM. The field vm is the id of that VM."}
-	RelayLost        = Event{818, "relay_lost", logrus.WarnLevel, "The VM that this VM follows did not answer, or its answer was not usable. The field reason says why. For one second, another VM or the store is asked instead."}
+	RelayLost        = Event{818, "relay_lost", logrus.WarnLevel, "The VM that this VM follows did not answer, or its answer was not usable. The field reason says why, and how much of an answer had arrived in what time. For one second, another VM or the store is asked instead."}
 	KeeperLost       = Event{819, "keeper_lost", logrus.WarnLevel, "The host of a pool of spare rate tokens did not answer. The field reason says why. The next VM in order is the pool host for this VM until the failed one answers again."}
 	KeeperChanged    = Event{820, "keeper_changed", logrus.InfoLevel, "This VM uses another host for a pool of spare rate tokens. The field vm is the new host, before is the previous one."}
 	EngineOrdered    = Event{821, "engine_ordered", logrus.InfoLevel, "An order was sent to an engine. The fields hold the order and the answer."}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -120,6 +120,7 @@
 	replica := relay.NewDirectory()
 	g.follower = relay.NewFollower(relay.FollowerConfig{
 		Self: self, Peers: peer.NewClientWithDial(g.admission.ToVMs.Wrap(peer.DialTCP)), MemberList: g.memberList, NewRequest: g.relayRequest, ApplyNews: g.applyNews, Now: bootclock.Now, Events: g.events,
+		OnAnswer: func(o relay.Outcome, bytes int, took time.Duration) { meters.RelayAnswer(string(o), bytes, took) },
 	})
 	g.directory = newDirectoryFollower(directoryConfig{
 		Store: g.store, Roster: g.roster, Now: bootclock.Now, DrainWithin: time.Duration(cfg.DrainWithin),
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -54,6 +54,9 @@
 	capacityInUse       = Definition{"toucanfall_capacity_in_use", Gauge, []string{"service", "kind"}, "Capacity in use at these engines, by service and kind."}
 	capacityWaiting     = Definition{"toucanfall_capacity_waiting", Gauge, []string{"service"}, "Requests that wait at this VM for capacity of these engines, by service."}
 	storeCallsTotal     = Definition{"toucanfall_store_calls_total", Counter, []string{"call", "outcome"}, "Calls to the platform's store by outcome: `answered` or `failed`."}
+	relayAnswersTotal   = Definition{"toucanfall_relay_answers_total", Counter, []string{"outcome"}, "Requests to the VM that this VM follows, by outcome: `useful`, `stale` (older than a read of the store would be), `busy` (without the large parts, because other VMs are receiving theirs) or `failed`."}
+	relayBytesTotal     = Definition{"toucanfall_relay_answer_bytes_total", Counter, nil, "Approximate size of the configurations and directory entries in these answers, in bytes."}
+	relayAnswerSeconds  = Definition{"toucanfall_relay_answer_seconds", Histogram, []string{"outcome"}, "Time from the request to the end of these answers or to their failure, without the time for which they were held for an update."}
 	panicsTotal         = Definition{"toucanfall_panics_total", Counter, []string{"where"}, "Recovered panics, by place: `request`, the name of a background loop, or a method that peers call."}
 	ingressRejected     = Definition{"toucanfall_ingress_rejections_total", Counter, []string{"kind"}, "Connections and requests that were rejected by the bounds on what clients may hold, by kind: `connection_evicted`, `connection_refused`, `head_slow`, `head_broken`, `body_long`, `body_slow`, `body_no_space`, `reader_slow` or `message_no_space`."}
 	ingressUsed         = Definition{"toucanfall_ingress_used", Gauge, []string{"budget"}, "What is in use of a budget: connections of `clients`, `vms`, `readiness` and `metrics`, connections opened `to_engines` and `to_vms`, and `bytes` that are reserved for requests and responses."}
@@ -75,7 +78,7 @@
 )
 
 // Registry lists all metrics, in the order of docs/METRICS.md.
-var Registry = []Definition{requestsTotal, firstPieceSeconds, longestPauseSeconds, attemptsTotal, unframedTotal, noticesTotal, noticedSendsTotal, permitsTotal, prefillCreditsTotal, capacityRejected, capacityLimit, capacityInUse, capacityWaiting, storeCallsTotal, panicsTotal, ingressRejected, ingressUsed, ingressLimit, openRequests, configStaleness, directoryAge, directoryAgeAtSend, configVersion, rateShare, isCoordinator, quarantinedParts, upstreamCount, upstreamLeaving, upstreamWait, upstreamLimit, upstreamCold, evacuatedDC}
+var Registry = []Definition{requestsTotal, firstPieceSeconds, longestPauseSeconds, attemptsTotal, unframedTotal, noticesTotal, noticedSendsTotal, permitsTotal, prefillCreditsTotal, capacityRejected, capacityLimit, capacityInUse, capacityWaiting, storeCallsTotal, relayAnswersTotal, relayBytesTotal, relayAnswerSeconds, panicsTotal, ingressRejected, ingressUsed, ingressLimit, openRequests, configStaleness, directoryAge, directoryAgeAtSend, configVersion, rateShare, isCoordinator, quarantinedParts, upstreamCount, upstreamLeaving, upstreamWait, upstreamLimit, upstreamCold, evacuatedDC}
 
 // maxLabelValues bounds the number of values of a label that come from outside
 // the process (teams, upstreams); further ones are counted as otherLabelValue. The
@@ -117,6 +120,9 @@
 	prefillCredits     *prometheus.CounterVec
 	capacityRejected   *prometheus.CounterVec
 	storeCalls         *prometheus.CounterVec
+	relayAnswers       *prometheus.CounterVec
+	relayBytes         *prometheus.CounterVec
+	relaySeconds       *prometheus.HistogramVec
 	panics             *prometheus.CounterVec
 	ingressRejected    *prometheus.CounterVec
 	teamValues         labelValues
@@ -135,6 +141,7 @@
 	s.notices, s.noticedSends, s.permits, s.panics = s.counter(noticesTotal), s.counter(noticedSendsTotal), s.counter(permitsTotal), s.counter(panicsTotal)
 	s.prefillCredits, s.capacityRejected, s.unframed = s.counter(prefillCreditsTotal), s.counter(capacityRejected), s.counter(unframedTotal)
 	s.ingressRejected = s.counter(ingressRejected)
+	s.relayAnswers, s.relayBytes, s.relaySeconds = s.counter(relayAnswersTotal), s.counter(relayBytesTotal), s.histogram(relayAnswerSeconds)
 	s.firstPiece, s.longestPause, s.directoryAgeAtSend = s.histogram(firstPieceSeconds), s.histogram(longestPauseSeconds), s.histogram(directoryAgeAtSend)
 	return s
 }
@@ -254,6 +261,14 @@
 	s.directoryAgeAtSend.WithLabelValues().Observe(age.Seconds())
 }
 
+// RelayAnswer records the outcome of a request to the VM that this VM follows, the size of the answer
+// in bytes and the time that it took.
+func (s *Set) RelayAnswer(outcome string, bytes int, took time.Duration) {
+	s.relayAnswers.WithLabelValues(outcome).Inc()
+	s.relayBytes.WithLabelValues().Add(float64(bytes))
+	s.relaySeconds.WithLabelValues(outcome).Observe(took.Seconds())
+}
+
 // StoreCall counts a call to the platform's store; err is its result.
 func (s *Set) StoreCall(call string, err error) {
 	outcome := "answered"
--- a/metric/metric_test.go
+++ b/metric/metric_test.go
@@ -36,6 +36,7 @@
 	s.Rejected("", "", "not_found")
 	s.Attempt("u", true)
 	s.StoreCall("read", nil)
+	s.RelayAnswer("useful", 100, time.Second)
 	s.Notice("intake")
 	s.NoticedSend("intake")
 	s.Permit(true)
--- a/relay/follower.go
+++ b/relay/follower.go
@@ -38,6 +38,20 @@
 	CallReceiving(ctx context.Context, address, method string, args, reply any, silence time.Duration) error
 }
 
+// Outcome is the outcome of a request to a relay. Its text is the label of the metrics.
+type Outcome string
+
+// The outcomes.
+const (
+	// Useful answers are as current as a read of the store, Stale ones are not.
+	Useful Outcome = "useful"
+	Stale  Outcome = "stale"
+	// Busy answers lack their large parts.
+	Busy Outcome = "busy"
+	// Failed requests have no answer, or an invalid one.
+	Failed Outcome = "failed"
+)
+
 // FollowerConfig holds the dependencies of a Follower.
 type FollowerConfig struct {
 	Self group.Member
@@ -52,6 +66,9 @@
 	// the clock Now, or later. It reports whether the relay is as current as a read of the
 	// store.
 	ApplyNews func(ctx context.Context, n *News, checkedAt time.Duration) bool
+	// OnAnswer, if not nil, is called with the outcome of each request, the size of the answer in
+	// bytes, and the time that it took without the time for which it was held.
+	OnAnswer func(o Outcome, bytes int, took time.Duration)
 	// Now is a monotonic clock that also counts suspended time.
 	Now    func() time.Duration
 	Events *timeline.Recorder
@@ -164,8 +181,10 @@
 	if err == nil {
 		err = out.Validate()
 	}
+	took := f.cfg.Now() - requestedAt
 	f.lastMark = out.Mark
 	useful := err == nil && f.cfg.ApplyNews(ctx, &out, requestedAt+out.Held)
+	f.observe(&out, useful, took, err)
 	if out.Busy && !useful {
 		return false // The relay works, and has no time for this VM yet.
 	}
@@ -177,6 +196,23 @@
 	return useful
 }
 
+// observe reports the outcome of a request to OnAnswer.
+func (f *Follower) observe(out *News, useful bool, took time.Duration, err error) {
+	if f.cfg.OnAnswer == nil {
+		return
+	}
+	o := Stale
+	switch {
+	case err != nil:
+		o = Failed
+	case out.Busy:
+		o = Busy
+	case useful:
+		o = Useful
+	}
+	f.cfg.OnAnswer(o, out.size(), max(took-out.Held, 0))
+}
+
 // recordResult updates which VMs may be used, and records when the source changes or fails.
 func (f *Follower) recordResult(m group.Member, useful bool, backoff time.Duration, err error) {
 	now := f.cfg.Now()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -121,9 +121,11 @@
 	logger.SetOutput(io.Discard)
 	var now time.Duration
 	var members group.MemberList
+	var outcomes []Outcome
 	f := NewFollower(FollowerConfig{
 		Self: "vm-9@192.0.2.1:9@dc-4", Peers: unreachablePeers{}, MemberList: func() group.MemberList { return members }, NewRequest: func() Ask { return Ask{} },
 		Now: func() time.Duration { return now }, Events: timeline.New("test", 16, logger),
+		OnAnswer: func(o Outcome, _ int, _ time.Duration) { outcomes = append(outcomes, o) },
 	})
 	is.True(f.UpdateExpected()) // It has no member list yet.
 	members = newMemberList(directMaxVMs, 3)
@@ -133,4 +135,5 @@
 	is.True(!f.request(t.Context(), members.Coordinator))
 	is.True(!f.UpdateExpected())
 	is.True(!f.Informed())
+	is.Equal(outcomes, []Outcome{Failed})
 }
