Let a VM that starts read the store if its relay is busy

What callers saw: with the limit on large answers, a VM that starts refuses requests for longer. In three trials each with 24 processes at 1.25 MB/s and a configuration of 300 kB, all started at once, the last VM was ready after 1.3 to 1.5 s on and after 1.8 to 2.0 s with the limit.

Cause: a VM that starts waits up to 2 s for its relay unless a request fails, and a busy answer is no failure.

Evidence: TestBusyRelayDoesNotDelayStart failed before with "not true: !f.UpdateExpected()".

After a busy answer the VM now reads the store at once, as after a failed request.

--- a/relay/follower.go
+++ b/relay/follower.go
@@ -90,9 +90,10 @@
 	// excludedUntil holds, for each VM that failed, when it may be used again.
 	excludedUntil map[group.Member]time.Duration
 	// source is the VM that gave the last answer, "" if that was not useful or the request
-	// failed. requestFailed is set once a request has failed.
-	source        group.Member
-	requestFailed bool
+	// failed. readsStore is set once a request has failed or a relay was busy: a VM that starts
+	// then reads the store.
+	source     group.Member
+	readsStore bool
 }
 
 // NewFollower returns a follower that has sent no request yet.
@@ -145,15 +146,15 @@
 }
 
 // UpdateExpected reports whether this VM has just started and is likely to get an update
-// from a relay soon: no request has failed yet. In a small fleet each VM reads the store
+// from a relay soon: no request has failed yet, and no relay was busy. In a small fleet each VM reads the store
 // itself, which is faster.
 func (f *Follower) UpdateExpected() bool {
 	members := f.cfg.MemberList()
 	f.mu.Lock()
-	failed := f.requestFailed
+	readsStore := f.readsStore
 	f.mu.Unlock()
 	follows := len(members.Members) == 0 || len(members.Members) > directMaxVMs && members.Coordinator.VM() != f.cfg.Self.VM()
-	return f.cfg.Now()-f.startedAt < startupWait && follows && !failed
+	return f.cfg.Now()-f.startedAt < startupWait && follows && !readsStore
 }
 
 // choose returns the preferred VM to follow that is not excluded after a failure.
@@ -185,8 +186,11 @@
 	f.lastMark = out.Mark
 	useful := err == nil && f.cfg.ApplyNews(ctx, &out, requestedAt+out.Held)
 	f.observe(&out, useful, took, err)
-	if out.Busy && !useful {
-		return false // The relay works, and has no time for this VM yet.
+	if out.Busy {
+		f.noteBusy()
+		if !useful {
+			return false // The relay works, and has no time for this VM yet.
+		}
 	}
 	backoff := failedBackoff
 	if err == nil && (out.DirectoryAge == UnknownAge || out.ConfigAge == UnknownAge) {
@@ -196,6 +200,12 @@
 	return useful
 }
 
+func (f *Follower) noteBusy() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.readsStore = true
+}
+
 // observe reports the outcome of a request to OnAnswer.
 func (f *Follower) observe(out *News, useful bool, took time.Duration, err error) {
 	if f.cfg.OnAnswer == nil {
@@ -224,7 +234,7 @@
 	} else {
 		f.source = ""
 		f.excludedUntil[m] = now + backoff
-		f.requestFailed = f.requestFailed || err != nil
+		f.readsStore = f.readsStore || err != nil
 	}
 	f.mu.Unlock()
 	switch {
--- a/relay/slow_link_test.go
+++ b/relay/slow_link_test.go
@@ -82,11 +82,9 @@
 
 // follow runs a follower of the relay until ctx ends, and closes done when it has version 1.
 func (l *slowLink) follow(ctx context.Context, self group.Member, members group.MemberList, now func() time.Duration, done chan<- struct{}) {
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
 	var version catalogue.Version
 	f := NewFollower(FollowerConfig{
-		Self: self, Peers: l, MemberList: func() group.MemberList { return members }, Now: now, Events: timeline.New("test", 16, logger),
+		Self: self, Peers: l, MemberList: func() group.MemberList { return members }, Now: now, Events: newTestRecorder(),
 		NewRequest: func() Ask { return Ask{Config: version} },
 		ApplyNews: func(_ context.Context, n *News, _ time.Duration) bool {
 			if len(n.Document) > 0 && version == 0 {
@@ -99,6 +97,13 @@
 	_ = f.Run(ctx)
 }
 
+// newTestRecorder returns a recorder without output.
+func newTestRecorder() *timeline.Recorder {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return timeline.New("test", 16, logger)
+}
+
 // newLargeService returns a service with a configuration of size bytes that do not compress.
 func newLargeService(size int, now func() time.Duration) *Service {
 	document := make([]byte, size)
--- a/relay/transfers_test.go
+++ b/relay/transfers_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +10,7 @@
 
 	"toucanfall/catalogue"
 	"toucanfall/fleet"
+	"toucanfall/group"
 )
 
 // Guards against an answer without its large parts that confirms what the follower does not have, that
@@ -42,6 +44,27 @@
 	})
 }
 
+// Guards against a VM that starts and waits for a busy relay although it could read the store.
+func TestBusyRelayDoesNotDelayStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		now, members := newClock(), newMemberList(23, 1)
+		link := &slowLink{service: newLargeService(100_000, now), relay: members.Members[0].Address()}
+		for _, vm := range []fleet.VMID{"a", "b"} {
+			is.NoErr(link.service.Peer().Follow(Ask{VM: vm}, &News{}))
+		}
+		f := NewFollower(FollowerConfig{
+			Self: "vm-9@192.0.2.1:9@dc-0", Peers: link, MemberList: func() group.MemberList { return members }, Now: now, Events: newTestRecorder(),
+			NewRequest: func() Ask { return Ask{} }, ApplyNews: func(context.Context, *News, time.Duration) bool { return false },
+		})
+		is.True(f.UpdateExpected())
+		is.True(!f.request(t.Context(), members.Members[0]))
+		is.True(!f.UpdateExpected())
+		_, ok := f.choose()
+		is.True(ok) // The relay is not excluded.
+	})
+}
+
 // Guards against entries of the directory that are left out while their position is confirmed.
 func TestWithheldDirectoryConfirmsNothing(t *testing.T) {
 	is := is.New(t)
