Bound the time for which a frozen follower holds back others

What callers saw: nothing yet; found in trials with followers that were stopped for 1.2 s.

Cause: a large answer counted as being received for 700 ms if its follower did not ask again, longer than a relay holds a request. Two frozen followers so kept all others from the new configuration for that time.

Evidence: TestLargeAnswerWaitsForOthers failed before: of six followers of which none asks again, two are served at once and four get no configuration within 400 ms. Now two more are served after 250 ms.

--- a/relay/transfers.go
+++ b/relay/transfers.go
@@ -17,8 +17,9 @@
 	// maxSmallAnswer is the size up to which an answer is sent at any time, in bytes.
 	maxSmallAnswer = 8 << 10
 	// transferTimeout is after how long a transfer no longer counts if its follower does not ask
-	// again, which it does when it has received the answer.
-	transferTimeout = answerSilence
+	// again, which it does when it has received the answer. Followers that are frozen delay others by
+	// no more. Two answers of 150 kB take as long over 10 Mbit/s.
+	transferTimeout = 250 * time.Millisecond
 )
 
 // transfers records which followers are receiving a large answer. It is safe for concurrent use; mu
--- a/relay/transfers_test.go
+++ b/relay/transfers_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,33 +17,55 @@
 )
 
 // Guards against an answer without its large parts that confirms what the follower does not have, that
-// comes later than an answer may, or that is repeated for ever because a follower has vanished.
+// comes later than an answer may, or that others do not get because two followers are frozen.
 func TestLargeAnswerWaitsForOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		now := newClock()
 		s := newLargeService(100_000, now)
-		s.cfg.Directory.ApplyChanges(testLog{}.since(0), 1, now())
-		ask := func(vm fleet.VMID) (out News, took time.Duration) {
+		answers := make(map[time.Duration]int)
+		var mu sync.Mutex
+		ask := func(vm fleet.VMID) (busy bool) {
+			var out News
 			began := now()
 			is.NoErr(s.Peer().Follow(Ask{VM: vm}, &out))
-			return out, now() - began
+			is.Equal(out.Busy, len(out.Document) == 0)
+			is.Equal(out.Config, catalogue.Version(1)) // A follower with version 0 does not take this as confirmed.
+			mu.Lock()
+			defer mu.Unlock()
+			answers[now()-began]++
+			return out.Busy
 		}
-		for _, vm := range []fleet.VMID{"a", "b"} {
-			out, took := ask(vm)
-			is.True(len(out.Document) > 0 && !out.Busy && took == 0)
+		var asking sync.WaitGroup
+		var busy atomic.Int64
+		for i := range 6 {
+			asking.Go(func() {
+				if ask(fleet.VMID(fmt.Sprint("vm-", i))) {
+					busy.Add(1)
+				}
+			})
 		}
-		out, took := ask("c")
-		is.True(out.Busy && len(out.Document) == 0)
-		is.Equal(took, maxAnswerDelay)
-		is.Equal(out.Config, catalogue.Version(1)) // A follower with version 0 does not take this as confirmed.
-		out, took = ask("")
-		is.True(len(out.Document) > 0 && took == 0) // A VM of an earlier version does not wait.
-		out, _ = ask("a")
-		is.True(!out.Busy) // It has received its first answer.
-		out, took = ask("d")
-		is.True(!out.Busy)
-		is.Equal(took, transferTimeout-maxAnswerDelay) // The transfer to b has expired.
+		asking.Wait() // None of them asks again, as if it were frozen.
+		is.Equal(answers, map[time.Duration]int{0: 2, transferTimeout: 2, maxAnswerDelay: 2})
+		is.Equal(busy.Load(), int64(2))
+		is.True(!ask("")) // A VM of an earlier version does not wait.
+		is.Equal(answers[0], 3)
+	})
+}
+
+// Guards against followers that wait although others have received their answers.
+func TestNextRequestEndsTransfer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		now := newClock()
+		s := newLargeService(100_000, now)
+		began := now()
+		for _, vm := range []fleet.VMID{"a", "b", "a", "b", "a"} {
+			var out News
+			is.NoErr(s.Peer().Follow(Ask{VM: vm}, &out))
+			is.True(!out.Busy)
+		}
+		is.Equal(now(), began)
 	})
 }
 
@@ -50,9 +75,7 @@
 		is := is.New(t)
 		now, members := newClock(), newMemberList(23, 1)
 		link := &slowLink{service: newLargeService(100_000, now), relay: members.Members[0].Address()}
-		for _, vm := range []fleet.VMID{"a", "b"} {
-			is.NoErr(link.service.Peer().Follow(Ask{VM: vm}, &News{}))
-		}
+		link.service.transfers.active = []transfer{{"a", 2 * time.Hour}, {"b", 2 * time.Hour}}
 		f := NewFollower(FollowerConfig{
 			Self: "vm-9@192.0.2.1:9@dc-0", Peers: link, MemberList: func() group.MemberList { return members }, Now: now, Events: newTestRecorder(),
 			NewRequest: func() Ask { return Ask{} }, ApplyNews: func(context.Context, *News, time.Duration) bool { return false },
