--- a/peer/peer.go
+++ b/peer/peer.go
@@ -2,8 +2,9 @@
 //
 // A [Server] serves the services of several packages on one listener. [Client] keeps
 // one connection to each address. Every call has a deadline. A connection on
-// which a call received no answer is closed and dialled again for the next call,
-// because a device between the two ends may have lost its state of the connection.
+// which a call received no answer is retired: the next call dials a new one, because a
+// device between the two ends may have lost its state of the connection. Other calls in
+// progress on a retired connection may still end.
 package peer
 
 import (
@@ -15,6 +16,7 @@
 	"net/rpc"
 	"reflect"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"toucanfall/ingress"
@@ -32,6 +34,10 @@
 	idleTimeout = 15 * time.Second
 	// writeTimeout bounds a write to a connection whose peer does not read.
 	writeTimeout = 5 * time.Second
+	// retiredSilence is after how long without received bytes a retired connection is closed, so
+	// that its calls fail earlier than at their own deadlines. Answers of the relay may be held
+	// for 400 ms.
+	retiredSilence = 500 * time.Millisecond
 )
 
 // Server serves calls of peers. It is safe for concurrent use.
@@ -143,8 +149,11 @@
 type Client struct {
 	dial DialFunc
 
-	mu    sync.Mutex             // guards conns
+	// mu guards the fields below, and the calls and the retired state of connections.
+	mu    sync.Mutex
 	conns map[string]*connection // by address
+	// retired holds the connections that are used only by the calls in progress on them.
+	retired map[*connection]struct{}
 }
 
 // NewClient returns a client over TCP, or over mutual TLS if config is not nil. It opens
@@ -190,45 +199,80 @@
 
 // NewClientWithDial returns a client over connections that dial opens.
 func NewClientWithDial(dial DialFunc) *Client {
-	return &Client{dial: dial, conns: make(map[string]*connection)}
+	return &Client{dial: dial, conns: make(map[string]*connection), retired: make(map[*connection]struct{})}
 }
 
 // Call calls a method of the peer at address and waits for the answer, at most until
 // ctx ends or callTimeout has passed. reply must be a non-nil pointer; it is set only
 // if Call returns nil. After an error other than an rpc.ServerError the method may
-// still have taken effect. A call that fails without an answer closes the connection,
-// unless the caller cancelled ctx.
+// still have taken effect. After a call that fails without an answer the connection is not
+// used for further calls, unless the caller cancelled ctx.
 func (cl *Client) Call(ctx context.Context, address, method string, args, reply any) error {
+	return cl.call(ctx, address, method, args, reply, callTimeout)
+}
+
+// CallReceiving is like Call for an answer that may be large: it also fails once nothing has been
+// received from the peer for the time silence. Its client should be used for no other calls, whose bytes
+// would count too. The text of its error states how much was received.
+func (cl *Client) CallReceiving(ctx context.Context, address, method string, args, reply any, silence time.Duration) error {
+	return cl.call(ctx, address, method, args, reply, silence)
+}
+
+func (cl *Client) call(ctx context.Context, address, method string, args, reply any, silence time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	c, err := cl.connect(ctx, address)
+	c, err := cl.connect(ctx, address, silence)
 	if err != nil {
 		return err
 	}
+	defer cl.release(c)
 	done := make(chan *rpc.Call, 1)
 	// The answer is decoded into a separate value, because one that arrives after
 	// Call has returned must not modify reply.
 	answer := reflect.New(reflect.TypeOf(reply).Elem())
+	sentAt, before := time.Now(), c.received.bytes.Load()
 	c.send(ctx, method, args, answer.Interface(), done)
-	select {
-	case call := <-done:
-		err = call.Error
-		if err == nil {
-			reflect.ValueOf(reply).Elem().Set(answer.Elem())
-		}
-	case <-ctx.Done():
-		err = fmt.Errorf("%s at %s: %w", method, address, ctx.Err())
-	}
+	err = c.wait(ctx, done, silence)
 	var serverErr rpc.ServerError
-	if err != nil && !errors.As(err, &serverErr) && !errors.Is(err, context.Canceled) {
-		cl.remove(address, c)
+	switch {
+	case err == nil:
+		reflect.ValueOf(reply).Elem().Set(answer.Elem())
+		return nil
+	case errors.As(err, &serverErr):
+		return err
+	case !errors.Is(err, context.Canceled):
+		cl.retire(address, c)
+	}
+	return fmt.Errorf("%s at %s: %d bytes received in %s: %w", method, address, c.received.bytes.Load()-before, time.Since(sentAt).Round(time.Millisecond), err)
+}
+
+// wait waits for the end of a call that was just sent, until ctx ends or nothing has been received
+// for the time silence.
+func (c *connection) wait(ctx context.Context, done <-chan *rpc.Call, silence time.Duration) error {
+	silent := time.NewTimer(silence)
+	defer silent.Stop()
+	for {
+		select {
+		case call := <-done:
+			return call.Error
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-silent.C:
+			remaining := silence - c.received.silence()
+			if remaining <= 0 {
+				return context.DeadlineExceeded
+			}
+			silent.Reset(remaining)
+		}
 	}
-	return err
 }
 
 // connection is an RPC client on one connection to a peer.
 type connection struct {
 	*rpc.Client
+	received *receiveTimer
+	// calls is how many calls use the connection.
+	calls int
 	// sendSlot is a semaphore for one writer. A peer that does not read blocks the
 	// writer, and the mutex of net/rpc would block all other calls beyond their
 	// deadlines.
@@ -236,7 +280,37 @@
 }
 
 func newConnection(conn net.Conn) *connection {
-	return &connection{Client: rpc.NewClientWithCodec(clientCodec{newCodec(conn)}), sendSlot: make(chan struct{}, 1)}
+	received := &receiveTimer{Conn: conn, opened: time.Now()}
+	return &connection{Client: rpc.NewClientWithCodec(clientCodec{newCodec(received)}), received: received, sendSlot: make(chan struct{}, 1)}
+}
+
+// receiveTimer is a connection that records how many bytes were received and when, and whether a read
+// has failed.
+type receiveTimer struct {
+	net.Conn
+	opened time.Time
+	// last is the time of the last received bytes since opened.
+	last   atomic.Int64
+	bytes  atomic.Int64
+	failed atomic.Bool
+}
+
+// Read reads and records the outcome.
+func (r *receiveTimer) Read(b []byte) (int, error) {
+	n, err := r.Conn.Read(b)
+	if n > 0 {
+		r.bytes.Add(int64(n))
+		r.last.Store(int64(time.Since(r.opened)))
+	}
+	if err != nil {
+		r.failed.Store(true)
+	}
+	return n, err
+}
+
+// silence returns for how long nothing was received.
+func (r *receiveTimer) silence() time.Duration {
+	return time.Since(r.opened) - time.Duration(r.last.Load())
 }
 
 // send starts a call in the background. It is not written if ctx ends before sendSlot
@@ -260,16 +334,18 @@
 		_ = c.Close()
 		delete(cl.conns, address)
 	}
+	for c := range cl.retired {
+		cl.closeRetired(c)
+	}
 }
 
-func (cl *Client) connect(ctx context.Context, address string) (*connection, error) {
-	cl.mu.Lock()
-	c, ok := cl.conns[address]
-	cl.mu.Unlock()
-	if ok {
+// connect returns a connection to address for one call, which must release it. A new one is dialled
+// within timeout.
+func (cl *Client) connect(ctx context.Context, address string, timeout time.Duration) (*connection, error) {
+	if c, ok := cl.existing(address); ok {
 		return c, nil
 	}
-	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	dialCtx, cancel := context.WithTimeout(ctx, min(dialTimeout, timeout))
 	defer cancel()
 	conn, err := cl.dial(dialCtx, address)
 	if err != nil {
@@ -278,6 +354,23 @@
 	return cl.store(address, newConnection(conn)), nil
 }
 
+// existing returns the open connection to address, false if there is none that can be read from.
+func (cl *Client) existing(address string) (*connection, bool) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	c, ok := cl.conns[address]
+	if !ok {
+		return nil, false
+	}
+	if c.received.failed.Load() {
+		delete(cl.conns, address)
+		_ = c.Close()
+		return nil, false
+	}
+	c.calls++
+	return c, true
+}
+
 // store stores a new connection. If another call stored one first, store closes the new
 // one and returns the existing one.
 func (cl *Client) store(address string, c *connection) *connection {
@@ -285,17 +378,53 @@
 	defer cl.mu.Unlock()
 	if existing, ok := cl.conns[address]; ok {
 		_ = c.Close()
-		return existing
+		c = existing
 	}
 	cl.conns[address] = c
+	c.calls++
 	return c
 }
 
-func (cl *Client) remove(address string, c *connection) {
+// release ends the use of a connection by a call.
+func (cl *Client) release(c *connection) {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
-	if cl.conns[address] == c {
-		delete(cl.conns, address)
+	c.calls--
+	if _, ok := cl.retired[c]; ok && c.calls == 0 {
+		cl.closeRetired(c)
+	}
+}
+
+// retire makes further calls use another connection. The calls in progress may end unless the
+// connection is silent for retiredSilence.
+func (cl *Client) retire(address string, c *connection) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	if cl.conns[address] != c {
+		return // Another call retired it, or the client was closed.
+	}
+	delete(cl.conns, address)
+	cl.retired[c] = struct{}{}
+	time.AfterFunc(retiredSilence, func() { cl.closeSilent(c) })
+}
+
+// closeSilent closes a retired connection if it has been silent for retiredSilence, and otherwise
+// checks again later.
+func (cl *Client) closeSilent(c *connection) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	if _, ok := cl.retired[c]; !ok {
+		return
 	}
+	if remaining := retiredSilence - c.received.silence(); remaining > 0 {
+		time.AfterFunc(remaining, func() { cl.closeSilent(c) })
+		return
+	}
+	cl.closeRetired(c)
+}
+
+// closeRetired closes a retired connection. The caller must hold mu.
+func (cl *Client) closeRetired(c *connection) {
+	delete(cl.retired, c)
 	_ = c.Close()
 }
--- a/relay/follower.go
+++ b/relay/follower.go
@@ -13,8 +13,10 @@
 
 // Times of the requests to relays.
 const (
-	// answerTimeout bounds one request.
-	answerTimeout = maxAnswerDelay + 300*time.Millisecond
+	// answerSilence is after how long a request fails if nothing arrives: a relay holds it for up to
+	// maxAnswerDelay. answerTimeout bounds a request whose answer is arriving, on a slow link.
+	answerSilence = maxAnswerDelay + 300*time.Millisecond
+	answerTimeout = 5 * time.Second
 	// failedBackoff is how long a relay is not used after it failed to answer or was less
 	// current than the store would be; startingBackoff is the same for one that has just
 	// started and has no state yet.
@@ -27,18 +29,34 @@
 	// before it reads the store.
 	startupWait = 2 * time.Second
 	// informedTTL is how long after the last useful answer a VM counts as informed.
-	informedTTL = answerTimeout + maxAnswerDelay
+	informedTTL = answerSilence + maxAnswerDelay
 )
 
 // Caller calls a method of the service at a peer's address. It returns an error if the call
-// fails or ctx ends.
+// fails, if ctx ends, or if nothing is received for the time silence.
 type Caller interface {
-	Call(ctx context.Context, address, method string, args, reply any) error
+	CallReceiving(ctx context.Context, address, method string, args, reply any, silence time.Duration) error
 }
 
+// Outcome is the outcome of a request to a relay. Its text is the label of the metrics.
+type Outcome string
+
+// The outcomes.
+const (
+	// Useful answers are as current as a read of the store, Stale ones are not.
+	Useful Outcome = "useful"
+	Stale  Outcome = "stale"
+	// Busy answers lack their large parts.
+	Busy Outcome = "busy"
+	// Failed requests have no answer, or an invalid one.
+	Failed Outcome = "failed"
+)
+
 // FollowerConfig holds the dependencies of a Follower.
 type FollowerConfig struct {
-	Self  group.Member
+	Self group.Member
+	// Peers must use connections of their own, so that small calls do not wait behind large
+	// answers.
 	Peers Caller
 	// MemberList returns the members as this VM knows them.
 	MemberList func() group.MemberList
@@ -48,6 +66,9 @@
 	// the clock Now, or later. It reports whether the relay is as current as a read of the
 	// store.
 	ApplyNews func(ctx context.Context, n *News, checkedAt time.Duration) bool
+	// OnAnswer, if not nil, is called with the outcome of each request, the size of the answer in
+	// bytes, and the time that it took without the time for which it was held.
+	OnAnswer func(o Outcome, bytes int, took time.Duration)
 	// Now is a monotonic clock that also counts suspended time.
 	Now    func() time.Duration
 	Events *timeline.Recorder
@@ -69,9 +90,10 @@
 	// excludedUntil holds, for each VM that failed, when it may be used again.
 	excludedUntil map[group.Member]time.Duration
 	// source is the VM that gave the last answer, "" if that was not useful or the request
-	// failed. requestFailed is set once a request has failed.
-	source        group.Member
-	requestFailed bool
+	// failed. readsStore is set once a request has failed or a relay was busy: a VM that starts
+	// then reads the store.
+	source     group.Member
+	readsStore bool
 }
 
 // NewFollower returns a follower that has sent no request yet.
@@ -124,15 +146,15 @@
 }
 
 // UpdateExpected reports whether this VM has just started and is likely to get an update
-// from a relay soon: no request has failed yet. In a small fleet each VM reads the store
+// from a relay soon: no request has failed yet, and no relay was busy. In a small fleet each VM reads the store
 // itself, which is faster.
 func (f *Follower) UpdateExpected() bool {
 	members := f.cfg.MemberList()
 	f.mu.Lock()
-	failed := f.requestFailed
+	readsStore := f.readsStore
 	f.mu.Unlock()
 	follows := len(members.Members) == 0 || len(members.Members) > directMaxVMs && members.Coordinator.VM() != f.cfg.Self.VM()
-	return f.cfg.Now()-f.startedAt < startupWait && follows && !failed
+	return f.cfg.Now()-f.startedAt < startupWait && follows && !readsStore
 }
 
 // choose returns the preferred VM to follow that is not excluded after a failure.
@@ -151,17 +173,25 @@
 // request sends one request to a VM, and reports whether its answer was useful.
 func (f *Follower) request(ctx context.Context, m group.Member) bool {
 	in := f.cfg.NewRequest()
-	in.Mark = f.lastMark
+	in.Mark, in.VM = f.lastMark, f.cfg.Self.VM()
 	var out News
 	requestedAt := f.cfg.Now()
 	callCtx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
-	err := f.cfg.Peers.Call(callCtx, m.Address(), ServiceName+".Follow", in, &out)
+	err := f.cfg.Peers.CallReceiving(callCtx, m.Address(), ServiceName+".Follow", in, &out, answerSilence)
 	if err == nil {
 		err = out.Validate()
 	}
+	took := f.cfg.Now() - requestedAt
 	f.lastMark = out.Mark
 	useful := err == nil && f.cfg.ApplyNews(ctx, &out, requestedAt+out.Held)
+	f.observe(&out, useful, took, err)
+	if out.Busy {
+		f.noteBusy()
+		if !useful {
+			return false // The relay works, and has no time for this VM yet.
+		}
+	}
 	backoff := failedBackoff
 	if err == nil && (out.DirectoryAge == UnknownAge || out.ConfigAge == UnknownAge) {
 		backoff = startingBackoff
@@ -170,6 +200,29 @@
 	return useful
 }
 
+func (f *Follower) noteBusy() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.readsStore = true
+}
+
+// observe reports the outcome of a request to OnAnswer.
+func (f *Follower) observe(out *News, useful bool, took time.Duration, err error) {
+	if f.cfg.OnAnswer == nil {
+		return
+	}
+	o := Stale
+	switch {
+	case err != nil:
+		o = Failed
+	case out.Busy:
+		o = Busy
+	case useful:
+		o = Useful
+	}
+	f.cfg.OnAnswer(o, out.size(), max(took-out.Held, 0))
+}
+
 // recordResult updates which VMs may be used, and records when the source changes or fails.
 func (f *Follower) recordResult(m group.Member, useful bool, backoff time.Duration, err error) {
 	now := f.cfg.Now()
@@ -181,7 +234,7 @@
 	} else {
 		f.source = ""
 		f.excludedUntil[m] = now + backoff
-		f.requestFailed = f.requestFailed || err != nil
+		f.readsStore = f.readsStore || err != nil
 	}
 	f.mu.Unlock()
 	switch {
