Bound the retries of each service over all VMs

Causes, which one mechanism replaces, hence one commit: - The budget was one account for all services of a VM, so that what the requests of a busy service earned was spent on the engines of another. - A process that had just started had its whole part of the slack again. - The slack was divided by max(known VMs, 8): too few at a start of a large fleet and on each side of a partition.

Each service now has an account in package ratelimit beside those of the teams. The slack accrues by the shares that the store assigns, what requests earn stays on their VM or in the pool for 7/40 of the window, and a retry takes one token.

--- a/event/event.go
+++ b/event/event.go
@@ -33,7 +33,7 @@
 	ConfigApplied, StoreLost, StoreFound, EntryOdd, UpstreamLeaving, DirectoryLate, DirectoryInTime, UpstreamNotice, NoticeOdd, NoticeTold,
 	JoinFailed, PartsDealt, ClaimFailed, DutyTaken, CoordinatorLost, CoordinatorFound, RelayFound, RelayLost, KeeperLost, KeeperChanged,
 	EngineOrdered, PlacementChanged, MoveFailed, PlacementViewed, ReportFailed, PrefillHostLost, PrefillViewed, EngineCrashed, PartQuarantined, PartReleased, SettingsReloaded, SettingsRefused, GatewayFault, LinesLeftOut, RequestServed, PartEnded, AcceptFailed, ClientsRejected,
-	EvacuationBegun, EvacuationEnded, UpstreamCold, CapacityViewed,
+	EvacuationBegun, EvacuationEnded, UpstreamCold, CapacityViewed, RetriesDenied,
 	FakeStarted, FakeServed,
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -109,7 +109,7 @@
 		catalogue: catalogue.NewHolder(bootclock.Now),
 		roster:    roster.New(),
 		store:     platform.NewStore(cfg.Store, cfg.StorePartitions, meters.StoreCall),
-		buckets:   ratelimit.NewBuckets(bootclock.Now),
+		buckets:   ratelimit.NewBuckets(bootclock.Now, retryLimit(cfg)),
 	}
 	g.admission = g.newAdmission()
 	g.peerClient = peer.NewClientWithDial(g.admission.ToVMs.Wrap(peer.DialTCP))
@@ -136,7 +136,7 @@
 		Store: g.store, Now: bootclock.Now, ConfigWithin: time.Duration(cfg.ConfigWithin), Apply: g.quarantine.Apply, OnUpdate: g.notifyFollowers,
 		IsCoordinator: g.isCoordinator, IsRelay: g.follower.IsRelay, Events: g.events,
 	})
-	pool := ratelimit.NewPool(bootclock.Now, g.buckets.ShareExpired)
+	pool := ratelimit.NewPool(bootclock.Now, g.buckets.ShareExpired, retryLimit(cfg))
 	g.catalogue.OnChange(g.buckets.Configure)
 	g.catalogue.OnChange(func(c *catalogue.Config) { g.roster.SetColdLimits(roster.ColdLimits(c)) })
 	g.catalogue.OnChange(pool.Configure)
@@ -203,12 +203,17 @@
 		DataCentre: g.cfg.DataCentre, Regions: g.cfg.Regions, Wire: platform.Wire{}, Dial: g.admission.ToEngines.Wrap(transport.Dial), Catalogue: g.catalogue, Roster: g.roster,
 		Rates: g.rates, Permits: g.rates, Prefill: g.prefill, AccountRuns: platform.AccountsForRuns(g.cfg.Contracts), Parts: g.quarantine, Starts: platform.Engines{}, Loader: g.coordinatorClient, Events: g.events, Metrics: g.meters, Panics: g.panics,
 		StaleAfter: g.staleAfter(),
-		Budget:     serving.NewRetryBudget(g.cfg.RepeatRatio, g.cfg.RepeatSlack, time.Duration(g.cfg.RepeatWindow), g.membership.Size),
+		Budget:     g.rates,
 		VMCount:    g.vmsPerDataCentre,
 		StopAt:     g.stopTime, Directory: g.directory, Space: g.admission.Bytes, OnReject: g.admission.Reject,
 	}
 }
 
+// retryLimit returns the bound on the retries of each service.
+func retryLimit(cfg *settings.Gateway) ratelimit.RetryLimit {
+	return ratelimit.RetryLimit{Ratio: cfg.RepeatRatio, Slack: cfg.RepeatSlack, Window: time.Duration(cfg.RepeatWindow)}
+}
+
 func (g *Gateway) staleAfter() time.Duration {
 	return time.Duration(g.cfg.RevokeWithin) - staleMargin
 }
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -49,6 +49,7 @@
 	noticedSendsTotal   = Definition{"toucanfall_noticed_sends_total", Counter, []string{"notice"}, "Requests that were written to an upstream while a notice from it applied: that it is leaving (`leaving`), accepts no requests for some time (`wait`), limits its request rate (`intake`) or is cold (`cold`)."}
 	permitsTotal        = Definition{"toucanfall_permits_total", Counter, []string{"outcome"}, "Permits requested to send to an upstream that announces a request rate limit or is cold, by outcome: `given`, or `denied`, after which another upstream is chosen or the request is rejected."}
 	prefillCreditsTotal = Definition{"toucanfall_prefill_credits_total", Counter, []string{"outcome"}, "Requests for a credit to send a prompt to an engine, by outcome: `given`, `denied` (the request waits or another engine is asked), or `unaccounted` (no host of the engine's account answered and the prompt was sent without a credit)."}
+	retryBudgetTotal    = Definition{"toucanfall_retry_budget_total", Counter, []string{"service", "event"}, "The retry budget by service and event: `request` (a request was run, which permits a part of a retry), `taken` (a retry), `returned` (a retry that was taken and not sent), or `denied` (a request was not sent once more, or an attempt that is silent not replaced, because the budget was used up)."}
 	capacityRejected    = Definition{"toucanfall_capacity_rejected_total", Counter, []string{"service", "reason"}, "Requests that were rejected because no engine could run them in time, by service and by what the engines lacked: `slots`, `memory`, or `prompts` (they have enough prompts to read)."}
 	capacityLimit       = Definition{"toucanfall_capacity_limit", Gauge, []string{"service", "kind"}, "Capacity of the engines whose accounts this VM keeps, by service and kind: `slots`, or `memory` in tokens."}
 	capacityInUse       = Definition{"toucanfall_capacity_in_use", Gauge, []string{"service", "kind"}, "Capacity in use at these engines, by service and kind."}
@@ -75,7 +76,7 @@
 )
 
 // Registry lists all metrics, in the order of docs/METRICS.md.
-var Registry = []Definition{requestsTotal, firstPieceSeconds, longestPauseSeconds, attemptsTotal, unframedTotal, noticesTotal, noticedSendsTotal, permitsTotal, prefillCreditsTotal, capacityRejected, capacityLimit, capacityInUse, capacityWaiting, storeCallsTotal, panicsTotal, ingressRejected, ingressUsed, ingressLimit, openRequests, configStaleness, directoryAge, directoryAgeAtSend, configVersion, rateShare, isCoordinator, quarantinedParts, upstreamCount, upstreamLeaving, upstreamWait, upstreamLimit, upstreamCold, evacuatedDC}
+var Registry = []Definition{requestsTotal, firstPieceSeconds, longestPauseSeconds, attemptsTotal, unframedTotal, noticesTotal, noticedSendsTotal, permitsTotal, prefillCreditsTotal, retryBudgetTotal, capacityRejected, capacityLimit, capacityInUse, capacityWaiting, storeCallsTotal, panicsTotal, ingressRejected, ingressUsed, ingressLimit, openRequests, configStaleness, directoryAge, directoryAgeAtSend, configVersion, rateShare, isCoordinator, quarantinedParts, upstreamCount, upstreamLeaving, upstreamWait, upstreamLimit, upstreamCold, evacuatedDC}
 
 // maxLabelValues bounds the number of values of a label that come from outside
 // the process (teams, upstreams); further ones are counted as otherLabelValue. The
@@ -115,6 +116,7 @@
 	noticedSends       *prometheus.CounterVec
 	permits            *prometheus.CounterVec
 	prefillCredits     *prometheus.CounterVec
+	retryBudget        *prometheus.CounterVec
 	capacityRejected   *prometheus.CounterVec
 	storeCalls         *prometheus.CounterVec
 	panics             *prometheus.CounterVec
@@ -134,7 +136,7 @@
 	s.requests, s.attempts, s.storeCalls = s.counter(requestsTotal), s.counter(attemptsTotal), s.counter(storeCallsTotal)
 	s.notices, s.noticedSends, s.permits, s.panics = s.counter(noticesTotal), s.counter(noticedSendsTotal), s.counter(permitsTotal), s.counter(panicsTotal)
 	s.prefillCredits, s.capacityRejected, s.unframed = s.counter(prefillCreditsTotal), s.counter(capacityRejected), s.counter(unframedTotal)
-	s.ingressRejected = s.counter(ingressRejected)
+	s.ingressRejected, s.retryBudget = s.counter(ingressRejected), s.counter(retryBudgetTotal)
 	s.firstPiece, s.longestPause, s.directoryAgeAtSend = s.histogram(firstPieceSeconds), s.histogram(longestPauseSeconds), s.histogram(directoryAgeAtSend)
 	return s
 }
@@ -243,6 +245,19 @@
 	s.prefillCredits.WithLabelValues(outcome).Inc()
 }
 
+// Events of the retry budget.
+const (
+	RetryRequest  = "request"
+	RetryTaken    = "taken"
+	RetryReturned = "returned"
+	RetryDenied   = "denied"
+)
+
+// RetryBudget counts an event of the retry budget of a service.
+func (s *Set) RetryBudget(service, event string) {
+	s.retryBudget.WithLabelValues(s.serviceValues.bounded(service), event).Inc()
+}
+
 // CapacityRejected counts a request that was rejected because no engine could run it in time.
 func (s *Set) CapacityRejected(service, reason string) {
 	s.capacityRejected.WithLabelValues(s.serviceValues.bounded(service), reason).Inc()
--- a/metric/metric_test.go
+++ b/metric/metric_test.go
@@ -32,6 +32,7 @@
 		return []metric.Capacity{{Service: "s", Slots: 24, Running: 3}}
 	}})
 	s.CapacityRejected("s", "slots")
+	s.RetryBudget("s", metric.RetryTaken)
 	s.Served("stream", "team", 30*time.Millisecond, time.Second)
 	s.Rejected("", "", "not_found")
 	s.Attempt("u", true)
--- a/ratelimit/buckets.go
+++ b/ratelimit/buckets.go
@@ -1,5 +1,5 @@
-// Package ratelimit enforces rate limits of teams across all VMs, and hands out permits for
-// upstreams that announce a request rate limit.
+// Package ratelimit enforces rate limits of teams across all VMs, bounds the retries of each service
+// over all VMs, and hands out permits for upstreams that announce a request rate limit.
 //
 // Each VM refills its own token buckets with its share of every team's rate. The store assigns
 // equal partitions of all rates to the VMs, and a VM refills for as long as the store has
@@ -64,9 +64,11 @@
 	return out
 }
 
-// Buckets holds this VM's token buckets, one for each team. It is safe for concurrent use.
+// Buckets holds this VM's token buckets, one for each team and one for the retries of each service. It
+// is safe for concurrent use.
 type Buckets struct {
-	now func() time.Duration
+	now     func() time.Duration
+	retries RetryLimit
 
 	mu sync.Mutex
 	// The fields below are guarded by mu. share is the fraction of each team's rate that this
@@ -82,49 +84,62 @@
 	isolated bool
 }
 
-// bucket is the token bucket of one team. It is guarded by Buckets.mu.
+// bucket is the token bucket of one account. It is guarded by Buckets.mu.
 type bucket struct {
+	id fleet.TeamID
 	// rate is in tokens per second.
 	rate, burst Tokens
 	// kept holds the tokens that this VM keeps, spare those beyond, which go to the pool.
 	kept       Tokens
 	spare      Tokens
 	refilledAt time.Duration
+	// earned holds the tokens that requests have earned; nil for teams.
+	earned *earnings
 }
 
-// NewBuckets returns a Buckets without teams and with a share of 0. The clock now must also
-// count suspended time.
-func NewBuckets(now func() time.Duration) *Buckets {
-	return &Buckets{now: now, buckets: make(map[fleet.TeamID]*bucket)}
+// NewBuckets returns a Buckets without accounts and with a share of 0. The clock now must also
+// count suspended time. The retries of each service are bounded by the given limit.
+func NewBuckets(now func() time.Duration, retries RetryLimit) *Buckets {
+	return &Buckets{now: now, retries: retries, buckets: make(map[fleet.TeamID]*bucket)}
 }
 
-// Configure applies the teams and limits of a configuration. Tokens above a lowered burst are
-// dropped.
+// Configure applies the teams, services and limits of a configuration. Tokens above a lowered burst
+// are dropped.
 func (p *Buckets) Configure(cfg *catalogue.Config) {
 	now := p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	next := make(map[fleet.TeamID]*bucket, len(cfg.Teams))
+	limits := p.retries.accounts(cfg)
+	next := make(map[fleet.TeamID]*bucket, len(limits))
 	accruesFrom := now
 	if !p.configured && p.share > 0 {
 		accruesFrom = p.accruesFrom // Include what accrued before the first limits were known.
 	}
 	p.configured = true
-	for _, t := range cfg.Teams {
-		b, ok := p.buckets[t.ID]
+	for id, limit := range limits {
+		b, ok := p.buckets[id]
 		if ok {
 			p.refill(b, now)
 		} else {
-			b = &bucket{refilledAt: accruesFrom}
+			b = p.newBucket(id, accruesFrom)
 		}
-		b.rate, b.burst = Tokens(t.Rate), Tokens(t.Burst)
+		b.rate, b.burst = limit.rate, limit.burst
 		p.refill(b, now)
 		p.clamp(b)
-		next[t.ID] = b
+		next[id] = b
 	}
 	p.buckets = next
 }
 
+// newBucket returns an empty bucket that accrues tokens from a time on.
+func (p *Buckets) newBucket(id fleet.TeamID, accruesFrom time.Duration) *bucket {
+	b := &bucket{id: id, refilledAt: accruesFrom}
+	if isRetryAccount(id) {
+		b.earned = p.retries.newEarnings()
+	}
+	return b
+}
+
 // SetShare sets this VM's share of all rates, between 0 and 1, and when it expires on the
 // clock given to NewBuckets.
 func (p *Buckets) SetShare(share float64, expiry time.Duration) {
@@ -196,7 +211,7 @@
 		return 0
 	}
 	p.refill(b, p.now())
-	return max(Tokens(p.share)*splitBurst(b.burst, p.share, p.isolated).kept-b.kept, 0)
+	return max(Tokens(p.share)*split(b.id, b.burst, p.share, p.isolated).kept-b.kept, 0)
 }
 
 // refill adds the tokens that have accrued since the last refill. The caller holds mu.
@@ -206,12 +221,15 @@
 		p.clamp(b)
 	}
 	b.refilledAt = now
+	if b.earned != nil {
+		b.earned.advance(now)
+	}
 }
 
 // clamp moves tokens above this VM's part of the burst to the spare tokens, and drops spare
 // tokens above their bound. The caller holds mu.
 func (p *Buckets) clamp(b *bucket) {
-	share, fractions := Tokens(p.share), splitBurst(b.burst, p.share, p.isolated)
+	share, fractions := Tokens(p.share), split(b.id, b.burst, p.share, p.isolated)
 	if excess := b.kept - share*fractions.kept; excess > 0 {
 		b.kept -= excess
 		b.spare += excess
@@ -229,15 +247,26 @@
 		return false
 	}
 	p.refill(b, p.now())
-	if b.kept+b.spare < n {
+	if b.available() < n {
 		return false
 	}
+	if b.earned != nil {
+		n -= b.earned.take(n)
+	}
 	fromSpare := min(b.spare, n)
 	b.spare -= fromSpare
 	b.kept -= n - fromSpare
 	return true
 }
 
+// available returns the number of tokens in the bucket.
+func (b *bucket) available() Tokens {
+	if b.earned == nil {
+		return b.kept + b.spare
+	}
+	return b.kept + b.spare + b.earned.sum()
+}
+
 // Return puts back tokens that were taken before, or adds tokens that came from the pool. It
 // ignores unknown teams.
 func (p *Buckets) Return(team fleet.TeamID, n Tokens) {
@@ -261,14 +290,23 @@
 			continue
 		}
 		p.refill(b, now)
-		if b.spare > 0 {
-			out[id] = b.spare
-			b.spare = 0
+		if n := b.takeSpare(); n > 0 {
+			out[id] = n
 		}
 	}
 	return out
 }
 
+// takeSpare removes the tokens that are for the pool, and returns their number.
+func (b *bucket) takeSpare() Tokens {
+	n := b.spare
+	b.spare = 0
+	if b.earned != nil {
+		n += b.earned.takeSlots(ownSlots, earningSlots)
+	}
+	return n
+}
+
 // RefillTime returns how long all VMs together take to accrue n tokens of a team, or one
 // second if the team is unknown or its rate is 0.
 func (p *Buckets) RefillTime(team fleet.TeamID, n Tokens) time.Duration {
--- a/ratelimit/client.go
+++ b/ratelimit/client.go
@@ -184,7 +184,7 @@
 // hosts the pool, the tokens that this VM's own pool holds of these teams are included.
 func (c *Client) newDeposit(pools, pool int, host PoolHost, counts bool) Deposit {
 	inPool := func(t fleet.TeamID) bool { return poolOf(t, pools) == pool }
-	d := Deposit{VM: c.cfg.VM, Spare: c.cfg.Buckets.TakeSpare(inPool)}
+	d := Deposit{VM: c.cfg.VM, Spare: c.cfg.Buckets.TakeSpare(inPool), Earned: c.cfg.Buckets.takeYoung(inPool)}
 	if host.VM != c.cfg.VM {
 		for t, n := range c.cfg.OwnPool.takeAll(inPool) {
 			d.Spare[t] += n
@@ -321,26 +321,37 @@
 	if need < 0 {
 		return 0, false
 	}
-	if c.cfg.Buckets.Take(t.ID, need) {
+	if c.take(ctx, t.ID, need) {
 		return 0, true
 	}
-	if !c.poolEmpty(t.ID) {
-		if c.fetchTokens(ctx, t.ID, need) {
-			return 0, true
-		}
-		c.mu.Lock()
-		c.emptyPools[t.ID] = c.cfg.Now()
-		c.mu.Unlock()
-	}
 	return c.cfg.Buckets.RefillTime(t.ID, need), false
 }
 
-// poolEmpty reports whether the pool had too few tokens of a team within emptyPoolBackoff.
+// take charges an account, fetching tokens from its pool if this VM has too few, and reports whether
+// it was charged.
+func (c *Client) take(ctx context.Context, id fleet.TeamID, need Tokens) bool {
+	if c.cfg.Buckets.Take(id, need) {
+		return true
+	}
+	if c.poolEmpty(id) {
+		return false
+	}
+	if c.fetchTokens(ctx, id, need) {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.emptyPools[id] = c.cfg.Now()
+	return false
+}
+
+// poolEmpty reports whether the pool had too few tokens of a team within poolBackoff.
 func (c *Client) poolEmpty(t fleet.TeamID) bool {
+	backoff := c.poolBackoff(t)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	at, ok := c.emptyPools[t]
-	return ok && c.cfg.Now()-at < emptyPoolBackoff
+	return ok && c.cfg.Now()-at < backoff
 }
 
 // fetchTokens takes the tokens that a request needs from the team's pool, and as many as this
@@ -357,7 +368,11 @@
 		if !ok {
 			return false
 		}
-		in := Request{Deposit: c.newDeposit(len(pools), pool, host, counts), Team: team, Need: need, Want: need + c.cfg.Buckets.FreeCapacity(team)}
+		d := c.newDeposit(len(pools), pool, host, counts)
+		if n := c.cfg.Buckets.takeEarned(team); n > 0 {
+			d.Spare[team] += n // Less than one token, which is of use only with those of the pool.
+		}
+		in := Request{Deposit: d, Team: team, Need: need, Want: need + c.cfg.Buckets.FreeCapacity(team)}
 		var out Grant
 		if !c.call(ctx, host, "Take", in, &out) {
 			continue
--- a/ratelimit/client_test.go
+++ b/ratelimit/client_test.go
@@ -120,8 +120,8 @@
 		hosts[i%pools] = append(hosts[i%pools], PoolHost{VM: id, Address: string(id)})
 	}
 	for i := range n {
-		v := &testVM{fleet: f, id: fleet.VMID(fmt.Sprint(i)), buckets: NewBuckets(now)}
-		v.pool = NewPool(now, v.buckets.ShareExpired)
+		v := &testVM{fleet: f, id: fleet.VMID(fmt.Sprint(i)), buckets: NewBuckets(now, RetryLimit{})}
+		v.pool = NewPool(now, v.buckets.ShareExpired, RetryLimit{})
 		v.pool.upstreamLimits.random = rand.New(rand.NewPCG(1, uint64(i))).Float64
 		v.client = NewClient(ClientConfig{
 			VM: v.id, OwnPool: v.pool, Buckets: v.buckets, Peers: f, PoolHosts: func() [][]PoolHost { return v.orderHosts(hosts) },
@@ -333,7 +333,7 @@
 	team := &catalogue.Team{ID: "team", Rate: 10_000, Burst: 10_000}
 	f := newTestFleet(6, 1, team)
 	started := f.vms[0]
-	started.pool = NewPool(started.client.cfg.Now, started.buckets.ShareExpired)
+	started.pool = NewPool(started.client.cfg.Now, started.buckets.ShareExpired, RetryLimit{})
 	started.client.cfg.OwnPool = started.pool
 	f.syncAll(10)
 	_, ok := f.vms[5].client.Take(t.Context(), team, 1000)
--- a/ratelimit/pool.go
+++ b/ratelimit/pool.go
@@ -19,12 +19,16 @@
 	// upstreamLimits grants permits for upstreams with an announced limit. It has its own
 	// lock.
 	upstreamLimits *upstreamLimits
+	// retries is the limit of each service's retries.
+	retries RetryLimit
 
 	mu sync.Mutex
 	// The fields below are guarded by mu. tokens holds the pool's tokens of each team, bursts
 	// the teams' bursts.
-	tokens     map[fleet.TeamID]Tokens
-	bursts     map[fleet.TeamID]Tokens
+	tokens map[fleet.TeamID]Tokens
+	bursts map[fleet.TeamID]Tokens
+	// earned holds what requests have earned for retry accounts, beside the pool's tokens.
+	earned     map[fleet.TeamID]*earnings
 	depositors map[fleet.VMID]depositor
 	// maxTokens holds the bound on each team's tokens, as computed at recountedAt. stale is
 	// set if it has to be computed again.
@@ -68,6 +72,9 @@
 	Lapsed bool
 	// Spare holds the tokens that the VM gives to the pool.
 	Spare map[fleet.TeamID]Tokens
+	// Earned holds the tokens that requests have recently earned for retry accounts. Earlier versions
+	// ignore it.
+	Earned map[fleet.TeamID]Tokens
 	// Pool names the pool that the message is for. Bond binds the VM to its host.
 	Pool PoolID
 	Bond Bond
@@ -75,10 +82,10 @@
 
 // NewPool returns an empty pool that is closed until Configure is called. The clock now must also
 // count suspended time. ownShareExpired reports whether the store has not confirmed the share of
-// this VM recently.
-func NewPool(now func() time.Duration, ownShareExpired func() bool) *Pool {
+// this VM recently. The retries of each service are bounded by the given limit.
+func NewPool(now func() time.Duration, ownShareExpired func() bool, retries RetryLimit) *Pool {
 	return &Pool{
-		now: now, ownShareExpired: ownShareExpired, upstreamLimits: newUpstreamLimits(now, ownShareExpired), tokens: make(map[fleet.TeamID]Tokens), bursts: make(map[fleet.TeamID]Tokens),
+		now: now, ownShareExpired: ownShareExpired, retries: retries, upstreamLimits: newUpstreamLimits(now, ownShareExpired), tokens: make(map[fleet.TeamID]Tokens), bursts: make(map[fleet.TeamID]Tokens), earned: make(map[fleet.TeamID]*earnings),
 		depositors: make(map[fleet.VMID]depositor), maxTokens: make(map[fleet.TeamID]Tokens),
 	}
 }
@@ -89,9 +96,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	clear(p.bursts)
-	for _, t := range cfg.Teams {
-		p.bursts[t.ID] = Tokens(t.Burst)
+	limits := p.retries.accounts(cfg)
+	for id, limit := range limits {
+		p.bursts[id] = limit.burst
 	}
+	p.configureEarned(limits)
 	p.stale, p.open = true, !p.left
 	p.recount()
 }
@@ -156,6 +165,7 @@
 	for id, n := range in.Spare {
 		p.tokens[id] = min(p.tokens[id]+max(n, 0), p.maxTokens[id])
 	}
+	p.addEarned(in.Earned)
 }
 
 // Take applies a VM's deposit, then removes and returns up to want tokens of a team, or none
@@ -168,12 +178,12 @@
 		return 0, ErrClosed
 	}
 	p.apply(in)
-	have := p.tokens[team]
+	have := p.tokens[team] + p.earnedSum(team)
 	if need <= 0 || have < need && !p.overLimitAllowed(team, need) {
 		return 0, nil
 	}
 	given := max(need, min(have, want))
-	p.tokens[team] = have - given
+	p.tokens[team] -= given - p.takeEarned(team, given)
 	return given, nil
 }
 
@@ -182,8 +192,11 @@
 
 // overLimitAllowed reports whether a request for more tokens than the pool can ever hold is to
 // be granted, which it is once the pool is full. The pool goes into debt for the rest;
-// otherwise such a request could never run. The caller holds mu.
+// otherwise such a request could never run. Pools do not lend retries. The caller holds mu.
 func (p *Pool) overLimitAllowed(team fleet.TeamID, need Tokens) bool {
+	if isRetryAccount(team) {
+		return false
+	}
 	limit := poolFraction * p.bursts[team]
 	return limit > 0 && need > limit && p.tokens[team] >= fullThreshold*limit
 }
@@ -204,7 +217,7 @@
 			continue
 		}
 		for id, burst := range p.bursts {
-			p.maxTokens[id] += Tokens(d.share) * splitBurst(burst, d.share, false).pool
+			p.maxTokens[id] += Tokens(d.share) * split(id, burst, d.share, false).pool
 		}
 	}
 	for id, n := range p.tokens {
--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -31,9 +31,9 @@
 
 func newFleet(n int) *testFleet {
 	f := &testFleet{}
-	f.pool = ratelimit.NewPool(func() time.Duration { return f.now }, func() bool { return false })
+	f.pool = ratelimit.NewPool(func() time.Duration { return f.now }, func() bool { return false }, ratelimit.RetryLimit{})
 	for range n {
-		f.buckets = append(f.buckets, ratelimit.NewBuckets(func() time.Duration { return f.now }))
+		f.buckets = append(f.buckets, ratelimit.NewBuckets(func() time.Duration { return f.now }, ratelimit.RetryLimit{}))
 	}
 	return f
 }
@@ -156,7 +156,7 @@
 func TestTokensAccrueBeforeLimitsAreKnown(t *testing.T) {
 	is := is.New(t)
 	now := time.Hour
-	p := ratelimit.NewBuckets(func() time.Duration { return now })
+	p := ratelimit.NewBuckets(func() time.Duration { return now }, ratelimit.RetryLimit{})
 	team := &catalogue.Team{ID: "team", Rate: 1000, Burst: 100_000}
 	p.SetShare(1, now+time.Minute)
 	now += time.Second
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -102,7 +102,7 @@
 	// rejected.
 	StaleAfter time.Duration
 	// Budget bounds the retries.
-	Budget *RetryBudget
+	Budget RetryBudget
 	// VMCount returns how many VMs choose among the same upstreams, this one included.
 	VMCount func() float64
 	// StopAt returns when a planned stop ends the process, the zero time if none is planned.
@@ -121,6 +121,7 @@
 	picker  *Picker
 	notices *noticeHandler
 	crashes *crashDetector
+	retries *retries
 }
 
 // New returns a handler.
@@ -135,6 +136,7 @@
 		picker:  picker,
 		notices: n,
 		crashes: newCrashDetector(cfg.Dial, cfg.Roster, cfg.Starts),
+		retries: newRetries(cfg),
 	}
 }
 
--- a/serving/replace.go
+++ b/serving/replace.go
@@ -60,13 +60,14 @@
 	if t.c.Adapter != "" {
 		list = withAdapter(list, t.c)
 	}
-	if len(list) == 0 || !t.h.cfg.Budget.AllowsRetry() {
+	if len(list) == 0 || !t.h.retries.take(ctx, t.service) {
 		return nil, ""
 	}
 	u := t.h.picker.Best(list, nil)
 	credit, _, ok := t.acquireCredit(ctx, u, 0)
-	if !ok || !t.h.cfg.Budget.TakeRetry() {
+	if !ok {
 		credit.Release()
+		t.h.retries.giveBack(t.service)
 		return nil, ""
 	}
 	a := &attempt{u: u, credit: credit, lastEvent: t.out.resumeEventID(t.c)}
@@ -75,6 +76,9 @@
 	err := t.send(a)
 	stop()
 	mayHaveRun := !notSent(err)
+	if !mayHaveRun {
+		t.h.retries.giveBack(t.service)
+	}
 	if err == nil {
 		reply := t.h.cfg.Wire.ReadReply(a.resp.Status, a.resp.Header)
 		if !reply.NotRun && a.resp.Status < http.StatusMultipleChoices {
--- a/serving/run.go
+++ b/serving/run.go
@@ -58,11 +58,12 @@
 	if !ok {
 		return fault.New(fault.NoUpstream, "no upstream of route %q can be used", c.Route.Name)
 	}
-	h.cfg.Budget.CountRequest()
+	h.retries.countRequest(service)
 	if c.Model != "" {
 		h.cfg.Loader.CountRequest(service, c.Model, c.TokensIn+c.TokensOut)
 	}
 	t := &attempts{h: h, c: c, out: out, service: service}
+	defer t.returnRetry()
 	return t.run(ctx)
 }
 
@@ -86,6 +87,8 @@
 	// failedReplacements is the number of upstreams that may have run the request in place of a
 	// silent one, and whose answer was not used. Only the watchdog changes it.
 	failedReplacements atomic.Int32
+	// hasRetry is set while a retry has been taken from the budget and not been sent.
+	hasRetry bool
 	// lastErr is why the last attempt failed.
 	lastErr error
 
@@ -163,7 +166,7 @@
 	}
 	if t.replacement != nil {
 		t.discardReplacement()
-		if !t.h.cfg.Budget.TakeRetry() {
+		if !t.takeRetry(ctx) {
 			return false, t.lastErr
 		}
 	}
@@ -180,7 +183,23 @@
 	if n := int(t.failedReplacements.Load()); n > 0 && len(t.tried)+n >= t.c.Route.Attempts && t.replacement == nil {
 		return false
 	}
-	return ctx.Err() == nil && t.sends < maxSends && (t.replacement != nil || t.h.cfg.Budget.TakeRetry())
+	return ctx.Err() == nil && t.sends < maxSends && (t.replacement != nil || t.takeRetry(ctx))
+}
+
+// takeRetry takes a retry from the budget, unless one was taken that was not sent, and reports
+// whether the call may be sent once more.
+func (t *attempts) takeRetry(ctx context.Context) bool {
+	if !t.hasRetry {
+		t.hasRetry = t.h.retries.take(ctx, t.service)
+	}
+	return t.hasRetry
+}
+
+// returnRetry returns a retry that was not sent to the budget.
+func (t *attempts) returnRetry() {
+	if t.hasRetry {
+		t.h.retries.giveBack(t.service)
+	}
 }
 
 // finalError returns the error of a call that no attempt has answered.
@@ -220,6 +239,9 @@
 	t.begin(ctx, a)
 	w := t.startWatchdog(a)
 	err = t.send(a)
+	if !notSent(err) {
+		t.hasRetry = false
+	}
 	if err == nil {
 		return t.finish(a, w)
 	}
@@ -383,7 +405,7 @@
 		t.recordFailed(a, err)
 		return mayRetry, err
 	}
-	if resp.Status >= http.StatusInternalServerError && mayRetry && t.h.cfg.Budget.AllowsRetry() {
+	if mayRetry && t.retriesServerError(a) {
 		return true, fault.New(fault.UpstreamFailed, "upstream %q answered %d", u.ID, resp.Status)
 	}
 	if t.out.headerSent && !isEventStream(resp) {
@@ -411,6 +433,12 @@
 	return false, nil
 }
 
+// retriesServerError reports whether the answer of an attempt is an error of the upstream for which
+// the call is sent once more. Otherwise the client gets that answer.
+func (t *attempts) retriesServerError(a *attempt) bool {
+	return a.resp.Status >= http.StatusInternalServerError && t.sends < maxSends && t.takeRetry(a.parent)
+}
+
 // guaranteesNotRun reports whether a status tells the client that its request has not run. The gateway
 // passes none of them on from an upstream that does not state that in another way.
 func guaranteesNotRun(status int) bool {
