Take no retry for a send after an unreachable upstream

A client whose first upstream could not be reached got 503 when the retry budget of the service was used up, although nothing of its request had been sent and other upstreams were free.

Cause: every send but the first drew on the budget. A call now takes a retry only once a part of it may have reached an upstream; maxSends still bounds its sends.

--- a/serving/replace.go
+++ b/serving/replace.go
@@ -76,7 +76,9 @@
 	err := t.send(a)
 	stop()
 	mayHaveRun := !notSent(err)
-	if !mayHaveRun {
+	if mayHaveRun {
+		t.arrived.Store(true)
+	} else {
 		t.h.retries.giveBack(t.service)
 	}
 	if err == nil {
--- a/serving/run.go
+++ b/serving/run.go
@@ -87,6 +87,8 @@
 	// failedReplacements is the number of upstreams that may have run the request in place of a
 	// silent one, and whose answer was not used. Only the watchdog changes it.
 	failedReplacements atomic.Int32
+	// arrived is set once a part of the request may have reached an upstream.
+	arrived atomic.Bool
 	// hasRetry is set while a retry has been taken from the budget and not been sent.
 	hasRetry bool
 	// lastErr is why the last attempt failed.
@@ -186,9 +188,12 @@
 	return ctx.Err() == nil && t.sends < maxSends && (t.replacement != nil || t.takeRetry(ctx))
 }
 
-// takeRetry takes a retry from the budget, unless one was taken that was not sent, and reports
-// whether the call may be sent once more.
+// takeRetry takes a retry from the budget, unless one was taken that was not sent, or nothing was
+// sent yet. It reports whether the call may be sent once more.
 func (t *attempts) takeRetry(ctx context.Context) bool {
+	if !t.arrived.Load() {
+		return true
+	}
 	if !t.hasRetry {
 		t.hasRetry = t.h.retries.take(ctx, t.service)
 	}
@@ -240,6 +245,7 @@
 	w := t.startWatchdog(a)
 	err = t.send(a)
 	if !notSent(err) {
+		t.arrived.Store(true)
 		t.hasRetry = false
 	}
 	if err == nil {
