Shorten the deposits of retry accounts

Deposits of a VM name each service, several times a second. What is rounded off is lost, never created.

--- a/ratelimit/buckets.go
+++ b/ratelimit/buckets.go
@@ -302,7 +302,7 @@
 	n := b.spare
 	b.spare = 0
 	if b.earned != nil {
-		n += b.earned.takeSlots(ownSlots, earningSlots)
+		n = shorten(n + b.earned.takeSlots(ownSlots, earningSlots))
 	}
 	return n
 }
--- a/ratelimit/retries.go
+++ b/ratelimit/retries.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"strings"
 	"time"
 
@@ -37,7 +38,7 @@
 
 // retryAccountPrefix begins the IDs of retry accounts. No team has it in its ID, because it is not
 // valid UTF-8 and documents with the teams are.
-const retryAccountPrefix = "\xffretries/"
+const retryAccountPrefix = "\xff"
 
 // retryAccount returns the ID of the account of a service's retries, which is kept beside those of
 // the teams.
@@ -212,7 +213,7 @@
 		if sum := b.earned.sum(); sum == 0 || sum >= 1 {
 			continue
 		}
-		if n := b.earned.takeSlots(0, youngSlots); n > 0 {
+		if n := shorten(b.earned.takeSlots(0, youngSlots)); n > 0 {
 			out[id] = n
 		}
 	}
@@ -229,6 +230,12 @@
 	}
 }
 
+// shorten rounds a number of tokens down to 13 significant bits, with which it takes 4 bytes in a
+// message in place of 9.
+func shorten(n Tokens) Tokens {
+	return Tokens(math.Float64frombits(math.Float64bits(float64(n)) &^ (1<<40 - 1)))
+}
+
 // addEarned adds tokens that requests have earned to the pool. The caller holds mu.
 func (p *Pool) addEarned(earned map[fleet.TeamID]Tokens) {
 	for id, n := range earned {
