--- a/ratelimit/retries_test.go
+++ b/ratelimit/retries_test.go
@@ -1,6 +1,8 @@
 package ratelimit
 
 import (
+	"bytes"
+	"encoding/gob"
 	"testing"
 	"time"
 	"unicode/utf8"
@@ -29,6 +31,22 @@
 	is.Equal(given, Tokens(5))
 }
 
+// Guards against deposits that VMs of earlier versions, which do not know earned tokens, cannot read.
+func TestEarlierVersionsReadDeposits(t *testing.T) {
+	is := is.New(t)
+	id := retryAccount("service")
+	var message bytes.Buffer
+	is.NoErr(gob.NewEncoder(&message).Encode(Deposit{VM: "1", Share: 0.5, Spare: map[fleet.TeamID]Tokens{"team": 5, id: 1}, Earned: map[fleet.TeamID]Tokens{id: 1}}))
+	var earlier struct {
+		VM    fleet.VMID
+		Share float64
+		Spare map[fleet.TeamID]Tokens
+	}
+	is.NoErr(gob.NewDecoder(&message).Decode(&earlier))
+	is.Equal(earlier.Share, 0.5)
+	is.Equal(earlier.Spare, map[fleet.TeamID]Tokens{"team": 5, id: 1})
+}
+
 // Guards against a team whose name is the ID of a retry account: documents hold valid UTF-8 only.
 func TestNoTeamNameIsRetryAccount(t *testing.T) {
 	is := is.New(t)
