--- a/roster/roster.go
+++ b/roster/roster.go
@@ -39,7 +39,7 @@
 	// Removed lists the upstreams whose entries were removed, in no order relative to Entries: for
 	// each upstream the newest record decides.
 	Removed []fleet.UpstreamID
-	// Malformed holds an error for each malformed entry.
+	// Malformed holds the errors of malformed entries.
 	Malformed []error
 }
 
