Bound what the answers of the store take together

Each answer had a limit of 16 MiB and heads one of 10 MiB, but the answers of the five followers and of repeated reads had none together. Pages (HasMore) and records before a far end were collected without any limit, and many empty records or JSON values took 10 to 20 times their bytes once decoded.

The machine kills such a process, and with it the requests of all its clients.

A directory of 1,400 upstreams fits twice on the smallest machines.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -56,7 +56,10 @@
 // budgets returns the state of the budgets of the admission control.
 func (g *Gateway) budgets() []metric.Budget {
 	a := g.admission
-	out := []metric.Budget{{Name: "bytes", Used: float64(a.Bytes.Used()), Limit: float64(a.Bytes.Limit())}}
+	out := []metric.Budget{
+		{Name: "bytes", Used: float64(a.Bytes.Used()), Limit: float64(a.Bytes.Limit())},
+		{Name: "store_answers", Used: float64(a.StoreAnswers.Used()), Limit: float64(a.StoreAnswers.Limit())},
+	}
 	for _, b := range []struct {
 		name  string
 		state interface {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -112,6 +112,7 @@
 		buckets:   ratelimit.NewBuckets(bootclock.Now),
 	}
 	g.admission = g.newAdmission()
+	g.store.LimitAnswers(g.admission.StoreAnswers)
 	g.peerClient = peer.NewClientWithDial(g.admission.ToVMs.Wrap(peer.DialTCP))
 	g.panics = guard.NewPanicReporter(g.events, meters.Panic)
 	g.peers = peer.NewServer(g.panics.Report)
--- a/ingress/admission.go
+++ b/ingress/admission.go
@@ -35,12 +35,19 @@
 const (
 	bytesPercent = 25
 	connsPercent = 25
+	// answersPercent is for the answers of the store. Half of it is for those of more than SmallBytes: on
+	// the smallest machines the newest entries of 1,400 upstreams, with those that are read again at the
+	// same time.
+	answersPercent = 12
 	// connBytes is what a waiting connection holds: the kernel's buffer of twice receiveBuffer, which
 	// a client can fill, and the buffers and stacks of net/http.
 	connBytes = 2*receiveBuffer + 16<<10
 	// minBytes is the least budget: half of it has space for one body of 4 MiB while its buffer grows
 	// from 2 MiB.
 	minBytes = 12 << 20
+	// minAnswerBytes is the least budget for answers: half of it has space for one of 4 MiB while its
+	// buffer grows from 2 MiB.
+	minAnswerBytes = 12 << 20
 )
 
 // Buffers of the kernel for the connections of clients. Without a limit the kernel buffers several MiB
@@ -101,6 +108,9 @@
 	cfg Config
 	// Bytes is the budget for what is read for clients and other VMs, nil if there is none.
 	Bytes *Bytes
+	// StoreAnswers is the budget for the answers of the store, nil if there is none. It is apart from
+	// Bytes so that a faulty store takes nothing from clients.
+	StoreAnswers *Bytes
 	// Clients, VMs, Readiness and Metrics are the connections of the listeners.
 	Clients, VMs, Readiness, Metrics *Conns
 	// ToEngines and ToVMs count the connections that the process opens.
@@ -122,6 +132,7 @@
 	if cfg.MemoryMB > 0 {
 		memory := int64(cfg.MemoryMB) << 20
 		a.Bytes = NewBytes(max(memory*bytesPercent/100, minBytes))
+		a.StoreAnswers = NewBytes(max(memory*answersPercent/100, minAnswerBytes))
 		clients = min(clients, int(memory*connsPercent/100/connBytes))
 	}
 	a.Clients, a.VMs = NewConns(max(clients, minConns), cfg.Now), NewConns(share(vmsPercent), cfg.Now)
