Limit the lines of the head of an upstream's answer

The head of an answer was limited to 64 KiB, but not its lines, and each line takes some 100 bytes besides its own: a head of 13,000 short lines takes 1.3 MB. With 112 such engines, their reports and 100 requests of clients (safe, resumable, HEAD) a process took 167 MiB (stalled heads) and 220 MiB (stalled bodies after them); the bound is 92 MiB, half of the smallest machine, which kills the process at 184. Requests for another service were rejected meanwhile.

Heads now have at most 32 KiB and 128 lines.

--- a/transport/conn.go
+++ b/transport/conn.go
@@ -21,6 +21,7 @@
 type conn struct {
 	net.Conn
 	limit  *allowance.Reader
+	head   *headLines
 	reader *bufio.Reader
 	// idleUntil is the time after which an idle connection must not be reused, because the upstream
 	// may close it; the zero time before the first answer.
@@ -46,11 +47,13 @@
 	if err != nil {
 		return nil, err
 	}
-	in := allowance.New(c, errHeadTooLong)
-	return &conn{Conn: c, limit: in, reader: bufio.NewReaderSize(in, readBufferSize)}, nil
+	head := &headLines{r: c}
+	in := allowance.New(head, errHeadTooLong)
+	return &conn{Conn: c, limit: in, head: head, reader: bufio.NewReaderSize(in, readBufferSize)}, nil
 }
 
-// errHeadTooLong is the error of an answer whose headers are longer than maxHeadBytes.
+// errHeadTooLong is the error of an answer whose headers have more than maxHeadBytes or
+// maxHeadLines.
 var errHeadTooLong = errors.New("the head of the answer is too long")
 
 // reusable reports whether an idle connection can carry another request: idleUntil has not passed, the
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -25,7 +25,7 @@
 // Limits on what is read from a faulty upstream before its connection is closed.
 const (
 	// maxHeadBytes is the most bytes of headers, those of preceding informational answers included.
-	maxHeadBytes = 64 << 10
+	maxHeadBytes = 32 << 10
 	// maxInformational is the most informational answers (status 1xx) before an answer.
 	maxInformational = 16
 	// maxForeignBodyBytes is the most bytes of the body of an answer to another request.
@@ -189,6 +189,10 @@
 	c.limit.SetLimit(maxHeadBytes)
 	defer c.limit.RemoveLimit()
 	for range maxInformational {
+		read, _ := c.reader.Peek(c.reader.Buffered()) // Never more than is buffered.
+		if err := c.head.begin(read); err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(c.reader, req)
 		if err != nil {
 			return nil, redactError(err)
