Bound what answers to the VM's own calls take together

The answers to calls now take their space from one budget, apart from those of clients and of the store. An answer without space, or longer than 1 MiB, fails its call; before, a longer one was cut there without an error.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -206,7 +206,7 @@
 		StaleAfter: g.staleAfter(),
 		Budget:     serving.NewRetryBudget(g.cfg.RepeatRatio, g.cfg.RepeatSlack, time.Duration(g.cfg.RepeatWindow), g.membership.Size),
 		VMCount:    g.vmsPerDataCentre,
-		StopAt:     g.stopTime, Directory: g.directory, Space: g.admission.Bytes, OnReject: g.admission.Reject,
+		StopAt:     g.stopTime, Directory: g.directory, Space: g.admission.Bytes, CallAnswers: g.admission.CallAnswers, OnReject: g.admission.Reject,
 	}
 }
 
--- a/serving/crash_detector.go
+++ b/serving/crash_detector.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"toucanfall/ingress"
 	"toucanfall/internal/loop"
 	"toucanfall/roster"
 	"toucanfall/transport"
@@ -77,6 +78,8 @@
 	roster *roster.Roster
 	// probe is nil if upstreams cannot be asked.
 	probe StartProbe
+	// answers is the budget for the answers to probe, nil if there is none.
+	answers *ingress.Bytes
 
 	mu sync.Mutex
 	// checks holds the upstreams that are being checked, and the functions to call with the findings of
@@ -241,6 +244,7 @@
 	}
 	p := transport.NewPool(u.Address(), func(context.Context, string) (net.Conn, error) { return conn, nil }, nil)
 	defer p.Close()
+	p.LimitAnswers(d.answers)
 	start, err := d.probe.EngineStart(ctx, p, u)
 	switch known := u.StartTime(); {
 	case errors.Is(err, ErrOtherInstance), err == nil && start != 0 && known != 0 && start != known:
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -110,6 +110,8 @@
 	Directory Directory
 	// Space is the budget for bodies and responses, nil if there is none.
 	Space *ingress.Bytes
+	// CallAnswers is the budget for the answers of upstreams to the VM's own calls, nil if there is none.
+	CallAnswers *ingress.Bytes
 	// OnReject, if not nil, is called for each request that a bound of package ingress ends.
 	OnReject func(ingress.Kind)
 }
@@ -126,15 +128,17 @@
 // New returns a handler.
 func New(cfg Config) *Handler {
 	n := newNoticeHandler(cfg)
-	p := newPools(cfg.Dial, n.receive)
+	p := newPools(cfg.Dial, n.receive, cfg.CallAnswers)
 	picker := NewPicker(cfg.Roster, cfg.DataCentre, cfg.VMCount, p.connected, rand.Float64)
 	picker.regions = cfg.Regions
+	crashes := newCrashDetector(cfg.Dial, cfg.Roster, cfg.Starts)
+	crashes.answers = cfg.CallAnswers
 	return &Handler{
 		cfg:     cfg,
 		pools:   p,
 		picker:  picker,
 		notices: n,
-		crashes: newCrashDetector(cfg.Dial, cfg.Roster, cfg.Starts),
+		crashes: crashes,
 	}
 }
 
--- a/serving/pools.go
+++ b/serving/pools.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 
+	"toucanfall/ingress"
 	"toucanfall/roster"
 	"toucanfall/transport"
 )
@@ -15,13 +16,15 @@
 	dial transport.Dialer
 	// onHead is called with the status and headers of each answer of an upstream.
 	onHead func(u *roster.Upstream, status int, h http.Header)
+	// answers is the budget for the answers of upstreams to the VM itself, nil if there is none.
+	answers *ingress.Bytes
 
 	mu         sync.Mutex
 	byUpstream map[*roster.Upstream]*transport.Pool // Guarded by mu.
 }
 
-func newPools(dial transport.Dialer, onHead func(*roster.Upstream, int, http.Header)) *pools {
-	return &pools{dial: dial, onHead: onHead, byUpstream: make(map[*roster.Upstream]*transport.Pool)}
+func newPools(dial transport.Dialer, onHead func(*roster.Upstream, int, http.Header), answers *ingress.Bytes) *pools {
+	return &pools{dial: dial, onHead: onHead, answers: answers, byUpstream: make(map[*roster.Upstream]*transport.Pool)}
 }
 
 // get returns the connection pool of an upstream, and creates it on first use.
@@ -33,6 +36,7 @@
 		return pool
 	}
 	pool = transport.NewPool(u.Address(), p.dial, func(status int, h http.Header) { p.onHead(u, status, h) })
+	pool.LimitAnswers(p.answers)
 	p.byUpstream[u] = pool
 	p.mu.Unlock()
 	u.OnRemoved(func() { p.drop(u) })
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"toucanfall/ingress"
 )
 
 // ErrNotSent is the error of requests that failed before any byte of them was sent.
@@ -303,9 +305,19 @@
 // maxCallAnswerBytes is the most that is read of the body of an answer to a Call.
 const maxCallAnswerBytes = 1 << 20
 
-// Call sends a request of the VM itself, and returns the status and the body of its answer. A body
-// longer than maxCallAnswerBytes is cut off there without an error. Errors are as in [Pool.Do], or those
-// of reading the body and of [Call.Verify].
+// readBody reads the whole body of an answer to a Call, within a reservation.
+func (a *Answer) readBody(space *ingress.Reservation) ([]byte, error) {
+	// The context of the request is the only bound of its time.
+	b, err := ingress.ReadBody(ingress.Body{Reader: a.Body, Length: a.Length, Limit: maxCallAnswerBytes, SetReadDeadline: func(time.Time) {}}, space)
+	if err != nil {
+		return nil, err
+	}
+	return b, nil
+}
+
+// Call sends a request of the VM itself, and returns the status and the body of its answer. It fails if the
+// body is longer than maxCallAnswerBytes or has no space in the budget. Errors are as in
+// [Pool.Do], or those of reading the body and of [Call.Verify].
 func (p *Pool) Call(ctx context.Context, c Call) (int, []byte, error) {
 	method := http.MethodGet
 	if c.Body != nil {
@@ -323,7 +335,9 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	b, err := io.ReadAll(io.LimitReader(a.Body, maxCallAnswerBytes))
+	space := p.answers.Reservation()
+	defer space.Release()
+	b, err := a.readBody(space)
 	if err == nil {
 		err = c.Verify(a.Status, b)
 	}
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -10,6 +10,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"toucanfall/ingress"
 )
 
 // Bounds of connections to upstreams.
@@ -37,6 +39,8 @@
 	address string
 	dial    Dialer
 	onHead  func(status int, h http.Header)
+	// answers is the budget for the answers to calls, nil if there is none.
+	answers *ingress.Bytes
 
 	mu     sync.Mutex
 	idle   []*conn
@@ -49,6 +53,10 @@
 	return &Pool{address: address, dial: dial, onHead: onHead}
 }
 
+// LimitAnswers sets the budget for the answers to calls of the VM itself, of all pools that have it. A call
+// whose answer has no space fails. It must be called before the first call.
+func (p *Pool) LimitAnswers(budget *ingress.Bytes) { p.answers = budget }
+
 // Close closes the idle connections. Requests in flight continue, and their connections are closed
 // after them.
 func (p *Pool) Close() {
