Refuse a cut report that has no frame as the answer to an order

An engine's answer without a frame ends with its connection, so that a cut looks like its end. A report in place of the answer to an order, cut in its body, is no JSON document and was therefore not recognised as a report: the order counted as carried out ("already so") though nothing showed it. Found by cutting answers at every byte.

Answers to the VM's own calls without a frame now fail if their document is unfinished, as those to clients do. The check is the same one, now in package transport.

--- a/serving/answer.go
+++ b/serving/answer.go
@@ -6,11 +6,9 @@
 	"errors"
 	"fmt"
 	"io"
-	"mime"
 	"net/http"
 	"os"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -143,30 +141,18 @@
 // off, and unproved if nothing shows that it is whole. b holds at most the first maxBufferedBytes+1
 // bytes.
 func checkUnframed(resp *transport.Answer, b []byte) (unproved bool, err error) {
-	if len(b) > maxBufferedBytes || !isJSON(resp.Header.Get("Content-Type")) {
+	if len(b) > maxBufferedBytes || !transport.IsJSON(resp.Header) {
 		return true, nil
 	}
 	if json.Valid(b) {
 		return false, nil
 	}
-	if isUnfinished(b) {
+	if transport.IsUnfinished(b) {
 		return false, errors.New("its document is unfinished")
 	}
 	return true, nil
 }
 
-// isUnfinished reports whether more bytes could make b a JSON document.
-func isUnfinished(b []byte) bool {
-	err := json.NewDecoder(bytes.NewReader(b)).Decode(new(json.RawMessage))
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
-}
-
-// isJSON reports whether a media type is application/json or has the suffix +json (RFC 6839).
-func isJSON(contentType string) bool {
-	kind, _, err := mime.ParseMediaType(contentType)
-	return err == nil && (kind == "application/json" || strings.HasSuffix(kind, "+json"))
-}
-
 func (a *answer) copyChunks(body io.Reader, onProgress func()) error {
 	buf := make([]byte, copyBufferSize)
 	for {
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -3,11 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"mime"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -305,18 +308,37 @@
 // maxCallAnswerBytes is the most that is read of the body of an answer to a Call.
 const maxCallAnswerBytes = 1 << 20
 
-// readBody reads the whole body of an answer to a Call, within a reservation.
+// readBody reads the whole body of an answer to a Call, within a reservation. It fails if the body is a
+// document that ends with the connection before it is complete.
 func (a *Answer) readBody(space *ingress.Reservation) ([]byte, error) {
 	// The context of the request is the only bound of its time.
 	b, err := ingress.ReadBody(ingress.Body{Reader: a.Body, Length: a.Length, Limit: maxCallAnswerBytes, SetReadDeadline: func(time.Time) {}}, space)
 	if err != nil {
 		return nil, err
 	}
+	if a.Framing == Unframed && (IsJSON(a.Header) || len(b) > 0) && IsUnfinished(b) {
+		return nil, errUnfinished
+	}
 	return b, nil
 }
 
+var errUnfinished = errors.New("the answer broke off: its document is unfinished")
+
+// IsUnfinished reports whether more bytes could make b a JSON document.
+func IsUnfinished(b []byte) bool {
+	err := json.NewDecoder(bytes.NewReader(b)).Decode(new(json.RawMessage))
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
+// IsJSON reports whether the media type of an answer is application/json or has the suffix +json
+// (RFC 6839).
+func IsJSON(h http.Header) bool {
+	kind, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return err == nil && (kind == "application/json" || strings.HasSuffix(kind, "+json"))
+}
+
 // Call sends a request of the VM itself, and returns the status and the body of its answer. It fails if the
-// body is longer than maxCallAnswerBytes or has no space in the budget. Errors are as in
+// body is longer than maxCallAnswerBytes, has no space in the budget, or was broken off. Errors are as in
 // [Pool.Do], or those of reading the body and of [Call.Verify].
 func (p *Pool) Call(ctx context.Context, c Call) (int, []byte, error) {
 	method := http.MethodGet
