Bound what the answers of other VMs take together

A VM calls its relay, pool hosts, prefill hosts and the coordinator at the same time.

The client takes the space of responses from a budget of its own, as the server does for requests, and returns it after each response: a connection may stay unused for long. A connection whose response has no space is closed.

Without the budget the test fails: "not true: say(client, l.Addr().String(), strings.Repeat("t", 3<<20)) != nil". Not measured in real processes.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -59,6 +59,7 @@
 	out := []metric.Budget{
 		{Name: "bytes", Used: float64(a.Bytes.Used()), Limit: float64(a.Bytes.Limit())},
 		{Name: "store_answers", Used: float64(a.StoreAnswers.Used()), Limit: float64(a.StoreAnswers.Limit())},
+		{Name: "vm_answers", Used: float64(a.VMAnswers.Used()), Limit: float64(a.VMAnswers.Limit())},
 		{Name: "call_answers", Used: float64(a.CallAnswers.Used()), Limit: float64(a.CallAnswers.Limit())},
 	}
 	for _, b := range []struct {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -114,6 +114,7 @@
 	g.admission = g.newAdmission()
 	g.store.LimitAnswers(g.admission.StoreAnswers)
 	g.peerClient = peer.NewClientWithDial(g.admission.ToVMs.Wrap(peer.DialTCP))
+	g.peerClient.LimitMessages(g.admission.VMAnswers, func() { g.admission.Reject(ingress.MessageNoSpace) })
 	g.panics = guard.NewPanicReporter(g.events, meters.Panic)
 	g.peers = peer.NewServer(g.panics.Report)
 	g.peers.LimitMessages(g.admission.Bytes, func() { g.admission.Reject(ingress.MessageNoSpace) })
--- a/ingress/admission.go
+++ b/ingress/admission.go
@@ -39,6 +39,8 @@
 	// the smallest machines the newest entries of 1,400 upstreams, with those that are read again at the
 	// same time.
 	answersPercent = 12
+	// vmsAnswersPercent is for the answers of other VMs. Those of up to 64 KiB are not counted.
+	vmsAnswersPercent = 8
 	// callsPercent is for the answers of upstreams to the VM's own calls: at 184 MB 1,400 reports of
 	// ordinary size at once, and 3 of 1 MiB.
 	callsPercent = 8
@@ -51,6 +53,9 @@
 	// minAnswerBytes is the least budget for answers: half of it has space for one of 4 MiB while its
 	// buffer grows from 2 MiB.
 	minAnswerBytes = 12 << 20
+	// minVMAnswerBytes is the least budget for answers of VMs: half of it has space for two directories of
+	// 1,400 upstreams (200 kB) and a configuration of 1 MB.
+	minVMAnswerBytes = 8 << 20
 	// minCallBytes is the least budget for calls: half of it has space for a report of 1 MiB while its
 	// buffer grows, and all of it for 1,400 of 4 KiB.
 	minCallBytes = 8 << 20
@@ -117,6 +122,9 @@
 	// StoreAnswers is the budget for the answers of the store, nil if there is none. It is apart from
 	// Bytes so that a faulty store takes nothing from clients.
 	StoreAnswers *Bytes
+	// VMAnswers is the budget for the answers of other VMs, nil if there is none. It is apart from Bytes, as
+	// StoreAnswers is.
+	VMAnswers *Bytes
 	// CallAnswers is the budget for the answers of upstreams to the VM's own calls, nil if there is none.
 	CallAnswers *Bytes
 	// Clients, VMs, Readiness and Metrics are the connections of the listeners.
@@ -140,6 +148,7 @@
 	if cfg.MemoryMB > 0 {
 		memory := int64(cfg.MemoryMB) << 20
 		a.Bytes = NewBytes(max(memory*bytesPercent/100, minBytes))
+		a.VMAnswers = NewBytes(max(memory*vmsAnswersPercent/100, minVMAnswerBytes))
 		a.CallAnswers = NewBytes(max(memory*callsPercent/100, minCallBytes))
 		a.StoreAnswers = NewBytes(max(memory*answersPercent/100, minAnswerBytes))
 		clients = min(clients, int(memory*connsPercent/100/connBytes))
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -27,7 +27,7 @@
 	// the previous message.
 	in  *allowance.Reader
 	dec *gob.Decoder
-	// charged reserves space for messages, nil on the side of the client.
+	// charged reserves space for messages.
 	charged *chargedReader
 
 	mu  sync.Mutex // guards out and enc
@@ -49,7 +49,8 @@
 	free int
 }
 
-// begin returns the space of the previous message. It is called before the next one.
+// begin returns the space of the previous message. It is called before the next one, and by a client also
+// after each, as a connection may stay unused for long.
 func (r *chargedReader) begin() {
 	r.space.Release()
 	r.free = chargeStep
@@ -71,22 +72,11 @@
 
 var errNoSpace = errors.New("the memory for messages is used up")
 
-func newCodec(conn net.Conn) *codec {
+// newCodec returns a codec whose messages take their space from a budget.
+func newCodec(conn net.Conn, space *ingress.Bytes, onNoSpace func()) *codec {
 	conn = timeoutConn{conn}
-	return newCodecOn(conn, conn)
-}
-
-// newServerCodec returns a codec whose messages take their space from the budget of the server.
-func (s *Server) newServerCodec(conn net.Conn) *codec {
-	conn = timeoutConn{conn}
-	charged := &chargedReader{Reader: conn, space: s.space.Reservation(), onNoSpace: s.onNoSpace, free: chargeStep}
-	c := newCodecOn(conn, charged)
-	c.charged = charged
-	return c
-}
-
-func newCodecOn(conn net.Conn, in io.Reader) *codec {
-	c := &codec{conn: conn, in: allowance.New(in, errMessageTooLong), out: bufio.NewWriter(conn)}
+	charged := &chargedReader{Reader: conn, space: space.Reservation(), onNoSpace: onNoSpace, free: chargeStep}
+	c := &codec{conn: conn, in: allowance.New(charged, errMessageTooLong), charged: charged, out: bufio.NewWriter(conn)}
 	c.dec, c.enc = gob.NewDecoder(bufio.NewReader(c.in)), gob.NewEncoder(c.out)
 	return c
 }
@@ -95,9 +85,7 @@
 // Reads beyond the limit fail with errMessageTooLong.
 func (c *codec) readHeader(header any) error {
 	c.in.SetLimit(maxMessageSize)
-	if c.charged != nil {
-		c.charged.begin()
-	}
+	c.charged.begin()
 	return c.dec.Decode(header)
 }
 
@@ -125,10 +113,19 @@
 func (c clientCodec) WriteRequest(r *rpc.Request, body any) error { return c.write(r, body) }
 
 // ReadResponseHeader reads the header of a response.
-func (c clientCodec) ReadResponseHeader(r *rpc.Response) error { return c.readHeader(r) }
+func (c clientCodec) ReadResponseHeader(r *rpc.Response) error {
+	err := c.readHeader(r)
+	if err != nil {
+		c.charged.begin()
+	}
+	return err
+}
 
 // ReadResponseBody reads the body of a response.
-func (c clientCodec) ReadResponseBody(body any) error { return c.dec.Decode(body) }
+func (c clientCodec) ReadResponseBody(body any) error {
+	defer c.charged.begin()
+	return c.dec.Decode(body)
+}
 
 // serverCodec implements rpc.ServerCodec for a single request.
 type serverCodec struct {
@@ -176,7 +173,7 @@
 // read. It waits for the running ones and closes the connection.
 func (s *Server) ServeConn(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
-	c, read := s.newServerCodec(conn), make(chan error)
+	c, read := newCodec(conn, s.space, s.onNoSpace), make(chan error)
 	defer c.charged.space.Release()
 	var calls sync.WaitGroup
 	for more := true; more; more = <-read == nil {
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -192,3 +192,34 @@
 	s.Close()
 	is.NoErr(<-ended)
 }
+
+// Guards against peers whose responses together take more than the memory for them, as those of a faulty
+// VM do, and against space that is not returned after a response or at the end of a connection.
+func TestResponsesTakeSpace(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	s := peer.NewServer(func(string, *guard.Panic) {})
+	is.NoErr(s.Register("Echo", &echoService{}))
+	ended := make(chan error)
+	go func() { ended <- s.Serve(l) }()
+	space, noSpace := ingress.NewBytes(2<<20), make(chan struct{}, 1)
+	client := peer.NewClient(nil)
+	client.LimitMessages(space, func() { noSpace <- struct{}{} })
+	for range 3 {
+		is.NoErr(say(client, l.Addr().String(), strings.Repeat("t", 300<<10)))
+		for space.Used() > 0 {
+			time.Sleep(time.Millisecond) // The space is returned after the call. The test fails by its timeout.
+		}
+	}
+	is.True(say(client, l.Addr().String(), strings.Repeat("t", 3<<20)) != nil)
+	<-noSpace
+	for space.Used() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	is.NoErr(say(client, l.Addr().String(), "text")) // On another connection.
+	client.Close()
+	is.NoErr(l.Close())
+	s.Close()
+	is.NoErr(<-ended)
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -142,6 +142,9 @@
 // demand. It is safe for concurrent use.
 type Client struct {
 	dial DialFunc
+	// space and onNoSpace are as in LimitMessages.
+	space     *ingress.Bytes
+	onNoSpace func()
 
 	mu    sync.Mutex             // guards conns
 	conns map[string]*connection // by address
@@ -193,6 +196,13 @@
 	return &Client{dial: dial, conns: make(map[string]*connection)}
 }
 
+// LimitMessages sets the budget for the messages that are being read, on all connections together. A
+// connection whose message has no space is closed, and onNoSpace is called. It must be called before the
+// first call.
+func (cl *Client) LimitMessages(space *ingress.Bytes, onNoSpace func()) {
+	cl.space, cl.onNoSpace = space, onNoSpace
+}
+
 // Call calls a method of the peer at address and waits for the answer, at most until
 // ctx ends or callTimeout has passed. reply must be a non-nil pointer; it is set only
 // if Call returns nil. After an error other than an rpc.ServerError the method may
@@ -235,8 +245,8 @@
 	sendSlot chan struct{}
 }
 
-func newConnection(conn net.Conn) *connection {
-	return &connection{Client: rpc.NewClientWithCodec(clientCodec{newCodec(conn)}), sendSlot: make(chan struct{}, 1)}
+func (cl *Client) newConnection(conn net.Conn) *connection {
+	return &connection{Client: rpc.NewClientWithCodec(clientCodec{newCodec(conn, cl.space, cl.onNoSpace)}), sendSlot: make(chan struct{}, 1)}
 }
 
 // send starts a call in the background. It is not written if ctx ends before sendSlot
@@ -275,7 +285,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial peer %s: %w", address, err)
 	}
-	return cl.store(address, newConnection(conn)), nil
+	return cl.store(address, cl.newConnection(conn)), nil
 }
 
 // store stores a new connection. If another call stored one first, store closes the new
