Don't count pauses of the process as a slow reader

A client must accept 16 KiB of its response in 10 s of blocked writes. A write during which the process was paused counts as blocked, and the count was only reset after 16 KiB: six pauses of 2 s in the writes of a stream of small events ended it as that of a slow reader (connection closed, reader_slow), although the client had read everything at once. One pause of 2 s in each block does not end the response of a client that reads as slowly as permitted (TestPermittedReaderOfPausedProcessGetsAll passed at once).

The count now starts anew if the client's side has acknowledged all that was written (TIOCOUTQ, asked only while something is counted). A reader whose buffers are full is never in that state.

TestFastReaderOfPausedProcessGetsAll failed before: "5 != 64".

--- a/ingress/conns.go
+++ b/ingress/conns.go
@@ -5,7 +5,10 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Conns is the set of open connections of one listener. It handles the load of clients that open
@@ -228,6 +231,22 @@
 	return nil
 }
 
+// Drained reports whether the client's side has acknowledged all that was written.
+func (c *Conn) Drained() bool {
+	inner, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	rc, err := inner.SyscallConn()
+	if err != nil {
+		return false
+	}
+	queued := 1
+	var queryErr error
+	err = rc.Control(func(fd uintptr) { queued, queryErr = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) })
+	return err == nil && queryErr == nil && queued == 0
+}
+
 // SetLinger sets what becomes of unsent bytes at the close.
 func (c *Conn) SetLinger(sec int) error {
 	if inner, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
--- a/ingress/conns_test.go
+++ b/ingress/conns_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -217,3 +218,32 @@
 		is.True(a.Bytes.Limit() <= int64(m.memoryMB)<<20/4)
 	}
 }
+
+// Guards against a client that counts as having accepted all bytes while it reads none, or that never does.
+func TestDrainedWhenClientHasReadAll(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	client, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = client.Close() }()
+	accepted, err := l.Accept()
+	is.NoErr(err)
+	conn, _ := ingress.NewConns(1, time.Now).Add(accepted)
+	defer func() { _ = conn.Close() }()
+	is.True(conn.Drained())
+	is.NoErr(conn.SetWriteDeadline(time.Now().Add(100 * time.Millisecond)))
+	written := 0
+	for err = nil; err == nil; {
+		var n int
+		n, err = conn.Write(make([]byte, 64<<10)) // Until the buffers of both ends are full.
+		written += n
+	}
+	is.True(!conn.Drained())
+	_, err = io.CopyN(io.Discard, client, int64(written))
+	is.NoErr(err)
+	for !conn.Drained() {
+		time.Sleep(time.Millisecond) // The acknowledgement takes some time. The test fails by its timeout.
+	}
+}
--- a/serving/answer.go
+++ b/serving/answer.go
@@ -57,6 +57,8 @@
 	// blockedFor is how long the writes of the last written bytes took, at most a block of them.
 	blockedFor time.Duration
 	written    int
+	// drained, if not nil, reports whether the client has accepted all bytes that were written.
+	drained func() bool
 	// readerSlow is set if the client did not accept bytes in time.
 	readerSlow bool
 	// pendingReserved is what is reserved for an incomplete event beyond ingress.ResponseBytes.
@@ -298,6 +300,9 @@
 	if len(b) == 0 {
 		return nil
 	}
+	if a.blockedFor > 0 && a.drained != nil && a.drained() {
+		a.blockedFor, a.written = 0, 0 // The process was paused, or the client has caught up.
+	}
 	began := time.Now()
 	// Connections without deadlines are bounded by the client's own timeout.
 	_ = a.rc.SetWriteDeadline(began.Add(writeTimeout - a.blockedFor))
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -176,6 +176,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	a := newAnswer(w, h.cfg.Wire, received)
+	if conn := ingress.ConnOf(r.Context()); conn != nil {
+		a.drained = conn.Drained
+	}
 	a.space = h.cfg.Space.Reservation()
 	defer a.space.Release()
 	var c *Call
--- a/serving/progress_test.go
+++ b/serving/progress_test.go
@@ -36,18 +36,44 @@
 // Addr returns an empty address.
 func (l *oneConn) Addr() net.Addr { return &net.TCPAddr{} }
 
+// pausedWriter is a writer in a process that is paused for pause in every n-th write.
+type pausedWriter struct {
+	http.ResponseWriter
+	pause     time.Duration
+	n, writes int
+}
+
+// Write writes, after the pause.
+func (w *pausedWriter) Write(b []byte) (int, error) {
+	if w.writes++; w.pause > 0 && w.writes%w.n == 0 {
+		time.Sleep(w.pause)
+	}
+	return w.ResponseWriter.Write(b)
+}
+
+// Unwrap lets http.ResponseController find the methods of the response.
+func (w *pausedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // sendSlowly writes a response of 64 chunks of 2 KiB to a client that reads 512 bytes in each interval. It
 // returns how many chunks were accepted, and whether the client counts as slow.
 func sendSlowly(interval time.Duration) (accepted int, slow bool) {
+	return send(interval, 2<<10, &pausedWriter{}, nil)
+}
+
+// send is sendSlowly with chunks of another size, in a process that is paused as paused says. Drained
+// reports whether the client has accepted all bytes, if not nil.
+func send(interval time.Duration, chunk int, paused *pausedWriter, drained func() bool) (accepted int, slow bool) {
 	near, far := net.Pipe()
 	l := &oneConn{conn: make(chan net.Conn, 1), ended: make(chan struct{})}
 	l.conn <- far
 	done := make(chan struct{})
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		defer close(done)
-		a := newAnswer(w, nil, time.Now())
+		paused.ResponseWriter = w
+		a := newAnswer(paused, nil, time.Now())
+		a.drained = drained
 		for range 64 {
-			if a.write(make([]byte, 2<<10), true) != nil {
+			if a.write(make([]byte, chunk), true) != nil {
 				break
 			}
 			accepted++
@@ -89,3 +115,37 @@
 		is.True(!slow)
 	})
 }
+
+// Guards against the end of a response to a client that reads as slowly as permitted, because the process
+// is paused for 2 s once in each block of the response.
+func TestPermittedReaderOfPausedProcessGetsAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		accepted, slow := send(250*time.Millisecond, 2<<10, &pausedWriter{pause: 2 * time.Second, n: 8}, nil)
+		is.Equal(accepted, 64)
+		is.True(!slow)
+	})
+}
+
+// Guards against the end of a stream of small events to a client that reads all at once, because the
+// process is paused for 2 s in its writes: six such pauses within 16 KiB counted as 10 s of a slow reader.
+func TestFastReaderOfPausedProcessGetsAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		for _, n := range []int{1, 5, 10} {
+			accepted, slow := send(0, 100, &pausedWriter{pause: 2 * time.Second, n: n}, func() bool { return true })
+			is.Equal(accepted, 64)
+			is.True(!slow)
+		}
+	})
+}
+
+// Guards against a slow reader that counts as one that has accepted all bytes.
+func TestSlowReaderThatIsNotDrainedEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		accepted, slow := send(time.Second, 2<<10, &pausedWriter{}, func() bool { return false })
+		is.True(accepted < 5)
+		is.True(slow)
+	})
+}
