--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -112,14 +112,15 @@
 		buckets:   ratelimit.NewBuckets(bootclock.Now, retryLimit(cfg)),
 	}
 	g.admission = g.newAdmission()
-	g.peerClient = peer.NewClientWithDial(g.admission.ToVMs.Wrap(peer.DialTCP))
+	g.store.LimitAnswers(g.admission.StoreAnswers)
+	g.peerClient = g.newPeerClient()
 	g.panics = guard.NewPanicReporter(g.events, meters.Panic)
 	g.peers = peer.NewServer(g.panics.Report)
 	g.peers.LimitMessages(g.admission.Bytes, func() { g.admission.Reject(ingress.MessageNoSpace) })
 	self := group.NewMember(cfg.VM, cfg.Peers, cfg.DataCentre, group.NewProcess())
 	replica := relay.NewDirectory()
 	g.follower = relay.NewFollower(relay.FollowerConfig{
-		Self: self, Peers: peer.NewClientWithDial(g.admission.ToVMs.Wrap(peer.DialTCP)), MemberList: g.memberList, NewRequest: g.relayRequest, ApplyNews: g.applyNews, Now: bootclock.Now, Events: g.events,
+		Self: self, Peers: g.newPeerClient(), MemberList: g.memberList, NewRequest: g.relayRequest, ApplyNews: g.applyNews, Now: bootclock.Now, Events: g.events,
 		OnAnswer: func(o relay.Outcome, bytes int, took time.Duration) { meters.RelayAnswer(string(o), bytes, took) },
 	})
 	g.directory = newDirectoryFollower(directoryConfig{
@@ -178,6 +179,13 @@
 	)
 }
 
+// newPeerClient returns a client for calls to other VMs, with connections of its own.
+func (g *Gateway) newPeerClient() *peer.Client {
+	c := peer.NewClientWithDial(g.admission.ToVMs.Wrap(peer.DialTCP))
+	c.LimitMessages(g.admission.VMAnswers, func() { g.admission.Reject(ingress.MessageNoSpace) })
+	return c
+}
+
 // operatorBound returns the time within which what operators write must take effect: a
 // configuration, or an evacuation where that has a shorter bound.
 func operatorBound(cfg *settings.Gateway) time.Duration {
@@ -207,7 +215,7 @@
 		Budget:     g.rates,
 		VMCount:    g.vmsPerDataCentre,
 		// killMargin earlier than the VM reports not ready for, because the signal may come late.
-		StopAt: g.stopTime, BalancerStopLead: time.Duration(g.cfg.StopWithin) - notReadyPeriod, Directory: g.directory, Space: g.admission.Bytes, OnReject: g.admission.Reject,
+		StopAt: g.stopTime, BalancerStopLead: time.Duration(g.cfg.StopWithin) - notReadyPeriod, Directory: g.directory, Space: g.admission.Bytes, CallAnswers: g.admission.CallAnswers, OnReject: g.admission.Reject,
 	}
 }
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -148,6 +148,9 @@
 // demand. It is safe for concurrent use.
 type Client struct {
 	dial DialFunc
+	// space and onNoSpace are as in LimitMessages.
+	space     *ingress.Bytes
+	onNoSpace func()
 
 	// mu guards the fields below, and the calls and the retired state of connections.
 	mu    sync.Mutex
@@ -202,6 +205,13 @@
 	return &Client{dial: dial, conns: make(map[string]*connection), retired: make(map[*connection]struct{})}
 }
 
+// LimitMessages sets the budget for the messages that are being read, on all connections together. A
+// connection whose message has no space is closed, and onNoSpace is called. It must be called before the
+// first call.
+func (cl *Client) LimitMessages(space *ingress.Bytes, onNoSpace func()) {
+	cl.space, cl.onNoSpace = space, onNoSpace
+}
+
 // Call calls a method of the peer at address and waits for the answer, at most until
 // ctx ends or callTimeout has passed. reply must be a non-nil pointer; it is set only
 // if Call returns nil. After an error other than an rpc.ServerError the method may
@@ -279,9 +289,9 @@
 	sendSlot chan struct{}
 }
 
-func newConnection(conn net.Conn) *connection {
+func (cl *Client) newConnection(conn net.Conn) *connection {
 	received := &receiveTimer{Conn: conn, opened: time.Now()}
-	return &connection{Client: rpc.NewClientWithCodec(clientCodec{newCodec(received)}), received: received, sendSlot: make(chan struct{}, 1)}
+	return &connection{Client: rpc.NewClientWithCodec(clientCodec{newCodec(received, cl.space, cl.onNoSpace)}), received: received, sendSlot: make(chan struct{}, 1)}
 }
 
 // receiveTimer is a connection that records how many bytes were received and when, and whether a read
@@ -351,7 +361,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial peer %s: %w", address, err)
 	}
-	return cl.store(address, newConnection(conn)), nil
+	return cl.store(address, cl.newConnection(conn)), nil
 }
 
 // existing returns the open connection to address, false if there is none that can be read from.
--- a/serving/answer.go
+++ b/serving/answer.go
@@ -6,11 +6,9 @@
 	"errors"
 	"fmt"
 	"io"
-	"mime"
 	"net/http"
 	"os"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -67,6 +65,8 @@
 	// blockedFor is how long the writes of the last written bytes took, at most a block of them.
 	blockedFor time.Duration
 	written    int
+	// drained, if not nil, reports whether the client has accepted all bytes that were written.
+	drained func() bool
 	// readerSlow is set if the client did not accept bytes in time.
 	readerSlow bool
 	// pendingReserved is what is reserved for an incomplete event beyond ingress.ResponseBytes.
@@ -158,30 +158,18 @@
 // off, and unproved if nothing shows that it is whole. b holds at most the first maxBufferedBytes+1
 // bytes.
 func checkUnframed(resp *transport.Answer, b []byte) (unproved bool, err error) {
-	if len(b) > maxBufferedBytes || !isJSON(resp.Header.Get("Content-Type")) {
+	if len(b) > maxBufferedBytes || !transport.IsJSON(resp.Header) {
 		return true, nil
 	}
 	if json.Valid(b) {
 		return false, nil
 	}
-	if isUnfinished(b) {
+	if transport.IsUnfinished(b) {
 		return false, errors.New("its document is unfinished")
 	}
 	return true, nil
 }
 
-// isUnfinished reports whether more bytes could make b a JSON document.
-func isUnfinished(b []byte) bool {
-	err := json.NewDecoder(bytes.NewReader(b)).Decode(new(json.RawMessage))
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
-}
-
-// isJSON reports whether a media type is application/json or has the suffix +json (RFC 6839).
-func isJSON(contentType string) bool {
-	kind, _, err := mime.ParseMediaType(contentType)
-	return err == nil && (kind == "application/json" || strings.HasSuffix(kind, "+json"))
-}
-
 func (a *answer) copyChunks(body io.Reader, onProgress func()) error {
 	buf := make([]byte, copyBufferSize)
 	for {
@@ -331,6 +319,9 @@
 	if len(b) == 0 {
 		return nil
 	}
+	if a.blockedFor > 0 && a.drained != nil && a.drained() {
+		a.blockedFor, a.written = 0, 0 // The process was paused, or the client has caught up.
+	}
 	began := time.Now()
 	// Connections without deadlines are bounded by the client's own timeout.
 	_ = a.rc.SetWriteDeadline(began.Add(writeTimeout - a.blockedFor))
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -3,13 +3,18 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"mime"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
+
+	"toucanfall/ingress"
 )
 
 // ErrNotSent is the error of requests that failed before any byte of them was sent.
@@ -25,7 +30,7 @@
 // Limits on what is read from a faulty upstream before its connection is closed.
 const (
 	// maxHeadBytes is the most bytes of headers, those of preceding informational answers included.
-	maxHeadBytes = 64 << 10
+	maxHeadBytes = 32 << 10
 	// maxInformational is the most informational answers (status 1xx) before an answer.
 	maxInformational = 16
 	// maxForeignBodyBytes is the most bytes of the body of an answer to another request.
@@ -189,6 +194,10 @@
 	c.limit.SetLimit(maxHeadBytes)
 	defer c.limit.RemoveLimit()
 	for range maxInformational {
+		read, _ := c.reader.Peek(c.reader.Buffered()) // Never more than is buffered.
+		if err := c.head.begin(read); err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(c.reader, req)
 		if err != nil {
 			return nil, redactError(err)
@@ -299,9 +308,38 @@
 // maxCallAnswerBytes is the most that is read of the body of an answer to a Call.
 const maxCallAnswerBytes = 1 << 20
 
-// Call sends a request of the VM itself, and returns the status and the body of its answer. A body
-// longer than maxCallAnswerBytes is cut off there without an error. Errors are as in [Pool.Do], or those
-// of reading the body and of [Call.Verify].
+// readBody reads the whole body of an answer to a Call, within a reservation. It fails if the body is a
+// document that ends with the connection before it is complete.
+func (a *Answer) readBody(space *ingress.Reservation) ([]byte, error) {
+	// The context of the request is the only bound of its time.
+	b, err := ingress.ReadBody(ingress.Body{Reader: a.Body, Length: a.Length, Limit: maxCallAnswerBytes, SetReadDeadline: func(time.Time) {}}, space)
+	if err != nil {
+		return nil, err
+	}
+	if a.Framing == Unframed && (IsJSON(a.Header) || len(b) > 0) && IsUnfinished(b) {
+		return nil, errUnfinished
+	}
+	return b, nil
+}
+
+var errUnfinished = errors.New("the answer broke off: its document is unfinished")
+
+// IsUnfinished reports whether more bytes could make b a JSON document.
+func IsUnfinished(b []byte) bool {
+	err := json.NewDecoder(bytes.NewReader(b)).Decode(new(json.RawMessage))
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
+// IsJSON reports whether the media type of an answer is application/json or has the suffix +json
+// (RFC 6839).
+func IsJSON(h http.Header) bool {
+	kind, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return err == nil && (kind == "application/json" || strings.HasSuffix(kind, "+json"))
+}
+
+// Call sends a request of the VM itself, and returns the status and the body of its answer. It fails if the
+// body is longer than maxCallAnswerBytes, has no space in the budget, or was broken off. Errors are as in
+// [Pool.Do], or those of reading the body and of [Call.Verify].
 func (p *Pool) Call(ctx context.Context, c Call) (int, []byte, error) {
 	method := http.MethodGet
 	if c.Body != nil {
@@ -319,7 +357,9 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	b, err := io.ReadAll(io.LimitReader(a.Body, maxCallAnswerBytes))
+	space := p.answers.Reservation()
+	defer space.Release()
+	b, err := a.readBody(space)
 	if err == nil {
 		err = c.Verify(a.Status, b)
 	}
