Give up positions of a former era of the store

Cause: a position was a bare offset. After the store came back from a copy, a VM whose offset lay beyond the end of the log got 410, read the newest records, and dropped them because their end was lower than its position, but confirmed its directory by them. Once the log had grown past its offset, it read on from there and missed what stood before.

A position now holds the era in its high bits, so that it orders by the era first. The client reads the newest records when the store answers in a later era than that of a cursor, also if the offset exists again, and rejects answers of former eras. Relays send such positions to VMs that say that they order by them, and offsets to VMs of earlier versions, which would otherwise drop what they read from the store itself for good. News of a former era are neither applied over newer state nor count as a confirmation. A store that names no era is in era 0, in which positions equal offsets.

The stand-in of the store can be restored to its state of a time ago.

--- a/catalogue/evacuation.go
+++ b/catalogue/evacuation.go
@@ -5,11 +5,12 @@
 	"slices"
 
 	"toucanfall/fleet"
+	"toucanfall/internal/logpos"
 )
 
 // Position is how far the operators' topic was read. At the same position, all VMs know the same
 // evacuations.
-type Position int64
+type Position = logpos.Position
 
 // Update is what one read of the operators' topic returned.
 type Update struct {
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -324,8 +324,12 @@
 }
 
 // applyRead applies what was read up to a position, unless a relay has reported a later one
-// in the meantime. The read confirms the directory as of its request time either way.
+// in the meantime. The read confirms the directory as of its request time either way, unless it is of a
+// former era.
 func (f *directoryFollower) applyRead(c roster.Changes, position relay.Position, read *directoryRead, now time.Duration) {
+	if position.Era() < f.position().Era() {
+		return
+	}
 	if f.Replica.ApplyChanges(c, position, read.requestedAt) {
 		known := f.Roster.Upstreams()
 		f.applyChanges(c, f.suspectUntil-now)
--- a/gateway/directory_test.go
+++ b/gateway/directory_test.go
@@ -19,6 +19,7 @@
 	"toucanfall/catalogue"
 	"toucanfall/fleet"
 	"toucanfall/group"
+	"toucanfall/internal/logpos"
 	"toucanfall/platform"
 	"toucanfall/relay"
 	"toucanfall/roster"
@@ -35,6 +36,10 @@
 	start      time.Time
 	// frozen is the total time for which all VMs were paused while time went on elsewhere.
 	frozen time.Duration
+	// era counts the restores, of which the last was at restoredAt; away is set while no request is answered.
+	era        int64
+	away       bool
+	restoredAt time.Duration
 }
 
 // newDirectoryLog returns a directory with two upstreams.
@@ -80,13 +85,18 @@
 	}
 	c.records = append(c.records, ch)
 	c.leaveTimes[id] = c.nowLocked()
+
 }
 
-// leftAt returns when an upstream left, false if it is still there.
+// leftAt returns when an upstream left, false if it is still there. It counts from when the VMs are in
+// contact again if the store was restored after that.
 func (c *directoryLog) leftAt(id fleet.UpstreamID) (time.Duration, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	at, ok := c.leaveTimes[id]
+	if c.era > 0 {
+		at = max(at, c.restoredAt+contactPeriod)
+	}
 	return at, ok
 }
 
@@ -111,31 +121,36 @@
 	lastLost bool
 }
 
-// request returns the records after a position, the position of their end, and the delay of
-// the answer.
-func (r *directoryReader) request(from int64) (records []roster.Changes, end int64, delay time.Duration) {
+// request returns the records after a cursor, or all of them from the zero cursor and one of a former
+// era, the position of their end, and the delay of the answer.
+func (r *directoryReader) request(from platform.Cursor) (records []roster.Changes, all bool, end logpos.Position, delay time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.c.mu.Lock()
-	records, end = r.c.records[from:], int64(len(r.c.records))
-	r.c.mu.Unlock()
-	r.lastLost = r.failing.Load() || !r.lastLost && r.rng.Float64() < r.lossRate
+	defer r.c.mu.Unlock()
+	position := logpos.Position(from.Position())
+	start := position.Offset()
+	if position.Era() != r.c.era {
+		start = 0
+	}
+	records, end = slices.Clone(r.c.records[start:]), logpos.At(r.c.era, int64(len(r.c.records)))
+	r.lastLost = r.failing.Load() || r.c.away || !r.lastLost && r.rng.Float64() < r.lossRate
 	if r.lastLost {
-		return records, end, time.Hour
+		return records, start == 0, end, time.Hour
 	}
-	return records, end, time.Millisecond + time.Duration(r.rng.Float64()*float64(r.maxDelay))
+	return records, start == 0, end, time.Millisecond + time.Duration(r.rng.Float64()*float64(r.maxDelay))
 }
 
 // ReadDirectory answers after the delay of the request, or fails when ctx ends earlier.
 func (r *directoryReader) ReadDirectory(ctx context.Context, from platform.Cursor) (roster.Changes, platform.Cursor, error) {
-	records, end, delay := r.request(from.Position())
+	records, all, end, delay := r.request(from)
 	select {
 	case <-ctx.Done():
 		return roster.Changes{}, platform.Cursor{}, ctx.Err()
 	case <-time.After(delay):
 	}
 	// As in the store, the newest record of each upstream counts.
-	out := roster.Changes{Complete: from.Position() == 0}
+	out := roster.Changes{Complete: all}
 	seen := make(map[fleet.UpstreamID]bool)
 	for i := len(records) - 1; i >= 0; i-- {
 		for _, e := range records[i].Entries {
@@ -145,13 +160,13 @@
 			seen[e.ID] = true
 		}
 		for _, id := range records[i].Removed {
-			if !seen[id] {
+			if !seen[id] && !all {
 				out.Removed = append(out.Removed, id)
 			}
 			seen[id] = true
 		}
 	}
-	return out, platform.CursorAt(end), nil
+	return out, platform.CursorAt(int64(end)), nil
 }
 
 // node is a VM that follows the directory and serves it to others.
@@ -185,7 +200,7 @@
 			Self: self, Peers: network, MemberList: func() group.MemberList { return list }, Now: c.now, Events: events,
 			NewRequest: func() relay.Ask {
 				at, _ := replica.ConfirmedPosition()
-				return relay.Ask{Directory: at, Members: list.Fingerprint}
+				return relay.Ask{Directory: at, Members: list.Fingerprint, OrdersByEra: true}
 			},
 			ApplyNews: func(ctx context.Context, news *relay.News, checkedAt time.Duration) bool {
 				return n.ApplyNews(ctx, news, checkedAt)
@@ -380,6 +395,6 @@
 	asked := n.Now()
 	var out relay.News
 	// Follow never fails.
-	_ = from.service.Peer().Follow(relay.Ask{Directory: at}, &out)
+	_ = from.service.Peer().Follow(relay.Ask{Directory: at, OrdersByEra: true}, &out)
 	return n.ApplyNews(ctx, &out, asked+out.Held)
 }
--- a/gateway/directory_update.go
+++ b/gateway/directory_update.go
@@ -21,7 +21,8 @@
 
 // ApplyNews applies the news of a relay that took them from its state at checkedAt or
 // later, and waits until run has done so. It reports whether the relay is useful: one that
-// was itself cut off from the store knows less than the store would report.
+// was itself cut off from the store, or has not read it since it was restored, knows less than the store
+// would report.
 func (f *directoryFollower) ApplyNews(ctx context.Context, n *relay.News, checkedAt time.Duration) bool {
 	if n.DirectoryAge == relay.UnknownAge {
 		return false
@@ -38,7 +39,7 @@
 		return false
 	}
 	<-update.done
-	return n.DirectoryAge < f.maxAge
+	return n.DirectoryAge < f.maxAge && n.Directory.Era() >= f.position().Era()
 }
 
 // applyUpdate applies what a relay reports. Entries that vanished while the store was
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -280,6 +280,7 @@
 	if f.evacuationsBounded && !n.HasEvacuations {
 		return useful // Nothing of the topic is confirmed, so this VM reads it itself.
 	}
+	former := n.HasEvacuations && n.EvacuationsAt.Era() < f.holder.Evacuations().Position.Era()
 	if n.HasEvacuations {
 		f.holder.AdoptEvacuations(catalogue.Evacuations{Known: true, Position: n.EvacuationsAt, DataCentres: n.Evacuated})
 	}
@@ -287,6 +288,9 @@
 		f.events.Record(event.GatewayFault, timeline.Fields{"reason": fmt.Sprintf("configuration %d of a relay: %v", n.Config, err)})
 		return false
 	}
+	if former {
+		return false // The relay has not read the topic since the store was restored.
+	}
 	f.holder.ConfirmVersion(n.Config, checkedAt-n.ConfigAge)
 	f.onUpdate()
 	return useful
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -267,7 +267,7 @@
 func (g *Gateway) relayRequest() relay.Ask {
 	version, _, _ := g.catalogue.ConfirmedVersion()
 	reports, _ := g.reports.state()
-	return relay.Ask{Directory: g.directory.position(), Config: version, Members: g.memberList().Fingerprint, Reports: reports, WantsReports: true, Evacuations: g.catalogue.Evacuations().Position, WantsEvacuations: true}
+	return relay.Ask{Directory: g.directory.position(), Config: version, Members: g.memberList().Fingerprint, Reports: reports, WantsReports: true, Evacuations: g.catalogue.Evacuations().Position, WantsEvacuations: true, OrdersByEra: true}
 }
 
 // applyNews applies the news of a relay that took them from its state at checkedAt or
--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -136,7 +136,8 @@
 	return nil
 }
 
-// update applies reports up to a cursor, confirmed at a time of the clock Now.
+// update applies reports up to a cursor, confirmed at a time of the clock Now. Those of a former era of the
+// store confirm nothing: the log may hold others since.
 func (f *reportFollower) update(reports []quarantine.Report, cursor platform.Cursor, confirmedAt time.Duration) {
 	f.Apply(reports)
 	f.mu.Lock()
@@ -147,7 +148,9 @@
 		}
 		f.kept = f.kept[max(len(f.kept)-maxKeptReports, 0):]
 	}
-	f.confirmedAt = max(f.confirmedAt, confirmedAt)
+	if relay.Position(cursor.Position()).Era() == f.position.Era() {
+		f.confirmedAt = max(f.confirmedAt, confirmedAt)
+	}
 	f.mu.Unlock()
 	f.OnUpdate()
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -23,13 +23,14 @@
 	"toucanfall/catalogue"
 	"toucanfall/fleet"
 	"toucanfall/group"
+	"toucanfall/internal/logpos"
 	"toucanfall/quarantine"
 	"toucanfall/roster"
 )
 
 // Position is how far the directory was read: two VMs at the same position have read the
 // same entries. 0 is before the first entry.
-type Position int64
+type Position = logpos.Position
 
 // Mark holds the times of a VM's confirmations, on its own clock. A VM sends the mark of
 // the last answer with its next request, which is answered once there is a newer
@@ -56,7 +57,10 @@
 	// WantsEvacuations is set, which VMs of earlier versions never do.
 	Evacuations      catalogue.Position
 	WantsEvacuations bool
-	Mark             Mark
+	// OrdersByEra is set if the VM knows that positions hold the era of the store. VMs of earlier
+	// versions never set it: they send and get offsets only.
+	OrdersByEra bool
+	Mark        Mark
 }
 
 // News is the answer to an [Ask]. Ages are as of the moment when the relay took its state,
--- a/relay/service.go
+++ b/relay/service.go
@@ -6,6 +6,7 @@
 
 	"toucanfall/catalogue"
 	"toucanfall/group"
+	"toucanfall/internal/logpos"
 	"toucanfall/quarantine"
 )
 
@@ -88,6 +89,28 @@
 	return nil
 }
 
+// addEras returns the request with the current eras added to its positions if its VM knows only offsets.
+// The offsets of such a VM may be of a former era, which it cannot tell either when it reads the store.
+func (s *Service) addEras(in Ask) Ask {
+	if in.OrdersByEra {
+		return in
+	}
+	directory, _ := s.cfg.Directory.ConfirmedPosition()
+	_, reports, _ := s.cfg.Reports.Since(in.Reports)
+	evacuations := s.cfg.Catalogue.Evacuations().Position
+	in.Directory = logpos.At(directory.Era(), in.Directory.Offset())
+	in.Reports = logpos.At(reports.Era(), in.Reports.Offset())
+	in.Evacuations = logpos.At(evacuations.Era(), in.Evacuations.Offset())
+	return in
+}
+
+// removeEras leaves only the offsets of the positions of an answer.
+func removeEras(n *News) {
+	n.Directory = Position(n.Directory.Offset())
+	n.ReportsAt = Position(n.ReportsAt.Offset())
+	n.EvacuationsAt = Position(n.EvacuationsAt.Offset())
+}
+
 // waitForNews waits until there is an update, or after minAnswerDelay a newer confirmation,
 // but no longer than maxAnswerDelay.
 func (s *Service) waitForNews(in Ask) {
@@ -112,6 +135,7 @@
 
 // hasNews reports whether this VM has an update for the requester.
 func (s *Service) hasNews(in Ask) bool {
+	in = s.addEras(in)
 	version, _, ok := s.cfg.Catalogue.ConfirmedVersion()
 	members, _ := s.cfg.Membership.MemberList()
 	membersChanged := in.Mark.VM == s.cfg.Self.VM() && members.Fingerprint != in.Mark.Print
@@ -136,6 +160,7 @@
 // answer returns what this VM knows, for a request that was received at receivedAt.
 func (s *Service) answer(in Ask, receivedAt time.Duration) News {
 	now := s.cfg.Now()
+	in = s.addEras(in)
 	out := News{Held: now - receivedAt, ConfigAge: UnknownAge, RollAge: UnknownAge, Mark: Mark{VM: s.cfg.Self.VM()}}
 	s.cfg.Directory.fillNews(in.Directory, now, &out)
 	// The confirmation is read first: one that comes later may be of later evacuations.
@@ -161,5 +186,8 @@
 			out.Members = members.Members
 		}
 	}
+	if !in.OrdersByEra {
+		removeEras(&out)
+	}
 	return out
 }
