Keep what was known of upstreams over a restore of the store

What callers see: requests to an engine that had reported that it leaves, or whose entry had been removed, because the copy from which the store came back still lists it as ready; and engines that are given up at once because the copy is older than their entries, although they live.

Entries were suspected rather than removed only if the VM had noticed an outage.

After a change of the era, vanished entries are suspected for the suspicion period. Entries that contradict what the VM knew of the same start are held: they count as draining, or are not used, until a later record of the upstream comes. If none comes within the time in which entries expire, the VM reads the whole directory again and believes it.

--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -101,6 +101,8 @@
 	// cause is why the read was started, ageBefore how old the directory was then.
 	cause     string
 	ageBefore time.Duration
+	// all is set if the whole directory is read, and not only its changes.
+	all bool
 }
 
 // readResult is the outcome of a directoryRead.
@@ -137,6 +139,8 @@
 	// suspectUntil is the time until which vanished entries are suspected rather than
 	// removed.
 	suspectUntil time.Duration
+	// restored holds what is not trusted of a directory that was restored.
+	restored *restoredFilter
 	// unreachable is set while the store does not answer.
 	unreachable atomic.Bool
 	// wake makes run check immediately whether a read is due.
@@ -153,7 +157,7 @@
 
 func newDirectoryFollower(cfg directoryConfig) *directoryFollower {
 	f := &directoryFollower{
-		directoryConfig: cfg, results: make(chan readResult), updates: make(chan directoryUpdate), wake: make(chan struct{}, 1), logged: make(map[*roster.Upstream]bool), loggedCold: make(map[*roster.Upstream]bool),
+		directoryConfig: cfg, results: make(chan readResult), updates: make(chan directoryUpdate), wake: make(chan struct{}, 1), restored: newRestoredFilter(), logged: make(map[*roster.Upstream]bool), loggedCold: make(map[*roster.Upstream]bool),
 	}
 	f.maxAge = max(cfg.DrainWithin-maxSendDelay, cfg.DrainWithin/2)
 	f.informedAge = max(f.maxAge-unreachableAfter-readRetryPause, f.maxAge/4)
@@ -209,12 +213,12 @@
 	}
 	f.unreachable.Store(f.silentSince != 0 && (now-f.silentSince >= unreachableAfter || f.failedReads >= maxFailedReads))
 	f.recordOverdue(now)
-	f.Roster.Expire(time.Now())
+	f.expireEntries(now)
 	cause := f.dueCause(now)
 	if cause == "" {
 		return nil
 	}
-	read := &directoryRead{requestedAt: now, cause: cause, ageBefore: now - confirmedAt}
+	read := &directoryRead{requestedAt: now, cause: cause, ageBefore: now - confirmedAt, all: f.restored.overdue(now)}
 	if f.silentSince == 0 {
 		f.silentSince = now
 	}
@@ -268,6 +272,9 @@
 		}
 		return "repeat"
 	}
+	if f.restored.overdue(now) {
+		return "restored"
+	}
 	if f.stalenessAt(now) < f.readAge() || f.Roster.ConfirmedAt() == 0 && f.UpdateExpected() {
 		return ""
 	}
@@ -279,6 +286,9 @@
 	var readCtx context.Context
 	readCtx, read.cancel = context.WithTimeout(ctx, readTimeout)
 	result := readResult{read: read, next: platform.CursorAt(int64(f.position()))}
+	if read.all {
+		result.next = platform.Cursor{}
+	}
 	reads.Go(func() {
 		defer read.cancel()
 		result.changes, result.next, result.err = f.Store.ReadDirectory(readCtx, result.next)
@@ -326,13 +336,27 @@
 // applyRead applies what was read up to a position, unless a relay has reported a later one
 // in the meantime. The read confirms the directory as of its request time either way, unless it is of a
 // former era.
+//
+// Entries that a restored directory lacks are suspected: live upstreams write theirs again.
 func (f *directoryFollower) applyRead(c roster.Changes, position relay.Position, read *directoryRead, now time.Duration) {
-	if position.Era() < f.position().Era() {
+	before := f.position()
+	if position.Era() < before.Era() {
 		return
 	}
+	if position >= before {
+		restored := f.isRestored(position)
+		if restored {
+			f.suspectUntil = now + suspicionPeriod
+		}
+		if read.all {
+			f.restored.release(read.requestedAt)
+		}
+		c = f.restored.apply(c, restored, f.knownEntry, now)
+	}
 	if f.Replica.ApplyChanges(c, position, read.requestedAt) {
 		known := f.Roster.Upstreams()
 		f.applyChanges(c, f.suspectUntil-now)
+		f.recordGone(known, now)
 		defer f.recordLeaving(known, read, now)
 		f.recordCold()
 	}
