Keep one coordinator and the shares of the rates over a restore of the store

What callers see: orders of two coordinators, or with a lower fencing token after a higher one, and more requests of a team than its rate allows, once the store has come back from a copy.

Cause: the fencing token was the offset of the claim, which goes back with the log. A claim, or its release, in the copy was taken for the newest one although others had been made since. Assignments of the restored group were used beside those that other VMs still had.

The token holds the era in its high bits and equals today's in era 0. A VM that learns of a later era gives up its claim and its share of the rates until it has joined again. Before the first claim in an era every VM waits as after a holder that did not release its claim. Until the shares of the former era have ended, none uses more than it had then. Claims name their era, so that one that the store executes late, in a later era, is known as such. The generation of a former era is not sent in a join. A claim history with records of a former era does not shorten the wait after a start.

The call sites of mayHaveHeldClaim in its test pass the era 0; what they check is the same.

--- a/group/fleet_test.go
+++ b/group/fleet_test.go
@@ -14,6 +14,7 @@
 
 	"toucanfall/fleet"
 	"toucanfall/group"
+	"toucanfall/internal/logpos"
 	"toucanfall/platform/standin"
 	"toucanfall/timeline"
 )
@@ -34,6 +35,8 @@
 	// expired, except the newest.
 	written   []time.Time
 	retention time.Duration
+	// era counts the restores.
+	era int64
 }
 
 // first returns the offset of the first claim that has not expired. The caller holds mu.
@@ -100,7 +103,7 @@
 	var out group.Dealt
 	err := s.callLater(ctx, "join", func() {
 		g, assigned := s.group.Join(string(m), topics, sessionTimeout, generation)
-		d := group.Dealt{Generation: g}
+		d := group.Dealt{Era: s.claims.currentEra(), Generation: g}
 		for _, p := range assigned {
 			d.Parts = append(d.Parts, group.Partition(slices.Index(topics, p.Topic)*8+p.Index))
 		}
@@ -138,13 +141,13 @@
 	defer s.claims.mu.Unlock()
 	if n := len(s.claims.list); n > 0 {
 		c := s.claims.list[n-1]
-		c.Next = int64(n)
+		c.Next = int64(logpos.At(s.claims.era, int64(n)))
 		if s.claims.first() > n-2 && c.Released {
 			c.Claimed = c.Holder // The claim has expired.
 		}
 		return c, nil
 	}
-	return group.Claim{}, nil
+	return group.Claim{Next: int64(logpos.At(s.claims.era, 0))}, nil
 }
 
 func (s *testStore) ReadClaimHistory(_ context.Context, end int64) (out []group.ClaimRecord, err error) {
@@ -156,32 +159,34 @@
 	defer s.claims.mu.Unlock()
 	for i := s.claims.first(); i < len(s.claims.list); i++ {
 		c := s.claims.list[i]
-		out = append(out, group.ClaimRecord{Holder: c.Holder, Released: c.Released, Offset: int64(i)})
+		out = append(out, group.ClaimRecord{Holder: c.Holder, Released: c.Released, Offset: int64(i), Era: c.Era})
 	}
-	if len(out) == 0 || out[len(out)-1].Offset < end-1 {
+	if len(out) == 0 || out[len(out)-1].Offset < logpos.Position(end).Offset()-1 {
 		return nil, errors.New("the newest claim has expired")
 	}
 	return out, nil
 }
 
-func (s *testStore) WriteClaim(ctx context.Context, holder group.Claimant, released bool, offset int64) (int64, error) {
-	conflict := false
+func (s *testStore) WriteClaim(ctx context.Context, holder group.Claimant, released bool, position int64) (int64, error) {
+	at, conflict := logpos.Position(position), false
 	err := s.callLater(ctx, "claim", func() {
 		s.claims.mu.Lock()
 		defer s.claims.mu.Unlock()
 		var claimed group.Claimant
-		if n := len(s.claims.list); released && n > 0 {
+		if n := len(s.claims.list); released && n > 0 && s.claims.list[n-1].Era == at.Era() {
 			claimed = s.claims.list[n-1].Holder
 		}
-		if conflict = offset != int64(len(s.claims.list)); !conflict {
+		// The store knows only offsets: the condition can hold again in a later era.
+		if conflict = at.Offset() != int64(len(s.claims.list)); !conflict {
 			s.claims.written = append(s.claims.written, time.Now())
-			s.claims.list = append(s.claims.list, group.Claim{Holder: holder, Released: released, Claimed: claimed})
+			s.claims.list = append(s.claims.list, group.Claim{Holder: holder, Released: released, Claimed: claimed, Era: at.Era()})
+			conflict = at.Era() != s.claims.era
 		}
 	})
 	if err == nil && conflict {
 		err = errors.New("another claim came first")
 	}
-	return offset, err
+	return position, err
 }
 
 // testVM is a VM with its membership.
--- a/group/group.go
+++ b/group/group.go
@@ -22,7 +22,7 @@
 
 	"toucanfall/event"
 	"toucanfall/fleet"
-	"toucanfall/internal/loop"
+	"toucanfall/internal/logpos"
 	"toucanfall/timeline"
 )
 
@@ -76,6 +76,9 @@
 
 // Dealt holds the partitions assigned to a VM in a generation of the group.
 type Dealt struct {
+	// Era is the era of the store. It rises by one each time that the store was restored from a copy.
+	// Generations of different eras cannot be compared.
+	Era        int64
 	Generation int64
 	Parts      []Partition
 }
@@ -94,15 +97,25 @@
 	// it, which the release ends if both are the same; zero if that claim is not known.
 	Released bool
 	Claimed  Claimant
-	// Next is the offset at which the next claim has to be written.
+	// Era is the era of the store in which the record was written.
+	Era int64
+	// Next is the position at which the next claim has to be written, in the present era of the store.
 	Next int64
 }
 
+// copied reports whether the record is none of the present era of the store: other claims that were made
+// since may be lost.
+func (c Claim) copied() bool {
+	return c.Era != logpos.Position(c.Next).Era()
+}
+
 // ClaimRecord is a claim, or the release of one, as it stands in the store.
 type ClaimRecord struct {
 	Holder   Claimant
 	Released bool
 	Offset   int64
+	// Era is the era of the store in which the record was written.
+	Era int64
 }
 
 // ended reports whether the claim no longer binds anyone: there is none, or its own process has
@@ -122,12 +135,12 @@
 	Owners(ctx context.Context, partitions int) (map[Partition]Member, error)
 	// ReadClaim returns the newest claim, or one without a holder if there is none.
 	ReadClaim(ctx context.Context) (Claim, error)
-	// ReadClaimHistory returns the records that are retained before the offset end, or the last
+	// ReadClaimHistory returns the records that are retained before the position end, or the last
 	// of them if there are many, in the order of their offsets. It fails if the last is missing.
 	// The store retains all records of the last 20 s.
 	ReadClaimHistory(ctx context.Context, end int64) ([]ClaimRecord, error)
-	// WriteClaim appends a claim, or the release of one, at an offset and returns that offset.
-	// It fails if another claim was appended there.
+	// WriteClaim appends a claim, or the release of one, at a position and returns that position.
+	// Positions rise over all eras of the store. It fails if another claim was appended there.
 	WriteClaim(ctx context.Context, holder Claimant, released bool, offset int64) (int64, error)
 }
 
@@ -187,6 +200,8 @@
 // It is safe for concurrent use.
 type Membership struct {
 	cfg Config
+	// wake ends the pause before the next join.
+	wake chan struct{}
 
 	mu sync.Mutex
 	// The fields below are guarded by mu. generation is the group's generation as of the last
@@ -199,6 +214,14 @@
 	memberList           MemberList
 	memberListGeneration int64
 	memberListAt         time.Duration
+	// era is the highest known era of the store, eraSeenAt when it was first known, 0 if it is the
+	// first one. joinedEra is the era of the last confirmed join.
+	era, joinedEra int64
+	eraSeenAt      time.Duration
+	// formerShare is this VM's share in the former era, and formerUntil when the shares of the former
+	// era have ended on all VMs.
+	formerShare float64
+	formerUntil time.Duration
 	// rereadOwners is set if the owners are to be read again. coordinatorLostAt is since when
 	// no VM answers as the coordinator, 0 while one does.
 	rereadOwners      bool
@@ -240,14 +263,18 @@
 
 // New returns a Membership that has not joined yet.
 func New(cfg Config) *Membership {
-	return &Membership{cfg: cfg}
+	return &Membership{cfg: cfg, wake: make(chan struct{}, 1)}
 }
 
 // Run joins repeatedly until ctx ends, and returns the error of ctx.
 func (m *Membership) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		m.joinOnce(ctx)
-		loop.Sleep(ctx, m.pause())
+		select {
+		case <-ctx.Done():
+		case <-m.wake:
+		case <-time.After(m.pause()):
+		}
 	}
 	return ctx.Err()
 }
@@ -271,6 +298,11 @@
 	if m.leaderSince != 0 {
 		return joinInterval
 	}
+	return m.followerInterval()
+}
+
+// followerInterval is interval of a VM that is not to be the coordinator. The caller holds mu.
+func (m *Membership) followerInterval() time.Duration {
 	byFleet := joinInterval * time.Duration(len(m.memberList.Members)) / joinIntervalFleetSize
 	return min(max(byFleet, joinInterval), maxJoinInterval)
 }
@@ -287,6 +319,10 @@
 	}
 	leaving := m.leaving
 	generation, timeout := m.generation, m.sessionTimeout()
+	if m.joinedEra != m.era {
+		// A generation of the former era might confirm revocations that this VM has not seen.
+		generation = 0
+	}
 	m.mu.Unlock()
 	if leaving {
 		return
@@ -321,7 +357,12 @@
 	if m.leaderSince != 0 {
 		return CoordinatorSessionTimeout
 	}
-	return max(SessionTimeout*m.interval()/maxJoinInterval, minSessionTimeout)
+	return m.followerSessionTimeout()
+}
+
+// followerSessionTimeout is sessionTimeout of a VM that is not to be the coordinator. The caller holds mu.
+func (m *Membership) followerSessionTimeout() time.Duration {
+	return max(SessionTimeout*m.followerInterval()/maxJoinInterval, minSessionTimeout)
 }
 
 // applyAssignment applies the partitions that the store has assigned in a join, at least for
@@ -333,6 +374,10 @@
 	if m.leaving {
 		return // The partitions were released while the call was in progress.
 	}
+	if d.Era < m.era {
+		return // The store was restored after it had answered.
+	}
+	m.enterEra(d.Era)
 	if d.Generation != m.generation {
 		m.cfg.Events.Record(event.PartsDealt, timeline.Fields{
 			"generation": fmt.Sprint(d.Generation), "parts": fmt.Sprint(len(d.Parts)),
@@ -342,13 +387,17 @@
 		// The membership may have ended, and another VM may have been the coordinator since.
 		m.loseLeadership(m.confirmedAt + leadershipLease)
 	}
-	m.generation, m.confirmedAt = d.Generation, requestedAt
+	m.generation, m.confirmedAt, m.joinedEra = d.Generation, requestedAt, d.Era
 	m.setLeader(slices.Contains(d.Parts, 0))
 	m.lostJoins = m.recentLostJoins(requestedAt)
 	for _, j := range m.lostJoins {
 		sessionTimeout = min(sessionTimeout, j.sessionTimeout)
 	}
-	m.setShare(float64(len(d.Parts))/float64(m.cfg.Partitions), requestedAt+sessionTimeout)
+	share, until := float64(len(d.Parts))/float64(m.cfg.Partitions), requestedAt+sessionTimeout
+	if m.cfg.Now() < m.formerUntil {
+		share = min(share, m.formerShare)
+	}
+	m.setShare(share, until)
 }
 
 // setShare sets this VM's share of the rates and when it expires. The caller holds mu.
@@ -560,7 +609,7 @@
 	m.mu.Unlock()
 	var released error
 	if fence != 0 {
-		// The claim is at offset fence-1, so its release must be written at the next one.
+		// The claim is at position fence-1, so its release must be written at the next one.
 		_, released = m.cfg.Store.WriteClaim(ctx, m.claimant(), true, fence)
 	}
 	return errors.Join(released, m.cfg.Store.Leave(ctx, m.cfg.Self))
--- a/group/leadership.go
+++ b/group/leadership.go
@@ -8,6 +8,7 @@
 
 	"toucanfall/event"
 	"toucanfall/fleet"
+	"toucanfall/internal/logpos"
 	"toucanfall/timeline"
 )
 
@@ -45,7 +46,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.leaderSince == since {
-		// Offsets begin at 0, but a fence of 0 means none.
+		// Positions begin at 0, but a fence of 0 means none.
 		m.fence = at + 1
 		m.cfg.Events.Record(event.DutyTaken, timeline.Fields{"fence": fmt.Sprint(m.fence)})
 	}
@@ -67,7 +68,7 @@
 	defer cancel()
 	holder := Claimant{VM: former.VM(), Process: former.Process()}
 	last, err := m.cfg.Store.ReadClaim(ctx)
-	if err == nil && last.Holder == holder && !last.Released {
+	if err == nil && last.Holder == holder && !last.Released && !last.copied() {
 		_, err = m.cfg.Store.WriteClaim(ctx, holder, true, last.Next)
 	}
 	if err != nil {
@@ -96,7 +97,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.historyRead = true
-	if !mayHaveHeldClaim(m.cfg.Self.VM(), history) {
+	if !mayHaveHeldClaim(m.cfg.Self.VM(), history, logpos.Position(last.Next).Era()) {
 		m.startWaitUntil = 0
 	}
 }
@@ -104,9 +105,10 @@
 // mayHaveHeldClaim reports whether a VM may have held a claim while the records of the history were
 // written. A holder stops giving orders before the next record of another VM. So the holder of the
 // record before the first one counts too, however old its claim is; it is known if the first record
-// is a release, which directly follows the claim that it ends.
-func mayHaveHeldClaim(vm fleet.VMID, history []ClaimRecord) bool {
-	if slices.ContainsFunc(history, func(r ClaimRecord) bool { return r.Holder.VM == vm }) {
+// is a release, which directly follows the claim that it ends. Between the records of two eras of the store
+// others may be lost.
+func mayHaveHeldClaim(vm fleet.VMID, history []ClaimRecord, era int64) bool {
+	if slices.ContainsFunc(history, func(r ClaimRecord) bool { return r.Holder.VM == vm || r.Era != era }) {
 		return true
 	}
 	return len(history) == 0 || history[0].Offset != 0 && !history[0].Released
@@ -124,11 +126,13 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.claimAt = 0
-	if last.Holder == (Claimant{}) || last.Holder.VM == m.cfg.Self.VM() {
+	until := m.copyWait(last, since)
+	own := last.Holder == (Claimant{}) || last.Holder.VM == m.cfg.Self.VM()
+	if own && until == 0 {
 		return false
 	}
-	until := max(m.ordersAllowedAt, m.startWaitUntil)
-	if !last.ended() {
+	until = max(until, m.ordersAllowedAt, m.startWaitUntil)
+	if !own && !last.ended() {
 		until = max(until, since+m.successorWait())
 	}
 	if m.cfg.Now() >= until {
--- a/group/members_test.go
+++ b/group/members_test.go
@@ -79,12 +79,12 @@
 func TestMayHaveHeldClaim(t *testing.T) {
 	is := is.New(t)
 	a, b, old := Claimant{VM: "vm-a", Process: "1"}, Claimant{VM: "vm-b", Process: "1"}, Claimant{VM: "vm-a"}
-	is.True(mayHaveHeldClaim("vm-a", nil))
-	is.True(!mayHaveHeldClaim("vm-a", []ClaimRecord{{Holder: b}}))
-	is.True(mayHaveHeldClaim("vm-a", []ClaimRecord{{Holder: b, Offset: 1}}))
-	is.True(!mayHaveHeldClaim("vm-a", []ClaimRecord{{Holder: b, Released: true, Offset: 1}}))
+	is.True(mayHaveHeldClaim("vm-a", nil, 0))
+	is.True(!mayHaveHeldClaim("vm-a", []ClaimRecord{{Holder: b}}, 0))
+	is.True(mayHaveHeldClaim("vm-a", []ClaimRecord{{Holder: b, Offset: 1}}, 0))
+	is.True(!mayHaveHeldClaim("vm-a", []ClaimRecord{{Holder: b, Released: true, Offset: 1}}, 0))
 	for _, own := range []Claimant{a, old} {
-		is.True(mayHaveHeldClaim("vm-a", []ClaimRecord{{Holder: own}, {Holder: b, Offset: 1}}))
-		is.True(mayHaveHeldClaim("vm-a", []ClaimRecord{{Holder: own, Released: true, Offset: 1}, {Holder: b, Offset: 2}}))
+		is.True(mayHaveHeldClaim("vm-a", []ClaimRecord{{Holder: own}, {Holder: b, Offset: 1}}, 0))
+		is.True(mayHaveHeldClaim("vm-a", []ClaimRecord{{Holder: own, Released: true, Offset: 1}, {Holder: b, Offset: 2}}, 0))
 	}
 }
