Log and count restores of the store

The era of the store, each change of it, and each read position that is given up for it show in the logs (store_restored, position_lost) and the metrics (toucanfall_store_era, toucanfall_store_positions_lost_total, by topic). Before, nothing told a restore from an outage, nor a VM that had read anew from one that had read on from a stale position. The membership learns of a later era from any answer of the store, so that it need not wait for its next join.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -145,6 +145,7 @@
 		Self: self, Store: g.store, Partitions: rateTopics * cfg.StorePartitions, Informed: g.follower.InformedOfMembers,
 		Lease: time.Duration(cfg.Lease), Fenced: cfg.Fenced, Now: bootclock.Now, Events: g.events, OnShare: g.buckets.SetShare,
 	})
+	g.store.OnRestored(g.storeRestored, g.positionLost)
 	g.coordinator = coordinator.New(coordinator.Config{
 		VM: cfg.VM, Catalogue: g.catalogue, Roster: g.roster, Engines: platform.Engines{},
 		Pool:         func(u *roster.Upstream) *transport.Pool { return g.handler.Pool(u) },
@@ -186,6 +187,18 @@
 	return time.Duration(cfg.ConfigWithin)
 }
 
+// storeRestored records a new era of the store, and gives up what rests on records that it may have lost.
+func (g *Gateway) storeRestored(era int64) {
+	g.events.Record(event.StoreRestored, timeline.Fields{"era": strconv.FormatInt(era, 10)})
+	g.membership.ObserveEra(era)
+}
+
+// positionLost records a read position of a former era of the store.
+func (g *Gateway) positionLost(topic string) {
+	g.events.Record(event.PositionLost, timeline.Fields{"topic": topic})
+	g.meters.PositionLost(topic)
+}
+
 // applyEvacuations applies and records a change of the evacuated data centres.
 func (g *Gateway) applyEvacuations(evacuated []fleet.DataCentre) {
 	begun, ended := g.roster.SetEvacuated(evacuated)
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -23,6 +23,7 @@
 			version, _, _ := g.catalogue.ConfirmedVersion()
 			return float64(version)
 		},
+		StoreEra:  func() float64 { return float64(g.store.Era()) },
 		RateShare: g.buckets.Share,
 		IsCoordinator: func() float64 {
 			if g.isCoordinator() {
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -71,11 +71,13 @@
 	upstreamWait        = Definition{"toucanfall_upstream_wait_seconds", Gauge, []string{"upstream"}, "Remaining time for which an upstream that rejected a request of this VM accepts no more from it."}
 	upstreamLimit       = Definition{"toucanfall_upstream_intake", Gauge, []string{"upstream"}, "Request rate limit that an upstream announces, in requests per second over all VMs. Absent while it announces none."}
 	upstreamCold        = Definition{"toucanfall_upstream_cold_seconds", Gauge, []string{"upstream"}, "Remaining time for which an upstream is cold and takes only the request rate that the configuration sets for cold upstreams of its service, over all VMs. Absent while it is not cold."}
+	storeEra            = Definition{"toucanfall_store_era", Gauge, nil, "Number of times that the platform's store came back from a copy, as far as this VM knows."}
+	positionsLostTotal  = Definition{"toucanfall_store_positions_lost_total", Counter, []string{"topic"}, "Read positions that were given up because the platform's store came back from a copy, by topic of the store."}
 	evacuatedDC         = Definition{"toucanfall_evacuated", Gauge, []string{"data_centre"}, "1 for a data centre whose evacuation is requested, so that its upstreams get no new requests."}
 )
 
 // Registry lists all metrics, in the order of docs/METRICS.md.
-var Registry = []Definition{requestsTotal, firstPieceSeconds, longestPauseSeconds, attemptsTotal, unframedTotal, noticesTotal, noticedSendsTotal, permitsTotal, prefillCreditsTotal, capacityRejected, capacityLimit, capacityInUse, capacityWaiting, storeCallsTotal, panicsTotal, ingressRejected, ingressUsed, ingressLimit, openRequests, configStaleness, directoryAge, directoryAgeAtSend, configVersion, rateShare, isCoordinator, quarantinedParts, upstreamCount, upstreamLeaving, upstreamWait, upstreamLimit, upstreamCold, evacuatedDC}
+var Registry = []Definition{requestsTotal, firstPieceSeconds, longestPauseSeconds, attemptsTotal, unframedTotal, noticesTotal, noticedSendsTotal, permitsTotal, prefillCreditsTotal, capacityRejected, capacityLimit, capacityInUse, capacityWaiting, storeCallsTotal, positionsLostTotal, panicsTotal, ingressRejected, ingressUsed, ingressLimit, openRequests, configStaleness, directoryAge, directoryAgeAtSend, storeEra, configVersion, rateShare, isCoordinator, quarantinedParts, upstreamCount, upstreamLeaving, upstreamWait, upstreamLimit, upstreamCold, evacuatedDC}
 
 // maxLabelValues bounds the number of values of a label that come from outside
 // the process (teams, upstreams); further ones are counted as otherLabelValue. The
@@ -89,7 +91,7 @@
 // called at each scrape and must be safe for concurrent use. Ages are in seconds;
 // IsCoordinator returns 1 if this VM is the coordinator, otherwise 0.
 type Gauges struct {
-	OpenRequests, ConfigStaleness, DirectoryAge, ConfigVersion, RateShare, IsCoordinator, QuarantinedParts, Upstreams func() float64
+	OpenRequests, ConfigStaleness, DirectoryAge, ConfigVersion, StoreEra, RateShare, IsCoordinator, QuarantinedParts, Upstreams func() float64
 	// EvacuatedDataCentres returns the evacuated data centres.
 	EvacuatedDataCentres func() []fleet.DataCentre
 	// NoticeStatuses returns the notice status of upstreams. Those without an active notice
@@ -117,6 +119,7 @@
 	prefillCredits     *prometheus.CounterVec
 	capacityRejected   *prometheus.CounterVec
 	storeCalls         *prometheus.CounterVec
+	positionsLost      *prometheus.CounterVec
 	panics             *prometheus.CounterVec
 	ingressRejected    *prometheus.CounterVec
 	teamValues         labelValues
@@ -133,6 +136,7 @@
 	s := &Set{registry: prometheus.NewRegistry()}
 	s.requests, s.attempts, s.storeCalls = s.counter(requestsTotal), s.counter(attemptsTotal), s.counter(storeCallsTotal)
 	s.notices, s.noticedSends, s.permits, s.panics = s.counter(noticesTotal), s.counter(noticedSendsTotal), s.counter(permitsTotal), s.counter(panicsTotal)
+	s.positionsLost = s.counter(positionsLostTotal)
 	s.prefillCredits, s.capacityRejected, s.unframed = s.counter(prefillCreditsTotal), s.counter(capacityRejected), s.counter(unframedTotal)
 	s.ingressRejected = s.counter(ingressRejected)
 	s.firstPiece, s.longestPause, s.directoryAgeAtSend = s.histogram(firstPieceSeconds), s.histogram(longestPauseSeconds), s.histogram(directoryAgeAtSend)
@@ -155,7 +159,7 @@
 // panics.
 func (s *Set) RegisterGauges(g Gauges) {
 	for d, f := range map[*Definition]func() float64{
-		&openRequests: g.OpenRequests, &configStaleness: g.ConfigStaleness, &directoryAge: g.DirectoryAge, &configVersion: g.ConfigVersion, &rateShare: g.RateShare, &isCoordinator: g.IsCoordinator, &quarantinedParts: g.QuarantinedParts, &upstreamCount: g.Upstreams,
+		&openRequests: g.OpenRequests, &configStaleness: g.ConfigStaleness, &directoryAge: g.DirectoryAge, &configVersion: g.ConfigVersion, &storeEra: g.StoreEra, &rateShare: g.RateShare, &isCoordinator: g.IsCoordinator, &quarantinedParts: g.QuarantinedParts, &upstreamCount: g.Upstreams,
 	} {
 		s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: d.Name, Help: d.Text}, f))
 	}
@@ -254,6 +258,11 @@
 	s.directoryAgeAtSend.WithLabelValues().Observe(age.Seconds())
 }
 
+// PositionLost counts a read position that was given up because the store was restored.
+func (s *Set) PositionLost(topic string) {
+	s.positionsLost.WithLabelValues(topic).Inc()
+}
+
 // StoreCall counts a call to the platform's store; err is its result.
 func (s *Set) StoreCall(call string, err error) {
 	outcome := "answered"
--- a/metric/metric_test.go
+++ b/metric/metric_test.go
@@ -26,7 +26,7 @@
 	is := is.New(t)
 	s := metric.New()
 	one := func() float64 { return 1 }
-	s.RegisterGauges(metric.Gauges{OpenRequests: one, ConfigStaleness: one, DirectoryAge: one, ConfigVersion: one, RateShare: one, IsCoordinator: one, QuarantinedParts: one, Upstreams: one, EvacuatedDataCentres: func() []fleet.DataCentre { return []fleet.DataCentre{"dc"} }, NoticeStatuses: func() []metric.NoticeStatus {
+	s.RegisterGauges(metric.Gauges{OpenRequests: one, ConfigStaleness: one, DirectoryAge: one, ConfigVersion: one, StoreEra: one, RateShare: one, IsCoordinator: one, QuarantinedParts: one, Upstreams: one, EvacuatedDataCentres: func() []fleet.DataCentre { return []fleet.DataCentre{"dc"} }, NoticeStatuses: func() []metric.NoticeStatus {
 		return []metric.NoticeStatus{{Upstream: "u", Leaving: true, Wait: time.Second, Limited: true, Limit: 2.4, Cold: time.Second}, {Upstream: "silent"}}
 	}, Budgets: func() []metric.Budget { return []metric.Budget{{Name: "bytes", Used: 1, Limit: 2}} }, Capacities: func() []metric.Capacity {
 		return []metric.Capacity{{Service: "s", Slots: 24, Running: 3}}
@@ -36,6 +36,7 @@
 	s.Rejected("", "", "not_found")
 	s.Attempt("u", true)
 	s.StoreCall("read", nil)
+	s.PositionLost("topic")
 	s.Notice("intake")
 	s.NoticedSend("intake")
 	s.Permit(true)
