Log a configuration that is written again with other content

After a restore of the store the operator writes the lost versions again. The same version with the same content changes nothing; one with other content was ignored too, but silently, so that VMs that had the first one and VMs that had not could serve different configurations without a trace. It is now logged as config_conflict. TestRewrittenConfigurationIsCompared failed before: 0 != 1 (no event existed for it).

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"reflect"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -266,7 +269,21 @@
 func (f *configFollower) apply(cfg *catalogue.Config) {
 	if f.holder.Apply(cfg) {
 		f.events.Record(event.ConfigApplied, timeline.Fields{"version": fmt.Sprint(cfg.Version), "limits": limitsOf(cfg)})
+		return
 	}
+	if active, _ := f.holder.Confirmed(); active.Version == cfg.Version && !equalDocuments(active.Document, cfg.Document) {
+		f.events.Record(event.ConfigConflict, timeline.Fields{"version": fmt.Sprint(cfg.Version)})
+	}
+}
+
+// equalDocuments reports whether two documents are equal JSON values. A version that was lost is written again,
+// and may be formatted otherwise then.
+func equalDocuments(a, b []byte) bool {
+	if bytes.Equal(a, b) {
+		return true
+	}
+	var x, y any
+	return json.Unmarshal(a, &x) == nil && json.Unmarshal(b, &y) == nil && reflect.DeepEqual(x, y)
 }
 
 // applyNews applies the news of a relay that took them from its state at checkedAt or
--- a/gateway/relay_update_test.go
+++ b/gateway/relay_update_test.go
@@ -12,6 +12,7 @@
 	"toucanfall/catalogue"
 	"toucanfall/event"
 	"toucanfall/fleet"
+	"toucanfall/platform"
 	"toucanfall/relay"
 	"toucanfall/timeline"
 )
@@ -139,3 +140,26 @@
 	f.applyNews(&relay.News{Config: 3}, now)
 	is.Equal(f.skipFor(), testTimes.informedMaxAge)
 }
+
+// Guards against a configuration that goes back, or is replaced under its version, when the store was
+// restored and its versions are written again: the same one changes nothing, another one is logged.
+func TestRewrittenConfigurationIsCompared(t *testing.T) {
+	is := is.New(t)
+	now := 10 * time.Second
+	f := newTestConfigFollower(&now)
+	write := func(text string) {
+		cfg, err := platform.DecodeConfig([]byte(text))
+		is.NoErr(err)
+		f.apply(cfg)
+	}
+	write(`{"Version":7,"Limits":{"MaxBodyBytes":5}}`)
+	active, _ := f.holder.Confirmed()
+	write(`{"Version":5}`)
+	write(`{ "Limits": {"MaxBodyBytes": 5}, "Version": 7 }`)
+	conflicts := timeline.Filter{Name: event.ConfigConflict.Name}
+	is.Equal(len(f.events.Entries(conflicts)), 0)
+	write(`{"Version":7,"Limits":{"MaxBodyBytes":6}}`)
+	is.Equal(len(f.events.Entries(conflicts)), 1)
+	after, _ := f.holder.Confirmed()
+	is.Equal(after, active)
+}
