Write crash reports again that are lost with the store's copy

What callers see: a VM that starts after the store came back from a copy sends requests to engines with a part that the others refuse, and engines crash again that need not.

Cause: reports are written once. Those of the seconds between the copy and the restore are gone; the VMs that had read them keep them, but no one tells a VM that starts later.

Evidence: without the repetition TestLostReportsAreWrittenAgain fails: 0 != 3.

A VM writes its own reports of the last minute again, once, at a random moment within two seconds. Reports about a part that an operator has lifted since are left out, because they would follow the lift. A lift that is lost with the copy stays in force on the VMs that know it; only the operator can repeat it.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -191,6 +191,7 @@
 func (g *Gateway) storeRestored(era int64) {
 	g.events.Record(event.StoreRestored, timeline.Fields{"era": strconv.FormatInt(era, 10)})
 	g.membership.ObserveEra(era)
+	g.quarantine.LogRestored()
 }
 
 // positionLost records a read position of a former era of the store.
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -74,6 +74,10 @@
 	// the end of the last quarantine.
 	since counts
 	queue []Report
+	// written holds the reports that were written lately. rewriteAt is when they are written again, 0 if they
+	// are not.
+	written   []writtenReport
+	rewriteAt time.Duration
 	// vouched holds when this VM last vouched for a part, witnessed when an engine last crashed under a
 	// run of this VM with a part.
 	vouched, witnessed map[fleet.PartID]time.Duration
@@ -205,6 +209,9 @@
 			t.cfg.Events.Record(event.EntryOdd, timeline.Fields{"reason": err.Error()})
 			continue
 		}
+		if r.Kind == Lift {
+			t.forgetWritten(r.Parts[0].Part)
+		}
 		if r.At >= oldest {
 			changes = append(changes, t.account.apply(r, now, old)...)
 		}
@@ -235,6 +242,7 @@
 func (t *Tracker) tick() {
 	t.mu.Lock()
 	now := t.cfg.Now()
+	t.queueRewrites(now)
 	changes := t.account.update(now)
 	for _, c := range changes {
 		if c.expired {
@@ -268,9 +276,7 @@
 			return
 		}
 		t.mu.Lock()
-		if len(t.queue) > 0 && t.queue[0].Number == r.Number {
-			t.queue = t.queue[1:]
-		}
+		t.recordWritten(r)
 		t.mu.Unlock()
 	}
 }
