Keep evacuations that the store's copy lacks until they are written again

What callers see: requests run in a data centre whose evacuation had been acknowledged, because the copy from which the store came back is older, until the operators have written it again.

Cause: a complete read of the operators' topic replaced the evacuations, also the first one after a restore.

Evidence: without the hold TestEvacuationOutlastsRestore fails: 2 != 1 (the evacuation ended).

After a change of the era, evacuations that are missing go on for 5 s, or until a record says otherwise. Relays pass on what the topic lists, so that each VM ends its own holds.

--- a/catalogue/evacuation.go
+++ b/catalogue/evacuation.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"toucanfall/fleet"
 	"toucanfall/internal/logpos"
@@ -67,6 +68,7 @@
 		}
 	}
 	maps.Copy(evacuated, c.Requested)
+	h.releaseEvacuations(c.Requested)
 	maps.DeleteFunc(evacuated, func(_ fleet.DataCentre, requested bool) bool { return !requested })
 	h.setEvacuations(Evacuations{Known: true, Position: c.Position, DataCentres: slices.Sorted(maps.Keys(evacuated))})
 }
@@ -82,24 +84,81 @@
 	h.setEvacuations(e)
 }
 
+// releaseEvacuations ends the holds of the evacuations that a record has ended.
+func (h *Holder) releaseEvacuations(requested map[fleet.DataCentre]bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	maps.DeleteFunc(h.heldEvacuations, func(dc fleet.DataCentre, _ time.Duration) bool {
+		again, written := requested[dc]
+		return written && !again
+	})
+}
+
+// restoredHold is how long an evacuation goes on that is missing after the operators' topic came back from a
+// copy: what the operators wrote is written again.
+const restoredHold = 5 * time.Second
+
 // setEvacuations replaces the evacuations. The caller holds evacuationsMu, so that the functions
 // registered by OnEvacuations are called in the order of the changes.
 func (h *Holder) setEvacuations(e Evacuations) {
 	h.mu.Lock()
-	changed := !slices.Equal(e.DataCentres, h.evacuations.DataCentres)
+	restored := h.evacuations.Known && e.Position.Era() > h.evacuations.Position.Era()
+	if restored {
+		for _, dc := range h.evacuated {
+			if _, held := h.heldEvacuations[dc]; !held {
+				h.heldEvacuations[dc] = h.now() + restoredHold
+			}
+		}
+	}
+	for _, dc := range e.DataCentres {
+		delete(h.heldEvacuations, dc)
+	}
 	h.evacuations = e
 	h.mu.Unlock()
+	h.updateEvacuated()
+}
+
+// ExpireEvacuations ends the evacuations that went on although the restored topic lacked them, once they
+// were not written again in time.
+func (h *Holder) ExpireEvacuations() {
+	h.evacuationsMu.Lock()
+	defer h.evacuationsMu.Unlock()
+	h.updateEvacuated()
+}
+
+// updateEvacuated derives the evacuated data centres and reports a change of them. The caller holds
+// evacuationsMu.
+func (h *Holder) updateEvacuated() {
+	h.mu.Lock()
+	now := h.now()
+	maps.DeleteFunc(h.heldEvacuations, func(_ fleet.DataCentre, until time.Duration) bool { return now >= until })
+	evacuated := slices.Clone(h.evacuations.DataCentres)
+	for dc := range h.heldEvacuations {
+		evacuated = append(evacuated, dc)
+	}
+	slices.Sort(evacuated)
+	changed := !slices.Equal(evacuated, h.evacuated)
+	h.evacuated = evacuated
+	h.mu.Unlock()
 	if !changed {
 		return
 	}
 	for _, f := range h.onEvacuations {
-		f(e.DataCentres)
+		f(evacuated)
 	}
 }
 
-// Evacuations returns the evacuations that this VM knows.
+// Evacuations returns the evacuations as the operators' topic lists them, to be passed on to other VMs.
 func (h *Holder) Evacuations() Evacuations {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
 	return h.evacuations
 }
+
+// Evacuated returns the data centres whose upstreams get no new requests, sorted. The receiver must not
+// change them.
+func (h *Holder) Evacuated() []fleet.DataCentre {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.evacuated
+}
--- a/catalogue/evacuation_test.go
+++ b/catalogue/evacuation_test.go
@@ -10,6 +10,7 @@
 
 	"toucanfall/catalogue"
 	"toucanfall/fleet"
+	"toucanfall/internal/logpos"
 )
 
 // topicRecord requests the evacuation of a data centre or ends it.
@@ -117,3 +118,31 @@
 	}
 	is.Equal(got, [][]fleet.DataCentre{{"b"}, {"a", "b"}, {"b"}, nil})
 }
+
+// Guards against an evacuation that ends although no operator ended it, because the topic came back from a
+// copy that lacks it. One that is not written again ends after a while, one that is ended by a record at once.
+// What a VM passes on to others is what the topic lists.
+func TestEvacuationOutlastsRestore(t *testing.T) {
+	is := is.New(t)
+	var now time.Duration
+	h := catalogue.NewHolder(func() time.Duration { return now })
+	var seen []string
+	h.OnEvacuations(func(dcs []fleet.DataCentre) { seen = append(seen, fmt.Sprint(dcs)) })
+	apply := func(era, offset int64, complete bool, requested map[fleet.DataCentre]bool) {
+		h.ApplyEvacuations(catalogue.EvacuationChanges{Complete: complete, Requested: requested, Position: logpos.At(era, offset)})
+	}
+	apply(0, 7, true, map[fleet.DataCentre]bool{"a": true, "b": true, "c": true})
+	apply(1, 2, true, map[fleet.DataCentre]bool{"c": true})
+	is.Equal(len(seen), 1) // Nothing has changed.
+	is.Equal(h.Evacuations().DataCentres, []fleet.DataCentre{"c"})
+	apply(0, 8, false, map[fleet.DataCentre]bool{"c": false}) // A read of the former era.
+	apply(1, 3, false, map[fleet.DataCentre]bool{"a": true})
+	apply(1, 4, false, map[fleet.DataCentre]bool{"b": false})
+	is.Equal(h.Evacuated(), []fleet.DataCentre{"a", "c"})
+	h.AdoptEvacuations(catalogue.Evacuations{Known: true, Position: logpos.At(2, 0)})
+	is.Equal(h.Evacuated(), []fleet.DataCentre{"a", "c"})
+	now += time.Minute
+	h.ExpireEvacuations()
+	is.Equal(len(h.Evacuated()), 0)
+	is.Equal(seen, []string{"[a b c]", "[a c]", "[]"})
+}
--- a/catalogue/holder.go
+++ b/catalogue/holder.go
@@ -20,6 +20,10 @@
 	confirmedAt time.Duration
 	// evacuations are those of the same topic; a confirmation is of both. Guarded by mu.
 	evacuations Evacuations
+	// heldEvacuations holds until when those go on that are missing since the topic was restored. evacuated
+	// are the evacuated data centres with these, sorted. Guarded by mu.
+	heldEvacuations map[fleet.DataCentre]time.Duration
+	evacuated       []fleet.DataCentre
 	// onChange and onEvacuations need no lock: they do not change once a configuration is active.
 	onChange      []func(*Config)
 	onEvacuations []func([]fleet.DataCentre)
@@ -31,7 +35,7 @@
 // NewHolder returns a Holder without a configuration. The times that its methods take and return are
 // readings of the clock now, which must also count suspended time.
 func NewHolder(now func() time.Duration) *Holder {
-	return &Holder{now: now}
+	return &Holder{now: now, heldEvacuations: make(map[fleet.DataCentre]time.Duration)}
 }
 
 // OnChange registers f to be called with each configuration that becomes active. It must be
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -158,6 +158,7 @@
 func (f *configFollower) run(ctx context.Context) error {
 	var cursor platform.Cursor
 	for ctx.Err() == nil {
+		f.holder.ExpireEvacuations()
 		if d := f.skipFor(); d > 0 {
 			f.immediate = true
 			loop.Sleep(ctx, d)
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"toucanfall/catalogue"
-	"toucanfall/fleet"
 	"toucanfall/metric"
 )
 
@@ -33,7 +32,7 @@
 		},
 		QuarantinedParts:     func() float64 { return float64(g.quarantine.Size()) },
 		Upstreams:            func() float64 { return float64(len(g.roster.Upstreams())) },
-		EvacuatedDataCentres: func() []fleet.DataCentre { return g.catalogue.Evacuations().DataCentres },
+		EvacuatedDataCentres: g.catalogue.Evacuated,
 		NoticeStatuses:       g.noticeStatuses,
 		Budgets:              g.budgets,
 		Capacities:           g.capacities,
