Pass a newer configuration on to a relay that has an older one

What callers see: a configuration that had been in force comes back older on a VM that starts while the restored store holds only an older version. It would take the newer one from the VM that it follows; but the coordinator follows none, and in a small fleet all other VMs follow the coordinator.

Evidence: TestFollowerPassesNewerConfigurationOn does not pass without the handling in the service: the news then have version 3, not 7.

Once the store was restored, a follower whose relay reports a lower version adds its configuration to a request, at most once a second. VMs of earlier versions ignore it. In era 0 nothing changes.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -110,6 +110,25 @@
 	// relayed is set when a relay has brought a configuration that this VM has not read from
 	// the store itself.
 	relayed atomic.Bool
+	// sourceVersion is the version in the last news of a relay, 0 if it had none. passedOnAt is when this VM
+	// last passed its own on. Both are used only by the goroutine that follows relays.
+	sourceVersion catalogue.Version
+	passedOnAt    time.Duration
+}
+
+// passOnInterval is the least time between two requests to relays with the configuration of this VM.
+const passOnInterval = time.Second
+
+// versionBehind returns the version of the relay if this VM is to pass on its own, which is higher: the relay may
+// have started while the restored store held only an older one.
+func (f *configFollower) versionBehind() (catalogue.Version, bool) {
+	version, _, _ := f.holder.ConfirmedVersion()
+	now := f.now()
+	if f.sourceVersion == 0 || f.sourceVersion >= version || f.passedOnAt != 0 && now-f.passedOnAt < passOnInterval {
+		return 0, false
+	}
+	f.passedOnAt = now
+	return f.sourceVersion, true
 }
 
 // repeatsReads reports whether the next poll is repeated while it has no answer: a relay has kept this
@@ -298,6 +317,7 @@
 	if f.evacuationsBounded && !n.HasEvacuations {
 		return useful // Nothing of the topic is confirmed, so this VM reads it itself.
 	}
+	f.sourceVersion = n.Config
 	former := n.HasEvacuations && n.EvacuationsAt.Era() < f.holder.Evacuations().Position.Era()
 	if n.HasEvacuations {
 		f.holder.AdoptEvacuations(catalogue.Evacuations{Known: true, Position: n.EvacuationsAt, DataCentres: n.Evacuated})
@@ -320,6 +340,11 @@
 	if err != nil || b == nil {
 		return err
 	}
+	return f.applyRelayed(b)
+}
+
+// applyRelayed applies a configuration document of another VM.
+func (f *configFollower) applyRelayed(b []byte) error {
 	cfg, err := platform.DecodeConfig(b)
 	if err != nil {
 		return err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -161,7 +161,7 @@
 	})
 	g.prefillHost = prefill.NewHost(g.events)
 	g.prefill = prefill.NewClient(prefill.ClientConfig{VM: cfg.VM, Own: g.prefillHost, Peers: g.peerClient, Hosts: g.prefillHosts, OnAnswer: g.applyRuns, Events: g.events})
-	g.relay = relay.NewService(relay.ServiceConfig{Directory: replica, Catalogue: g.catalogue, Membership: g.membership, Reports: g.reports, Self: self, Now: bootclock.Now})
+	g.relay = relay.NewService(relay.ServiceConfig{Directory: replica, Catalogue: g.catalogue, Membership: g.membership, Reports: g.reports, ApplyDocument: g.config.applyRelayed, Events: g.events, Self: self, Now: bootclock.Now})
 	g.handler = serving.New(g.servingConfig())
 	g.admission.ToEngines.OnFull = g.handler.CloseIdle
 	g.callers = &http.Server{
@@ -281,7 +281,13 @@
 func (g *Gateway) relayRequest() relay.Ask {
 	version, _, _ := g.catalogue.ConfirmedVersion()
 	reports, _ := g.reports.state()
-	return relay.Ask{Directory: g.directory.position(), Config: version, Members: g.memberList().Fingerprint, Reports: reports, WantsReports: true, Evacuations: g.catalogue.Evacuations().Position, WantsEvacuations: true, OrdersByEra: true}
+	var document []byte
+	if g.store.Era() > 0 { // A store that was never restored holds the newest version.
+		if source, ok := g.config.versionBehind(); ok {
+			document = g.relay.PackedDocument(source)
+		}
+	}
+	return relay.Ask{Document: document, Directory: g.directory.position(), Config: version, Members: g.memberList().Fingerprint, Reports: reports, WantsReports: true, Evacuations: g.catalogue.Evacuations().Position, WantsEvacuations: true, OrdersByEra: true}
 }
 
 // applyNews applies the news of a relay that took them from its state at checkedAt or
--- a/gateway/relay_update_test.go
+++ b/gateway/relay_update_test.go
@@ -12,6 +12,7 @@
 	"toucanfall/catalogue"
 	"toucanfall/event"
 	"toucanfall/fleet"
+	"toucanfall/group"
 	"toucanfall/platform"
 	"toucanfall/relay"
 	"toucanfall/timeline"
@@ -163,3 +164,39 @@
 	after, _ := f.holder.Confirmed()
 	is.Equal(after, active)
 }
+
+// newTestRelay returns the service of a VM with a configuration follower.
+func newTestRelay(f *configFollower) *relay.Service {
+	members := group.New(group.Config{Now: f.now, Events: f.events})
+	return relay.NewService(relay.ServiceConfig{
+		Directory: relay.NewDirectory(), Catalogue: f.holder, Membership: members, Reports: newReportFollower(reportConfig{Now: f.now, OnUpdate: func() {}}),
+		ApplyDocument: f.applyRelayed, Events: f.events, Now: f.now,
+	})
+}
+
+// Guards against a configuration that comes back older: a coordinator that started while the restored store
+// held only an older version follows no VM, so its followers pass theirs on.
+func TestFollowerPassesNewerConfigurationOn(t *testing.T) {
+	is := is.New(t)
+	now := 10 * time.Second
+	coordinator, follower := newTestConfigFollower(&now), newTestConfigFollower(&now)
+	cfg, err := platform.DecodeConfig([]byte(`{"Version":7}`))
+	is.NoErr(err)
+	follower.apply(cfg)
+	follower.applyNews(&relay.News{Config: 3}, now)
+	behind, ok := follower.versionBehind()
+	is.True(ok)
+	_, again := follower.versionBehind()
+	is.True(!again) // Not with each request.
+	in := relay.Ask{Config: 7, Document: newTestRelay(follower).PackedDocument(behind)}
+	var out relay.News
+	is.NoErr(newTestRelay(coordinator).Peer().Follow(in, &out))
+	is.Equal(out.Config, catalogue.Version(7))
+	active, _ := coordinator.holder.Confirmed()
+	is.Equal(active.Document, cfg.Document)
+
+	in.Config, in.Document = 9, []byte("no configuration")
+	is.NoErr(newTestRelay(coordinator).Peer().Follow(in, &out))
+	is.Equal(out.Config, catalogue.Version(7))
+	is.Equal(len(coordinator.events.Entries(timeline.Filter{Name: event.GatewayFault.Name})), 1)
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -60,7 +60,15 @@
 	// OrdersByEra is set if the VM knows that positions hold the era of the store. VMs of earlier
 	// versions never set it: they send and get offsets only.
 	OrdersByEra bool
-	Mark        Mark
+	// Document is the packed configuration of the VM, set if the last news were of a lower version: the
+	// relay may have started while the store held only an older one, and follow no VM itself.
+	Document []byte
+	Mark     Mark
+}
+
+// Configuration is like [News.Configuration].
+func (a *Ask) Configuration() ([]byte, error) {
+	return unpackDocument(a.Document)
 }
 
 // News is the answer to an [Ask]. Ages are as of the moment when the relay took its state,
@@ -140,11 +148,15 @@
 // Configuration returns the configuration document as the operators wrote it, nil if the
 // news contain none. It fails if the document cannot be unpacked.
 func (n *News) Configuration() ([]byte, error) {
-	if len(n.Document) == 0 {
+	return unpackDocument(n.Document)
+}
+
+func unpackDocument(packed []byte) ([]byte, error) {
+	if len(packed) == 0 {
 		return nil, nil
 	}
 	var b []byte
-	err := unpack(n.Document, &b)
+	err := unpack(packed, &b)
 	return b, err
 }
 
--- a/relay/service.go
+++ b/relay/service.go
@@ -1,13 +1,16 @@
 package relay
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
 	"toucanfall/catalogue"
+	"toucanfall/event"
 	"toucanfall/group"
 	"toucanfall/internal/logpos"
 	"toucanfall/quarantine"
+	"toucanfall/timeline"
 )
 
 // Times for which a request is held.
@@ -35,6 +38,9 @@
 	Catalogue  *catalogue.Holder
 	Membership *group.Membership
 	Reports    ReportLog
+	// ApplyDocument is called with a configuration document of a higher version than this VM's.
+	ApplyDocument func(document []byte) error
+	Events        *timeline.Recorder
 	// Self identifies this VM in marks.
 	Self group.Member
 	// Now is a monotonic clock that also counts suspended time.
@@ -84,11 +90,36 @@
 // latest after maxAnswerDelay. It never fails.
 func (p *Peer) Follow(in Ask, out *News) error {
 	receivedAt := p.s.cfg.Now()
+	p.s.applyDocument(&in)
 	p.s.waitForNews(in)
 	*out = p.s.answer(in, receivedAt)
 	return nil
 }
 
+// applyDocument applies the configuration in a request if it is newer than this VM's.
+func (s *Service) applyDocument(in *Ask) {
+	if version, _, _ := s.cfg.Catalogue.ConfirmedVersion(); len(in.Document) == 0 || in.Config <= version {
+		return
+	}
+	b, err := in.Configuration()
+	if err == nil {
+		err = s.cfg.ApplyDocument(b)
+	}
+	if err != nil {
+		s.cfg.Events.Record(event.GatewayFault, timeline.Fields{"reason": fmt.Sprintf("configuration %d of a follower: %v", in.Config, err)})
+	}
+}
+
+// PackedDocument returns this VM's configuration for an [Ask], nil if it has no higher version than the
+// given one.
+func (s *Service) PackedDocument(than catalogue.Version) []byte {
+	cfg, _ := s.cfg.Catalogue.Confirmed()
+	if cfg == nil || cfg.Version <= than {
+		return nil
+	}
+	return s.packedDocument.get(cfg.Version, func() any { return cfg.Document })
+}
+
 // addEras returns the request with the current eras added to its positions if its VM knows only offsets.
 // The offsets of such a VM may be of a former era, which it cannot tell either when it reads the store.
 func (s *Service) addEras(in Ask) Ask {
