--- a/gateway/restored_test.go
+++ b/gateway/restored_test.go
@@ -12,6 +12,8 @@
 	"github.com/matryer/is"
 
 	"toucanfall/fleet"
+	"toucanfall/internal/logpos"
+	"toucanfall/quarantine"
 	"toucanfall/relay"
 	"toucanfall/roster"
 )
@@ -253,3 +255,27 @@
 		})
 	}
 }
+
+// Guards against a relay that has not read the restored store: what it knows of the reports and of the
+// operators' topic is applied, but confirms nothing, and the positions do not go back.
+func TestNewsOfFormerEraConfirmNothing(t *testing.T) {
+	is := is.New(t)
+	now := 10 * time.Second
+	reports := newReportVM(nil, func() time.Duration { return now }, false)
+	newer, older := logpos.At(1, 2), logpos.At(0, 9)
+	reports.ApplyNews(&relay.News{HasReports: true, ReportsAt: newer}, now)
+	now += time.Second
+	reports.ApplyNews(&relay.News{HasReports: true, ReportsAt: older, Reports: []quarantine.Report{{Number: 5}}}, now)
+	at, confirmedAt := reports.state()
+	is.Equal(at, newer)
+	is.Equal(confirmedAt, 10*time.Second)
+	is.True(reports.receivedAt(5) > 0)
+
+	f := newTestConfigFollower(&now)
+	is.True(f.applyNews(&relay.News{Config: 3, HasEvacuations: true, EvacuationsAt: newer}, now))
+	now += time.Second
+	is.True(!f.applyNews(&relay.News{Config: 3, HasEvacuations: true, EvacuationsAt: older}, now))
+	_, age := f.holder.Current()
+	is.Equal(age, time.Second)
+	is.Equal(f.holder.Evacuations().Position, newer)
+}
