Test that configurations stay in force over restores of the store

In fleets with and without relays the store is restored to older versions, which are written again later, while the coordinator restarts. No VM may go back, and each must have the newest version within the bound. Without the versions that followers pass on, the test fails: VM 0 has version 2, want 3.

--- a/gateway/partition_test.go
+++ b/gateway/partition_test.go
@@ -14,6 +14,7 @@
 
 	"toucanfall/catalogue"
 	"toucanfall/group"
+	"toucanfall/internal/logpos"
 	"toucanfall/platform"
 	"toucanfall/relay"
 	"toucanfall/roster"
@@ -26,18 +27,26 @@
 	// newest is the newest version. appended is closed and replaced when it changes. mu guards both.
 	newest   catalogue.Version
 	appended chan struct{}
+	// era counts the restores. mu guards it too.
+	era int64
 }
 
-func (l *configLog) state() (catalogue.Version, <-chan struct{}) {
+// state returns the newest version, its position, and a channel that is closed when they change.
+func (l *configLog) state() (catalogue.Version, logpos.Position, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.newest, l.appended
+	return l.newest, logpos.At(l.era, int64(l.newest)), l.appended
 }
 
 func (l *configLog) write() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.newest++
+	l.set(l.newest + 1)
+}
+
+// set makes a version the newest one. The caller holds mu.
+func (l *configLog) set(v catalogue.Version) {
+	l.newest = v
 	close(l.appended)
 	l.appended = make(chan struct{})
 }
@@ -57,8 +66,8 @@
 	r.reads.Add(1)
 	lost := r.losses.Add(-1) >= 0
 	timeout := time.After(wait)
-	version, appended := r.log.state()
-	for waiting := wait > 0; waiting && int64(version) == from.Position(); version, appended = r.log.state() {
+	version, position, appended := r.log.state()
+	for waiting := wait > 0; waiting && int64(position) == from.Position(); version, position, appended = r.log.state() {
 		select {
 		case <-appended:
 		case <-timeout:
@@ -79,7 +88,7 @@
 	}
 	cfg := catalogue.NewConfig(version, nil, nil, nil, catalogue.Limits{})
 	cfg.Document = fmt.Appendf(nil, `{"Version":%d}`, version)
-	return catalogue.Update{Config: cfg}, platform.CursorAt(int64(version)), true, nil
+	return catalogue.Update{Config: cfg}, platform.CursorAt(int64(position)), true, nil
 }
 
 // configNode is a VM that follows the configuration and passes it on to others.
@@ -148,12 +157,17 @@
 	members.UpdateMembers(f.members, f.now())
 	n.service = relay.NewService(relay.ServiceConfig{
 		Directory: directory, Catalogue: holder, Membership: members, Reports: newReportFollower(reportConfig{Now: f.now, OnUpdate: func() {}}), Self: self, Now: f.now,
+		ApplyDocument: func(b []byte) error { return n.applyRelayed(b) }, Events: events,
 	})
 	follower := relay.NewFollower(relay.FollowerConfig{
 		Self: self, Peers: network{f, n.reader}, MemberList: func() group.MemberList { return f.members }, Now: f.now, Events: events,
 		NewRequest: func() relay.Ask {
 			version, _, _ := holder.ConfirmedVersion()
-			return relay.Ask{Directory: 1, Config: version, Members: f.members.Fingerprint}
+			in := relay.Ask{Directory: 1, Config: version, Members: f.members.Fingerprint, OrdersByEra: true}
+			if source, behind := n.versionBehind(); behind {
+				in.Document = n.service.PackedDocument(source)
+			}
+			return in
 		},
 		ApplyNews: func(_ context.Context, news *relay.News, checkedAt time.Duration) bool {
 			return n.applyNews(news, checkedAt)
