Let a coordinator claim again sooner after a restore of the store

Giving up its claim made a coordinator wait for the lease and 300 ms, as after a loss to another VM, although the newest claim in the copy was its own and no other VM could have acted.

--- a/group/era.go
+++ b/group/era.go
@@ -41,6 +41,7 @@
 		m.formerShare = m.share
 	}
 	m.formerUntil = m.confirmedAt + m.followerInterval() + m.followerSessionTimeout()
+	m.ownClaimAllowedAt = m.ordersAllowedAt
 	m.loseLeadership(min(m.eraSeenAt, m.confirmedAt+leadershipLease))
 	m.memberListGeneration, m.rereadOwners = -1, true
 	m.setShare(0, 0)
--- a/group/group.go
+++ b/group/group.go
@@ -218,6 +218,9 @@
 	// first one. joinedEra is the era of the last confirmed join.
 	era, joinedEra int64
 	eraSeenAt      time.Duration
+	// ownClaimAllowedAt is ordersAllowedAt as of before the last change of the era. It counts if the newest
+	// claim in the copy is this VM's own: none has acted since it gave that up.
+	ownClaimAllowedAt time.Duration
 	// formerShare is this VM's share in the former era, and formerUntil when the shares of the former
 	// era have ended on all VMs.
 	formerShare float64
--- a/group/leadership.go
+++ b/group/leadership.go
@@ -131,7 +131,11 @@
 	if own && until == 0 {
 		return false
 	}
-	until = max(until, m.ordersAllowedAt, m.startWaitUntil)
+	ordersAllowedAt := m.ordersAllowedAt
+	if own {
+		ordersAllowedAt = m.ownClaimAllowedAt
+	}
+	until = max(until, ordersAllowedAt, m.startWaitUntil)
 	if !own && !last.ended() {
 		until = max(until, since+m.successorWait())
 	}
