--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"reflect"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -107,6 +110,25 @@
 	// relayed is set when a relay has brought a configuration that this VM has not read from
 	// the store itself.
 	relayed atomic.Bool
+	// sourceVersion is the version in the last news of a relay, 0 if it had none. passedOnAt is when this VM
+	// last passed its own on. Both are used only by the goroutine that follows relays.
+	sourceVersion catalogue.Version
+	passedOnAt    time.Duration
+}
+
+// passOnInterval is the least time between two requests to relays with the configuration of this VM.
+const passOnInterval = time.Second
+
+// versionBehind returns the version of the relay if this VM is to pass on its own, which is higher: the relay may
+// have started while the restored store held only an older one.
+func (f *configFollower) versionBehind() (catalogue.Version, bool) {
+	version, _, _ := f.holder.ConfirmedVersion()
+	now := f.now()
+	if f.sourceVersion == 0 || f.sourceVersion >= version || f.passedOnAt != 0 && now-f.passedOnAt < passOnInterval {
+		return 0, false
+	}
+	f.passedOnAt = now
+	return f.sourceVersion, true
 }
 
 // repeatsReads reports whether the next poll is repeated while it has no answer: a relay has kept this
@@ -155,6 +177,7 @@
 func (f *configFollower) run(ctx context.Context) error {
 	var cursor platform.Cursor
 	for ctx.Err() == nil {
+		f.holder.ExpireEvacuations()
 		if d := f.skipFor(); d > 0 {
 			f.immediate = true
 			loop.Sleep(ctx, d)
@@ -266,9 +289,23 @@
 func (f *configFollower) apply(cfg *catalogue.Config) {
 	if f.holder.Apply(cfg) {
 		f.events.Record(event.ConfigApplied, timeline.Fields{"version": fmt.Sprint(cfg.Version), "limits": limitsOf(cfg)})
+		return
+	}
+	if active, _ := f.holder.Confirmed(); active.Version == cfg.Version && !equalDocuments(active.Document, cfg.Document) {
+		f.events.Record(event.ConfigConflict, timeline.Fields{"version": fmt.Sprint(cfg.Version)})
 	}
 }
 
+// equalDocuments reports whether two documents are equal JSON values. A version that was lost is written again,
+// and may be formatted otherwise then.
+func equalDocuments(a, b []byte) bool {
+	if bytes.Equal(a, b) {
+		return true
+	}
+	var x, y any
+	return json.Unmarshal(a, &x) == nil && json.Unmarshal(b, &y) == nil && reflect.DeepEqual(x, y)
+}
+
 // applyNews applies the news of a relay that took them from its state at checkedAt or
 // later. It reports whether the relay is useful: its confirmation must be younger than
 // twice informedMaxAge.
@@ -280,6 +317,8 @@
 	if f.evacuationsBounded && !n.HasEvacuations {
 		return useful // Nothing of the topic is confirmed, so this VM reads it itself.
 	}
+	f.sourceVersion = n.Config
+	former := n.HasEvacuations && n.EvacuationsAt.Era() < f.holder.Evacuations().Position.Era()
 	if n.HasEvacuations {
 		f.holder.AdoptEvacuations(catalogue.Evacuations{Known: true, Position: n.EvacuationsAt, DataCentres: n.Evacuated})
 	}
@@ -287,6 +326,9 @@
 		f.events.Record(event.GatewayFault, timeline.Fields{"reason": fmt.Sprintf("configuration %d of a relay: %v", n.Config, err)})
 		return false
 	}
+	if former {
+		return false // The relay has not read the topic since the store was restored.
+	}
 	f.holder.ConfirmVersion(n.Config, checkedAt-n.ConfigAge)
 	f.onUpdate()
 	return useful
@@ -298,6 +340,11 @@
 	if err != nil || b == nil {
 		return err
 	}
+	return f.applyRelayed(b)
+}
+
+// applyRelayed applies a configuration document of another VM.
+func (f *configFollower) applyRelayed(b []byte) error {
 	cfg, err := platform.DecodeConfig(b)
 	if err != nil {
 		return err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -147,6 +147,7 @@
 		Self: self, Store: g.store, Partitions: rateTopics * cfg.StorePartitions, Informed: g.follower.InformedOfMembers,
 		Lease: time.Duration(cfg.Lease), Fenced: cfg.Fenced, Now: bootclock.Now, Events: g.events, OnShare: g.buckets.SetShare,
 	})
+	g.store.OnRestored(g.storeRestored, g.positionLost)
 	g.coordinator = coordinator.New(coordinator.Config{
 		VM: cfg.VM, Catalogue: g.catalogue, Roster: g.roster, Engines: platform.Engines{},
 		Pool:         func(u *roster.Upstream) *transport.Pool { return g.handler.Pool(u) },
@@ -162,7 +163,7 @@
 	})
 	g.prefillHost = prefill.NewHost(g.events)
 	g.prefill = prefill.NewClient(prefill.ClientConfig{VM: cfg.VM, Own: g.prefillHost, Peers: g.peerClient, Hosts: g.prefillHosts, OnAnswer: g.applyRuns, Events: g.events})
-	g.relay = relay.NewService(relay.ServiceConfig{Directory: replica, Catalogue: g.catalogue, Membership: g.membership, Reports: g.reports, Self: self, Now: bootclock.Now})
+	g.relay = relay.NewService(relay.ServiceConfig{Directory: replica, Catalogue: g.catalogue, Membership: g.membership, Reports: g.reports, ApplyDocument: g.config.applyRelayed, Events: g.events, Self: self, Now: bootclock.Now})
 	g.handler = serving.New(g.servingConfig())
 	g.admission.ToEngines.OnFull = g.handler.CloseIdle
 	g.callers = &http.Server{
@@ -195,6 +196,19 @@
 	return time.Duration(cfg.ConfigWithin)
 }
 
+// storeRestored records a new era of the store, and gives up what rests on records that it may have lost.
+func (g *Gateway) storeRestored(era int64) {
+	g.events.Record(event.StoreRestored, timeline.Fields{"era": strconv.FormatInt(era, 10)})
+	g.membership.ObserveEra(era)
+	g.quarantine.LogRestored()
+}
+
+// positionLost records a read position of a former era of the store.
+func (g *Gateway) positionLost(topic string) {
+	g.events.Record(event.PositionLost, timeline.Fields{"topic": topic})
+	g.meters.PositionLost(topic)
+}
+
 // applyEvacuations applies and records a change of the evacuated data centres.
 func (g *Gateway) applyEvacuations(evacuated []fleet.DataCentre) {
 	begun, ended := g.roster.SetEvacuated(evacuated)
@@ -282,7 +296,13 @@
 func (g *Gateway) relayRequest() relay.Ask {
 	version, _, _ := g.catalogue.ConfirmedVersion()
 	reports, _ := g.reports.state()
-	return relay.Ask{Directory: g.directory.position(), Config: version, Members: g.memberList().Fingerprint, Reports: reports, WantsReports: true, Evacuations: g.catalogue.Evacuations().Position, WantsEvacuations: true}
+	var document []byte
+	if g.store.Era() > 0 { // A store that was never restored holds the newest version.
+		if source, ok := g.config.versionBehind(); ok {
+			document = g.relay.PackedDocument(source)
+		}
+	}
+	return relay.Ask{Document: document, Directory: g.directory.position(), Config: version, Members: g.memberList().Fingerprint, Reports: reports, WantsReports: true, Evacuations: g.catalogue.Evacuations().Position, WantsEvacuations: true, OrdersByEra: true}
 }
 
 // applyNews applies the news of a relay that took them from its state at checkedAt or
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"toucanfall/catalogue"
-	"toucanfall/fleet"
 	"toucanfall/metric"
 )
 
@@ -23,6 +22,7 @@
 			version, _, _ := g.catalogue.ConfirmedVersion()
 			return float64(version)
 		},
+		StoreEra:  func() float64 { return float64(g.store.Era()) },
 		RateShare: g.buckets.Share,
 		IsCoordinator: func() float64 {
 			if g.isCoordinator() {
@@ -32,7 +32,7 @@
 		},
 		QuarantinedParts:     func() float64 { return float64(g.quarantine.Size()) },
 		Upstreams:            func() float64 { return float64(len(g.roster.Upstreams())) },
-		EvacuatedDataCentres: func() []fleet.DataCentre { return g.catalogue.Evacuations().DataCentres },
+		EvacuatedDataCentres: g.catalogue.Evacuated,
 		NoticeStatuses:       g.noticeStatuses,
 		Budgets:              g.budgets,
 		Capacities:           g.capacities,
--- a/gateway/relay_update_test.go
+++ b/gateway/relay_update_test.go
@@ -12,6 +12,8 @@
 	"toucanfall/catalogue"
 	"toucanfall/event"
 	"toucanfall/fleet"
+	"toucanfall/group"
+	"toucanfall/platform"
 	"toucanfall/relay"
 	"toucanfall/timeline"
 )
@@ -139,3 +141,62 @@
 	f.applyNews(&relay.News{Config: 3}, now)
 	is.Equal(f.skipFor(), testTimes.informedMaxAge)
 }
+
+// Guards against a configuration that goes back, or is replaced under its version, when the store was
+// restored and its versions are written again: the same one changes nothing, another one is logged.
+func TestRewrittenConfigurationIsCompared(t *testing.T) {
+	is := is.New(t)
+	now := 10 * time.Second
+	f := newTestConfigFollower(&now)
+	write := func(text string) {
+		cfg, err := platform.DecodeConfig([]byte(text))
+		is.NoErr(err)
+		f.apply(cfg)
+	}
+	write(`{"Version":7,"Limits":{"MaxBodyBytes":5}}`)
+	active, _ := f.holder.Confirmed()
+	write(`{"Version":5}`)
+	write(`{ "Limits": {"MaxBodyBytes": 5}, "Version": 7 }`)
+	conflicts := timeline.Filter{Name: event.ConfigConflict.Name}
+	is.Equal(len(f.events.Entries(conflicts)), 0)
+	write(`{"Version":7,"Limits":{"MaxBodyBytes":6}}`)
+	is.Equal(len(f.events.Entries(conflicts)), 1)
+	after, _ := f.holder.Confirmed()
+	is.Equal(after, active)
+}
+
+// newTestRelay returns the service of a VM with a configuration follower.
+func newTestRelay(f *configFollower) *relay.Service {
+	members := group.New(group.Config{Now: f.now, Events: f.events})
+	return relay.NewService(relay.ServiceConfig{
+		Directory: relay.NewDirectory(), Catalogue: f.holder, Membership: members, Reports: newReportFollower(reportConfig{Now: f.now, OnUpdate: func() {}}),
+		ApplyDocument: f.applyRelayed, Events: f.events, Now: f.now,
+	})
+}
+
+// Guards against a configuration that comes back older: a coordinator that started while the restored store
+// held only an older version follows no VM, so its followers pass theirs on.
+func TestFollowerPassesNewerConfigurationOn(t *testing.T) {
+	is := is.New(t)
+	now := 10 * time.Second
+	coordinator, follower := newTestConfigFollower(&now), newTestConfigFollower(&now)
+	cfg, err := platform.DecodeConfig([]byte(`{"Version":7}`))
+	is.NoErr(err)
+	follower.apply(cfg)
+	follower.applyNews(&relay.News{Config: 3}, now)
+	behind, ok := follower.versionBehind()
+	is.True(ok)
+	_, again := follower.versionBehind()
+	is.True(!again) // Not with each request.
+	in := relay.Ask{Config: 7, Document: newTestRelay(follower).PackedDocument(behind)}
+	var out relay.News
+	is.NoErr(newTestRelay(coordinator).Peer().Follow(in, &out))
+	is.Equal(out.Config, catalogue.Version(7))
+	active, _ := coordinator.holder.Confirmed()
+	is.Equal(active.Document, cfg.Document)
+
+	in.Config, in.Document = 9, []byte("no configuration")
+	is.NoErr(newTestRelay(coordinator).Peer().Follow(in, &out))
+	is.Equal(out.Config, catalogue.Version(7))
+	is.Equal(len(coordinator.events.Entries(timeline.Filter{Name: event.GatewayFault.Name})), 1)
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -23,13 +23,14 @@
 	"toucanfall/catalogue"
 	"toucanfall/fleet"
 	"toucanfall/group"
+	"toucanfall/internal/logpos"
 	"toucanfall/quarantine"
 	"toucanfall/roster"
 )
 
 // Position is how far the directory was read: two VMs at the same position have read the
 // same entries. 0 is before the first entry.
-type Position int64
+type Position = logpos.Position
 
 // Mark holds the times of a VM's confirmations, on its own clock. A VM sends the mark of
 // the last answer with its next request, which is answered once there is a newer
@@ -56,9 +57,20 @@
 	// WantsEvacuations is set, which VMs of earlier versions never do.
 	Evacuations      catalogue.Position
 	WantsEvacuations bool
-	Mark             Mark
 	// VM identifies the requester, which VMs of earlier versions do not.
 	VM fleet.VMID
+	// OrdersByEra is set if the VM knows that positions hold the era of the store. VMs of earlier
+	// versions never set it: they send and get offsets only.
+	OrdersByEra bool
+	// Document is the packed configuration of the VM, set if the last news were of a lower version: the
+	// relay may have started while the store held only an older one, and follow no VM itself.
+	Document []byte
+	Mark     Mark
+}
+
+// Configuration is like [News.Configuration].
+func (a *Ask) Configuration() ([]byte, error) {
+	return unpackDocument(a.Document)
 }
 
 // News is the answer to an [Ask]. Ages are as of the moment when the relay took its state,
@@ -160,11 +172,15 @@
 // Configuration returns the configuration document as the operators wrote it, nil if the
 // news contain none. It fails if the document cannot be unpacked.
 func (n *News) Configuration() ([]byte, error) {
-	if len(n.Document) == 0 {
+	return unpackDocument(n.Document)
+}
+
+func unpackDocument(packed []byte) ([]byte, error) {
+	if len(packed) == 0 {
 		return nil, nil
 	}
 	var b []byte
-	err := unpack(n.Document, &b)
+	err := unpack(packed, &b)
 	return b, err
 }
 
--- a/relay/service.go
+++ b/relay/service.go
@@ -1,12 +1,16 @@
 package relay
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
 	"toucanfall/catalogue"
+	"toucanfall/event"
 	"toucanfall/group"
+	"toucanfall/internal/logpos"
 	"toucanfall/quarantine"
+	"toucanfall/timeline"
 )
 
 // Times for which a request is held.
@@ -34,6 +38,9 @@
 	Catalogue  *catalogue.Holder
 	Membership *group.Membership
 	Reports    ReportLog
+	// ApplyDocument is called with a configuration document of a higher version than this VM's.
+	ApplyDocument func(document []byte) error
+	Events        *timeline.Recorder
 	// Self identifies this VM in marks.
 	Self group.Member
 	// Now is a monotonic clock that also counts suspended time.
@@ -85,6 +92,7 @@
 // theirs. It never fails.
 func (p *Peer) Follow(in Ask, out *News) error {
 	s, receivedAt := p.s, p.s.cfg.Now()
+	s.applyDocument(&in)
 	s.transfers.end(in.VM)
 	s.waitForNews(in)
 	*out = s.answer(in, receivedAt)
@@ -99,6 +107,52 @@
 	return nil
 }
 
+// applyDocument applies the configuration in a request if it is newer than this VM's.
+func (s *Service) applyDocument(in *Ask) {
+	if version, _, _ := s.cfg.Catalogue.ConfirmedVersion(); len(in.Document) == 0 || in.Config <= version {
+		return
+	}
+	b, err := in.Configuration()
+	if err == nil {
+		err = s.cfg.ApplyDocument(b)
+	}
+	if err != nil {
+		s.cfg.Events.Record(event.GatewayFault, timeline.Fields{"reason": fmt.Sprintf("configuration %d of a follower: %v", in.Config, err)})
+	}
+}
+
+// PackedDocument returns this VM's configuration for an [Ask], nil if it has no higher version than the
+// given one.
+func (s *Service) PackedDocument(than catalogue.Version) []byte {
+	cfg, _ := s.cfg.Catalogue.Confirmed()
+	if cfg == nil || cfg.Version <= than {
+		return nil
+	}
+	return s.packedDocument.get(cfg.Version, func() any { return cfg.Document })
+}
+
+// addEras returns the request with the current eras added to its positions if its VM knows only offsets.
+// The offsets of such a VM may be of a former era, which it cannot tell either when it reads the store.
+func (s *Service) addEras(in Ask) Ask {
+	if in.OrdersByEra {
+		return in
+	}
+	directory, _ := s.cfg.Directory.ConfirmedPosition()
+	_, reports, _ := s.cfg.Reports.Since(in.Reports)
+	evacuations := s.cfg.Catalogue.Evacuations().Position
+	in.Directory = logpos.At(directory.Era(), in.Directory.Offset())
+	in.Reports = logpos.At(reports.Era(), in.Reports.Offset())
+	in.Evacuations = logpos.At(evacuations.Era(), in.Evacuations.Offset())
+	return in
+}
+
+// removeEras leaves only the offsets of the positions of an answer.
+func removeEras(n *News) {
+	n.Directory = Position(n.Directory.Offset())
+	n.ReportsAt = Position(n.ReportsAt.Offset())
+	n.EvacuationsAt = Position(n.EvacuationsAt.Offset())
+}
+
 // waitForNews waits until there is an update, or after minAnswerDelay a newer confirmation,
 // but no longer than maxAnswerDelay.
 func (s *Service) waitForNews(in Ask) {
@@ -123,6 +177,7 @@
 
 // hasNews reports whether this VM has an update for the requester.
 func (s *Service) hasNews(in Ask) bool {
+	in = s.addEras(in)
 	version, _, ok := s.cfg.Catalogue.ConfirmedVersion()
 	members, _ := s.cfg.Membership.MemberList()
 	membersChanged := in.Mark.VM == s.cfg.Self.VM() && members.Fingerprint != in.Mark.Print
@@ -147,6 +202,7 @@
 // answer returns what this VM knows, for a request that was received at receivedAt.
 func (s *Service) answer(in Ask, receivedAt time.Duration) News {
 	now := s.cfg.Now()
+	in = s.addEras(in)
 	out := News{Held: now - receivedAt, ConfigAge: UnknownAge, RollAge: UnknownAge, Mark: Mark{VM: s.cfg.Self.VM()}}
 	s.cfg.Directory.fillNews(in.Directory, now, &out)
 	// The confirmation is read first: one that comes later may be of later evacuations.
@@ -172,5 +228,8 @@
 			out.Members = members.Members
 		}
 	}
+	if !in.OrdersByEra {
+		removeEras(&out)
+	}
 	return out
 }
