--- a/event/event.go
+++ b/event/event.go
@@ -34,8 +34,6 @@
 	JoinFailed, PartsDealt, ClaimFailed, DutyTaken, CoordinatorLost, CoordinatorFound, RelayFound, RelayLost, KeeperLost, KeeperChanged,
 	EngineOrdered, PlacementChanged, MoveFailed, PlacementViewed, ReportFailed, PrefillHostLost, PrefillViewed, EngineCrashed, PartQuarantined, PartReleased, SettingsReloaded, SettingsRefused, GatewayFault, LinesLeftOut, RequestServed, AnswerBroken, PartEnded, AcceptFailed, ClientsRejected,
 	EvacuationBegun, EvacuationEnded, UpstreamCold, CapacityViewed, RetriesDenied,
-	EngineOrdered, PlacementChanged, MoveFailed, PlacementViewed, ReportFailed, PrefillHostLost, PrefillViewed, EngineCrashed, PartQuarantined, PartReleased, SettingsReloaded, SettingsRefused, GatewayFault, LinesLeftOut, RequestServed, PartEnded, AcceptFailed, ClientsRejected,
-	EvacuationBegun, EvacuationEnded, UpstreamCold, CapacityViewed,
 	StoreRestored, PositionLost, ConfigConflict,
 	FakeStarted, FakeServed,
 }
