--- a/ingress/admission.go
+++ b/ingress/admission.go
@@ -16,7 +16,8 @@
 
 // Shares of the descriptors, in percent of those that are left after reservedDescriptors. At 3,075
 // descriptors clients get 1,380, and engines 575. The busiest VMs of docs/CAPACITY.md have about 20
-// requests in progress, and a fleet has at most 300 VMs, each with one connection in each direction.
+// requests in progress, and a fleet has at most 300 VMs, each with one connection in each direction, and a
+// second one to the VM that it follows.
 const (
 	clientsPercent  = 48
 	enginesPercent  = 20
