Keep a retired connection while the peer answers on a newer one

A call that got no answer in its time retired the connection that it shared, and the connection was closed after 500 ms without bytes. Hosts of prompts hold calls for up to 1 s and the coordinator for up to 1.5 s, so that these still ended by "use of closed network connection" because another call was late, which is what the users' record shows.

TestUnansweredCallEndsNoHeldCall failed before: Echo.Say at b: 0 bytes received in 650ms: use of closed network connection An answer on the newer connection shows that the peer works, so the calls in progress go on to their own bounds. TestCallsOnDeadConnectionFailEarly keeps the early end on a dead connection.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -35,8 +35,8 @@
 	// writeTimeout bounds a write to a connection whose peer does not read.
 	writeTimeout = 5 * time.Second
 	// retiredSilence is after how long without received bytes a retired connection is closed, so
-	// that its calls fail earlier than at their own deadlines. Answers of the relay may be held
-	// for 400 ms.
+	// that its calls fail earlier than at their own deadlines. It stays open if the peer answers on
+	// a newer connection: then it may be holding the calls.
 	retiredSilence = 500 * time.Millisecond
 )
 
@@ -415,21 +415,24 @@
 	}
 	delete(cl.conns, address)
 	cl.retired[c] = struct{}{}
-	time.AfterFunc(retiredSilence, func() { cl.closeSilent(c) })
+	time.AfterFunc(retiredSilence, func() { cl.closeSilent(address, c) })
 }
 
-// closeSilent closes a retired connection if it has been silent for retiredSilence, and otherwise
-// checks again later.
-func (cl *Client) closeSilent(c *connection) {
+// closeSilent closes a retired connection if it has been silent for retiredSilence and the peer has not
+// answered on a newer one. If it has not been silent for so long, it checks again later.
+func (cl *Client) closeSilent(address string, c *connection) {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	if _, ok := cl.retired[c]; !ok {
 		return
 	}
 	if remaining := retiredSilence - c.received.silence(); remaining > 0 {
-		time.AfterFunc(remaining, func() { cl.closeSilent(c) })
+		time.AfterFunc(remaining, func() { cl.closeSilent(address, c) })
 		return
 	}
+	if newer, ok := cl.conns[address]; ok && newer.received.bytes.Load() > 0 {
+		return // The calls in progress end by themselves.
+	}
 	cl.closeRetired(c)
 }
 
