Cancel a call to a pool host at the deadline of its request

A request that took a retry shortly before its own deadline passed that deadline on to the call, and its end counted as a peer that does not answer: the connection to the pool host was retired, and the next call had to dial.

TestDeadlineOfRequestRetiresNoConnection failed before: not true: errors.Is(peers.ended[0], context.Canceled) Package prefill cancels its calls for the same reason.

--- a/ratelimit/client.go
+++ b/ratelimit/client.go
@@ -264,8 +264,11 @@
 	if host.VM == c.cfg.VM {
 		err = c.callLocal(args, out)
 	} else {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		// The deadline of a request says nothing of the host, so it cancels the call, which keeps the
+		// connection.
+		callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 		defer cancel()
+		defer context.AfterFunc(ctx, cancel)()
 		err = c.cfg.Peers.Call(callCtx, host.Address, ServiceName+"."+method, args, out)
 	}
 	if err != nil && ctx.Err() != nil {
