Use no connection whose responses can no longer be read

A response that had no space in the budget, was too long or could not be decoded ends the reader of net/rpc, and only a failed read of the socket marked the connection. After a cancelled call the next one got "connection is shut down" although the peer works.

TestConnectionWithoutSpaceIsNotUsedAgain failed before, 3 of 3.

--- a/peer/codec.go
+++ b/peer/codec.go
@@ -106,8 +106,12 @@
 // Close implements rpc.ClientCodec and rpc.ServerCodec.
 func (c *codec) Close() error { return c.conn.Close() }
 
-// clientCodec implements rpc.ClientCodec.
-type clientCodec struct{ *codec }
+// clientCodec implements rpc.ClientCodec. It calls onReadError if a response cannot be read, after which
+// net/rpc reads no others.
+type clientCodec struct {
+	*codec
+	onReadError func()
+}
 
 // WriteRequest writes a request.
 func (c clientCodec) WriteRequest(r *rpc.Request, body any) error { return c.write(r, body) }
@@ -117,6 +121,7 @@
 	err := c.readHeader(r)
 	if err != nil {
 		c.charged.begin()
+		c.onReadError()
 	}
 	return err
 }
@@ -124,7 +129,11 @@
 // ReadResponseBody reads the body of a response.
 func (c clientCodec) ReadResponseBody(body any) error {
 	defer c.charged.begin()
-	return c.dec.Decode(body)
+	err := c.dec.Decode(body)
+	if err != nil {
+		c.onReadError()
+	}
+	return err
 }
 
 // serverCodec implements rpc.ServerCodec for a single request.
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -291,11 +291,12 @@
 
 func (cl *Client) newConnection(conn net.Conn) *connection {
 	received := &receiveTimer{Conn: conn, opened: time.Now()}
-	return &connection{Client: rpc.NewClientWithCodec(clientCodec{newCodec(received, cl.space, cl.onNoSpace)}), received: received, sendSlot: make(chan struct{}, 1)}
+	codec := clientCodec{newCodec(received, cl.space, cl.onNoSpace), func() { received.failed.Store(true) }}
+	return &connection{Client: rpc.NewClientWithCodec(codec), received: received, sendSlot: make(chan struct{}, 1)}
 }
 
-// receiveTimer is a connection that records how many bytes were received and when, and whether a read
-// has failed.
+// receiveTimer is a connection that records how many bytes were received and when. failed is set once a
+// response could not be read, because the connection has ended or for another reason.
 type receiveTimer struct {
 	net.Conn
 	opened time.Time
@@ -305,16 +306,13 @@
 	failed atomic.Bool
 }
 
-// Read reads and records the outcome.
+// Read reads and records what was received.
 func (r *receiveTimer) Read(b []byte) (int, error) {
 	n, err := r.Conn.Read(b)
 	if n > 0 {
 		r.bytes.Add(int64(n))
 		r.last.Store(int64(time.Since(r.opened)))
 	}
-	if err != nil {
-		r.failed.Store(true)
-	}
 	return n, err
 }
 
