Take requests of a route at a stop despite a single timeout

Of fewer than 500 requests of a class none was left out as an exception, so that one that had timed out at an upstream that hung made a stopping VM refuse all requests of the route, also while the balancer still sent them. Found by the review.

The upper bound, by which the later part decides, is unchanged.

--- a/servicetime/durations.go
+++ b/servicetime/durations.go
@@ -126,8 +126,8 @@
 }
 
 // Longest returns the time within which nearly all recent requests of a class ended, rounded up by at
-// most a fifth, and the same with a margin for requests that last longer than any of them, which is the
-// larger the fewer there were. If there were fewer than minDurations, those of the route with more tokens
+// most a fifth, and an upper bound: the same without leaving out a single exception, with a margin for
+// requests that last longer than any of them, which is the larger the fewer there were. If there were fewer than minDurations, those of the route with more tokens
 // count too, which last longer. known is false if there are still too few.
 func (d *Durations) Longest(now time.Time, c Class) (longest, withMargin time.Duration, known bool) {
 	d.mu.Lock()
@@ -143,13 +143,23 @@
 	if n == 0 {
 		return 0, 0, false
 	}
-	ignored, bucket := n/ignoredShare, durationBuckets-1
+	known = n >= minDurations
+	strict := longestBut(counts, n/ignoredShare)
+	longest = strict
+	if known {
+		longest = longestBut(counts, max(n/ignoredShare, 1))
+	}
+	margin := 0.25 + 10/float64(n)
+	return longest, strict + time.Duration(margin*float64(strict)), known
+}
+
+// longestBut returns the longest duration of the counted ones without the longest ignored ones.
+func longestBut(counts [durationBuckets]int, ignored int) time.Duration {
+	bucket := durationBuckets - 1
 	for ; bucket > 0; bucket-- {
 		if ignored -= counts[bucket]; ignored < 0 {
 			break
 		}
 	}
-	longest = limitOf(bucket)
-	margin := 0.25 + 10/float64(n)
-	return longest, longest + time.Duration(margin*float64(longest)), n >= minDurations
+	return limitOf(bucket)
 }
