Let a large answer keep its place for the time that it takes

A place among the large answers of a relay expired after 250 ms although the answer was still on its way. From some 300 kB on, followers behind a link of 10 Mbit/s were so answered all at once again: with 500 kB 18 of 20 had nothing after 24 s. Found by the review.

The time follows from the size of the answer; for smaller answers it stays 250 ms, which TestLargeAnswerWaitsForOthers checks as before.

--- a/relay/service.go
+++ b/relay/service.go
@@ -99,7 +99,7 @@
 	if out.size() <= maxSmallAnswer || in.VM == "" {
 		return nil // A VM of an earlier version does not wait longer than before.
 	}
-	begun := s.transfers.wait(in.VM, maxAnswerDelay-(s.cfg.Now()-receivedAt), s.cfg.Now)
+	begun := s.transfers.wait(in.VM, out.size(), maxAnswerDelay-(s.cfg.Now()-receivedAt), s.cfg.Now)
 	*out = s.answer(in, receivedAt) // The state may have changed during the wait.
 	if !begun {
 		out.withholdLarge()
--- a/relay/transfers_test.go
+++ b/relay/transfers_test.go
@@ -46,7 +46,7 @@
 			})
 		}
 		asking.Wait() // None of them asks again, as if it were frozen.
-		is.Equal(answers, map[time.Duration]int{0: 2, transferTimeout: 2, maxAnswerDelay: 2})
+		is.Equal(answers, map[time.Duration]int{0: 2, minTransferTimeout: 2, maxAnswerDelay: 2})
 		is.Equal(busy.Load(), int64(2))
 		is.True(!ask("")) // A VM of an earlier version does not wait.
 		is.Equal(answers[0], 3)
