Keep the tokens of teams when the store was restored

When a VM learned of a new era it set its share of the rates to 0 until its next join, and with the share what it may keep: all VMs dropped their tokens at the same moment, and teams below their limits could get 429.

TestShareOfFormerEraKeepsTokens failed before: not true: first.share > 0 The share now ends at once and keeps its size, as in an outage of the store.

--- a/group/era.go
+++ b/group/era.go
@@ -44,7 +44,7 @@
 	m.ownClaimAllowedAt = m.ordersAllowedAt
 	m.loseLeadership(min(m.eraSeenAt, m.confirmedAt+leadershipLease))
 	m.memberListGeneration, m.rereadOwners = -1, true
-	m.setShare(0, 0)
+	m.setShare(m.share, m.eraSeenAt) // Nothing accrues from now on; tokens that have accrued stay.
 	return true
 }
 
--- a/group/era_test.go
+++ b/group/era_test.go
@@ -129,6 +129,23 @@
 	})
 }
 
+// Guards against tokens of teams that are dropped on all VMs at once when the store was restored: the
+// share of the former era no longer accrues, but bounds what a VM may keep until its next join.
+func TestShareOfFormerEraKeepsTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet()
+		defer f.close()
+		first, _ := f.startTwo()
+		first.disconnected.Store(true)
+		first.membership.ObserveEra(1)
+		first.mu.Lock()
+		defer first.mu.Unlock()
+		is.True(first.share > 0)
+		is.True(first.until <= f.now())
+	})
+}
+
 // Guards against two coordinators, a lower fencing token after a higher one, and VMs that use the same
 // partition, while the store is restored again and again and VMs are killed and restarted.
 func TestRandomRestoresKeepOneCoordinator(t *testing.T) {
