Test that returned retries keep their number and their time

The tests of the retry accounts never put a token back, and none stated how long earnings may last: accounting that returned two tokens for one, or kept earnings longer, passed.

--- a/ratelimit/retries_test.go
+++ b/ratelimit/retries_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/gob"
+	"math"
 	"testing"
 	"time"
 	"unicode/utf8"
@@ -55,6 +56,13 @@
 	is.True(!isRetryAccount("retries/service"))
 }
 
+// Guards against earned tokens of before a window that, with those of the window, exceed the ratio: for
+// steady traffic they are those of the time for which earnings last.
+func TestEarningsFitIntoRatio(t *testing.T) {
+	is := is.New(t)
+	is.True(earnedFraction*(1+float64(earningSlots)/slotsPerWindow) <= 1)
+}
+
 // Guards against earned tokens that last longer than the bound on retries assumes, or that are counted
 // twice, whatever is earned, taken and put back.
 func TestEarningsExpire(t *testing.T) {
@@ -63,18 +71,32 @@
 		e := limit.newEarnings()
 		lifetime := earningSlots * e.slotLength
 		now := time.Hour
-		var earned []time.Duration
+		var earned, returned []time.Duration
 		var taken Tokens
 		for range rapid.IntRange(1, 100).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond
 			e.advance(now)
-			if rapid.Bool().Draw(t, "earns") {
+			switch action := rapid.IntRange(0, 2).Draw(t, "action"); {
+			case action == 0:
 				*e.slot(0) += e.perRequest
 				earned = append(earned, now)
-			} else {
+			case action == 1:
 				taken += e.take(1)
+			case taken >= 1:
+				taken--
+				before := e.sum()
+				e.putBack(1)
+				if math.Abs(float64(e.sum()-before-1)) > 1e-9 {
+					t.Fatalf("%g tokens after one was put back to %g", e.sum(), before)
+				}
+				returned = append(returned, now)
 			}
 			var recent Tokens
+			for _, at := range returned {
+				if now-at < (earningSlots-ownSlots)*e.slotLength {
+					recent++
+				}
+			}
 			for _, at := range earned {
 				if now-at < lifetime {
 					recent += e.perRequest
