--- a/gateway/directory_test.go
+++ b/gateway/directory_test.go
@@ -200,7 +200,7 @@
 			Self: self, Peers: network, MemberList: func() group.MemberList { return list }, Now: c.now, Events: events,
 			NewRequest: func() relay.Ask {
 				at, _ := replica.ConfirmedPosition()
-				return relay.Ask{Directory: at, Members: list.Fingerprint, OrdersByEra: true}
+				return relay.Ask{Directory: at, Members: list.Fingerprint, KnowsEras: true}
 			},
 			ApplyNews: func(ctx context.Context, news *relay.News, checkedAt time.Duration) bool {
 				return n.ApplyNews(ctx, news, checkedAt)
@@ -395,6 +395,6 @@
 	asked := n.Now()
 	var out relay.News
 	// Follow never fails.
-	_ = from.service.Peer().Follow(relay.Ask{Directory: at, OrdersByEra: true}, &out)
+	_ = from.service.Peer().Follow(relay.Ask{Directory: at, KnowsEras: true}, &out)
 	return n.ApplyNews(ctx, &out, asked+out.Held)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -302,7 +302,7 @@
 			document = g.relay.PackedDocument(source)
 		}
 	}
-	return relay.Ask{Document: document, Directory: g.directory.position(), Config: version, Members: g.memberList().Fingerprint, Reports: reports, WantsReports: true, Evacuations: g.catalogue.Evacuations().Position, WantsEvacuations: true, OrdersByEra: true}
+	return relay.Ask{Document: document, Directory: g.directory.position(), Config: version, Members: g.memberList().Fingerprint, Reports: reports, WantsReports: true, Evacuations: g.catalogue.Evacuations().Position, WantsEvacuations: true, KnowsEras: true}
 }
 
 // applyNews applies the news of a relay that took them from its state at checkedAt or
--- a/gateway/partition_test.go
+++ b/gateway/partition_test.go
@@ -165,7 +165,7 @@
 		Self: self, Peers: network{f, n.reader}, MemberList: func() group.MemberList { return f.members }, Now: f.now, Events: events,
 		NewRequest: func() relay.Ask {
 			version, _, _ := holder.ConfirmedVersion()
-			in := relay.Ask{Directory: 1, Config: version, Members: f.members.Fingerprint, OrdersByEra: true}
+			in := relay.Ask{Directory: 1, Config: version, Members: f.members.Fingerprint, KnowsEras: true}
 			if source, behind := n.versionBehind(); behind {
 				in.Document = n.service.PackedDocument(source)
 			}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -59,9 +59,9 @@
 	WantsEvacuations bool
 	// VM identifies the requester, which VMs of earlier versions do not.
 	VM fleet.VMID
-	// OrdersByEra is set if the VM knows that positions hold the era of the store. VMs of earlier
+	// KnowsEras is set if the VM knows that positions hold the era of the store. VMs of earlier
 	// versions never set it: they send and get offsets only.
-	OrdersByEra bool
+	KnowsEras bool
 	// Document is the packed configuration of the VM, set if the last news were of a lower version: the
 	// relay may have started while the store held only an older one, and follow no VM itself.
 	Document []byte
--- a/relay/service.go
+++ b/relay/service.go
@@ -97,7 +97,7 @@
 	s.waitForNews(in)
 	*out = s.answer(in, receivedAt)
 	if out.size() <= maxSmallAnswer || in.VM == "" {
-		return nil // A VM of an earlier version does not wait longer than before.
+		return nil // VMs of earlier versions do not name themselves, and do not wait for a transfer.
 	}
 	begun := s.transfers.wait(in.VM, out.size(), maxAnswerDelay-(s.cfg.Now()-receivedAt), s.cfg.Now)
 	*out = s.answer(in, receivedAt) // The state may have changed during the wait.
@@ -134,7 +134,7 @@
 // addEras returns the request with the current eras added to its positions if its VM knows only offsets.
 // The offsets of such a VM may be of a former era, which it cannot tell either when it reads the store.
 func (s *Service) addEras(in Ask) Ask {
-	if in.OrdersByEra {
+	if in.KnowsEras {
 		return in
 	}
 	directory, _ := s.cfg.Directory.ConfirmedPosition()
@@ -228,7 +228,7 @@
 			out.Members = members.Members
 		}
 	}
-	if !in.OrdersByEra {
+	if !in.KnowsEras {
 		removeEras(&out)
 	}
 	return out
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -232,7 +232,7 @@
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
 	if err == nil {
-		a.open.isRead(cancel)
+		a.open.markRead(cancel)
 		err = h.checkStop(c)
 	}
 	if err == nil {
--- a/serving/open.go
+++ b/serving/open.go
@@ -122,8 +122,8 @@
 	delete(o.set.open, o)
 }
 
-// isRead records that the request was read completely, and how to end it.
-func (o *openRequest) isRead(cancel context.CancelCauseFunc) {
+// markRead records that the request was read completely, and how to end it.
+func (o *openRequest) markRead(cancel context.CancelCauseFunc) {
 	o.set.mu.Lock()
 	defer o.set.mu.Unlock()
 	o.cancel = cancel
--- a/transport/head.go
+++ b/transport/head.go
@@ -5,8 +5,7 @@
 	"io"
 )
 
-// maxHeadLines is the most lines of a head. Each takes some 100 bytes besides its own, and many short ones
-// took 1.3 MB of memory for 64 kB.
+// maxHeadLines is the most lines of a head. Each takes some 100 bytes of memory besides its own.
 const maxHeadLines = 128
 
 // headLines reads from a connection, and fails at a head of more than maxHeadLines lines. It is not safe for
