--- a/ratelimit/client.go
+++ b/ratelimit/client.go
@@ -268,7 +268,8 @@
 		// connection.
 		callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 		defer cancel()
-		defer context.AfterFunc(ctx, cancel)()
+		stop := context.AfterFunc(ctx, cancel)
+		defer stop()
 		err = c.cfg.Peers.Call(callCtx, host.Address, ServiceName+"."+method, args, out)
 	}
 	if err != nil && ctx.Err() != nil {
--- a/ratelimit/retries_test.go
+++ b/ratelimit/retries_test.go
@@ -63,47 +63,58 @@
 	is.True(earnedFraction*(1+float64(earningSlots)/slotsPerWindow) <= 1)
 }
 
+// earningsHistory is what was done with the earnings of an account.
+type earningsHistory struct {
+	*earnings
+	now time.Duration
+	// earned and returned hold the times at which tokens were earned and put back.
+	earned, returned []time.Duration
+	taken            Tokens
+}
+
+// step draws one action.
+func (h *earningsHistory) step(t *rapid.T) {
+	h.now += time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond
+	h.advance(h.now)
+	switch action := rapid.IntRange(0, 2).Draw(t, "action"); {
+	case action == 0:
+		*h.slot(0) += h.perRequest
+		h.earned = append(h.earned, h.now)
+	case action == 1:
+		h.taken += h.take(1)
+	case h.taken >= 1:
+		h.taken--
+		before := h.sum()
+		h.putBack(1)
+		if math.Abs(float64(h.sum()-before-1)) > 1e-9 {
+			t.Fatalf("%g tokens after one was put back to %g", h.sum(), before)
+		}
+		h.returned = append(h.returned, h.now)
+	}
+}
+
+// since returns the number of times that are less than a number of slots ago.
+func (h *earningsHistory) since(times []time.Duration, slots time.Duration) Tokens {
+	var n Tokens
+	for _, at := range times {
+		if h.now-at < slots*h.slotLength {
+			n++
+		}
+	}
+	return n
+}
+
 // Guards against earned tokens that last longer than the bound on retries assumes, or that are counted
 // twice, whatever is earned, taken and put back.
 func TestEarningsExpire(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limit := RetryLimit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}
-		e := limit.newEarnings()
-		lifetime := earningSlots * e.slotLength
-		now := time.Hour
-		var earned, returned []time.Duration
-		var taken Tokens
+		h := &earningsHistory{earnings: limit.newEarnings(), now: time.Hour}
 		for range rapid.IntRange(1, 100).Draw(t, "steps") {
-			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond
-			e.advance(now)
-			switch action := rapid.IntRange(0, 2).Draw(t, "action"); {
-			case action == 0:
-				*e.slot(0) += e.perRequest
-				earned = append(earned, now)
-			case action == 1:
-				taken += e.take(1)
-			case taken >= 1:
-				taken--
-				before := e.sum()
-				e.putBack(1)
-				if math.Abs(float64(e.sum()-before-1)) > 1e-9 {
-					t.Fatalf("%g tokens after one was put back to %g", e.sum(), before)
-				}
-				returned = append(returned, now)
-			}
-			var recent Tokens
-			for _, at := range returned {
-				if now-at < (earningSlots-ownSlots)*e.slotLength {
-					recent++
-				}
-			}
-			for _, at := range earned {
-				if now-at < lifetime {
-					recent += e.perRequest
-				}
-			}
-			if e.sum() > recent+1e-9 || taken+e.sum() > Tokens(len(earned))*e.perRequest+1e-9 {
-				t.Fatalf("%g tokens of %g earned recently, %g taken", e.sum(), recent, taken)
+			h.step(t)
+			recent := h.since(h.earned, earningSlots)*h.perRequest + h.since(h.returned, earningSlots-ownSlots)
+			if h.sum() > recent+1e-9 || h.taken+h.sum() > Tokens(len(h.earned))*h.perRequest+1e-9 {
+				t.Fatalf("%g tokens, %g earned or returned recently, %g taken", h.sum(), recent, h.taken)
 			}
 		}
 	})
