--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -57,11 +57,14 @@
 // budgets returns the state of the budgets of the admission control.
 func (g *Gateway) budgets() []metric.Budget {
 	a := g.admission
-	out := []metric.Budget{
-		{Name: "bytes", Used: float64(a.Bytes.Used()), Limit: float64(a.Bytes.Limit())},
-		{Name: "store_answers", Used: float64(a.StoreAnswers.Used()), Limit: float64(a.StoreAnswers.Limit())},
-		{Name: "vm_answers", Used: float64(a.VMAnswers.Used()), Limit: float64(a.VMAnswers.Limit())},
-		{Name: "call_answers", Used: float64(a.CallAnswers.Used()), Limit: float64(a.CallAnswers.Limit())},
+	var out []metric.Budget
+	for _, b := range []struct {
+		name  string
+		bytes *ingress.Bytes
+	}{
+		{"bytes", a.Bytes}, {"store_answers", a.StoreAnswers}, {"vm_answers", a.VMAnswers}, {"call_answers", a.CallAnswers},
+	} {
+		out = append(out, metric.Budget{Name: b.name, Used: float64(b.bytes.Used()), Limit: float64(b.bytes.Limit())})
 	}
 	for _, b := range []struct {
 		name  string
--- a/relay/slow_link_large_test.go
+++ b/relay/slow_link_large_test.go
@@ -20,14 +20,7 @@
 		now, members := newClock(), newMemberList(followers+3, 1)
 		link := &slowLink{service: newLargeService(size, now), relay: relaysOf(members.Members[0], members)[0].Address(), perByte: perByte}
 		var running sync.WaitGroup
-		var arrived []<-chan struct{}
-		for _, m := range members.Members {
-			if len(arrived) < followers && len(Sources(m, members)) > 1 {
-				done := make(chan struct{})
-				arrived = append(arrived, done)
-				running.Go(func() { link.follow(ctx, m, members, now, done) })
-			}
-		}
+		arrived := link.startFollowers(ctx, &running, followers, members, now)
 		time.Sleep(3 * followers * size * perByte) // Three times as long as they take after each other.
 		missing := 0
 		for _, done := range arrived {
--- a/relay/slow_link_test.go
+++ b/relay/slow_link_test.go
@@ -97,6 +97,20 @@
 	_ = f.Run(ctx)
 }
 
+// startFollowers runs n followers until ctx ends, and returns a channel for each that is closed when it has
+// version 1.
+func (l *slowLink) startFollowers(ctx context.Context, running *sync.WaitGroup, n int, members group.MemberList, now func() time.Duration) []<-chan struct{} {
+	var arrived []<-chan struct{}
+	for _, m := range members.Members {
+		if len(arrived) < n && len(Sources(m, members)) > 1 {
+			done := make(chan struct{})
+			arrived = append(arrived, done)
+			running.Go(func() { l.follow(ctx, m, members, now, done) })
+		}
+	}
+	return arrived
+}
+
 // newTestRecorder returns a recorder without output.
 func newTestRecorder() *timeline.Recorder {
 	logger := logrus.New()
@@ -136,14 +150,7 @@
 		relays := relaysOf(members.Members[0], members)
 		link := &slowLink{service: newLargeService(size, now), relay: relays[0].Address(), perByte: perByte}
 		var running sync.WaitGroup
-		var arrived []<-chan struct{}
-		for _, m := range members.Members {
-			if len(arrived) < followers && len(Sources(m, members)) > 1 {
-				done := make(chan struct{})
-				arrived = append(arrived, done)
-				running.Go(func() { link.follow(ctx, m, members, now, done) })
-			}
-		}
+		arrived := link.startFollowers(ctx, &running, followers, members, now)
 		began := time.Now()
 		for _, done := range arrived {
 			select {
--- a/serving/crash_detector.go
+++ b/serving/crash_detector.go
@@ -107,9 +107,9 @@
 	onCrash      func()
 }
 
-func newCrashDetector(dial transport.Dialer, r *roster.Roster, probe StartProbe) *crashDetector {
+func newCrashDetector(dial transport.Dialer, r *roster.Roster, probe StartProbe, answers *ingress.Bytes) *crashDetector {
 	return &crashDetector{
-		dial: dial, roster: r, probe: probe, checks: make(map[*roster.Upstream][]func(finding)),
+		dial: dial, roster: r, probe: probe, answers: answers, checks: make(map[*roster.Upstream][]func(finding)),
 		probedAt: make(map[*roster.Upstream]time.Time), cases: make(map[*roster.Upstream]*crashCase),
 		aliveAt: make(map[*roster.Upstream]time.Time),
 	}
--- a/serving/crash_detector_test.go
+++ b/serving/crash_detector_test.go
@@ -104,7 +104,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				e := &fakeEngines{roster: roster.New(), dialErr: c.dialErr, start: c.start, startErr: c.startErr}
-				d := newCrashDetector(e.dial, e.roster, e)
+				d := newCrashDetector(e.dial, e.roster, e, nil)
 				is.Equal(e.interrupt(d, e.put("u", born, false)), c.immediate)
 				is.Equal(e.crashes == 1, c.immediate)
 				if c.then != nil {
@@ -125,7 +125,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		e := &fakeEngines{roster: roster.New(), dialErr: syscall.ECONNREFUSED}
-		d := newCrashDetector(e.dial, e.roster, e)
+		d := newCrashDetector(e.dial, e.roster, e, nil)
 		is.True(!e.interrupt(d, e.put("u", born, true)))
 		is.Equal(e.dials+e.crashes, 0)
 	})
@@ -136,7 +136,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		e := &fakeEngines{roster: roster.New()}
-		d := newCrashDetector(e.dial, e.roster, e)
+		d := newCrashDetector(e.dial, e.roster, e, nil)
 		u, started := e.put("u", born, false), time.Now()
 		for range 2 * maxCaseRuns {
 			e.interrupt(d, u)
@@ -167,7 +167,7 @@
 			}
 			return conn, err
 		}
-		d := newCrashDetector(dial, e.roster, e)
+		d := newCrashDetector(dial, e.roster, e, nil)
 		u := e.put("u", born, false)
 		before := d.check(u, func() {})
 		synctest.Wait()
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -139,14 +139,12 @@
 	p := newPools(cfg.Dial, n.receive, cfg.CallAnswers)
 	picker := NewPicker(cfg.Roster, cfg.DataCentre, cfg.VMCount, p.connected, rand.Float64)
 	picker.regions = cfg.Regions
-	crashes := newCrashDetector(cfg.Dial, cfg.Roster, cfg.Starts)
-	crashes.answers = cfg.CallAnswers
 	return &Handler{
 		cfg:     cfg,
 		pools:   p,
 		picker:  picker,
 		notices: n,
-		crashes: crashes,
+		crashes: newCrashDetector(cfg.Dial, cfg.Roster, cfg.Starts, cfg.CallAnswers),
 		retries: newRetries(cfg),
 	}
 }
