--- a/ratelimit/retry_fleet_test.go
+++ b/ratelimit/retry_fleet_test.go
@@ -42,6 +42,16 @@
 	rate, failing     float64
 	due               float64
 	requests, retries []int
+	// failAfter is the number of steps after which an attempt fails, failures the attempts that are still to
+	// fail, by step.
+	failAfter int
+	failures  map[int][]simAttempt
+}
+
+// simAttempt is an attempt at a request through a VM, after a number of retries.
+type simAttempt struct {
+	vm      *simVM
+	retries int
 }
 
 // simShare is a share of the rates that the store has assigned to a process.
@@ -255,6 +265,7 @@
 		f.deposit()
 		for _, s := range f.services {
 			s.requests, s.retries = append(s.requests, 0), append(s.retries, 0)
+			f.failAttempts(s)
 			for s.due += s.rate * simStep.Seconds(); s.due > 0; s.due -= f.interval() {
 				f.request(s)
 			}
@@ -272,16 +283,42 @@
 
 // request sends a request to a VM drawn at random.
 func (f *retryFleet) request(s *simService) {
-	step := len(s.requests) - 1
-	s.requests[step]++
+	s.requests[len(s.requests)-1]++
 	v := f.vms[f.rng.IntN(len(f.vms))]
 	if v == nil {
 		return
 	}
 	v.client.CountRequest(s.id)
-	for n := 0; n < maxRetries && f.rng.Float64() < s.failing && v.client.TakeRetry(context.Background(), s.id); n++ {
-		s.retries[step]++
+	f.attempt(s, simAttempt{vm: v})
+}
+
+// attempt makes an attempt, and a retry if it fails.
+func (f *retryFleet) attempt(s *simService, a simAttempt) {
+	if s.failAfter > 0 {
+		if s.failures == nil {
+			s.failures = make(map[int][]simAttempt)
+		}
+		s.failures[len(s.requests)-1+s.failAfter] = append(s.failures[len(s.requests)-1+s.failAfter], a)
+		return
 	}
+	f.fail(s, a)
+}
+
+// fail makes a retry after an attempt that may have failed.
+func (f *retryFleet) fail(s *simService, a simAttempt) {
+	if a.retries < maxRetries && f.rng.Float64() < s.failing && a.vm.client.TakeRetry(context.Background(), s.id) {
+		s.retries[len(s.retries)-1]++
+		f.attempt(s, simAttempt{a.vm, a.retries + 1})
+	}
+}
+
+// failAttempts ends the attempts that fail in the current step.
+func (f *retryFleet) failAttempts(s *simService) {
+	step := len(s.requests) - 1
+	for _, a := range s.failures[step] {
+		f.fail(s, a)
+	}
+	delete(s.failures, step)
 }
 
 // sums returns the sums of the first n counts, for all n.
@@ -412,6 +449,25 @@
 	}
 }
 
+// Guards against arrivals beyond the retry budget (BUDGET) after bursts of requests that fail late: they were
+// retried with the tokens of the burst before the window, and those of the next burst came on top.
+func TestRetriesOfLateFailuresStayWithinBudget(t *testing.T) {
+	for _, n := range []int{1, 7, 65} {
+		for _, gap := range []time.Duration{4 * time.Second, 6 * time.Second, 7500 * time.Millisecond, 9 * time.Second} {
+			t.Run(fmt.Sprintf("%d/%s", n, gap), func(t *testing.T) {
+				t.Parallel()
+				burst := &simService{id: "burst", failing: 1, failAfter: int(1200 * time.Millisecond / simStep)}
+				checkBudget(t, n, func(_ *retryFleet, step int) {
+					burst.rate = 0
+					if step%int(gap/simStep) < int(time.Second/simStep) {
+						burst.rate = 1000
+					}
+				}, burst)
+			})
+		}
+	}
+}
+
 // checkBudget plays a fleet and checks the bound of the rule for each service.
 func checkBudget(t *testing.T, vms int, at func(f *retryFleet, step int), services ...*simService) {
 	is := is.New(t)
