Bound the retries that are carried over from a burst

Callers of a service saw nothing; its engines got up to 1.43 times the retries that the rule allows in a window after two short bursts whose requests failed late. Tokens that a burst had earned were used after it, in a window in which the next burst earned its own in full. The bound assumed steady traffic.

What is kept at any moment is now at most 0.15/0.85 of what the last window earned at the same place, so that any two adjacent windows stay within the larger one's bound.

Ruled out: sends that the transport reports as not sent.

--- a/ratelimit/buckets.go
+++ b/ratelimit/buckets.go
@@ -135,7 +135,7 @@
 func (p *Buckets) newBucket(id fleet.TeamID, accruesFrom time.Duration) *bucket {
 	b := &bucket{id: id, refilledAt: accruesFrom}
 	if isRetryAccount(id) {
-		b.earned = p.retries.newEarnings()
+		b.earned = p.retries.newEarnings(unusableTokens)
 	}
 	return b
 }
--- a/ratelimit/retries.go
+++ b/ratelimit/retries.go
@@ -20,10 +20,12 @@
 
 // Fractions of a RetryLimit.
 const (
-	// earnedFraction of the ratio is earned by each request. A token that was earned before a window
-	// may be used within it for as long as earnings keep it, so earnedFraction times one window plus
-	// that time must not exceed one window.
+	// earnedFraction of the ratio is earned by each request.
 	earnedFraction = 0.85
+	// carriedFraction of what the requests of the last window have earned may be kept at any moment. What
+	// is kept when a window begins then takes no more of the ratio than earnedFraction leaves, however
+	// the requests are distributed over both windows.
+	carriedFraction = (1 - earnedFraction) / earnedFraction
 	// slackFraction of the slack accrues within a window or is stored before it.
 	slackFraction = 0.99
 	// slackBurstFraction of the slack may be stored, but at least minSlackBurst, with which a pool
@@ -112,23 +114,52 @@
 	// newest is the number of the current slot. The slot with the number n is slots[n%earningSlots].
 	newest int64
 	slots  [earningSlots]Tokens
+	// earned holds what was earned here in each slot of the last window, used or not, and earnedSum its sum.
+	// The slot with the number n is earned[n%slotsPerWindow].
+	earned    [slotsPerWindow]Tokens
+	earnedSum Tokens
+	// alwaysKept may be kept whatever was earned.
+	alwaysKept Tokens
 }
 
-// newEarnings returns the earnings of a retry account, which are empty.
-func (l RetryLimit) newEarnings() *earnings {
-	return &earnings{perRequest: Tokens(earnedFraction * l.Ratio), slotLength: max(l.Window/slotsPerWindow, 1)}
+// newEarnings returns the earnings of a retry account, which are empty. alwaysKept may be kept whatever
+// was earned.
+func (l RetryLimit) newEarnings(alwaysKept Tokens) *earnings {
+	return &earnings{perRequest: Tokens(earnedFraction * l.Ratio), slotLength: max(l.Window/slotsPerWindow, 1), alwaysKept: alwaysKept}
 }
 
-// advance drops the tokens that are too old.
+// unusableTokens is what a VM may keep whatever its requests have earned. It is less than a retry takes, and goes
+// to the pool with the next deposit: of a rarely used service a VM could keep next to nothing otherwise.
+const unusableTokens = 0.999
+
+// advance drops the tokens that are too old, and those beyond what may be kept.
 func (e *earnings) advance(now time.Duration) {
 	current := int64(now / e.slotLength)
-	if current-e.newest >= earningSlots {
-		e.slots = [earningSlots]Tokens{}
+	if current-e.newest >= slotsPerWindow {
+		e.slots, e.earned, e.earnedSum = [earningSlots]Tokens{}, [slotsPerWindow]Tokens{}, 0
 		e.newest = current
 	}
 	for e.newest < current {
 		e.newest++
 		e.slots[e.newest%earningSlots] = 0
+		e.earnedSum -= e.earned[e.newest%slotsPerWindow]
+		e.earned[e.newest%slotsPerWindow] = 0
+	}
+	e.trim()
+}
+
+// add adds tokens that were earned a number of slots ago.
+func (e *earnings) add(n Tokens, age int64) {
+	*e.slot(age) += n
+	e.earned[(e.newest+slotsPerWindow-age)%slotsPerWindow] += n
+	e.earnedSum += n
+	e.trim()
+}
+
+// trim drops the tokens beyond what may be kept, the oldest first.
+func (e *earnings) trim() {
+	if excess := e.sum() - max(carriedFraction*e.earnedSum, e.alwaysKept); excess > 0 {
+		e.take(excess)
 	}
 }
 
@@ -169,6 +200,16 @@
 	return taken
 }
 
+// moveSlots is takeSlots for tokens that are to be added to other earnings, where they count as earned.
+func (e *earnings) moveSlots(first, end int64) Tokens {
+	for age := first; age < end; age++ {
+		n := *e.slot(age)
+		e.earned[(e.newest+slotsPerWindow-age)%slotsPerWindow] -= n
+		e.earnedSum -= n
+	}
+	return e.takeSlots(first, end)
+}
+
 // putBack returns tokens of a retry that was not sent. They may have come from anywhere, so they are
 // kept no longer than the oldest earned ones.
 func (e *earnings) putBack(n Tokens) {
@@ -181,7 +222,7 @@
 	defer p.mu.Unlock()
 	if b, ok := p.buckets[id]; ok && b.earned != nil {
 		b.earned.advance(p.now())
-		*b.earned.slot(0) += b.earned.perRequest
+		b.earned.add(b.earned.perRequest, 0)
 	}
 }
 
@@ -213,7 +254,7 @@
 		if sum := b.earned.sum(); sum == 0 || sum >= 1 {
 			continue
 		}
-		if n := shorten(b.earned.takeSlots(0, youngSlots)); n > 0 {
+		if n := shorten(b.earned.moveSlots(0, youngSlots)); n > 0 {
 			out[id] = n
 		}
 	}
@@ -241,7 +282,7 @@
 	for id, n := range earned {
 		if e, ok := p.earned[id]; ok {
 			e.advance(p.now())
-			*e.slot(youngSlots) += max(n, 0)
+			e.add(max(n, 0), youngSlots)
 		}
 	}
 }
@@ -272,7 +313,7 @@
 	maps.DeleteFunc(p.earned, func(id fleet.TeamID, _ *earnings) bool { _, ok := limits[id]; return !ok })
 	for id := range limits {
 		if _, ok := p.earned[id]; !ok && isRetryAccount(id) {
-			p.earned[id] = p.retries.newEarnings()
+			p.earned[id] = p.retries.newEarnings(0)
 		}
 	}
 }
--- a/ratelimit/retries_test.go
+++ b/ratelimit/retries_test.go
@@ -76,9 +76,12 @@
 func (h *earningsHistory) step(t *rapid.T) {
 	h.now += time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond
 	h.advance(h.now)
+	if limit := carriedFraction * h.since(h.earned, slotsPerWindow) * h.perRequest; h.sum() > limit+1e-9 {
+		t.Fatalf("%g tokens are kept where the requests of the last window allow %g", h.sum(), limit)
+	}
 	switch action := rapid.IntRange(0, 2).Draw(t, "action"); {
 	case action == 0:
-		*h.slot(0) += h.perRequest
+		h.add(h.perRequest, 0)
 		h.earned = append(h.earned, h.now)
 	case action == 1:
 		h.taken += h.take(1)
@@ -109,7 +112,7 @@
 func TestEarningsExpire(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limit := RetryLimit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}
-		h := &earningsHistory{earnings: limit.newEarnings(), now: time.Hour}
+		h := &earningsHistory{earnings: limit.newEarnings(0), now: time.Hour}
 		for range rapid.IntRange(1, 100).Draw(t, "steps") {
 			h.step(t)
 			recent := h.since(h.earned, earningSlots)*h.perRequest + h.since(h.returned, earningSlots-ownSlots)
