Deny unknown routes and keys only by a confirmed configuration

Callers got 404 for a new route, or 401 for a new key, from a VM whose configuration nobody had confirmed for up to 4.4 s, where versions must be in force within 2 s. The bound on withdrawn keys was used for what a VM denies.

Such a VM answers 503 config_stale now, which callers may repeat elsewhere. A request later than the bound after an acknowledgement cannot be denied by an older version any more, as the last confirmation is older than that.

TestUnconfirmedConfigurationShowsNoAbsence: 404 in place of 503 before.

--- a/serving/handler.go
+++ b/serving/handler.go
@@ -103,6 +103,9 @@
 	// StaleAfter is the staleness of the configuration from which requests with a key are
 	// rejected.
 	StaleAfter time.Duration
+	// ConfigWithin is the time within which a configuration must be applied. A staler one does not show that a
+	// route or a key does not exist.
+	ConfigWithin time.Duration
 	// Budget bounds the retries.
 	Budget RetryBudget
 	// VMCount returns how many VMs choose among the same upstreams, this one included.
@@ -252,9 +255,8 @@
 	if cfg == nil {
 		return nil, nil, fault.New(fault.NotReady, "this VM knows no configuration yet")
 	}
-	fresh := age < h.cfg.StaleAfter
 	route, ok := cfg.Match(hostname(r.Host), r.URL.Path)
-	if !ok && !fresh {
+	if !ok && !h.showsAbsence(age) {
 		return nil, nil, staleError(age)
 	}
 	if !ok {
@@ -300,14 +302,19 @@
 	return r
 }
 
+// showsAbsence reports whether a configuration of a staleness shows that what it lacks does not exist.
+func (h *Handler) showsAbsence(age time.Duration) bool {
+	return age < min(h.cfg.ConfigWithin, h.cfg.StaleAfter)
+}
+
 func staleError(age time.Duration) error {
 	return fault.New(fault.ConfigStale, "the configuration was last proved to be the newest %s ago", age.Round(time.Millisecond))
 }
 
 // authenticate returns the team whose key the request carries, nil on a public route or if the
-// configuration has no teams. An unknown key is a fault.Unauthenticated error. With a stale
-// configuration it returns a fault.ConfigStale error for every key, because a key that the
-// configuration lacks may be new.
+// configuration has no teams. An unknown key is a fault.Unauthenticated error, or a fault.ConfigStale error
+// if the configuration is too stale to show that the key does not exist. From StaleAfter on it returns a
+// fault.ConfigStale error for every key, because any key may have been withdrawn.
 func (h *Handler) authenticate(cfg *catalogue.Config, route *catalogue.Route, r *http.Request, age time.Duration) (*catalogue.Team, error) {
 	if route.Public || !cfg.HasTeams() {
 		return nil, nil
@@ -316,6 +323,9 @@
 		return nil, staleError(age)
 	}
 	team, ok := cfg.TeamOf(h.cfg.Wire.Key(r))
+	if !ok && !h.showsAbsence(age) {
+		return nil, staleError(age)
+	}
 	if !ok {
 		return nil, fault.New(fault.Unauthenticated, "the key is not known")
 	}
