--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -226,8 +226,8 @@
 		DataCentre: g.cfg.DataCentre, Regions: g.cfg.Regions, Wire: platform.Wire{}, Dial: g.admission.ToEngines.Wrap(transport.Dial), Catalogue: g.catalogue, Roster: g.roster,
 		Rates: g.rates, Permits: g.rates, Prefill: g.prefill, AccountRuns: platform.AccountsForRuns(g.cfg.Contracts), Parts: g.quarantine, Starts: platform.Engines{}, Loader: g.coordinatorClient, Events: g.events, Metrics: g.meters, Panics: g.panics,
 		StaleAfter: g.staleAfter(), ConfigWithin: time.Duration(g.cfg.ConfigWithin),
-		Budget:     g.rates,
-		VMCount:    g.vmsPerDataCentre,
+		Budget:  g.rates,
+		VMCount: g.vmsPerDataCentre,
 		// killMargin earlier than the VM reports not ready for, because the signal may come late.
 		StopAt: g.stopTime, BalancerStopLead: time.Duration(g.cfg.StopWithin) - notReadyPeriod, Directory: g.directory, Space: g.admission.Bytes, CallAnswers: g.admission.CallAnswers, OnReject: g.admission.Reject,
 	}
