Quarantine requests that as a whole crash each upstream

Callers of a service got 502 and refused connections for as long as one request came again: it crashed each upstream that ran it, 31 to 103 times in 24 s before twelve upstreams. The search for a crash ended where a request named no model, and a request was only known by the parts of its prompt.

A request now has a fingerprint of its team, method, host, path and body, which counts as one more part of it in the account of crashes: the same reports, relays, vouches, lifts and bounds. Crashes are looked for under every request. After a crash a request is retried once, and not at all if a crash under it was known before.

--- a/fault/fault.go
+++ b/fault/fault.go
@@ -71,7 +71,7 @@
 	{Overloaded, 503, true, time.Second, "The queue of the model is full, or the VM has no memory for the request."},
 	{DeadlineUnmeetable, 503, true, time.Second, "The request would wait longer than the deadline of its route."},
 	{NoUpstream, 503, true, time.Second, "No upstream can accept the request."},
-	{Quarantined, 503, true, 0, "A part of the prompt has crashed several engines. Requests with it are rejected."},
+	{Quarantined, 503, true, 0, "The request, or a part of its prompt, has crashed several engines. Requests like it are rejected."},
 	{UpstreamFailed, 502, false, time.Second, "Upstreams failed after an attempt had started."},
 	{OutcomeUnknown, 504, false, 0, "The attempt may or may not have run; look up the booking by its key."},
 	{StoreUnavailable, 503, true, 2 * time.Second, "The platform's log cannot be reached."},
--- a/fleet/id.go
+++ b/fleet/id.go
@@ -30,7 +30,8 @@
 // AdapterID identifies an adapter of a model.
 type AdapterID string
 
-// PartID identifies a part of a prompt that requests share.
+// PartID identifies a part of a prompt that requests share, or a request as a whole by its fingerprint (see
+// package quarantine).
 type PartID string
 
 // FormatParts returns the parts, separated by spaces.
--- a/quarantine/account.go
+++ b/quarantine/account.go
@@ -1,5 +1,5 @@
-// Package quarantine finds the parts of prompts that crash engines, over all VMs, and stops requests
-// with them.
+// Package quarantine finds the parts of prompts, and the requests as a whole, that crash engines, over all VMs, and
+// stops requests with them. A request as a whole counts as a part that is named by its fingerprint.
 //
 // A VM that loses a run together with its engine reports the parts of its prompt. Parts that sound
 // requests share with a fatal one are in as many reports, so that each report also says how many runs
@@ -23,7 +23,8 @@
 const (
 	// minCrashes is the number of engines that must have crashed under a part.
 	minCrashes = 3
-	// maxParts bounds the parts of an account. Callers can send any number of them.
+	// maxParts bounds the parts of prompts in an account, and the fingerprints. Callers can send any number
+	// of both.
 	maxParts = 1024
 	// maxEngines bounds the engines that are kept for a part.
 	maxEngines = 16
@@ -83,6 +84,8 @@
 	Engines []EngineStart `json:"engines,omitempty"`
 	// Request is the request that was running at the crash, "" in reports of other kinds.
 	Request fleet.RequestID `json:"request,omitempty"`
+	// Origin is where that request came from, nil if it is not known.
+	Origin *Origin `json:"origin,omitempty"`
 	// At is the time of the report, in Unix milliseconds by the clock of the VM.
 	At    int64       `json:"at"`
 	Parts []PartCount `json:"parts"`
@@ -166,6 +169,8 @@
 	counts map[uint64]receivedCount
 	// firstCrash and lastCrash are the times of the first and the last report of a crash.
 	firstCrash, lastCrash time.Duration
+	// origin is where a request with this fingerprint came from, nil for parts of prompts.
+	origin *Origin
 	// everSound is set once a run with the part went well. releases is how often the part was released
 	// although nothing more was known of it.
 	everSound   bool
@@ -247,6 +252,7 @@
 	// expired is set if the quarantine ended because its term was over.
 	expired bool
 	engines []EngineStart
+	origin  *Origin
 }
 
 // apply applies a report that was received at the time now, unless it has been applied before. old is
@@ -270,6 +276,9 @@
 			p = &partState{counts: make(map[uint64]receivedCount), firstCrash: now}
 			a.parts[count.Part] = p
 		}
+		if r.Origin != nil && IsFingerprint(count.Part) {
+			p.origin = r.Origin
+		}
 		p.add(r, receivedCount{sound: count.Sound, since: r.since(i), at: now}, old)
 		out = append(out, a.judge(count.Part, p, now)...)
 	}
@@ -331,13 +340,23 @@
 	case p.quarantined && sound > crashed:
 		p.quarantined = false
 		return []change{{part: id}}
-	case !p.quarantined && sound < crashed && now-p.firstCrash >= decisionTime && len(p.engines) >= minCrashes && a.unexplained(id, p) >= minCrashes:
+	case !p.quarantined && sound < crashed && now-p.firstCrash >= decisionTime && len(p.engines) >= minCrashes && a.unexplained(id, p) >= minUnexplained(id):
 		p.quarantined = true
-		return append(a.releaseExplained(), change{part: id, quarantined: true, engines: p.starts()})
+		return append(a.releaseExplained(), change{part: id, quarantined: true, engines: p.starts(), origin: p.origin})
 	}
 	return nil
 }
 
+// minUnexplained returns the number of engines that must have crashed under a part and that no other part explains.
+// Two requests that crash engines run at the same ones at times. Of a request that only ran beside another one all
+// crashes are explained, while a part is in many requests and is beside others at random.
+func minUnexplained(id fleet.PartID) int {
+	if IsFingerprint(id) {
+		return 1
+	}
+	return minCrashes
+}
+
 // unexplained returns the number of engines that crashed under a part and under no other part that is
 // in quarantine and with which no run has gone well.
 func (a *account) unexplained(id fleet.PartID, p *partState) int {
@@ -358,7 +377,7 @@
 func (a *account) releaseExplained() []change {
 	var out []change
 	for id, p := range a.parts {
-		if p.quarantined && p.everSound && a.unexplained(id, p) < minCrashes {
+		if p.quarantined && p.everSound && a.unexplained(id, p) < minUnexplained(id) {
 			p.quarantined = false
 			out = append(out, change{part: id})
 		}
@@ -366,27 +385,44 @@
 	return out
 }
 
-// evict removes the parts with the oldest crashes, those in quarantine last, until at most maxParts
-// are left.
+// evict removes the parts of prompts with the oldest crashes, those in quarantine last, until at most maxParts are
+// left, and likewise the fingerprints.
 func (a *account) evict() {
-	for len(a.parts) > maxParts {
-		var oldest fleet.PartID
-		for id, p := range a.parts {
-			o := a.parts[oldest]
-			if o == nil || o.quarantined && !p.quarantined || o.quarantined == p.quarantined && p.lastCrash < o.lastCrash {
-				oldest = id
-			}
+	if len(a.parts) <= maxParts {
+		return
+	}
+	for _, fingerprints := range []bool{false, true} {
+		for a.evictOne(fingerprints) {
+		}
+	}
+}
+
+// evictOne removes one fingerprint or part of a prompt if there are more than maxParts, and reports whether it has.
+func (a *account) evictOne(fingerprint bool) bool {
+	var oldest fleet.PartID
+	n := 0
+	for id, p := range a.parts {
+		if IsFingerprint(id) != fingerprint {
+			continue
+		}
+		n++
+		o := a.parts[oldest]
+		if o == nil || o.quarantined && !p.quarantined || o.quarantined == p.quarantined && p.lastCrash < o.lastCrash {
+			oldest = id
 		}
-		delete(a.parts, oldest)
 	}
+	if n <= maxParts {
+		return false
+	}
+	delete(a.parts, oldest)
+	return true
 }
 
 // update decides anew about all parts. It releases those whose term is over, and forgets the others
 // after Lifetime. Of a released part one crash less than minCrashes is kept, and nothing of its runs.
 func (a *account) update(now time.Duration) []change {
-	var out []change
+	out := a.judgeAll(now)
 	for id, p := range a.parts {
-		out = append(out, a.judge(id, p, now)...)
 		switch {
 		case p.quarantined && now-p.lastCrash >= p.term():
 			p.quarantined, p.lastCrash = false, now
@@ -401,6 +437,20 @@
 	return out
 }
 
+// judgeAll decides about all parts, the fingerprints first: a request that crashes engines explains the crashes
+// under the parts of its prompt.
+func (a *account) judgeAll(now time.Duration) []change {
+	var out []change
+	for _, fingerprints := range []bool{true, false} {
+		for id, p := range a.parts {
+			if IsFingerprint(id) == fingerprints {
+				out = append(out, a.judge(id, p, now)...)
+			}
+		}
+	}
+	return out
+}
+
 // first returns the first of the parts that is quarantined.
 func (a *account) first(parts []fleet.PartID) (fleet.PartID, bool) {
 	for _, id := range parts {
--- a/quarantine/counts.go
+++ b/quarantine/counts.go
@@ -12,16 +12,20 @@
 	current, previous map[fleet.PartID]int
 	// began is when the current window began.
 	began time.Duration
+	// limit bounds the parts that are counted in a window. Parts beyond it are not counted, or begin a new window
+	// if rotates is set, so that those that come often are still counted.
+	limit   int
+	rotates bool
 }
 
-func newCounts(now time.Duration) counts {
-	return counts{current: make(map[fleet.PartID]int), began: now}
+func newCounts(now time.Duration, limit int, rotates bool) counts {
+	return counts{current: make(map[fleet.PartID]int), began: now, limit: limit, rotates: rotates}
 }
 
 // rotate begins a new window if the current one is over.
 func (c *counts) rotate(now time.Duration) {
 	age := now - c.began
-	if age < countWindow {
+	if age < countWindow && !(c.rotates && len(c.current) >= c.limit) {
 		return
 	}
 	c.previous = c.current
@@ -31,11 +35,11 @@
 	c.current, c.began = make(map[fleet.PartID]int), now
 }
 
-// add counts a run with the parts. Parts beyond maxCounted are not counted.
-func (c *counts) add(now time.Duration, parts []fleet.PartID) {
+// add counts a run with the parts.
+func (c *counts) add(now time.Duration, parts ...fleet.PartID) {
 	c.rotate(now)
 	for _, id := range parts {
-		if c.current[id] > 0 || len(c.current) < maxCounted {
+		if c.current[id] > 0 || len(c.current) < c.limit {
 			c.current[id]++
 		}
 	}
--- a/quarantine/lift.go
+++ b/quarantine/lift.go
@@ -9,10 +9,12 @@
 	"toucanfall/fleet"
 )
 
-// Part is a part in quarantine, with the engines that crashed under it.
+// Part is a part in quarantine, with the engines that crashed under it. Origin is where a request with this
+// fingerprint came from, nil for parts of prompts.
 type Part struct {
 	ID      fleet.PartID
 	Engines []EngineStart
+	Origin  *Origin
 }
 
 // Quarantined returns the parts that the reports of a log, in their order, have in quarantine, sorted by
@@ -30,7 +32,7 @@
 	var out []Part
 	for id, p := range a.parts {
 		if p.quarantined {
-			out = append(out, Part{ID: id, Engines: p.starts()})
+			out = append(out, Part{ID: id, Engines: p.starts(), Origin: p.origin})
 		}
 	}
 	slices.SortFunc(out, func(x, y Part) int { return cmp.Compare(x.ID, y.ID) })
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -34,8 +34,9 @@
 
 // Bounds of a tracker.
 const (
-	// maxCounted bounds the parts that are counted in a window.
-	maxCounted = 8192
+	// maxCounted bounds the parts of prompts that are counted in a window, maxCountedRequests the requests.
+	maxCounted         = 8192
+	maxCountedRequests = 2048
 	// maxQueued bounds the reports that wait for the log. The oldest are dropped.
 	maxQueued = 256
 )
@@ -55,7 +56,7 @@
 	Events *timeline.Recorder
 }
 
-// Tracker counts the runs of this VM by the parts of their prompts, reports those that ended with
+// Tracker counts the runs of this VM by the parts of their prompts and by their fingerprints, reports those that ended with
 // their engine, and knows the parts in quarantine. It is safe for concurrent use.
 type Tracker struct {
 	cfg  Config
@@ -70,6 +71,9 @@
 	// applied is set by the first call of Apply.
 	applied bool
 	counts  counts
+	// requests counts the runs of the same requests, by fingerprint. Most requests are unlike all others, and
+	// would leave no room in counts.
+	requests counts
 	// since counts the runs with parts under which an engine has crashed, since the first crash or
 	// the end of the last quarantine.
 	since counts
@@ -85,7 +89,12 @@
 
 // New returns a tracker without reports. [Tracker.Run] must be called to write its own.
 func New(cfg Config) *Tracker {
-	return &Tracker{cfg: cfg, wake: make(chan struct{}, 1), instance: rand.Uint64(), account: newAccount(), counts: newCounts(cfg.Now()), since: newCounts(cfg.Now()), vouched: make(map[fleet.PartID]time.Duration), witnessed: make(map[fleet.PartID]time.Duration)}
+	now := cfg.Now()
+	return &Tracker{
+		cfg: cfg, wake: make(chan struct{}, 1), instance: rand.Uint64(), account: newAccount(),
+		counts: newCounts(now, maxCounted, false), requests: newCounts(now, maxCountedRequests, true), since: newCounts(now, maxCounted, false),
+		vouched: make(map[fleet.PartID]time.Duration), witnessed: make(map[fleet.PartID]time.Duration),
+	}
 }
 
 // Quarantined returns the first of the parts that is in quarantine, and whether there is one.
@@ -127,17 +136,27 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.cfg.Now()
-	t.counts.add(now, parts)
 	for _, id := range parts {
+		t.countsOf(id).add(now, id)
 		if t.account.parts[id] != nil {
-			t.since.add(now, []fleet.PartID{id})
+			t.since.add(now, id)
 		}
 	}
 }
 
+// countsOf returns the counts that hold a part. The caller holds mu.
+func (t *Tracker) countsOf(id fleet.PartID) *counts {
+	if IsFingerprint(id) {
+		return &t.requests
+	}
+	return &t.counts
+}
+
 // RecordCrash reports that a request with the parts was running at an engine that crashed.
-func (t *Tracker) RecordCrash(engine EngineStart, request fleet.RequestID, parts []fleet.PartID) {
-	t.cfg.Events.Record(event.EngineCrashed, timeline.Fields{"upstream": string(engine.Upstream), "request": string(request), "parts": fleet.FormatParts(parts)})
+func (t *Tracker) RecordCrash(engine EngineStart, request fleet.RequestID, origin Origin, parts []fleet.PartID) {
+	t.cfg.Events.Record(event.EngineCrashed, timeline.Fields{
+		"upstream": string(engine.Upstream), "request": string(request), "team": string(origin.Team), "route": string(origin.Route), "parts": fleet.FormatParts(parts),
+	})
 	if len(parts) == 0 {
 		return
 	}
@@ -147,7 +166,7 @@
 		t.witnessed[id] = now
 	}
 	r := t.newReport(Crash, now, parts)
-	r.Engines, r.Request = []EngineStart{engine}, request
+	r.Engines, r.Request, r.Origin = []EngineStart{engine}, request, &origin
 	changes := t.publish(r, now)
 	t.summarize(changes, now)
 	t.mu.Unlock()
@@ -160,7 +179,7 @@
 	for _, c := range changes {
 		if _, ok := t.witnessed[c.part]; c.quarantined && ok {
 			r := t.newReport(Summary, now, []fleet.PartID{c.part})
-			r.Engines = c.engines
+			r.Engines, r.Origin = c.engines, c.origin
 			t.publish(r, now)
 		}
 	}
@@ -171,7 +190,7 @@
 func (t *Tracker) newReport(kind Kind, now time.Duration, parts []fleet.PartID) Report {
 	r := Report{VM: t.cfg.VM, Instance: t.instance, Kind: kind, Number: rand.Uint64(), At: time.Now().UnixMilli()}
 	for _, id := range parts {
-		r.Parts = append(r.Parts, PartCount{id, t.counts.get(now, id)})
+		r.Parts = append(r.Parts, PartCount{id, t.countsOf(id).get(now, id)})
 	}
 	if len(r.Parts) > maxReportParts {
 		slices.SortStableFunc(r.Parts, func(a, b PartCount) int { return a.Sound - b.Sound })
@@ -252,7 +271,7 @@
 	t.summarize(changes, now)
 	for id, p := range t.account.parts {
 		at, vouched := t.vouched[id]
-		if len(p.engines) < minCrashes-1 || t.counts.get(now, id) == 0 || vouched && now-at < revouchAfter {
+		if len(p.engines) < minCrashes-1 || t.countsOf(id).get(now, id) == 0 || vouched && now-at < revouchAfter {
 			continue
 		}
 		if sound, _, crashed := p.recent(now); sound <= vouchFactor*crashed {
@@ -307,6 +326,10 @@
 		for _, e := range c.engines {
 			engines = append(engines, string(e.Upstream))
 		}
-		t.cfg.Events.Record(event.PartQuarantined, timeline.Fields{"part": string(c.part), "count": strconv.Itoa(len(engines)), "engines": strings.Join(engines, " ")})
+		fields := timeline.Fields{"part": string(c.part), "count": strconv.Itoa(len(engines)), "engines": strings.Join(engines, " ")}
+		if c.origin != nil {
+			fields["team"], fields["route"] = string(c.origin.Team), string(c.origin.Route)
+		}
+		t.cfg.Events.Record(event.PartQuarantined, fields)
 	}
 }
--- a/serving/call.go
+++ b/serving/call.go
@@ -44,6 +44,11 @@
 	// Priority is the rank of the request in the queues of engines; 0 is the most urgent.
 	Priority int
 
+	// fingerprint stands for the request as a whole, whatever its id. quarantineParts holds it and Parts: what the
+	// request is known by if it crashes engines.
+	fingerprint     fleet.PartID
+	quarantineParts []fleet.PartID
+
 	// allowedRegions holds the regions that the route and the team allow; an empty list allows all.
 	allowedRegions [2][]fleet.Region
 
--- a/serving/crash.go
+++ b/serving/crash.go
@@ -12,8 +12,8 @@
 	"toucanfall/transport"
 )
 
-// PromptParts knows which parts of prompts crash engines. The parts of a request are those of
-// [Call.Parts].
+// PromptParts knows which parts of prompts crash engines, and which requests as a whole. The parts of a request are
+// its fingerprint and those of [Call.Parts].
 type PromptParts interface {
 	// Quarantined returns the first of the parts that is in quarantine, and whether there is one.
 	Quarantined(parts []fleet.PartID) (fleet.PartID, bool)
@@ -22,20 +22,24 @@
 	Suspected(parts []fleet.PartID) bool
 	// RecordSound records a run that went well.
 	RecordSound(parts []fleet.PartID)
-	// RecordCrash records a run that ended together with its engine.
-	RecordCrash(engine quarantine.EngineStart, request fleet.RequestID, parts []fleet.PartID)
+	// RecordCrash records a run that ended together with its engine, and where the request came from.
+	RecordCrash(engine quarantine.EngineStart, request fleet.RequestID, origin quarantine.Origin, parts []fleet.PartID)
 }
 
 // soundAfter is how long after the first part of its answer a run counts as one that went well: a
 // part of a prompt crashes an engine that begins to write an answer on it.
 const soundAfter = 500 * time.Millisecond
 
-// checkParts returns a fault.Quarantined error if a part of the call's prompt is in quarantine.
+// checkParts returns a fault.Quarantined error if the request or a part of its prompt is in quarantine.
 func (h *Handler) checkParts(c *Call) error {
-	if part, ok := h.cfg.Parts.Quarantined(c.Parts); ok {
-		return fault.New(fault.Quarantined, "part %q of the prompt has crashed several engines", part)
+	part, ok := h.cfg.Parts.Quarantined(c.quarantineParts)
+	switch {
+	case !ok:
+		return nil
+	case quarantine.IsFingerprint(part):
+		return fault.New(fault.Quarantined, "this request, known as %q, has crashed several engines", part)
 	}
-	return nil
+	return fault.New(fault.Quarantined, "part %q of the prompt has crashed several engines", part)
 }
 
 // recordProgress records that a part of an answer has come.
@@ -52,26 +56,38 @@
 func (t *attempts) recordSound(a *attempt) {
 	if !a.sound {
 		a.sound = true
-		t.h.cfg.Parts.RecordSound(t.c.Parts)
+		t.h.cfg.Parts.RecordSound(t.c.quarantineParts)
 	}
 }
 
 // checkCrash looks whether the upstream of an attempt that broke off has crashed, and records it. It
 // returns whether the request may be retried, which retry reports apart from that: a request that may
-// have crashed its engine must not run at another one, unless runs with all of its parts go well. The
+// have crashed its engine must not run at another one, unless runs with all of its parts go well. For the
+// request as a whole the first crash allows one retry, as most engines crash for other reasons. The
 // result for an upstream that fell silent is not awaited: another one has the request already, or its
 // time is over.
 func (t *attempts) checkCrash(a *attempt, retry bool) bool {
-	if t.c.Model == "" || a.sound || a.ctx.Err() != nil && !a.silent() {
+	if a.sound || a.ctx.Err() != nil && !a.silent() {
 		return retry
 	}
+	suspected := t.interrupted || t.requestSuspected()
+	t.interrupted = true
 	crashed := t.h.crashes.check(a.u, func() {
-		t.h.cfg.Parts.RecordCrash(quarantine.EngineStart{Upstream: a.u.ID, Born: a.u.StartTime()}, t.c.ID, t.c.Parts)
+		engine := quarantine.EngineStart{Upstream: a.u.ID, Born: a.u.StartTime()}
+		t.h.cfg.Parts.RecordCrash(engine, t.c.ID, quarantine.Origin{Team: t.c.Team, Route: t.c.Route.Name}, t.c.quarantineParts)
 	})
-	if !retry || a.ctx.Err() != nil {
+	switch {
+	case !retry || a.ctx.Err() != nil:
 		return retry
+	case !suspected && len(t.c.Parts) == 0:
+		return true
 	}
-	return !<-crashed || !t.h.cfg.Parts.Suspected(t.c.Parts)
+	return !<-crashed || !suspected && !t.h.cfg.Parts.Suspected(t.c.Parts)
+}
+
+// requestSuspected reports whether an engine has crashed under the same request, and no more of its runs went well.
+func (t *attempts) requestSuspected() bool {
+	return t.h.cfg.Parts.Suspected([]fleet.PartID{t.c.fingerprint})
 }
 
 // silent reports whether an attempt has ended because its upstream sent nothing: the watchdog has
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -19,6 +19,7 @@
 	"toucanfall/ingress"
 	"toucanfall/internal/guard"
 	"toucanfall/metric"
+	"toucanfall/quarantine"
 	"toucanfall/roster"
 	"toucanfall/servicetime"
 	"toucanfall/timeline"
@@ -279,6 +280,8 @@
 	if c.Body, err = a.readBody(r, cfg.Limits.BodyBytes, c.deadline()); err != nil {
 		return c, team, err
 	}
+	c.fingerprint = quarantine.Fingerprint(c.Team, r.Method, hostname(r.Host), r.URL.Path, c.Body)
+	c.quarantineParts = append([]fleet.PartID{c.fingerprint}, c.Parts...)
 	if !a.space.GrowResponse() {
 		return c, team, fault.New(fault.Overloaded, "%w", ingress.ErrNoSpace)
 	}
--- a/serving/replace.go
+++ b/serving/replace.go
@@ -60,7 +60,7 @@
 	if t.c.Adapter != "" {
 		list = withAdapter(list, t.c)
 	}
-	if len(list) == 0 || t.checkStop() != nil || !t.h.retries.take(ctx, t.service) {
+	if len(list) == 0 || t.checkStop() != nil || t.requestSuspected() || !t.h.retries.take(ctx, t.service) {
 		return nil, ""
 	}
 	u := t.h.picker.Best(list, nil)
--- a/serving/run.go
+++ b/serving/run.go
@@ -94,6 +94,8 @@
 	arrived atomic.Bool
 	// hasRetry is set while a retry has been taken from the budget and not been sent.
 	hasRetry bool
+	// interrupted is set once an attempt has broken off before it had gone well.
+	interrupted bool
 	// lastErr is why the last attempt failed.
 	lastErr error
 
