Let VMs that start know what is in quarantine beside its reports

After all VMs were killed, each of them sent one more fatal request to an upstream, which crashed. The log holds the reports of the crashes before the summary that lists them. A VM that starts takes the reports for old, and did not take the crashes anew from the summary, so that none counted as recent.

TestRestartedVMKnowsQuarantineBesideItsReports failed before.

--- a/quarantine/account.go
+++ b/quarantine/account.go
@@ -315,8 +315,12 @@
 	}
 	for _, e := range r.Engines {
 		p.lastCrash = now
-		if !p.crashedUnder(e) {
+		i := slices.IndexFunc(p.engines, func(c crashedEngine) bool { return c.EngineStart == e })
+		switch {
+		case i < 0:
 			p.engines = append(p.engines, crashedEngine{e, at})
+		case old && r.Kind == Summary:
+			p.engines[i].at = at // The log holds the report of the crash before the summary.
 		}
 	}
 	p.engines = p.engines[max(len(p.engines)-maxEngines, 0):]
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -222,6 +222,23 @@
 	is.True(a.has("suspected"))
 }
 
+// Guards against a VM that starts and serves what is in quarantine until one more engine has crashed (BUDGET): the crash
+// reports, which the log has before the summary, made all crashes look old.
+func TestRestartedVMKnowsQuarantineBesideItsReports(t *testing.T) {
+	is := is.New(t)
+	a := newAccount()
+	reports := crashes(minCrashes, PartCount{"known", 0})
+	summary := (&reporter{vm: "x"}).vouch(PartCount{"known", 0})
+	summary.Kind = Summary
+	for _, report := range reports {
+		summary.Engines = append(summary.Engines, report.Engines...)
+	}
+	for _, report := range append(reports, summary) {
+		a.apply(report, time.Hour, true)
+	}
+	is.True(a.has("known"))
+}
+
 // Callers cannot fill an account with parts that they invent, nor push out those in quarantine.
 func TestAccountIsBounded(t *testing.T) {
 	is := is.New(t)
