Count crashes of upstreams whose ports stay open

Behind a forwarder the port of a crashed upstream accepts connections and closes them.

A port that closes five connections in 150 ms counts as a crash for the request as a whole, if its run had lasted 10 ms; one that does so for a second more also for the parts of prompts. A later start of another id at the same address shows the crash of a silent one. An upstream that answers under its id without a start lives, and the end of its entry counts no longer.

Ruled out by TestUnframedEndDoesNotEndFramedStream: requiring a sign of life before each second retry, which ends streams that can be continued.

--- a/serving/crash.go
+++ b/serving/crash.go
@@ -30,6 +30,11 @@
 // part of a prompt crashes an engine that begins to write an answer on it.
 const soundAfter = 500 * time.Millisecond
 
+// minRunTime is the least time from the writing of a request to the end of its connection after which an upstream
+// whose port closes each connection counts as crashed under the request. One that has too many connections closes
+// them at once.
+const minRunTime = 10 * time.Millisecond
+
 // checkParts returns a fault.Quarantined error if the request or a part of its prompt is in quarantine.
 func (h *Handler) checkParts(c *Call) error {
 	part, ok := h.cfg.Parts.Quarantined(c.quarantineParts)
@@ -63,26 +68,36 @@
 // checkCrash looks whether the upstream of an attempt that broke off has crashed, and records it. It
 // returns whether the request may be retried, which retry reports apart from that: a request that may
 // have crashed its engine must not run at another one, unless runs with all of its parts go well. For the
-// request as a whole the first crash allows one retry, as most engines crash for other reasons. The
-// result for an upstream that fell silent is not awaited: another one has the request already, or its
-// time is over.
+// request as a whole the first crash allows one retry, as most engines crash for other reasons; a port that closes
+// each connection is evidence enough, because a wrong one costs this request alone. The result for an upstream
+// that fell silent is not awaited: another one has the request already, or its time is over.
 func (t *attempts) checkCrash(a *attempt, retry bool) bool {
 	if a.sound || a.ctx.Err() != nil && !a.silent() {
 		return retry
 	}
-	suspected := t.interrupted || t.requestSuspected()
+	again := t.interrupted || t.requestSuspected()
 	t.interrupted = true
-	crashed := t.h.crashes.check(a.u, func() {
+	record := func(parts []fleet.PartID) {
 		engine := quarantine.EngineStart{Upstream: a.u.ID, Born: a.u.StartTime()}
-		t.h.cfg.Parts.RecordCrash(engine, t.c.ID, quarantine.Origin{Team: t.c.Team, Route: t.c.Route.Name}, t.c.quarantineParts)
+		t.h.cfg.Parts.RecordCrash(engine, t.c.ID, quarantine.Origin{Team: t.c.Team, Route: t.c.Route.Name}, parts)
+	}
+	began := !a.progressAt.IsZero() || time.Since(t.c.received) >= a.trace.writtenAfter+minRunTime
+	found := t.h.crashes.check(a.u, func() { record(t.c.quarantineParts) }, func() {
+		if began {
+			record([]fleet.PartID{t.c.fingerprint})
+		}
 	})
 	switch {
 	case !retry || a.ctx.Err() != nil:
 		return retry
-	case !suspected && len(t.c.Parts) == 0:
+	case !again && len(t.c.Parts) == 0:
 		return true
 	}
-	return !<-crashed || !suspected && !t.h.cfg.Parts.Suspected(t.c.Parts)
+	f := <-found
+	if again {
+		return f.showsLife() || f != crashed && !t.requestSuspected()
+	}
+	return f != crashed || !t.h.cfg.Parts.Suspected(t.c.Parts)
 }
 
 // requestSuspected reports whether an engine has crashed under the same request, and no more of its runs went well.
--- a/serving/crash_detector.go
+++ b/serving/crash_detector.go
@@ -44,6 +44,11 @@
 	// caseLifetime is how long after an interruption the directory may show that the upstream has
 	// crashed: entries of silent upstreams vanish after a few heartbeats of a second, and directories lag.
 	caseLifetime = 10 * time.Second
+	// casePause is how often an undecided upstream is looked at again, and minClosings how many times in a row
+	// its port must then close a connection to count as crashed. One that has too many connections takes one
+	// within that time.
+	casePause   = 250 * time.Millisecond
+	minClosings = 4
 	// maxCases bounds the upstreams with undecided interruptions, maxCaseRuns the runs of each.
 	maxCases    = 256
 	maxCaseRuns = 64
@@ -60,19 +65,30 @@
 const (
 	// alive means that the same start of the upstream answers.
 	alive finding = iota
+	// answered means that it answers under its id, and does not say when it was started, as plain services do.
+	answered
 	// crashed means that the upstream is gone, or was started again.
 	crashed
+	// closing means that its port accepted each connection and closed it without an answer, as one behind a
+	// forwarder that has crashed does, or one that has too many connections.
+	closing
 	// undecided means that it accepts connections, and that nothing shows which start it is.
 	undecided
 	// unreachable means that no connection could be made in time. The link may be cut.
 	unreachable
 )
 
+// showsLife reports whether an upstream has answered under its id.
+func (f finding) showsLife() bool {
+	return f == alive || f == answered
+}
+
 // crashDetector finds out whether upstreams that broke off a run have crashed. A connection that ended
 // says little of its upstream. It has crashed if it refuses connections, or if it shows that it is another
 // start or another instance. What a check leaves undecided, the directory decides within caseLifetime: by
-// an entry of another start, or by an entry that vanishes although the upstream was not leaving. It
-// handles interrupted runs at any rate with at most one probe for each upstream in probeInterval.
+// an entry of another start, by a later one at the same address, or by an entry that vanishes although the
+// upstream was not leaving. It handles interrupted runs at any rate with at most one probe for each upstream in
+// probeInterval.
 type crashDetector struct {
 	dial   transport.Dialer
 	roster *roster.Roster
@@ -97,14 +113,20 @@
 // crashCase holds the runs whose interruptions are undecided. They end at different times.
 type crashCase struct {
 	runs []caseRun
+	// closing is set while the port of the upstream has closed each connection.
+	closing bool
 }
 
 type caseRun struct {
 	interruptedAt time.Time
-	// vanishCounts is set if the end of the entry shows a crash. If the link may be cut it does not: the
-	// upstream may have lost the store as well.
-	vanishCounts bool
-	onCrash      func()
+	found         finding
+	onCrash       func()
+}
+
+// vanishCounts reports whether the end of the entry shows a crash. If the link may be cut it does not: the upstream
+// may have lost the store as well. Nor does it if the upstream has answered since.
+func (r caseRun) vanishCounts() bool {
+	return r.found == closing || r.found == undecided
 }
 
 func newCrashDetector(dial transport.Dialer, r *roster.Roster, probe StartProbe, answers *ingress.Bytes) *crashDetector {
@@ -157,20 +179,24 @@
 }
 
 // check looks whether an upstream has crashed, and sends the result. All calls during one check share the
-// next one. It calls onCrash if it has, or if the directory shows that later.
-func (d *crashDetector) check(u *roster.Upstream, onCrash func()) <-chan bool {
-	result, at := make(chan bool, 1), time.Now()
+// next one. It calls onCrash if it has, or if the directory shows that later, and before that onClosing if its port
+// closes each connection.
+func (d *crashDetector) check(u *roster.Upstream, onCrash, onClosing func()) <-chan finding {
+	result, at := make(chan finding, 1), time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	waiting, running := d.checks[u]
 	d.checks[u] = append(waiting, func(f finding) {
+		if f == closing {
+			onClosing()
+		}
 		switch f {
 		case crashed:
 			onCrash()
-		case undecided, unreachable:
-			d.await(u, caseRun{at, f == undecided, onCrash})
+		case answered, closing, undecided, unreachable:
+			d.await(u, caseRun{at, f, onCrash})
 		}
-		result <- f == crashed
+		result <- f
 	})
 	if !running {
 		go d.run(u)
@@ -182,7 +208,7 @@
 func (d *crashDetector) run(u *roster.Upstream) {
 	for waiting := d.next(u); len(waiting) > 0; waiting = d.next(u) {
 		f := d.find(u)
-		if f == crashed {
+		if f == crashed || f == closing {
 			u.MarkUnreachable()
 		}
 		for _, report := range waiting {
@@ -210,11 +236,20 @@
 		return alive
 	}
 	f, closes := d.ask(u)
-	for i := 0; closes && i < maxRedials; i++ {
+	if !closes {
+		return f
+	}
+	always := true
+	for i := range maxRedials {
 		time.Sleep(redialDelay << i)
-		if d.refuses(u) {
+		refused, closes := d.redial(u)
+		if refused {
 			return crashed
 		}
+		always = always && closes
+	}
+	if always {
+		return closing
 	}
 	return f
 }
@@ -254,6 +289,7 @@
 		if err == nil && start != 0 && start == known {
 			return alive, false
 		}
+		return answered, false
 	}
 	return undecided, err != nil && ctx.Err() == nil
 }
@@ -267,12 +303,20 @@
 
 // refuses reports whether nothing listens at the address of an upstream.
 func (d *crashDetector) refuses(u *roster.Upstream) bool {
+	refused, _ := d.redial(u)
+	return refused
+}
+
+// redial reports whether nothing listens at the address of an upstream, and whether the port accepts a connection and
+// closes it.
+func (d *crashDetector) redial(u *roster.Upstream) (refused, closes bool) {
 	// The dialer has a timeout of its own.
 	conn, err := d.dial(context.Background(), u.Address())
-	if err == nil {
-		_ = conn.Close()
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED), false
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	defer func() { _ = conn.Close() }()
+	return false, endsWithin(conn, redialDelay)
 }
 
 // takeProbe reports whether an upstream may be probed now, and counts the probe.
@@ -304,6 +348,9 @@
 		d.cases[u] = &crashCase{runs: []caseRun{r}}
 		go d.watch(u)
 	}
+	if c, ok := d.cases[u]; ok && r.found == closing {
+		c.closing = true
+	}
 }
 
 // watch waits until an upstream is removed from the roster, or all of its runs are too old.
@@ -311,19 +358,23 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	u.OnRemoved(cancel)
-	for ctx.Err() == nil {
-		loop.Sleep(ctx, caseLifetime/20)
+	shown, closings := false, 0
+	for ctx.Err() == nil && !shown {
+		loop.Sleep(ctx, casePause)
 		if d.expire(u) {
 			return
 		}
+		closings++
+		shown = !leaves(u) && (d.replaced(u) || d.staysClosed(u, closings))
 	}
 	restarted, vanished := d.removal(u)
+	restarted = restarted || shown
 	d.mu.Lock()
 	runs := d.cases[u].runs
 	delete(d.cases, u)
 	d.mu.Unlock()
 	for _, r := range runs {
-		if time.Since(r.interruptedAt) < caseLifetime && (restarted || vanished && r.vanishCounts) {
+		if time.Since(r.interruptedAt) < caseLifetime && (restarted || vanished && r.vanishCounts()) {
 			r.onCrash()
 		}
 	}
@@ -342,6 +393,29 @@
 	return true
 }
 
+// staysClosed reports whether the port of an upstream, which has closed each connection so far, refuses another one, or
+// closes it as the last of minClosings.
+func (d *crashDetector) staysClosed(u *roster.Upstream, closings int) bool {
+	d.mu.Lock()
+	c := d.cases[u]
+	d.mu.Unlock()
+	if !c.closing {
+		return false
+	}
+	refused, closes := d.redial(u)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c.closing = closes
+	return refused || closes && closings >= minClosings
+}
+
+// replaced reports whether the directory has another upstream at the address of one, which was started later.
+func (d *crashDetector) replaced(u *roster.Upstream) bool {
+	return slices.ContainsFunc(d.roster.Upstreams(), func(next *roster.Upstream) bool {
+		return next.ID != u.ID && next.Address() == u.Address() && next.StartTime() > u.StartTime() && u.StartTime() != 0
+	})
+}
+
 // removal returns why an upstream was removed from the roster: another start has taken its place, or its
 // entry vanished. Neither is reported of an upstream that was leaving.
 func (d *crashDetector) removal(u *roster.Upstream) (restarted, vanished bool) {
--- a/serving/crash_detector_test.go
+++ b/serving/crash_detector_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net"
 	"os"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -21,6 +23,8 @@
 // fakeEngines are engines whose ports open or not, and that answer probes or not.
 type fakeEngines struct {
 	roster *roster.Roster
+	// mu guards the fields below while more than one goroutine runs.
+	mu sync.Mutex
 	// dialErr is the error of connections, dials counts them.
 	dialErr error
 	dials   int
@@ -28,17 +32,25 @@
 	start    int64
 	startErr error
 	probes   int
-	crashes  int
+	crashes  atomic.Int32
+	// closes is set if connections are closed at once, closings counts the interruptions found so.
+	closes   bool
+	closings int
 }
 
 var errNoAnswer = errors.New("no answer")
 
 func (e *fakeEngines) dial(context.Context, string) (net.Conn, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.dials++
 	if e.dialErr != nil {
 		return nil, e.dialErr
 	}
-	client, _ := net.Pipe()
+	client, server := net.Pipe()
+	if e.closes {
+		_ = server.Close()
+	}
 	return client, nil
 }
 
@@ -54,9 +66,9 @@
 }
 
 func (e *fakeEngines) interrupt(d *crashDetector, u *roster.Upstream) bool {
-	crashed := <-d.check(u, func() { e.crashes++ })
+	found := <-d.check(u, func() { e.crashes.Add(1) }, func() { e.closings++ })
 	synctest.Wait()
-	return crashed
+	return found == crashed
 }
 
 const born = 1700000000000
@@ -68,6 +80,16 @@
 	timeout := &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}
 	restart := func(e *fakeEngines) { e.put("u", born+1, false) }
 	vanish := func(e *fakeEngines) { e.roster.Remove("u", 0) }
+	accept := func(e *fakeEngines) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.closes = false
+	}
+	replace := func(e *fakeEngines) { e.put("v", born+1, false) }
+	drainAndReplace := func(e *fakeEngines) {
+		e.put("u", born, true)
+		replace(e)
+	}
 	leave := func(e *fakeEngines) {
 		e.put("u", born, true)
 		time.Sleep(300 * time.Millisecond)
@@ -77,6 +99,7 @@
 		dialErr  error
 		start    int64
 		startErr error
+		closes   bool
 		// then is what the directory shows after an interruption, and after how long.
 		then  func(*fakeEngines)
 		after time.Duration
@@ -89,6 +112,13 @@
 		"forwarder, then restarted":    {startErr: errNoAnswer, then: restart, after: time.Second, later: true},
 		"forwarder, then vanished":     {startErr: errNoAnswer, then: vanish, after: 5 * time.Second, later: true},
 		"report without start":         {then: restart, after: time.Second, later: true},
+		"plain service":                {startErr: fmt.Errorf("probe: %w", ErrNoStart), then: vanish, after: time.Second},
+		"port stays open":              {startErr: errNoAnswer, closes: true, later: true},
+		"too many connections":         {startErr: errNoAnswer, closes: true, then: accept, after: 600 * time.Millisecond},
+		"port opens, replaced":         {startErr: errNoAnswer, then: replace, after: time.Second, later: true},
+		"silent, replaced":             {dialErr: timeout, then: replace, after: 3 * time.Second, later: true},
+		"planned leave, replaced":      {startErr: errNoAnswer, then: drainAndReplace, after: time.Second},
+		"replaced much later":          {startErr: errNoAnswer, then: replace, after: caseLifetime + time.Second},
 		"reset, engine lives":          {start: born},
 		"reset, engine leaves later":   {start: born, then: leave, after: time.Second},
 		"reset, engine vanishes later": {start: born, then: vanish, after: time.Second},
@@ -103,17 +133,18 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				e := &fakeEngines{roster: roster.New(), dialErr: c.dialErr, start: c.start, startErr: c.startErr}
+				e := &fakeEngines{roster: roster.New(), dialErr: c.dialErr, start: c.start, startErr: c.startErr, closes: c.closes}
 				d := newCrashDetector(e.dial, e.roster, e, nil)
 				is.Equal(e.interrupt(d, e.put("u", born, false)), c.immediate)
-				is.Equal(e.crashes == 1, c.immediate)
+				is.Equal(e.crashes.Load() == 1, c.immediate)
+				is.Equal(e.closings == 1, c.closes)
 				if c.then != nil {
 					time.Sleep(c.after)
 					c.then(e)
 				}
 				time.Sleep(2 * caseLifetime)
 				synctest.Wait()
-				is.Equal(e.crashes == 1, c.immediate || c.later)
+				is.Equal(e.crashes.Load() == 1, c.immediate || c.later)
 				is.Equal(len(d.cases), 0)
 			})
 		})
@@ -127,7 +158,7 @@
 		e := &fakeEngines{roster: roster.New(), dialErr: syscall.ECONNREFUSED}
 		d := newCrashDetector(e.dial, e.roster, e, nil)
 		is.True(!e.interrupt(d, e.put("u", born, true)))
-		is.Equal(e.dials+e.crashes, 0)
+		is.Equal(e.dials+int(e.crashes.Load()), 0)
 	})
 }
 
@@ -169,12 +200,12 @@
 		}
 		d := newCrashDetector(dial, e.roster, e, nil)
 		u := e.put("u", born, false)
-		before := d.check(u, func() {})
+		before := d.check(u, func() {}, func() {})
 		synctest.Wait()
 		e.dialErr = syscall.ECONNREFUSED
-		after := d.check(u, func() {})
+		after := d.check(u, func() {}, func() {})
 		close(slow)
-		is.True(!<-before)
-		is.True(<-after)
+		is.Equal(<-before, alive)
+		is.Equal(<-after, crashed)
 	})
 }
