--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
-	"io"
 	"strings"
 
 	"toucanfall/fleet"
@@ -21,11 +20,13 @@
 // method, host, path and body have the same one. Those of other teams have others, so that no team can have
 // another's requests quarantined.
 func Fingerprint(team fleet.TeamID, method, host, path string, body []byte) fleet.PartID {
-	h := sha256.New()
+	var head []byte
 	for _, field := range []string{string(team), method, strings.ToLower(host), path} {
-		_ = binary.Write(h, binary.BigEndian, uint64(len(field))) // A hash returns no errors.
-		_, _ = io.WriteString(h, field)
+		head = binary.BigEndian.AppendUint64(head, uint64(len(field)))
+		head = append(head, field...)
 	}
+	h := sha256.New()
+	_, _ = h.Write(head) // A hash returns no errors.
 	_, _ = h.Write(body)
 	return fleet.PartID(fingerprintPrefix + hex.EncodeToString(h.Sum(nil)[:fingerprintBytes]))
 }
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -56,8 +56,8 @@
 	Events *timeline.Recorder
 }
 
-// Tracker counts the runs of this VM by the parts of their prompts and by their fingerprints, reports those that ended with
-// their engine, and knows the parts in quarantine. It is safe for concurrent use.
+// Tracker counts the runs of this VM by the parts of their prompts and by their fingerprints, reports
+// those that ended with their engine, and knows the parts in quarantine. It is safe for concurrent use.
 type Tracker struct {
 	cfg  Config
 	wake chan struct{}
--- a/ratelimit/retries.go
+++ b/ratelimit/retries.go
@@ -114,10 +114,9 @@
 	// newest is the number of the current slot. The slot with the number n is slots[n%earningSlots].
 	newest int64
 	slots  [earningSlots]Tokens
-	// earned holds what was earned here in each slot of the last window, used or not, and earnedSum its sum.
-	// The slot with the number n is earned[n%slotsPerWindow].
-	earned    [slotsPerWindow]Tokens
-	earnedSum Tokens
+	// earned holds what was earned here in each slot of the last window, used or not. The slot with the number
+	// n is earned[n%slotsPerWindow].
+	earned [slotsPerWindow]Tokens
 	// alwaysKept may be kept whatever was earned.
 	alwaysKept Tokens
 }
@@ -136,13 +135,12 @@
 func (e *earnings) advance(now time.Duration) {
 	current := int64(now / e.slotLength)
 	if current-e.newest >= slotsPerWindow {
-		e.slots, e.earned, e.earnedSum = [earningSlots]Tokens{}, [slotsPerWindow]Tokens{}, 0
+		e.slots, e.earned = [earningSlots]Tokens{}, [slotsPerWindow]Tokens{}
 		e.newest = current
 	}
 	for e.newest < current {
 		e.newest++
 		e.slots[e.newest%earningSlots] = 0
-		e.earnedSum -= e.earned[e.newest%slotsPerWindow]
 		e.earned[e.newest%slotsPerWindow] = 0
 	}
 	e.trim()
@@ -151,22 +149,25 @@
 // add adds tokens that were earned a number of slots ago.
 func (e *earnings) add(n Tokens, age int64) {
 	*e.slot(age) += n
-	e.earned[(e.newest+slotsPerWindow-age)%slotsPerWindow] += n
-	e.earnedSum += n
+	*e.earnedSlot(age) += n
 	e.trim()
 }
 
 // trim drops the tokens beyond what may be kept, the oldest first.
 func (e *earnings) trim() {
-	if excess := e.sum() - max(carriedFraction*e.earnedSum, e.alwaysKept); excess > 0 {
+	if excess := e.sum() - max(carriedFraction*sumOf(e.earned[:]), e.alwaysKept); excess > 0 {
 		e.take(excess)
 	}
 }
 
 // sum returns the number of tokens.
 func (e *earnings) sum() Tokens {
+	return sumOf(e.slots[:])
+}
+
+func sumOf(slots []Tokens) Tokens {
 	var sum Tokens
-	for _, n := range e.slots {
+	for _, n := range slots {
 		sum += n
 	}
 	return sum
@@ -177,6 +178,11 @@
 	return &e.slots[(e.newest+earningSlots-age)%earningSlots]
 }
 
+// earnedSlot returns what was earned in the slot that is a number of slots older than the current one.
+func (e *earnings) earnedSlot(age int64) *Tokens {
+	return &e.earned[(e.newest+slotsPerWindow-age)%slotsPerWindow]
+}
+
 // take removes n tokens, or as many as there are, the oldest first, and returns their number.
 func (e *earnings) take(n Tokens) Tokens {
 	var taken Tokens
@@ -203,9 +209,7 @@
 // moveSlots is takeSlots for tokens that are to be added to other earnings, where they count as earned.
 func (e *earnings) moveSlots(first, end int64) Tokens {
 	for age := first; age < end; age++ {
-		n := *e.slot(age)
-		e.earned[(e.newest+slotsPerWindow-age)%slotsPerWindow] -= n
-		e.earnedSum -= n
+		*e.earnedSlot(age) -= *e.slot(age)
 	}
 	return e.takeSlots(first, end)
 }
--- a/serving/crash.go
+++ b/serving/crash.go
@@ -77,14 +77,10 @@
 	}
 	again := t.interrupted || t.requestSuspected()
 	t.interrupted = true
-	record := func(parts []fleet.PartID) {
-		engine := quarantine.EngineStart{Upstream: a.u.ID, Born: a.u.StartTime()}
-		t.h.cfg.Parts.RecordCrash(engine, t.c.ID, quarantine.Origin{Team: t.c.Team, Route: t.c.Route.Name}, parts)
-	}
 	began := !a.progressAt.IsZero() || time.Since(t.c.received) >= a.trace.writtenAfter+minRunTime
-	found := t.h.crashes.check(a.u, func() { record(t.c.quarantineParts) }, func() {
+	found := t.h.crashes.check(a.u, func() { t.recordCrash(a, t.c.quarantineParts) }, func() {
 		if began {
-			record([]fleet.PartID{t.c.fingerprint})
+			t.recordCrash(a, []fleet.PartID{t.c.fingerprint})
 		}
 	})
 	switch {
@@ -100,6 +96,12 @@
 	return f != crashed || !t.h.cfg.Parts.Suspected(t.c.Parts)
 }
 
+// recordCrash records that the upstream of an attempt has crashed under the request.
+func (t *attempts) recordCrash(a *attempt, parts []fleet.PartID) {
+	engine := quarantine.EngineStart{Upstream: a.u.ID, Born: a.u.StartTime()}
+	t.h.cfg.Parts.RecordCrash(engine, t.c.ID, quarantine.Origin{Team: t.c.Team, Route: t.c.Route.Name}, parts)
+}
+
 // requestSuspected reports whether an engine has crashed under the same request, and no more of its runs went well.
 func (t *attempts) requestSuspected() bool {
 	return t.h.cfg.Parts.Suspected([]fleet.PartID{t.c.fingerprint})
--- a/serving/replace.go
+++ b/serving/replace.go
@@ -60,6 +60,7 @@
 	if t.c.Adapter != "" {
 		list = withAdapter(list, t.c)
 	}
+	// A request that may have crashed an upstream does not run at two of them at once.
 	if len(list) == 0 || t.checkStop() != nil || t.requestSuspected() || !t.h.retries.take(ctx, t.service) {
 		return nil, ""
 	}
