Wait for the check of a crash before a request for a model is retried

Since requests for a model without parts of a prompt were retried without waiting for the check of their engine, so that engines that answer with garbage got twice as many attempts.

--- a/serving/crash.go
+++ b/serving/crash.go
@@ -86,8 +86,8 @@
 	switch {
 	case !retry || a.ctx.Err() != nil:
 		return retry
-	case !again && len(t.c.Parts) == 0:
-		return true
+	case !again && t.c.Model == "":
+		return true // Requests to plain services are short, and most broken connections are no crash.
 	}
 	f := <-found
 	if again {
