Count closed connections of a suspected upstream in a row

The searches of a case were counted from its first interruption, not from when the port began to close connections, so that an upstream that closed connections for a moment counted as crashed if another run had been interrupted within the ten seconds before. And the field closing was read without its lock.

The count is kept in the case and starts again with each connection that stays open. TestClosingsAreCountedInARow failed before.

--- a/serving/crash_detector.go
+++ b/serving/crash_detector.go
@@ -113,8 +113,10 @@
 // crashCase holds the runs whose interruptions are undecided. They end at different times.
 type crashCase struct {
 	runs []caseRun
-	// closing is set while the port of the upstream has closed each connection.
-	closing bool
+	// closing is set while the port of the upstream has closed each connection, closings counts those that watch
+	// has made since.
+	closing  bool
+	closings int
 }
 
 type caseRun struct {
@@ -358,14 +360,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	u.OnRemoved(cancel)
-	shown, closings := false, 0
+	shown := false
 	for ctx.Err() == nil && !shown {
 		loop.Sleep(ctx, casePause)
 		if d.expire(u) {
 			return
 		}
-		closings++
-		shown = !leaves(u) && (d.replaced(u) || d.staysClosed(u, closings))
+		shown = !leaves(u) && (d.replaced(u) || d.staysClosed(u))
 	}
 	restarted, vanished := d.removal(u)
 	restarted = restarted || shown
@@ -395,18 +396,21 @@
 
 // staysClosed reports whether the port of an upstream, which has closed each connection so far, refuses another one, or
 // closes it as the last of minClosings.
-func (d *crashDetector) staysClosed(u *roster.Upstream, closings int) bool {
+func (d *crashDetector) staysClosed(u *roster.Upstream) bool {
 	d.mu.Lock()
 	c := d.cases[u]
+	closing := c.closing
 	d.mu.Unlock()
-	if !c.closing {
+	if !closing {
 		return false
 	}
 	refused, closes := d.redial(u)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	c.closing = closes
-	return refused || closes && closings >= minClosings
+	if c.closings++; !closes {
+		c.closing, c.closings = false, 0
+	}
+	return refused || c.closings >= minClosings
 }
 
 // replaced reports whether the directory has another upstream at the address of one, which was started later.
--- a/serving/crash_detector_test.go
+++ b/serving/crash_detector_test.go
@@ -59,6 +59,12 @@
 	return e.start, e.startErr
 }
 
+func (e *fakeEngines) setCloses(closes bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.closes = closes
+}
+
 func (e *fakeEngines) put(id string, born int64, draining bool) *roster.Upstream {
 	e.roster.Put(roster.Entry{ID: fleet.UpstreamID(id), Service: "s", Address: "192.0.2.1:80", Born: born, Draining: draining})
 	u, _ := e.roster.Get(fleet.UpstreamID(id))
@@ -80,11 +86,7 @@
 	timeout := &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}
 	restart := func(e *fakeEngines) { e.put("u", born+1, false) }
 	vanish := func(e *fakeEngines) { e.roster.Remove("u", 0) }
-	accept := func(e *fakeEngines) {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		e.closes = false
-	}
+	accept := func(e *fakeEngines) { e.setCloses(false) }
 	replace := func(e *fakeEngines) { e.put("v", born+1, false) }
 	drainAndReplace := func(e *fakeEngines) {
 		e.put("u", born, true)
@@ -209,3 +211,24 @@
 		is.Equal(<-after, crashed)
 	})
 }
+
+// Guards against an upstream that counts as crashed because it closes connections for a moment, long after another
+// interruption (LOST): only closings in a row count.
+func TestClosingsAreCountedInARow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := &fakeEngines{roster: roster.New(), startErr: errNoAnswer}
+		d := newCrashDetector(e.dial, e.roster, e, nil)
+		u := e.put("u", born, false)
+		e.interrupt(d, u)
+		time.Sleep(2 * time.Second)
+		e.setCloses(true)
+		e.interrupt(d, u)
+		time.Sleep(300 * time.Millisecond)
+		e.setCloses(false)
+		time.Sleep(2 * caseLifetime)
+		synctest.Wait()
+		is.Equal(e.closings, 1)
+		is.Equal(int(e.crashes.Load()), 0)
+	})
+}
