--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -4,4 +4,4 @@
 set -uo pipefail
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/toucanfall ] && [ -x target/review-2/cases ] || { echo "build first: review/build-2.sh" >&2; exit 2; }
-RECORD=review/9/record.txt exec target/review-2/cases body-after-pause
+RECORD=review/9/record.txt exec target/review-2/cases long-stream-at-stop
