Bound late streams of a planned stop by their deadline

Cause: checkStop took a stream by how long the recent ones of its class lasted. The class holds streams of the same maximum of tokens, and the engine decides how many there are, so that no observation bounds the next one.

Change: a stream that was read completely later than 2.6 s after SIGTERM is taken only if its deadline ends it before the stop does. Nothing else that the VM knows is a bound.

--- a/serving/answer.go
+++ b/serving/answer.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"os"
 	"strconv"
@@ -52,6 +53,9 @@
 	rc         *http.ResponseController
 	wire       Wire
 	headerSent bool
+	// late is set if the answer must not be cut: unless it is a stream of events, it is read completely before
+	// any of it is sent.
+	late bool
 	// unframed is set if the answer is sent without a frame, because nothing proves that it is whole.
 	unframed bool
 	timing   answerTiming
@@ -97,7 +101,7 @@
 	if c.Route.Kind == catalogue.Stream && isEventStream(resp) {
 		return a.copyEvents(resp, onProgress)
 	}
-	if resp.Length <= maxBufferedBytes {
+	if resp.Length <= maxBufferedBytes || a.late {
 		return a.copyBuffered(c, resp, onProgress)
 	}
 	if a.open.isStopped() {
@@ -134,13 +138,13 @@
 }
 
 // copyBuffered reads the answer completely before it sends any of it. If the answer is longer
-// than maxBufferedBytes, the rest is sent as it is received.
+// than maxBufferedBytes, the rest is sent as it is received, unless it must not be cut.
 func (a *answer) copyBuffered(c *Call, resp *transport.Answer, onProgress func()) error {
 	if c.Method == http.MethodHead {
 		a.sendHeader(resp)
 		return nil
 	}
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
+	b, err := a.readBuffered(resp)
 	if err == nil && resp.Framing == transport.Unframed {
 		a.unframed, err = checkUnframed(resp, b)
 	}
@@ -148,12 +152,26 @@
 		return fmt.Errorf("the answer broke off: %w", err)
 	}
 	a.sendHeader(resp)
-	if err := a.write(b, false); err != nil || len(b) <= maxBufferedBytes {
+	if err := a.write(b, false); err != nil || a.late || len(b) <= maxBufferedBytes {
 		return err
 	}
 	return a.copyChunks(resp.Body, onProgress)
 }
 
+// readBuffered reads the part of an answer that is received before any of it is sent: all of one that must not
+// be cut, and otherwise maxBufferedBytes and, if there is more, one byte.
+func (a *answer) readBuffered(resp *transport.Answer) ([]byte, error) {
+	if !a.late {
+		return io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
+	}
+	// The context of the request bounds the time.
+	b, err := ingress.ReadBody(ingress.Body{Reader: resp.Body, Length: resp.Length, Limit: math.MaxInt64, SetReadDeadline: func(time.Time) {}}, a.space)
+	if errors.Is(err, ingress.ErrNoSpace) {
+		return nil, &breakError{BreakNoMemory, errors.New("no memory for an answer that must not be cut")}
+	}
+	return b, err
+}
+
 // checkUnframed returns an error if the text of an unframed answer shows that its upstream broke it
 // off, and unproved if nothing shows that it is whole. b holds at most the first maxBufferedBytes+1
 // bytes.
--- a/serving/call.go
+++ b/serving/call.go
@@ -53,6 +53,8 @@
 	allowedRegions [2][]fleet.Region
 
 	received time.Time
+	// readAt is when the whole request had been read.
+	readAt time.Time
 	// charged is what was taken from the team's limit, to be refunded if the request does not run.
 	charged fleet.Tokens
 }
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -234,7 +234,9 @@
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
 	if err == nil {
+		c.readAt = time.Now()
 		a.open.markRead(cancel)
+		a.late = h.isLate(c)
 		err = h.checkStop(c)
 	}
 	if err == nil {
--- a/serving/stop.go
+++ b/serving/stop.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"toucanfall/catalogue"
 	"toucanfall/fault"
 	"toucanfall/servicetime"
 )
@@ -31,8 +32,17 @@
 	return fault.New(fault.Stopping, "this VM stops before the request could end").WithRetryAfter(stopRetryAfter)
 }
 
-// checkStop returns a fault.Stopping error if a planned stop is expected to end the process before the
-// call ends. A call whose deadline comes first gets its answer or its timeout by then.
+// isLate reports whether a call was read so late in a planned stop that its answer must not be cut: the
+// balancer should send nothing more by then.
+func (h *Handler) isLate(c *Call) bool {
+	stopAt := h.cfg.StopAt()
+	return !stopAt.IsZero() && c.readAt.After(stopAt.Add(-h.cfg.BalancerStopLead))
+}
+
+// checkStop returns a fault.Stopping error if a planned stop may end the process before the call ends. A call
+// whose deadline comes first gets its answer or its timeout by then. How long a stream lasts is the engine's
+// choice, and one that has begun can only be cut, so that nothing else bounds a late one. Any other call is
+// taken if it is expected to end in time: if it does not, it still gets an error as its answer.
 func (h *Handler) checkStop(c *Call) error {
 	stopAt := h.cfg.StopAt()
 	if stopAt.IsZero() {
@@ -42,6 +52,9 @@
 	if d := c.deadline(); !d.IsZero() && d.Add(answerGrace).Before(end) {
 		return nil
 	}
+	if c.Route.Kind == catalogue.Stream && h.isLate(c) {
+		return stoppingError()
+	}
 	if d, ok := h.expectedDuration(c, time.Until(stopAt) >= h.cfg.BalancerStopLead); ok && d < time.Until(end) {
 		return nil
 	}
--- a/serving/stop_test.go
+++ b/serving/stop_test.go
@@ -50,3 +50,35 @@
 		})
 	}
 }
+
+// Guards against a stream that a stopping VM takes by how long the recent ones lasted, and has to cut (LOST): a
+// late one is taken only if its deadline ends it in time. One that was read before, and waits, is not late.
+func TestStopBoundsLateStreams(t *testing.T) {
+	for name, c := range map[string]struct {
+		left, waited, timeout time.Duration
+		taken                 bool
+	}{
+		"while sent":             {left: 5100 * time.Millisecond, timeout: 12 * time.Second, taken: true},
+		"late":                   {left: 4900 * time.Millisecond, timeout: 12 * time.Second},
+		"late without a timeout": {left: 4900 * time.Millisecond},
+		"late with a deadline":   {left: 4900 * time.Millisecond, timeout: 4 * time.Second, taken: true},
+		"deadline at the end":    {left: 4900 * time.Millisecond, timeout: 4600 * time.Millisecond},
+		"waited":                 {left: 4 * time.Second, waited: 1100 * time.Millisecond, timeout: 12 * time.Second, taken: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				stopAt := time.Now().Add(c.left + c.waited)
+				h := &Handler{cfg: Config{StopAt: func() time.Time { return stopAt }, BalancerStopLead: 5 * time.Second}}
+				call := &Call{Route: &catalogue.Route{Name: "r", Kind: catalogue.Stream, Timeout: c.timeout}, received: time.Now(), readAt: time.Now()}
+				for range 200 {
+					h.durations.Add(time.Now(), call.class(), 300*time.Millisecond)
+				}
+				time.Sleep(c.waited)
+				err := h.checkStop(call)
+				is.Equal(err == nil, c.taken)
+				is.True(c.taken || fault.KindOf(err) == fault.Stopping)
+			})
+		})
+	}
+}
