Withhold the end of an unframed answer until it is known to be whole

Cause: such an answer was passed on without a frame, because the engine's close proves nothing and a frame of ours would say that it is whole. Its end was then marked only by the end of our socket, and the system closes the sockets of a killed process like any others.

Change: serving/whole.go says once what shows that an answer is whole. The end of a connection does only if the text proves it, or if the upstream answers a question after it. The client gets a length or chunks whose end waits for that. For HTTP/1.0, which has no frame for an unknown length, the socket resets on any close, also one by the system, until then. So neither a crash of the engine nor one of the VM can look like the end.

TestUnframedStreamStaysUnframed and the cases without a frame of TestPlainAnswerIsFramedOnlyIfProved asserted the fault: a client that gets no frame. TestUnframedStreamEndsOnceUpstreamConfirms and the same table, now with a crash of the upstream in each case, assert that the frame's end waits for the engine and that an answer of a crashed one is an error.

--- a/serving/answer.go
+++ b/serving/answer.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -56,9 +55,10 @@
 	// late is set if the answer must not be cut: unless it is a stream of events, it is read completely before
 	// any of it is sent.
 	late bool
-	// unframed is set if the answer is sent without a frame, because nothing proves that it is whole.
-	unframed bool
-	timing   answerTiming
+	// end marks the end of an answer that the client gets without a frame; nil if the client's protocol has
+	// frames for answers of unknown length.
+	end    *connectionEnd
+	timing answerTiming
 	// stopping, if not nil, reports whether a planned stop has begun: the connection then takes no further
 	// request.
 	stopping func() bool
@@ -95,24 +95,25 @@
 	return c.LastEvent
 }
 
-// copy sends an upstream's answer to the client. It calls onProgress for each part of an answer
-// that is streamed, but not for events without content (see hasProgress).
-func (a *answer) copy(c *Call, resp *transport.Answer, onProgress func()) error {
-	if c.Route.Kind == catalogue.Stream && isEventStream(resp) {
-		return a.copyEvents(resp, onProgress)
+// copy sends an upstream's answer to the client. The end of the client's frame follows once copy has returned
+// without an error, so that it must not do so before something shows that the answer is whole.
+func (a *answer) copy(c *Call, resp *incomingAnswer) error {
+	if c.Route.Kind == catalogue.Stream && isEventStream(resp.Answer) {
+		return a.copyEvents(resp)
 	}
 	if resp.Length <= maxBufferedBytes || a.late {
-		return a.copyBuffered(c, resp, onProgress)
+		return a.copyBuffered(c, resp)
 	}
 	if a.open.isStopped() {
 		return errStopped
 	}
-	a.sendHeader(resp)
-	return a.copyChunks(resp.Body, onProgress)
+	a.sendHeader(resp, resp.Length)
+	return a.copyChunks(resp)
 }
 
-// sendHeader sends the status and headers, unless an earlier attempt of a resumed stream has.
-func (a *answer) sendHeader(resp *transport.Answer) {
+// sendHeader sends the status and headers, unless an earlier attempt of a resumed stream has. length is that of
+// the body, -1 if it is not known.
+func (a *answer) sendHeader(resp *incomingAnswer, length int64) {
 	if a.headerSent {
 		return
 	}
@@ -128,39 +129,42 @@
 	if h.Get("Content-Type") == "" {
 		h["Content-Type"] = nil // Keeps net/http from guessing one.
 	}
-	switch {
-	case resp.Length >= 0:
-		h.Set("Content-Length", strconv.FormatInt(resp.Length, 10))
-	case a.unframed:
-		h.Set("Transfer-Encoding", "identity") // net/http then frames nothing and closes the connection.
+	if length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	} else {
+		a.end.withhold()
 	}
 	a.w.WriteHeader(resp.Status)
 }
 
 // copyBuffered reads the answer completely before it sends any of it. If the answer is longer
 // than maxBufferedBytes, the rest is sent as it is received, unless it must not be cut.
-func (a *answer) copyBuffered(c *Call, resp *transport.Answer, onProgress func()) error {
+func (a *answer) copyBuffered(c *Call, resp *incomingAnswer) error {
 	if c.Method == http.MethodHead {
-		a.sendHeader(resp)
+		a.sendHeader(resp, resp.Length)
 		return nil
 	}
 	b, err := a.readBuffered(resp)
-	if err == nil && resp.Framing == transport.Unframed {
-		a.unframed, err = checkUnframed(resp, b)
-	}
 	if err != nil {
 		return fmt.Errorf("the answer broke off: %w", err)
 	}
-	a.sendHeader(resp)
-	if err := a.write(b, false); err != nil || a.late || len(b) <= maxBufferedBytes {
+	if !a.late && len(b) > maxBufferedBytes {
+		a.sendHeader(resp, resp.Length)
+		if err := a.write(b, false); err != nil {
+			return err
+		}
+		return a.copyChunks(resp)
+	}
+	if err := resp.checkWhole(b); err != nil {
 		return err
 	}
-	return a.copyChunks(resp.Body, onProgress)
+	a.sendHeader(resp, int64(len(b)))
+	return a.write(b, false)
 }
 
 // readBuffered reads the part of an answer that is received before any of it is sent: all of one that must not
 // be cut, and otherwise maxBufferedBytes and, if there is more, one byte.
-func (a *answer) readBuffered(resp *transport.Answer) ([]byte, error) {
+func (a *answer) readBuffered(resp *incomingAnswer) ([]byte, error) {
 	if !a.late {
 		return io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
 	}
@@ -172,34 +176,19 @@
 	return b, err
 }
 
-// checkUnframed returns an error if the text of an unframed answer shows that its upstream broke it
-// off, and unproved if nothing shows that it is whole. b holds at most the first maxBufferedBytes+1
-// bytes.
-func checkUnframed(resp *transport.Answer, b []byte) (unproved bool, err error) {
-	if len(b) > maxBufferedBytes || !transport.IsJSON(resp.Header) {
-		return true, nil
-	}
-	if json.Valid(b) {
-		return false, nil
-	}
-	if transport.IsUnfinished(b) {
-		return false, errors.New("its document is unfinished")
-	}
-	return true, nil
-}
-
-func (a *answer) copyChunks(body io.Reader, onProgress func()) error {
+// copyChunks sends the rest of an answer of which a part was sent.
+func (a *answer) copyChunks(resp *incomingAnswer) error {
 	buf := make([]byte, copyBufferSize)
 	for {
-		n, err := body.Read(buf)
+		n, err := resp.Body.Read(buf)
 		if n > 0 {
-			onProgress()
+			resp.onProgress()
 			if err := a.write(buf[:n], true); err != nil {
 				return err
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return nil
+			return resp.confirmEnd()
 		}
 		if err != nil {
 			return fmt.Errorf("the answer broke off: %w", err)
@@ -210,12 +199,9 @@
 // copyEvents sends only complete events, so that a stream that breaks off in the middle of an
 // event can be resumed after the last complete one. Bytes after the last complete event are sent only
 // when the upstream has ended the stream properly.
-func (a *answer) copyEvents(resp *transport.Answer, onProgress func()) error {
+func (a *answer) copyEvents(resp *incomingAnswer) error {
 	var pending []byte
 	hasEvents, resumed := false, a.headerSent
-	if !resumed {
-		a.unframed = resp.Framing == transport.Unframed
-	}
 	buf := make([]byte, copyBufferSize)
 	for {
 		n, err := resp.Body.Read(buf)
@@ -224,7 +210,7 @@
 			end := completeEvents(pending)
 			if hasProgress(pending[:end]) {
 				hasEvents = true
-				onProgress()
+				resp.onProgress()
 			}
 			events := pending[:end]
 			if resumed && end > 0 {
@@ -263,36 +249,35 @@
 	return nil
 }
 
-// endEvents ends a stream that its upstream has ended after rest, which follows the last complete
-// event. The end of the connection, which alone ends an unframed stream, is also what a crash of the
-// upstream looks like. Such a stream may be whole only if it ends with an event, and it cannot end an
-// answer that the client gets with a frame: the end of that frame would say that it is whole. A framed
-// answer that does not say that it is a stream of events ends where its frame ends.
-func (a *answer) endEvents(resp *transport.Answer, rest []byte, hasEvents bool) error {
+// endEvents ends a stream that its upstream has ended after rest, which follows the last complete event. A
+// stream may be whole only if it ends with an event, and one without a frame only if it has any. A framed answer
+// that does not say that it is a stream of events ends where its frame ends.
+func (a *answer) endEvents(resp *incomingAnswer, rest []byte, hasEvents bool) error {
 	switch {
 	case resp.Framing != transport.Unframed && resp.Header.Get("Content-Type") == "":
 	case insideEvent(rest):
 		return errors.New("the stream broke off inside an event")
 	case resp.Framing == transport.Unframed && !hasEvents:
 		return errors.New("the stream broke off before its first event")
-	case resp.Framing == transport.Unframed && a.headerSent && !a.unframed:
-		return errors.New("nothing proves that the rest of the stream is whole")
 	}
-	a.sendHeader(resp)
+	if err := resp.confirmEnd(); err != nil {
+		return err
+	}
+	a.sendHeader(resp, resp.Length)
 	return a.write(rest, true)
 }
 
 // byteOrderMark may stand at the beginning of a stream, and nowhere else.
 var byteOrderMark = []byte("\ufeff")
 
-func (a *answer) writeEvents(resp *transport.Answer, b []byte) error {
+func (a *answer) writeEvents(resp *incomingAnswer, b []byte) error {
 	if len(b) == 0 {
 		return nil
 	}
 	if !a.headerSent && a.open.isStopped() {
 		return errStopped
 	}
-	a.sendHeader(resp)
+	a.sendHeader(resp, resp.Length)
 	if err := a.write(b, true); err != nil {
 		return err
 	}
@@ -304,20 +289,12 @@
 	return nil
 }
 
-// resetUnframed resets the connection of a client to whom its end would be the end of the answer:
-// one of HTTP/1.0, or one that gets the answer without a frame.
-func (a *answer) resetUnframed(r *http.Request) error {
-	if r.ProtoAtLeast(1, 1) && !a.unframed {
-		return nil
+// complete ends an answer that is whole.
+func (a *answer) complete() error {
+	if err := a.end.complete(); err != nil {
+		return &answerAborted{a.disconnected(err), nil}
 	}
-	conn, _, err := a.rc.Hijack()
-	if err != nil {
-		return err
-	}
-	if c, ok := conn.(interface{ SetLinger(sec int) error }); ok {
-		_ = c.SetLinger(0) // Fails only on a connection that is closed already.
-	}
-	return conn.Close()
+	return nil
 }
 
 // setReadDeadline sets the deadline for reads from the client, or none if t is zero. The error is
--- a/serving/crash.go
+++ b/serving/crash.go
@@ -5,11 +5,9 @@
 	"errors"
 	"time"
 
-	"toucanfall/catalogue"
 	"toucanfall/fault"
 	"toucanfall/fleet"
 	"toucanfall/quarantine"
-	"toucanfall/transport"
 )
 
 // PromptParts knows which parts of prompts crash engines, and which requests as a whole. The parts of a request are
@@ -113,16 +111,3 @@
 	err := a.parent.Err()
 	return err == nil || errors.Is(err, context.DeadlineExceeded)
 }
-
-// checkEnd returns an error if an answer that was sent to the client is a stream without a frame whose
-// upstream does not show that it still lives: its end, like a link that was cut, ends the connection, and
-// the stream with it.
-func (t *attempts) checkEnd(a *attempt) error {
-	if a.resp.Framing != transport.Unframed || t.c.Route.Kind != catalogue.Stream || !isEventStream(a.resp) {
-		return nil
-	}
-	if !t.h.crashes.confirm(a.u) {
-		return &breakError{BreakUnconfirmed, errors.New("the stream broke off: its upstream has crashed or does not answer")}
-	}
-	return nil
-}
--- a/serving/crash_detector.go
+++ b/serving/crash_detector.go
@@ -139,10 +139,22 @@
 	}
 }
 
-// confirm reports whether an upstream shows within confirmTimeout that it still lives, leaving or not. All
+// confirm reports whether an upstream shows within confirmTimeout, and before ctx ends, that it still lives.
+func (d *crashDetector) confirm(ctx context.Context, u *roster.Upstream) bool {
+	lives := make(chan bool, 1)
+	go func() { lives <- d.awaitLife(u) }()
+	select {
+	case ok := <-lives:
+		return ok
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// awaitLife reports whether an upstream shows within confirmTimeout that it still lives, leaving or not. All
 // calls at the same time share the probes. A connection that is accepted shows nothing: on a busy machine
 // the system closes the listener of a killed process some time after its connections.
-func (d *crashDetector) confirm(u *roster.Upstream) bool {
+func (d *crashDetector) awaitLife(u *roster.Upstream) bool {
 	began := time.Now()
 	for time.Since(began) < confirmTimeout {
 		if d.probe == nil {
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -187,6 +187,7 @@
 	if conn := ingress.ConnOf(r.Context()); conn != nil {
 		a.drained = conn.Drained
 	}
+	a.end = newConnectionEnd(w, r)
 	a.space = h.cfg.Space.Reservation()
 	defer a.space.Release()
 	defer a.open.remove()
@@ -209,7 +210,7 @@
 		a.setReadDeadline(time.Now().Add(unreadBodyTimeout))
 		var aborted *answerAborted
 		if errors.As(err, &aborted) {
-			h.abort(r, c, a, aborted)
+			h.abort(c, a, aborted)
 		}
 		h.writeError(w, r, c, a, err)
 	}
@@ -217,10 +218,10 @@
 
 // abort breaks off an answer that has begun. It does not return: net/http closes the connection of a
 // handler that panics.
-func (h *Handler) abort(r *http.Request, c *Call, a *answer, aborted *answerAborted) {
+func (h *Handler) abort(c *Call, a *answer, aborted *answerAborted) {
 	h.countRejected(c, fault.KindOf(aborted))
 	err := aborted.err
-	if resetErr := a.resetUnframed(r); resetErr != nil {
+	if resetErr := a.end.reset(); resetErr != nil {
 		err = fmt.Errorf("%w; the connection cannot be reset: %w", err, resetErr)
 	}
 	h.recordBroken(a.open, breakReason(aborted.err, aborted.cause), err)
@@ -249,6 +250,9 @@
 		err = h.run(ctx, c, a)
 		h.recordDuration(c, err)
 	}
+	if err == nil {
+		err = a.complete()
+	}
 	return c, err
 }
 
--- a/serving/open.go
+++ b/serving/open.go
@@ -26,7 +26,7 @@
 	BreakClientGone BreakReason = "client_gone"
 	// BreakNoMemory is an incomplete event for which the budget of bytes has no space.
 	BreakNoMemory BreakReason = "no_memory"
-	// BreakUnconfirmed is an unframed stream whose upstream did not show after it that it still lives.
+	// BreakUnconfirmed is an unframed answer whose upstream did not show after it that it still lives.
 	BreakUnconfirmed BreakReason = "upstream_unconfirmed"
 	// BreakUpstream is an upstream that broke off its answer, or whose answer cannot be proved whole.
 	BreakUpstream BreakReason = "upstream_broke_off"
