--- a/entry/service.go
+++ b/entry/service.go
@@ -85,6 +85,11 @@
 		h.Set(HeaderBodyOmitted, "true")
 	}
 	s.Recorder.Record(event.RequestAnswered, timeline.Fields{"request": string(a.request), "upstream": string(answer.Upstream)})
+	if n := len(answer.Body); n > 0 {
+		// Without a length the answer to a caller of HTTP/1.0 ends with its connection, like one of a process
+		// that was killed.
+		h.Set(echo.HeaderContentLength, strconv.Itoa(n))
+	}
 	if err := setWriteDeadline(c); err != nil {
 		return err
 	}
--- a/entry/slow_test.go
+++ b/entry/slow_test.go
@@ -1,7 +1,9 @@
 package entry_test
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -67,3 +69,21 @@
 	}
 	t.Fatal("the request is still in flight 5 s after the engine's request ended")
 }
+
+// TestServiceAnswerHasLength guards against an answer whose part looks complete to a caller of HTTP/1.0 when the
+// process is killed: without a length its end is the end of the connection.
+func TestServiceAnswerHasLength(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	text := strings.Repeat("long text ", 1000)
+	f.serviceHandler.setNext(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, text) })
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST /v1/services/orderdesk/x HTTP/1.0\r\nHost: vm\r\nAuthorization: Bearer %s\r\nContent-Length: 0\r\n\r\n", string(secret))
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.Equal(resp.ContentLength, int64(len(text)))
+}
