Refuse responses with an invalid status code

Cause: readHead compared with 200 only, and no place said which codes are valid.

Change: internal/httpstatus says which codes are answers, interim responses or invalid, with the sentences of RFC 9110 that this rests on. An invalid one breaks its connection, since what follows it cannot be trusted: 502 at once, or another attempt where the route allows one.

--- a/booking/send.go
+++ b/booking/send.go
@@ -11,6 +11,7 @@
 	"toucanfall/event"
 	"toucanfall/fault"
 	"toucanfall/fleet"
+	"toucanfall/internal/httpstatus"
 	"toucanfall/ledger"
 	"toucanfall/timeline"
 	"toucanfall/upstream"
@@ -126,6 +127,9 @@
 	if got := resp.Header.Get(dialect.HeaderRequestID); got != "" && got != string(c.Request) {
 		return Answer{}, fault.New(fault.OutcomeUnknown, "the service answered request %q", got)
 	}
+	if err := httpstatus.CheckFinal(resp); err != nil {
+		return Answer{}, fault.New(fault.OutcomeUnknown, "the service did not answer: %w", err)
+	}
 	if c.Method != http.MethodHead && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return Answer{}, fault.New(fault.OutcomeUnknown, "the answer has neither a length nor chunks, so that its end cannot be told")
 	}
--- a/booking/send_test.go
+++ b/booking/send_test.go
@@ -111,6 +111,10 @@
 		{"nothing", rawServer(t, ""), fault.OutcomeUnknown},
 		{"too long", rawServer(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", maxAnswerBytes+1, strings.Repeat("x", maxAnswerBytes+1))), fault.OutcomeUnknown},
 		{"redirect", rawServer(t, "HTTP/1.1 307 Temporary Redirect\r\nLocation: /again\r\nContent-Length: 0\r\n\r\n"), ""},
+		{"status 000", rawServer(t, "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nok"), fault.OutcomeUnknown},
+		{"status 101", rawServer(t, "HTTP/1.1 101 X\r\nContent-Length: 2\r\n\r\nok"), fault.OutcomeUnknown},
+		{"status 600", rawServer(t, "HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\nok"), fault.OutcomeUnknown},
+		{"status 599", rawServer(t, "HTTP/1.1 599 X\r\nContent-Length: 2\r\n\r\nok"), ""},
 		{"refused", closed.Addr().String(), fault.NoUpstream},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
--- a/dialect/client.go
+++ b/dialect/client.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"toucanfall/internal/httpstatus"
 	"toucanfall/ledger"
 )
 
@@ -116,8 +117,11 @@
 	return json.Unmarshal(b, out)
 }
 
-// newStatusError returns the StatusError of a response.
+// newStatusError returns the StatusError of a response, or an error that wraps [httpstatus.ErrInvalid].
 func newStatusError(resp *http.Response) error {
+	if err := httpstatus.CheckFinal(resp); err != nil {
+		return err
+	}
 	b, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes))
 	return &StatusError{Status: resp.StatusCode, Body: string(b)}
 }
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"toucanfall/ingress"
+	"toucanfall/internal/httpstatus"
 )
 
 // ErrNotSent is the error of requests that failed before any byte of them was sent.
@@ -189,7 +190,8 @@
 	return nil, errors.New("the answer belongs to another request")
 }
 
-// readHead reads the headers of one answer, and skips informational answers.
+// readHead reads the headers of one answer, and skips informational answers. It fails at a status code that is
+// invalid: the answer has no meaning, and its body could be read as another one.
 func readHead(c *conn, req *http.Request) (*http.Response, error) {
 	c.limit.SetLimit(maxHeadBytes)
 	defer c.limit.RemoveLimit()
@@ -202,8 +204,11 @@
 		if err != nil {
 			return nil, redactError(err)
 		}
-		if resp.StatusCode >= 200 {
+		switch httpstatus.ClassOf(resp.StatusCode) {
+		case httpstatus.Final:
 			return resp, nil
+		case httpstatus.Invalid:
+			return nil, fmt.Errorf("%w: %03d", httpstatus.ErrInvalid, resp.StatusCode)
 		}
 	}
 	return nil, fmt.Errorf("more than %d informational answers", maxInformational)
