--- a/serving/answer.go
+++ b/serving/answer.go
@@ -52,8 +52,8 @@
 	rc         *http.ResponseController
 	wire       Wire
 	headerSent bool
-	// late is set if the answer must not be cut: unless it is a stream of events, it is read completely before
-	// any of it is sent.
+	// late is set if a planned stop must not cut the answer (see Handler.isLate): unless it is a stream of events,
+	// it is read completely before any of it is sent.
 	late bool
 	// end marks the end of an answer that the client gets without a frame; nil if the client's protocol has
 	// frames for answers of unknown length.
--- a/serving/open.go
+++ b/serving/open.go
@@ -24,7 +24,8 @@
 	BreakReaderSlow BreakReason = "reader_slow"
 	// BreakClientGone is a client that closed its connection.
 	BreakClientGone BreakReason = "client_gone"
-	// BreakNoMemory is an incomplete event for which the budget of bytes has no space.
+	// BreakNoMemory is an incomplete event, or an answer that must not be cut, for which the budget of bytes has
+	// no space.
 	BreakNoMemory BreakReason = "no_memory"
 	// BreakUnconfirmed is an unframed answer whose upstream did not show after it that it still lives.
 	BreakUnconfirmed BreakReason = "upstream_unconfirmed"
--- a/serving/run.go
+++ b/serving/run.go
@@ -431,12 +431,16 @@
 	if t.out.headerSent && !isEventStream(resp) {
 		return mayRetry, fault.New(fault.UpstreamFailed, "upstream %q answered %d without a stream to a resumed stream", u.ID, resp.Status)
 	}
-	err = t.out.copy(t.c, &incomingAnswer{resp, func() {
-		a.credit.FirstEvent()
-		a.flight.Received()
-		t.recordProgress(a)
-		w.activity()
-	}, func() bool { return t.h.crashes.confirm(a.ctx, u) }})
+	err = t.out.copy(t.c, &incomingAnswer{
+		Answer: resp,
+		onProgress: func() {
+			a.credit.FirstEvent()
+			a.flight.Received()
+			t.recordProgress(a)
+			w.activity()
+		},
+		confirm: func() bool { return t.h.crashes.confirm(a.ctx, u) },
+	})
 	if resp.Framing == transport.Unframed {
 		t.h.cfg.Metrics.UnframedAnswer(err == nil)
 	}
--- a/serving/whole.go
+++ b/serving/whole.go
@@ -103,7 +103,7 @@
 	return nil
 }
 
-// reset resets the connection of an answer that is not complete.
+// reset resets the connection of an answer that is not complete, also where conn is nil.
 func (e *connectionEnd) reset() error {
 	if e == nil || !e.withheld {
 		return nil
