--- a/ingress/body.go
+++ b/ingress/body.go
@@ -43,7 +43,7 @@
 	Limit int64
 	// Deadline is the time at which the body must be complete.
 	Deadline time.Time
-	// SetReadDeadline sets the deadline of the following reads.
+	// SetReadDeadline sets the deadline of the following reads. If it is nil, something else bounds their time.
 	SetReadDeadline func(time.Time)
 	// OnLarge, if not nil, is called once if the buffer becomes larger than LargeBody.
 	OnLarge func()
@@ -92,7 +92,9 @@
 func (r *bodyReader) readMore() error {
 	if len(r.buf) >= r.blockEnd {
 		r.blockEnd = len(r.buf) + ProgressBytes
-		r.SetReadDeadline(earlier(r.Deadline, time.Now().Add(ProgressTimeout)))
+		if r.SetReadDeadline != nil {
+			r.SetReadDeadline(earlier(r.Deadline, time.Now().Add(ProgressTimeout)))
+		}
 	}
 	if int64(len(r.buf)) == r.most {
 		return r.readEnd()
--- a/internal/httpstatus/httpstatus.go
+++ b/internal/httpstatus/httpstatus.go
@@ -38,8 +38,8 @@
 	return Final
 }
 
-// CheckFinal returns an error that wraps [ErrInvalid] for a response that net/http has returned, and whose code is not
-// final: net/http passes over interim responses, except 101, and returns any other code.
+// CheckFinal returns an error that wraps [ErrInvalid] for a response after the interim ones whose code is not final.
+// The client of net/http passes over interim responses, except 101, and returns any other code.
 func CheckFinal(resp *http.Response) error {
 	if ClassOf(resp.StatusCode) != Final {
 		return fmt.Errorf("%w: %03d", ErrInvalid, resp.StatusCode)
--- a/serving/answer.go
+++ b/serving/answer.go
@@ -169,7 +169,7 @@
 		return io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
 	}
 	// The context of the request bounds the time.
-	b, err := ingress.ReadBody(ingress.Body{Reader: resp.Body, Length: resp.Length, Limit: math.MaxInt64, SetReadDeadline: func(time.Time) {}}, a.space)
+	b, err := ingress.ReadBody(ingress.Body{Reader: resp.Body, Length: resp.Length, Limit: math.MaxInt64}, a.space)
 	if errors.Is(err, ingress.ErrNoSpace) {
 		return nil, &breakError{BreakNoMemory, errors.New("no memory for an answer that must not be cut")}
 	}
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -187,7 +187,7 @@
 	if conn := ingress.ConnOf(r.Context()); conn != nil {
 		a.drained = conn.Drained
 	}
-	a.end = newConnectionEnd(w, r)
+	a.end = newConnectionEnd(a.rc, r)
 	a.space = h.cfg.Space.Reservation()
 	defer a.space.Release()
 	defer a.open.remove()
--- a/serving/whole.go
+++ b/serving/whole.go
@@ -69,11 +69,11 @@
 }
 
 // newConnectionEnd returns nil for requests whose answers can be framed whatever their length.
-func newConnectionEnd(w http.ResponseWriter, r *http.Request) *connectionEnd {
+func newConnectionEnd(rc *http.ResponseController, r *http.Request) *connectionEnd {
 	if r.ProtoAtLeast(1, 1) || r.Method == http.MethodHead {
 		return nil
 	}
-	return &connectionEnd{rc: http.NewResponseController(w), conn: ingress.ConnOf(r.Context())}
+	return &connectionEnd{rc: rc, conn: ingress.ConnOf(r.Context())}
 }
 
 // withhold makes every end of the connection a reset, whether this process or the system closes it, until complete is
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -204,12 +204,13 @@
 		if err != nil {
 			return nil, redactError(err)
 		}
-		switch httpstatus.ClassOf(resp.StatusCode) {
-		case httpstatus.Final:
-			return resp, nil
-		case httpstatus.Invalid:
-			return nil, fmt.Errorf("%w: %03d", httpstatus.ErrInvalid, resp.StatusCode)
+		if httpstatus.ClassOf(resp.StatusCode) == httpstatus.Informational {
+			continue
 		}
+		if err := httpstatus.CheckFinal(resp); err != nil {
+			return nil, err
+		}
+		return resp, nil
 	}
 	return nil, fmt.Errorf("more than %d informational answers", maxInformational)
 }
@@ -317,7 +318,7 @@
 // document that ends with the connection before it is complete.
 func (a *Answer) readBody(space *ingress.Reservation) ([]byte, error) {
 	// The context of the request is the only bound of its time.
-	b, err := ingress.ReadBody(ingress.Body{Reader: a.Body, Length: a.Length, Limit: maxCallAnswerBytes, SetReadDeadline: func(time.Time) {}}, space)
+	b, err := ingress.ReadBody(ingress.Body{Reader: a.Body, Length: a.Length, Limit: maxCallAnswerBytes}, space)
 	if err != nil {
 		return nil, err
 	}
