Ask the writer too whether a connection has ended

Cause: the system reports a reset once, to the reader or to the writer of a connection, and the other one sees a regular end. The end of an answer without a frame was asked of the reader alone. The engine lives on, so that the question after the end does not show it either.

Change: such an end counts once the request was written without an error, acknowledged by the engine's system, and no error is pending on the connection. The query of unacknowledged bytes moves from ingress to internal/tcp, which both use.

--- a/ingress/conns.go
+++ b/ingress/conns.go
@@ -5,10 +5,9 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"toucanfall/internal/tcp"
 )
 
 // Conns is the set of open connections of one listener. It handles the load of clients that open
@@ -233,18 +232,8 @@
 
 // Drained reports whether the client's side has acknowledged all that was written.
 func (c *Conn) Drained() bool {
-	inner, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	rc, err := inner.SyscallConn()
-	if err != nil {
-		return false
-	}
-	queued := 1
-	var queryErr error
-	err = rc.Control(func(fd uintptr) { queued, queryErr = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) })
-	return err == nil && queryErr == nil && queued == 0
+	n, err := tcp.Unacknowledged(c.Conn)
+	return err == nil && n == 0
 }
 
 // SetLinger sets what becomes of unsent bytes at the close.
@@ -261,11 +250,11 @@
 
 // clientAddress returns the address by which connections are counted.
 func clientAddress(a net.Addr) netip.Addr {
-	tcp, ok := a.(*net.TCPAddr)
+	tcpAddr, ok := a.(*net.TCPAddr)
 	if !ok {
 		return netip.Addr{}
 	}
-	ip := tcp.AddrPort().Addr().Unmap().WithZone("")
+	ip := tcpAddr.AddrPort().Addr().Unmap().WithZone("")
 	if !ip.Is6() {
 		return ip
 	}
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -1,4 +1,5 @@
-// Package tcp creates dialers whose connections detect an unreachable peer.
+// Package tcp creates dialers whose connections detect an unreachable peer, and asks the system for the state of
+// connections.
 package tcp
 
 import (
@@ -22,3 +23,42 @@
 		return errors.Join(err, optErr)
 	}}
 }
+
+// Unacknowledged returns how many of the bytes that were written to a connection its peer's system has not acknowledged.
+// It fails with errors.ErrUnsupported if the connection is no socket.
+func Unacknowledged(c net.Conn) (int, error) {
+	n := 0
+	err := control(c, func(fd int) (err error) {
+		n, err = unix.IoctlGetInt(fd, unix.TIOCOUTQ)
+		return err
+	})
+	return n, err
+}
+
+// TakeError returns the error that is pending on a connection, such as a reset by the peer, nil if there is none. The
+// system reports it once, here or to the next read or write. It fails with errors.ErrUnsupported if the connection is
+// no socket.
+func TakeError(c net.Conn) error {
+	return control(c, func(fd int) error {
+		code, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ERROR)
+		if err == nil && code != 0 {
+			return syscall.Errno(code)
+		}
+		return err
+	})
+}
+
+// control calls f with the file descriptor of a connection.
+func control(c net.Conn, f func(fd int) error) error {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var fErr error
+	err = rc.Control(func(fd uintptr) { fErr = f(int(fd)) })
+	return errors.Join(err, fErr)
+}
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -16,6 +16,7 @@
 
 	"toucanfall/ingress"
 	"toucanfall/internal/httpstatus"
+	"toucanfall/internal/tcp"
 )
 
 // ErrNotSent is the error of requests that failed before any byte of them was sent.
@@ -42,6 +43,9 @@
 // the request to report that it is done.
 const sendGrace = 5 * time.Millisecond
 
+// deliveryPoll is the pause between two questions whether the upstream's system has received the whole request.
+const deliveryPoll = 5 * time.Millisecond
+
 // Request is one request to an upstream, already encoded for HTTP/1.1.
 type Request struct {
 	Method string
@@ -113,7 +117,7 @@
 			return nil, fmt.Errorf("%w: %w", ErrWithheld, err)
 		}
 	}
-	x := &exchange{pool: p, conn: c, sent: make(chan error, 1), alone: !c.used}
+	x := &exchange{pool: p, conn: c, sendEnded: make(chan struct{}), alone: !c.used}
 	c.used = true
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	go x.send(r)
@@ -145,18 +149,21 @@
 	pool       *Pool
 	conn       *conn
 	stopCancel func() bool
-	sent       chan error
 	once       sync.Once
+
+	// sendEnded is closed once send has returned; sendErr is its error, and is not read before.
+	sendEnded chan struct{}
+	sendErr   error
 }
 
 func (x *exchange) send(r *Request) {
+	defer close(x.sendEnded)
 	// Both parts are written by one call, without a copy of the body.
 	parts := net.Buffers{r.Head}
 	if len(r.Body) > 0 {
 		parts = append(parts, r.Body)
 	}
-	_, err := parts.WriteTo(x.conn.Conn)
-	x.sent <- err
+	_, x.sendErr = parts.WriteTo(x.conn.Conn)
 }
 
 // receive reads the headers of the answer, and skips at most maxForeignAnswers answers to other
@@ -261,13 +268,40 @@
 // before it has read a long body; no other request may follow the rest of that body.
 func (x *exchange) requestWritten() bool {
 	select {
-	case err := <-x.sent:
-		return err == nil
+	case <-x.sendEnded:
+		return x.sendErr == nil
 	case <-time.After(sendGrace):
 		return false
 	}
 }
 
+// awaitDelivery returns once the upstream's system has received the whole request, and fails if the connection fails
+// before that. The request's context bounds the wait: at its end the connection is closed.
+//
+// The end of a connection is the end of an unframed answer only after this. The system reports a reset once, to whichever
+// of the reader and the writer of the connection asks first, and the other one sees a regular end. An upstream may end its
+// answer before it has read the request, and read on; one that resets the connection instead has broken off the exchange.
+func (x *exchange) awaitDelivery() error {
+	<-x.sendEnded
+	if x.sendErr != nil {
+		return x.sendErr
+	}
+	for {
+		// Read before the error, so that a reset that discards the unacknowledged bytes is noticed.
+		n, err := tcp.Unacknowledged(x.conn.Conn)
+		if errors.Is(err, errors.ErrUnsupported) {
+			return nil
+		}
+		if err == nil {
+			err = tcp.TakeError(x.conn.Conn)
+		}
+		if err != nil || n == 0 {
+			return err
+		}
+		time.Sleep(deliveryPoll)
+	}
+}
+
 // body is the body of an answer. Its connection is reused only if the body was read to its end.
 type body struct {
 	io.ReadCloser
@@ -276,13 +310,20 @@
 	ended bool
 }
 
-// Read reads from the body and records when its end was reached.
+// Read reads from the body and records when its end was reached. The end of an unframed body is an error if the
+// connection has failed.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) {
-		b.ended = true
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if framingOf(b.resp) == Unframed {
+		if err := b.x.awaitDelivery(); err != nil {
+			return n, fmt.Errorf("the connection failed before the request was delivered: %w", err)
+		}
 	}
-	return n, err
+	b.ended = true
+	return n, io.EOF
 }
 
 // Close returns the connection to the pool if the body was read to its end, and closes it otherwise.
