Refuse answers with an invalid field name

An engine that sent a blank in the name of a field, also before the colon, had its answer reach the client with 200, without that line.

Cause: net/textproto, which reads every head and trailer, refuses names that are no token, except those with a blank. Content-Length with a blank before the colon is then a field of its own, and another frame is taken. The server of net/http leaves out such names when it writes the client's head.

A request with such a line was rejected before (TestRequestWithInvalidFieldIsRejected).

Change: internal/httpfield checks the names of all fields, by the token rule of golang.org/x/net. The reader of upstreams' answers asks it for each head, interim ones included, and at the end of a body for the trailer. The clients of net/http, which read from the store and from toucand's upstreams and platform, send through a transport that does the same. The connection of a refused answer is closed: 502 at once, or another attempt where the route allows one.

--- a/booking/send.go
+++ b/booking/send.go
@@ -11,6 +11,7 @@
 	"toucanfall/event"
 	"toucanfall/fault"
 	"toucanfall/fleet"
+	"toucanfall/internal/httpfield"
 	"toucanfall/internal/httpstatus"
 	"toucanfall/ledger"
 	"toucanfall/timeline"
@@ -90,7 +91,7 @@
 func NewClient(rt *http.Transport, rec *timeline.Recorder) *Client {
 	rt.DisableKeepAlives = true
 	return &Client{hc: &http.Client{
-		Transport:     timeline.StampRequests(rt, rec),
+		Transport:     timeline.StampRequests(httpfield.NewTransport(rt), rec),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
--- a/booking/send_test.go
+++ b/booking/send_test.go
@@ -115,6 +115,10 @@
 		{"status 101", rawServer(t, "HTTP/1.1 101 X\r\nContent-Length: 2\r\n\r\nok"), fault.OutcomeUnknown},
 		{"status 600", rawServer(t, "HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\nok"), fault.OutcomeUnknown},
 		{"status 599", rawServer(t, "HTTP/1.1 599 X\r\nContent-Length: 2\r\n\r\nok"), ""},
+		{"blank in a name", rawServer(t, "HTTP/1.1 200 OK\r\nX Y: 1\r\nContent-Length: 2\r\n\r\nok"), fault.OutcomeUnknown},
+		{"blank after a name", rawServer(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Request-Id : r2\r\n\r\nok"), fault.OutcomeUnknown},
+		{"blank in a name of the trailer", rawServer(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX Y: 1\r\n\r\n"), fault.OutcomeUnknown},
+		{"control byte in a name", rawServer(t, "HTTP/1.1 200 OK\r\nX\x01: 1\r\nContent-Length: 2\r\n\r\nok"), fault.OutcomeUnknown},
 		{"refused", closed.Addr().String(), fault.NoUpstream},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
--- a/dialect/engine.go
+++ b/dialect/engine.go
@@ -8,6 +8,7 @@
 	"net/http"
 
 	"toucanfall/fleet"
+	"toucanfall/internal/httpfield"
 )
 
 // Headers of each request to an engine or a service.
@@ -120,7 +121,7 @@
 
 // NewEngines returns a client that sends its requests by rt.
 func NewEngines(rt http.RoundTripper) *Engines {
-	return &Engines{hc: &http.Client{Transport: rt, CheckRedirect: refuseRedirect}}
+	return &Engines{hc: &http.Client{Transport: httpfield.NewTransport(rt), CheckRedirect: refuseRedirect}}
 }
 
 // refuseRedirect makes the client return redirects as responses, so that it
--- a/dialect/log.go
+++ b/dialect/log.go
@@ -8,6 +8,7 @@
 	"net/http"
 
 	"toucanfall/fleet"
+	"toucanfall/internal/httpfield"
 	"toucanfall/ledger"
 )
 
@@ -43,7 +44,7 @@
 
 // NewLog returns a client of the log at the base URL.
 func NewLog(baseURL string, rt http.RoundTripper) *Log {
-	return &Log{baseURL: baseURL, hc: &http.Client{Transport: rt}}
+	return &Log{baseURL: baseURL, hc: &http.Client{Transport: httpfield.NewTransport(rt)}}
 }
 
 // Append adds records to the log and returns the offset of the first. If the
--- a/dialect/vmlist.go
+++ b/dialect/vmlist.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"toucanfall/fleet"
+	"toucanfall/internal/httpfield"
 )
 
 // VMListResponse is the response that holds the platform's VM list.
@@ -21,7 +22,7 @@
 
 // NewVMList returns a client of the list at the base URL.
 func NewVMList(baseURL string, rt http.RoundTripper) *VMList {
-	return &VMList{baseURL: baseURL, hc: &http.Client{Transport: rt}}
+	return &VMList{baseURL: baseURL, hc: &http.Client{Transport: httpfield.NewTransport(rt)}}
 }
 
 // VMs returns all VMs on the platform's VM list, which may be stale.
--- a/timeline/transport.go
+++ b/timeline/transport.go
@@ -15,6 +15,13 @@
 	return stampedTransport{next: next, rec: rec}
 }
 
+// CloseIdleConnections closes the connections of the next round tripper that carry no request.
+func (t stampedTransport) CloseIdleConnections() {
+	if c, ok := t.next.(interface{ CloseIdleConnections() }); ok {
+		c.CloseIdleConnections()
+	}
+}
+
 // RoundTrip sends a copy of the request with the header.
 func (t stampedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	stamped := r.Clone(r.Context())
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"toucanfall/ingress"
+	"toucanfall/internal/httpfield"
 	"toucanfall/internal/httpstatus"
 	"toucanfall/internal/tcp"
 )
@@ -187,6 +188,9 @@
 			break
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxForeignBodyBytes+1))
+		if err == nil {
+			err = httpfield.CheckNames(resp.Trailer)
+		}
 		if err != nil {
 			return nil, fmt.Errorf("broken answer to another request: %w", err)
 		}
@@ -197,8 +201,8 @@
 	return nil, errors.New("the answer belongs to another request")
 }
 
-// readHead reads the headers of one answer, and skips informational answers. It fails at a status code that is
-// invalid: the answer has no meaning, and its body could be read as another one.
+// readHead reads the headers of one answer, and skips informational answers. It fails at a status code or the name of a
+// field that is invalid: the answer has no meaning, and its body could be read as another one.
 func readHead(c *conn, req *http.Request) (*http.Response, error) {
 	c.limit.SetLimit(maxHeadBytes)
 	defer c.limit.RemoveLimit()
@@ -211,6 +215,9 @@
 		if err != nil {
 			return nil, redactError(err)
 		}
+		if err := httpfield.CheckNames(resp.Header); err != nil {
+			return nil, err
+		}
 		if httpstatus.ClassOf(resp.StatusCode) == httpstatus.Informational {
 			continue
 		}
@@ -310,8 +317,8 @@
 	ended bool
 }
 
-// Read reads from the body and records when its end was reached. The end of an unframed body is an error if the
-// connection has failed.
+// Read reads from the body and records when its end was reached. The end is an error if the connection of an unframed
+// body has failed, or if the name of a field of the trailer is invalid.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if !errors.Is(err, io.EOF) {
@@ -322,6 +329,9 @@
 			return n, fmt.Errorf("the connection failed before the request was delivered: %w", err)
 		}
 	}
+	if err := httpfield.CheckNames(b.resp.Trailer); err != nil {
+		return n, err
+	}
 	b.ended = true
 	return n, io.EOF
 }
