Record what decided about the end of an unframed answer

A call that was broken off as upstream_unconfirmed did not show whether its upstream refused the probe, reset it or left it unanswered, so that the logs could not tell a crash from a planned leave or a full engine.

No decision changes.

The tests of serving, metric, event and platform pass.

--- a/event/event.go
+++ b/event/event.go
@@ -81,7 +81,7 @@
 	RequestReceived = Event{401, "request_received", logrus.DebugLevel, "A caller's request passed the checks of its key and route."}
 	RequestRefused  = Event{402, "request_refused", logrus.InfoLevel, "A request was rejected. The field kind is the error kind."}
 	AttemptStarted  = Event{403, "attempt_started", logrus.DebugLevel, "A request is being sent to an upstream."}
-	AttemptFailed   = Event{404, "attempt_failed", logrus.InfoLevel, "An attempt at an upstream failed. The field reason says why, framing how the end of its answer is marked: `length`, `chunked`, `connection` (by nothing but the end of the connection), or empty if there was no answer, and parts the ids of the parts of its prompt that requests share."}
+	AttemptFailed   = Event{404, "attempt_failed", logrus.InfoLevel, "An attempt at an upstream failed. The field reason says why, framing how the end of its answer is marked: `length`, `chunked`, `connection` (by nothing but the end of the connection), or empty if there was no answer, evidence what decided about an end that only the connection marks (see docs/OPERATIONS.md), and parts the ids of the parts of its prompt that requests share."}
 	RequestAnswered = Event{405, "request_answered", logrus.DebugLevel, "The complete response was sent to the caller."}
 	AttemptWithheld = Event{407, "attempt_withheld", logrus.InfoLevel, "Just before the request was written, the upstream was found to be leaving or the directory to be too old. Nothing was sent; another upstream is chosen."}
 	CallerCut       = Event{406, "caller_cut", logrus.InfoLevel, "The response to a connected caller was aborted. The field reason says why."}
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -44,7 +44,7 @@
 	firstPieceSeconds   = Definition{"toucanfall_first_piece_seconds", Histogram, []string{"kind"}, "Time from the arrival of a request to the first chunk of its response, for requests that were served."}
 	longestPauseSeconds = Definition{"toucanfall_longest_pause_seconds", Histogram, []string{"kind"}, "Longest pause between two chunks of a response, for requests that were served."}
 	attemptsTotal       = Definition{"toucanfall_attempts_total", Counter, []string{"upstream", "outcome"}, "Attempts by upstream and outcome: `served` or `failed`."}
-	unframedTotal       = Definition{"toucanfall_unframed_answers_total", Counter, []string{"outcome"}, "Answers of upstreams with neither a length nor chunks that were relayed, by outcome: `complete` or `broken`."}
+	unframedTotal       = Definition{"toucanfall_unframed_answers_total", Counter, []string{"outcome", "evidence"}, "Answers of upstreams with neither a length nor chunks that were relayed, by outcome: `complete` or `broken`, and by what decided about their end (see docs/OPERATIONS.md)."}
 	brokenTotal         = Definition{"toucanfall_answers_broken_total", Counter, []string{"reason"}, "Requests that were read and ended without a complete answer, by the reasons of the event `answer_broken_off`."}
 	noticesTotal        = Definition{"toucanfall_notices_total", Counter, []string{"notice"}, "Responses of upstreams with a notice in their headers: `leaving`, `wait` (no requests for some time), `intake` (a request rate limit), `cold` (the remaining cold time), or `odd` for a malformed header."}
 	noticedSendsTotal   = Definition{"toucanfall_noticed_sends_total", Counter, []string{"notice"}, "Requests that were written to an upstream while a notice from it applied: that it is leaving (`leaving`), accepts no requests for some time (`wait`), limits its request rate (`intake`) or is cold (`cold`)."}
@@ -217,13 +217,13 @@
 	s.attempts.WithLabelValues(s.upstreamValues.bounded(string(u)), outcome).Inc()
 }
 
-// UnframedAnswer counts a relayed answer with neither a length nor chunks.
-func (s *Set) UnframedAnswer(complete bool) {
+// UnframedAnswer counts a relayed answer with neither a length nor chunks, by what decided about its end.
+func (s *Set) UnframedAnswer(complete bool, evidence string) {
 	outcome := "broken"
 	if complete {
 		outcome = "complete"
 	}
-	s.unframed.WithLabelValues(outcome).Inc()
+	s.unframed.WithLabelValues(outcome, evidence).Inc()
 }
 
 // AnswerBroken counts a request that was read and ended without a complete answer.
--- a/metric/metric_test.go
+++ b/metric/metric_test.go
@@ -43,7 +43,7 @@
 	s.NoticedSend("intake")
 	s.Permit(true)
 	s.PrefillCredit(metric.CreditGiven)
-	s.UnframedAnswer(true)
+	s.UnframedAnswer(true, "document")
 	s.AnswerBroken("stop")
 	s.Panic("request")
 	s.IngressRejection("body_slow")
--- a/serving/crash_detector.go
+++ b/serving/crash_detector.go
@@ -1,6 +1,7 @@
 package serving
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -139,37 +140,40 @@
 	}
 }
 
-// confirm reports whether an upstream shows within confirmTimeout, and before ctx ends, that it still lives.
-func (d *crashDetector) confirm(ctx context.Context, u *roster.Upstream) bool {
-	lives := make(chan bool, 1)
-	go func() { lives <- d.awaitLife(u) }()
+// confirm returns what shows within confirmTimeout, and before ctx ends, whether an upstream still lives.
+func (d *crashDetector) confirm(ctx context.Context, u *roster.Upstream) Evidence {
+	found := make(chan Evidence, 1)
+	go func() { found <- d.awaitLife(u) }()
 	select {
-	case ok := <-lives:
-		return ok
+	case e := <-found:
+		return e
 	case <-ctx.Done():
-		return false
+		return EvidenceCancelled
 	}
 }
 
-// awaitLife reports whether an upstream shows within confirmTimeout that it still lives, leaving or not. All
+// awaitLife returns what shows within confirmTimeout whether an upstream still lives, leaving or not. All
 // calls at the same time share the probes. A connection that is accepted shows nothing: on a busy machine
 // the system closes the listener of a killed process some time after its connections.
-func (d *crashDetector) awaitLife(u *roster.Upstream) bool {
-	began := time.Now()
-	for time.Since(began) < confirmTimeout {
+func (d *crashDetector) awaitLife(u *roster.Upstream) Evidence {
+	last := EvidenceNoAnswer
+	for began := time.Now(); time.Since(began) < confirmTimeout; time.Sleep(confirmPause) {
 		if d.probe == nil {
-			return !d.refuses(u)
+			if d.refuses(u) {
+				return refusal(u)
+			}
+			return EvidenceNewConnection
 		}
-		f, _ := d.ask(u)
+		r := d.ask(u)
 		switch {
-		case f == crashed:
-			return false
+		case r.found == crashed:
+			return r.evidence
 		case d.aliveSince(u, began):
-			return true
+			return EvidenceNewConnection
 		}
-		time.Sleep(confirmPause)
+		last = cmp.Or(r.evidence, last)
 	}
-	return false
+	return last
 }
 
 // aliveSince reports whether an upstream has answered to a probe that began at a time or later.
@@ -249,9 +253,9 @@
 	if leaves(u) {
 		return alive
 	}
-	f, closes := d.ask(u)
-	if !closes {
-		return f
+	r := d.ask(u)
+	if !r.closes {
+		return r.found
 	}
 	always := true
 	for i := range maxRedials {
@@ -265,7 +269,7 @@
 	if always {
 		return closing
 	}
-	return f
+	return r.found
 }
 
 // leaves reports whether the directory or the upstream itself says that it leaves, or has left.
@@ -274,22 +278,30 @@
 	return how != "" || u.NoticeStatus(time.Now()).Leaving
 }
 
-// ask probes an upstream on a connection of its own. closes is set if the upstream accepted the connection
-// and ended it without an answer.
-func (d *crashDetector) ask(u *roster.Upstream) (_ finding, closes bool) {
+// probeResult is the result of a probe.
+type probeResult struct {
+	found finding
+	// closes is set if the upstream accepted the connection and ended it without an answer.
+	closes bool
+	// evidence is what the probe shows, "" if it shows nothing.
+	evidence Evidence
+}
+
+// ask probes an upstream on a connection of its own.
+func (d *crashDetector) ask(u *roster.Upstream) probeResult {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	began := time.Now()
 	conn, err := d.dial(ctx, u.Address())
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
-		return crashed, false
+		return probeResult{found: crashed, evidence: refusal(u)}
 	case err != nil:
-		return unreachable, false
+		return probeResult{found: unreachable, evidence: failedConnection(err, false)}
 	}
 	defer func() { _ = conn.Close() }()
 	if d.probe == nil || !d.takeProbe(u) {
-		return undecided, endsWithin(conn, redialDelay)
+		return probeResult{found: undecided, closes: endsWithin(conn, redialDelay)}
 	}
 	p := transport.NewPool(u.Address(), func(context.Context, string) (net.Conn, error) { return conn, nil }, nil)
 	defer p.Close()
@@ -297,15 +309,15 @@
 	start, err := d.probe.EngineStart(ctx, p, u)
 	switch known := u.StartTime(); {
 	case errors.Is(err, ErrOtherInstance), err == nil && start != 0 && known != 0 && start != known:
-		return crashed, false
+		return probeResult{found: crashed, evidence: EvidenceOtherStart}
 	case err == nil, errors.Is(err, ErrNoStart):
 		d.recordAlive(u, began)
 		if err == nil && start != 0 && start == known {
-			return alive, false
+			return probeResult{found: alive, evidence: EvidenceNewConnection}
 		}
-		return answered, false
+		return probeResult{found: answered, evidence: EvidenceNewConnection}
 	}
-	return undecided, err != nil && ctx.Err() == nil
+	return probeResult{found: undecided, closes: err != nil && ctx.Err() == nil, evidence: failedConnection(err, true)}
 }
 
 // endsWithin reports whether a connection is closed by the other side within a time.
--- a/serving/run.go
+++ b/serving/run.go
@@ -1,6 +1,7 @@
 package serving
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -132,6 +133,8 @@
 	cancel context.CancelFunc
 	flight *roster.Flight
 	resp   *transport.Answer
+	// evidence is what decided about the end of an answer without a frame.
+	evidence Evidence
 	// progressAt is when the first part of the answer came. sound is set once the run has gone well
 	// for soundAfter, or ended well.
 	progressAt time.Time
@@ -362,7 +365,7 @@
 	t.h.cfg.Metrics.Attempt(a.u.ID, true)
 	t.h.cfg.Events.Record(event.AttemptFailed, a.trace.fields(timeline.Fields{
 		"request": string(t.c.ID), "upstream": string(a.u.ID), "reason": err.Error(), "sends": strconv.Itoa(t.sends),
-		"framing": string(a.framing()), "parts": fleet.FormatParts(t.c.Parts),
+		"framing": string(a.framing()), "evidence": string(a.evidence), "parts": fleet.FormatParts(t.c.Parts),
 	}))
 }
 
@@ -378,7 +381,7 @@
 		"upstream": string(u.ID), "own": strconv.Itoa(own), "all": strconv.Itoa(all),
 		"model": string(t.c.Model), "adapter": string(t.c.Adapter), "priority": strconv.Itoa(t.c.Priority),
 		"tokens_in": strconv.Itoa(int(t.c.TokensIn)), "tokens_out": strconv.Itoa(int(t.c.TokensOut)),
-		"status": strconv.Itoa(status), "framing": string(a.framing()), "sends": strconv.Itoa(t.sends), "pieces": strconv.Itoa(p.chunks),
+		"status": strconv.Itoa(status), "framing": string(a.framing()), "evidence": string(a.evidence), "sends": strconv.Itoa(t.sends), "pieces": strconv.Itoa(p.chunks),
 		"first_ms": timeline.Millis(p.firstChunk), "longest_pause_ms": timeline.Millis(p.longestPause), "paused_until_ms": timeline.Millis(p.longestPauseEnd), "total_ms": timeline.Millis(time.Since(p.received)),
 	}))
 }
@@ -431,7 +434,7 @@
 	if t.out.headerSent && !isEventStream(resp) {
 		return mayRetry, fault.New(fault.UpstreamFailed, "upstream %q answered %d without a stream to a resumed stream", u.ID, resp.Status)
 	}
-	err = t.out.copy(t.c, &incomingAnswer{
+	in := &incomingAnswer{
 		Answer: resp,
 		onProgress: func() {
 			a.credit.FirstEvent()
@@ -439,10 +442,12 @@
 			t.recordProgress(a)
 			w.activity()
 		},
-		confirm: func() bool { return t.h.crashes.confirm(a.ctx, u) },
-	})
+		confirm: func() Evidence { return t.h.crashes.confirm(a.ctx, u) },
+	}
+	err = t.out.copy(t.c, in)
 	if resp.Framing == transport.Unframed {
-		t.h.cfg.Metrics.UnframedAnswer(err == nil)
+		a.evidence = cmp.Or(in.evidence, EvidenceNone)
+		t.h.cfg.Metrics.UnframedAnswer(err == nil, string(a.evidence))
 	}
 	if err != nil {
 		return t.handleBreak(a, mayRetry, err)
--- a/serving/whole.go
+++ b/serving/whole.go
@@ -22,17 +22,22 @@
 	// onProgress is called for each part of an answer that is sent on as it is received, but not for events
 	// without content (see hasProgress).
 	onProgress func()
-	// confirm reports whether the upstream shows that it still lives, after the end of its answer.
-	confirm func() bool
+	// confirm asks the upstream, after the end of its answer, whether it still lives.
+	confirm func() Evidence
+	// evidence is what decided about the end of an answer without a frame, "" if nothing was asked.
+	evidence Evidence
 }
 
 // confirmEnd returns an error unless the end of the answer, which has been read, is the end of its frame or the
 // upstream confirms it.
 func (in *incomingAnswer) confirmEnd() error {
-	if in.Framing != transport.Unframed || in.confirm() {
+	if in.Framing != transport.Unframed {
 		return nil
 	}
-	return &breakError{BreakUnconfirmed, errors.New("the answer broke off: its upstream has crashed or does not answer")}
+	if in.evidence = in.confirm(); in.evidence.showsWhole() {
+		return nil
+	}
+	return in.evidence.unconfirmedError()
 }
 
 // checkWhole returns an error unless something shows that an answer with the body b is whole.
@@ -42,6 +47,7 @@
 		case transport.IsUnfinished(b):
 			return errors.New("the answer broke off: its document is unfinished")
 		case isClosedDocument(b):
+			in.evidence = EvidenceDocument
 			return nil
 		}
 	}
