Accept unframed answers of upstreams that leave in order

Callers of upstreams that were leaving got all events of a stream and then a closed connection without the end of the answer, or 502 for a plain answer that had run once and was whole.

An answer with neither a length nor chunks counts only if its upstream shows after the end that it lives. It was asked on a new connection, and a refused one counted as a crash. A server that stops in order closes its listener first.

The connections that were open at the end of the answer are observed now. Bytes that arrive on one of them later show that the process lives on. A refusal shows a crash only once all of them have ended, as a kill does at once. The search for crashes had the same cause: a closed listener counted as a crash under a sound request. Connections to a removed upstream stay open until its last request ends.

--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -48,6 +48,36 @@
 	})
 }
 
+// Unread is what the system has received on a connection and nobody has read.
+type Unread int
+
+// What has been received.
+const (
+	// NothingUnread means that the connection is open and that there are no bytes.
+	NothingUnread Unread = iota
+	// BytesUnread means that there are bytes.
+	BytesUnread
+	// EndUnread means that the peer has ended or reset the connection after the bytes that were read.
+	EndUnread
+)
+
+// Peek returns what can be read from a connection, and leaves it unread. It fails with errors.ErrUnsupported if the
+// connection is no socket.
+func Peek(c net.Conn) (Unread, error) {
+	out := EndUnread
+	err := control(c, func(fd int) error {
+		var b [1]byte
+		switch n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT); {
+		case errors.Is(err, unix.EAGAIN):
+			out = NothingUnread
+		case err == nil && n > 0:
+			out = BytesUnread
+		}
+		return nil
+	})
+	return out, err
+}
+
 // control calls f with the file descriptor of a connection.
 func control(c net.Conn, f func(fd int) error) error {
 	sc, ok := c.(syscall.Conn)
--- a/serving/crash_detector.go
+++ b/serving/crash_detector.go
@@ -85,8 +85,8 @@
 }
 
 // crashDetector finds out whether upstreams that broke off a run have crashed. A connection that ended
-// says little of its upstream. It has crashed if it refuses connections, or if it shows that it is another
-// start or another instance. What a check leaves undecided, the directory decides within caseLifetime: by
+// says little of its upstream. It has crashed if it refuses connections and has ended all others, or if it shows that
+// it is another start or another instance. What a check leaves undecided, the directory decides within caseLifetime: by
 // an entry of another start, by a later one at the same address, or by an entry that vanishes although the
 // upstream was not leaving. It handles interrupted runs at any rate with at most one probe for each upstream in
 // probeInterval.
@@ -97,6 +97,8 @@
 	probe StartProbe
 	// answers is the budget for the answers to probe, nil if there is none.
 	answers *ingress.Bytes
+	// pool returns the connections to an upstream, nil if there are none.
+	pool func(*roster.Upstream) *transport.Pool
 
 	mu sync.Mutex
 	// checks holds the upstreams that are being checked, and the functions to call with the findings of
@@ -132,18 +134,20 @@
 	return r.found == closing || r.found == undecided
 }
 
-func newCrashDetector(dial transport.Dialer, r *roster.Roster, probe StartProbe, answers *ingress.Bytes) *crashDetector {
+func newCrashDetector(dial transport.Dialer, r *roster.Roster, probe StartProbe, answers *ingress.Bytes, pool func(*roster.Upstream) *transport.Pool) *crashDetector {
 	return &crashDetector{
-		dial: dial, roster: r, probe: probe, answers: answers, checks: make(map[*roster.Upstream][]func(finding)),
+		dial: dial, roster: r, probe: probe, answers: answers, pool: pool, checks: make(map[*roster.Upstream][]func(finding)),
 		probedAt: make(map[*roster.Upstream]time.Time), cases: make(map[*roster.Upstream]*crashCase),
 		aliveAt: make(map[*roster.Upstream]time.Time),
 	}
 }
 
-// confirm returns what shows within confirmTimeout, and before ctx ends, whether an upstream still lives.
-func (d *crashDetector) confirm(ctx context.Context, u *roster.Upstream) Evidence {
+// confirm returns what shows within confirmTimeout, and before ctx ends, whether an upstream still lives, to which p
+// has the connections.
+func (d *crashDetector) confirm(ctx context.Context, u *roster.Upstream, p *transport.Pool) Evidence {
+	o := p.Observe()
 	found := make(chan Evidence, 1)
-	go func() { found <- d.awaitLife(u) }()
+	go func() { found <- d.awaitLife(u, o) }()
 	select {
 	case e := <-found:
 		return e
@@ -154,24 +158,27 @@
 
 // awaitLife returns what shows within confirmTimeout whether an upstream still lives, leaving or not. All
 // calls at the same time share the probes. A connection that is accepted shows nothing: on a busy machine
-// the system closes the listener of a killed process some time after its connections.
-func (d *crashDetector) awaitLife(u *roster.Upstream) Evidence {
+// the system closes the listener of a killed process some time after its connections. Nor does one that is refused
+// while others are open: a process that leaves closes its listener first, and then ends what it runs.
+func (d *crashDetector) awaitLife(u *roster.Upstream, o *transport.Observation) Evidence {
 	last := EvidenceNoAnswer
 	for began := time.Now(); time.Since(began) < confirmTimeout; time.Sleep(confirmPause) {
-		if d.probe == nil {
-			if d.refuses(u) {
-				return refusal(u)
+		if o.HasProgress() {
+			return EvidenceTraffic
+		}
+		if !last.isRefusal() {
+			r := d.ask(u)
+			if r.evidence == EvidenceOtherStart {
+				return r.evidence
+			}
+			if d.aliveSince(u, began) || d.probe == nil && !r.evidence.isRefusal() {
+				return EvidenceNewConnection
 			}
-			return EvidenceNewConnection
+			last = cmp.Or(r.evidence, last)
 		}
-		r := d.ask(u)
-		switch {
-		case r.found == crashed:
-			return r.evidence
-		case d.aliveSince(u, began):
-			return EvidenceNewConnection
+		if last.isRefusal() && !o.IsOpen() {
+			return last
 		}
-		last = cmp.Or(r.evidence, last)
 	}
 	return last
 }
@@ -253,8 +260,12 @@
 	if leaves(u) {
 		return alive
 	}
+	o := d.observe(u)
 	r := d.ask(u)
-	if !r.closes {
+	switch {
+	case r.evidence.isRefusal():
+		return d.findRefused(o)
+	case !r.closes:
 		return r.found
 	}
 	always := true
@@ -272,6 +283,29 @@
 	return r.found
 }
 
+// findRefused looks whether an upstream that refuses connections has crashed. One whose other connections stay open has
+// only closed its listener.
+func (d *crashDetector) findRefused(o *transport.Observation) finding {
+	for i := range maxRedials {
+		if !o.IsOpen() {
+			return crashed
+		}
+		time.Sleep(redialDelay << i)
+	}
+	if o.IsOpen() {
+		return undecided
+	}
+	return crashed
+}
+
+// observe starts an observation of the connections to an upstream.
+func (d *crashDetector) observe(u *roster.Upstream) *transport.Observation {
+	if p := d.pool(u); p != nil {
+		return p.Observe()
+	}
+	return new(transport.Observation)
+}
+
 // leaves reports whether the directory or the upstream itself says that it leaves, or has left.
 func leaves(u *roster.Upstream) bool {
 	how, _ := u.Leaving()
@@ -327,12 +361,6 @@
 	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
-// refuses reports whether nothing listens at the address of an upstream.
-func (d *crashDetector) refuses(u *roster.Upstream) bool {
-	refused, _ := d.redial(u)
-	return refused
-}
-
 // redial reports whether nothing listens at the address of an upstream, and whether the port accepts a connection and
 // closes it.
 func (d *crashDetector) redial(u *roster.Upstream) (refused, closes bool) {
--- a/serving/evidence.go
+++ b/serving/evidence.go
@@ -13,16 +13,18 @@
 // evidence of events and the label of the metric.
 type Evidence string
 
-// The evidence. The first two show that the answer is whole, the others do not.
+// The evidence. The first three show that the answer is whole, the others do not.
 const (
 	// EvidenceDocument is a JSON document that cannot go on.
 	EvidenceDocument Evidence = "document"
 	// EvidenceNewConnection is an answer of the upstream to a probe on a new connection.
 	EvidenceNewConnection Evidence = "new_connection"
+	// EvidenceTraffic are bytes that the upstream sent later on another connection that was open before.
+	EvidenceTraffic Evidence = "traffic"
 	// EvidenceOtherStart is an answer of another start of the upstream, or of another one at its address.
 	EvidenceOtherStart Evidence = "other_start"
-	// EvidenceRefused is a port that refuses connections, EvidenceLeft the same if the directory or the upstream
-	// itself said that it leaves.
+	// EvidenceRefused is a port that refuses connections, while the upstream has ended all others. EvidenceLeft is the
+	// same if the directory or the upstream itself said that it leaves.
 	EvidenceRefused Evidence = "refused"
 	EvidenceLeft    Evidence = "left"
 	// EvidenceReset is a port that resets or closes each new connection.
@@ -39,7 +41,12 @@
 
 // showsWhole reports whether the evidence shows that an answer is whole.
 func (e Evidence) showsWhole() bool {
-	return e == EvidenceDocument || e == EvidenceNewConnection
+	return e == EvidenceDocument || e == EvidenceNewConnection || e == EvidenceTraffic
+}
+
+// isRefusal reports whether the port refuses connections.
+func (e Evidence) isRefusal() bool {
+	return e == EvidenceRefused || e == EvidenceLeft
 }
 
 // unconfirmedError returns the error of an answer whose end the evidence does not confirm.
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -148,7 +148,7 @@
 		pools:   p,
 		picker:  picker,
 		notices: n,
-		crashes: newCrashDetector(cfg.Dial, cfg.Roster, cfg.Starts, cfg.CallAnswers),
+		crashes: newCrashDetector(cfg.Dial, cfg.Roster, cfg.Starts, cfg.CallAnswers, p.find),
 		retries: newRetries(cfg),
 	}
 }
--- a/serving/run.go
+++ b/serving/run.go
@@ -132,7 +132,9 @@
 	parent context.Context
 	cancel context.CancelFunc
 	flight *roster.Flight
-	resp   *transport.Answer
+	// pool has the connection of the attempt.
+	pool *transport.Pool
+	resp *transport.Answer
 	// evidence is what decided about the end of an answer without a frame.
 	evidence Evidence
 	// progressAt is when the first part of the answer came. sound is set once the run has gone well
@@ -313,7 +315,8 @@
 	if t.c.Model != "" {
 		head.Priority = min(max(t.c.Priority, 0), lowestPriority)
 	}
-	resp, err := t.h.pools.get(a.u).Do(a.ctx, &transport.Request{
+	a.pool = t.h.pools.get(a.u)
+	resp, err := a.pool.Do(a.ctx, &transport.Request{
 		// A faulty upstream may write its last answer to a request that comes again once more, and
 		// answers to a request without an id cannot be told from others.
 		Method: t.c.Method, Fresh: t.markSent(a.u.ID) || t.c.ID == "", Head: t.h.cfg.Wire.Head(t.c, head), Body: t.c.Body,
@@ -442,7 +445,7 @@
 			t.recordProgress(a)
 			w.activity()
 		},
-		confirm: func() Evidence { return t.h.crashes.confirm(a.ctx, u) },
+		confirm: func() Evidence { return t.h.crashes.confirm(a.ctx, u, a.pool) },
 	}
 	err = t.out.copy(t.c, in)
 	if resp.Framing == transport.Unframed {
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -8,21 +8,23 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"syscall"
+	"sync/atomic"
 	"time"
 
 	"toucanfall/internal/allowance"
 	"toucanfall/internal/tcp"
-
-	"golang.org/x/sys/unix"
 )
 
 // conn is one connection to an upstream. It carries one request at a time.
 type conn struct {
 	net.Conn
-	limit  *allowance.Reader
-	head   *headLines
-	reader *bufio.Reader
+	// pool is the pool that opened the connection.
+	pool *Pool
+	// received is the number of bytes that were read from the connection.
+	received atomic.Int64
+	limit    *allowance.Reader
+	head     *headLines
+	reader   *bufio.Reader
 	// idleUntil is the time after which an idle connection must not be reused, because the upstream
 	// may close it; the zero time before the first answer.
 	idleUntil time.Time
@@ -47,9 +49,25 @@
 	if err != nil {
 		return nil, err
 	}
-	head := &headLines{r: c}
-	in := allowance.New(head, errHeadTooLong)
-	return &conn{Conn: c, limit: in, head: head, reader: bufio.NewReaderSize(in, readBufferSize)}, nil
+	out := &conn{Conn: c, pool: p}
+	out.head = &headLines{r: out}
+	out.limit = allowance.New(out.head, errHeadTooLong)
+	out.reader = bufio.NewReaderSize(out.limit, readBufferSize)
+	p.add(out)
+	return out, nil
+}
+
+// Read reads from the connection.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.received.Add(int64(n))
+	return n, err
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	defer c.pool.forget(c)
+	return c.Conn.Close()
 }
 
 // errHeadTooLong is the error of an answer whose headers have more than maxHeadBytes or
@@ -62,22 +80,8 @@
 	if c.reader.Buffered() > 0 || !c.idleUntil.IsZero() && now.After(c.idleUntil) {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	rc, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	empty := false
-	err = rc.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, e := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		empty = e == unix.EAGAIN
-		return true
-	})
-	return err == nil && empty
+	unread, err := tcp.Peek(c.Conn)
+	return errors.Is(err, errors.ErrUnsupported) || err == nil && unread == tcp.NothingUnread
 }
 
 // setIdleUntil records how long the upstream keeps an idle connection open: the timeout of its
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -33,8 +33,7 @@
 	readBufferSize = 4 << 10
 )
 
-// Pool holds the idle connections to one upstream. It is safe for concurrent use; mu guards idle and
-// closed.
+// Pool holds the connections to one upstream. It is safe for concurrent use; mu guards idle, conns and closed.
 type Pool struct {
 	address string
 	dial    Dialer
@@ -42,42 +41,73 @@
 	// answers is the budget for the answers to calls, nil if there is none.
 	answers *ingress.Bytes
 
-	mu     sync.Mutex
-	idle   []*conn
+	mu   sync.Mutex
+	idle []*conn
+	// conns holds all connections, those that carry a request too.
+	conns  map[*conn]struct{}
 	closed bool
 }
 
 // NewPool returns an empty pool for the upstream at address. onHead, if not nil, is called with the
 // status and headers of each answer to a request, before the answer is returned.
 func NewPool(address string, dial Dialer, onHead func(status int, h http.Header)) *Pool {
-	return &Pool{address: address, dial: dial, onHead: onHead}
+	return &Pool{address: address, dial: dial, onHead: onHead, conns: make(map[*conn]struct{})}
 }
 
 // LimitAnswers sets the budget for the answers to calls of the VM itself, of all pools that have it. A call
 // whose answer has no space fails. It must be called before the first call.
 func (p *Pool) LimitAnswers(budget *ingress.Bytes) { p.answers = budget }
 
-// Close closes the idle connections. Requests in flight continue, and their connections are closed
-// after them.
+// Close closes the idle connections once no connection carries a request, and all others after their request. Until
+// then the idle ones show whether the upstream still lives (see [Pool.Observe]).
 func (p *Pool) Close() {
 	p.mu.Lock()
-	idle := p.idle
-	p.idle, p.closed = nil, true
+	p.closed = true
+	unused := p.takeUnused()
 	p.mu.Unlock()
-	for _, c := range idle {
+	closeAll(unused)
+}
+
+// takeUnused removes and returns the idle connections of a closed pool of which no connection carries a request. The
+// caller holds mu.
+func (p *Pool) takeUnused() []*conn {
+	if !p.closed || len(p.conns) > len(p.idle) {
+		return nil
+	}
+	idle := p.idle
+	p.idle = nil
+	return idle
+}
+
+func closeAll(conns []*conn) {
+	for _, c := range conns {
 		_ = c.Close()
 	}
 }
 
+// add records a new connection.
+func (p *Pool) add(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns[c] = struct{}{}
+}
+
+// forget drops a connection that has been closed.
+func (p *Pool) forget(c *conn) {
+	p.mu.Lock()
+	delete(p.conns, c)
+	unused := p.takeUnused()
+	p.mu.Unlock()
+	closeAll(unused)
+}
+
 // CloseIdle closes the idle connections.
 func (p *Pool) CloseIdle() {
 	p.mu.Lock()
 	idle := p.idle
 	p.idle = nil
 	p.mu.Unlock()
-	for _, c := range idle {
-		_ = c.Close()
-	}
+	closeAll(idle)
 }
 
 // get returns the idle connection that was used last, or a new one if none is reusable. An exclusive
@@ -117,12 +147,14 @@
 	return n > 0 && (p.idle[n-1].idleUntil.IsZero() || now.Before(p.idle[n-1].idleUntil))
 }
 
+// put makes a connection idle, or closes it if there are enough.
 func (p *Pool) put(c *conn) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.closed || len(p.idle) >= maxIdleConns {
-		_ = c.Close()
-		return
+	unused := []*conn{c}
+	if len(p.idle) < maxIdleConns {
+		p.idle = append(p.idle, c)
+		unused = p.takeUnused()
 	}
-	p.idle = append(p.idle, c)
+	p.mu.Unlock()
+	closeAll(unused)
 }
