Accept unframed answers of upstreams that take no new connections

Callers of upstreams that were busy got all events of a stream and then a closed connection without the end of the answer, or 502 for a plain answer that had run once and was whole.

An upstream was asked only on a new connection whether it lives after the end of an unframed answer. One that resets new connections, or leaves them in the queue of its system, while it answers on open ones could not show it.

The probe takes an idle connection first now. It runs beside the wait, so that bytes of answers in progress count meanwhile, and all answers share its result. An answer that ended before the deadline is confirmed up to 0.4 s after it, and for 2 s where no other attempt is possible. The search for crashes uses the same probe, and a port that closes each connection shows no crash while others are open.

--- a/serving/crash_detector.go
+++ b/serving/crash_detector.go
@@ -34,6 +34,8 @@
 const (
 	// probeTimeout bounds a probe: an engine that lives answers within some ten milliseconds.
 	probeTimeout = 500 * time.Millisecond
+	// keptProbeTimeout is the part of it for a connection that was open before, on which nothing may arrive any more.
+	keptProbeTimeout = 200 * time.Millisecond
 	// probeInterval is the least time between two probes of one upstream, which an upstream that breaks
 	// off many runs would otherwise get for each of them. In between only the connection is tried.
 	probeInterval = 250 * time.Millisecond
@@ -53,11 +55,14 @@
 	// maxCases bounds the upstreams with undecided interruptions, maxCaseRuns the runs of each.
 	maxCases    = 256
 	maxCaseRuns = 64
-	// confirmTimeout is how long an upstream may take to show that it lives, confirmPause the pause
-	// between two attempts: several intervals between probes, and the delay of an engine on a busy
-	// machine.
+	// confirmTimeout is how long an upstream may take to show that it lives if the request can be sent to another
+	// one instead, confirmPause the pause between two looks: several intervals between probes, and the delay of an
+	// engine on a busy machine.
 	confirmTimeout = time.Second
-	confirmPause   = 50 * time.Millisecond
+	confirmPause   = 25 * time.Millisecond
+	// finalConfirmTimeout is the same if the client gets an error instead. Clients leave a stream after 2 s without
+	// an event at the earliest.
+	finalConfirmTimeout = 2 * time.Second
 )
 
 // finding is what a check found out about an upstream.
@@ -93,11 +98,10 @@
 type crashDetector struct {
 	dial   transport.Dialer
 	roster *roster.Roster
-	// probe is nil if upstreams cannot be asked.
-	probe StartProbe
+	probe  StartProbe
 	// answers is the budget for the answers to probe, nil if there is none.
 	answers *ingress.Bytes
-	// pool returns the connections to an upstream, nil if there are none.
+	// pool returns the connections to an upstream.
 	pool func(*roster.Upstream) *transport.Pool
 
 	mu sync.Mutex
@@ -108,9 +112,8 @@
 	checks   map[*roster.Upstream][]func(finding)
 	probedAt map[*roster.Upstream]time.Time
 	cases    map[*roster.Upstream]*crashCase
-	// aliveAt holds when the last probe began to which each upstream has answered as the same start.
-	// Guarded by mu.
-	aliveAt map[*roster.Upstream]time.Time
+	// lastProbes holds the result of the last probe of each upstream. Guarded by mu.
+	lastProbes map[*roster.Upstream]probed
 }
 
 // crashCase holds the runs whose interruptions are undecided. They end at different times.
@@ -138,69 +141,64 @@
 	return &crashDetector{
 		dial: dial, roster: r, probe: probe, answers: answers, pool: pool, checks: make(map[*roster.Upstream][]func(finding)),
 		probedAt: make(map[*roster.Upstream]time.Time), cases: make(map[*roster.Upstream]*crashCase),
-		aliveAt: make(map[*roster.Upstream]time.Time),
+		lastProbes: make(map[*roster.Upstream]probed),
 	}
 }
 
-// confirm returns what shows within confirmTimeout, and before ctx ends, whether an upstream still lives, to which p
-// has the connections.
-func (d *crashDetector) confirm(ctx context.Context, u *roster.Upstream, p *transport.Pool) Evidence {
+// confirm returns what shows within a time, and before ctx ends, whether an upstream still lives, leaving or not. p has
+// the connections to it. All calls at the same time share the probes. A connection that is accepted shows nothing: on a
+// busy machine the system closes the listener of a killed process some time after its connections. Nor does one that
+// is refused while others are open: a process that leaves closes its listener first, and then ends what it runs. Another
+// process may have opened the port meanwhile.
+func (d *crashDetector) confirm(ctx context.Context, u *roster.Upstream, p *transport.Pool, within time.Duration) Evidence {
 	o := p.Observe()
-	found := make(chan Evidence, 1)
-	go func() { found <- d.awaitLife(u, o) }()
-	select {
-	case e := <-found:
-		return e
-	case <-ctx.Done():
-		return EvidenceCancelled
-	}
-}
-
-// awaitLife returns what shows within confirmTimeout whether an upstream still lives, leaving or not. All
-// calls at the same time share the probes. A connection that is accepted shows nothing: on a busy machine
-// the system closes the listener of a killed process some time after its connections. Nor does one that is refused
-// while others are open: a process that leaves closes its listener first, and then ends what it runs.
-func (d *crashDetector) awaitLife(u *roster.Upstream, o *transport.Observation) Evidence {
-	last := EvidenceNoAnswer
-	for began := time.Now(); time.Since(began) < confirmTimeout; time.Sleep(confirmPause) {
-		if o.HasProgress() {
+	var last Evidence
+	for began := time.Now(); time.Since(began) < within; loop.Sleep(ctx, confirmPause) {
+		switch {
+		case ctx.Err() != nil:
+			return cmp.Or(last, EvidenceCancelled)
+		case o.HasProgress():
 			return EvidenceTraffic
+		case d.takeProbe(u):
+			go d.probeNow(u, p)
 		}
-		if !last.isRefusal() {
-			r := d.ask(u)
-			if r.evidence == EvidenceOtherStart {
-				return r.evidence
-			}
-			if d.aliveSince(u, began) || d.probe == nil && !r.evidence.isRefusal() {
-				return EvidenceNewConnection
-			}
-			last = cmp.Or(r.evidence, last)
-		}
-		if last.isRefusal() && !o.IsOpen() {
-			return last
+		e := d.probedSince(u, began)
+		if e.showsWhole() || e.showsCut(o.IsOpen()) {
+			return e
 		}
+		last = cmp.Or(e, last)
 	}
-	return last
+	return cmp.Or(last, EvidenceNoAnswer)
+}
+
+// probed is the result of a probe that began at a time.
+type probed struct {
+	at    time.Time
+	shows Evidence
 }
 
-// aliveSince reports whether an upstream has answered to a probe that began at a time or later.
-func (d *crashDetector) aliveSince(u *roster.Upstream, at time.Time) bool {
+// probedSince returns what the last probe of an upstream has shown, "" if it began before a time.
+func (d *crashDetector) probedSince(u *roster.Upstream, at time.Time) Evidence {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !d.aliveAt[u].Before(at)
+	if last := d.lastProbes[u]; !last.at.Before(at) {
+		return last.shows
+	}
+	return ""
 }
 
-// recordAlive records that an upstream has answered to a probe that began at a time, and drops what is too
-// old to be asked for.
-func (d *crashDetector) recordAlive(u *roster.Upstream, at time.Time) {
+// recordProbe records the result of a probe, and drops those that are too old to be asked for.
+func (d *crashDetector) recordProbe(u *roster.Upstream, result probed) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for other, last := range d.aliveAt {
-		if at.Sub(last) > confirmTimeout {
-			delete(d.aliveAt, other)
+	for other, last := range d.lastProbes {
+		if result.at.Sub(last.at) > finalConfirmTimeout {
+			delete(d.lastProbes, other)
 		}
 	}
-	d.aliveAt[u] = at
+	if result.at.After(d.lastProbes[u].at) {
+		d.lastProbes[u] = result
+	}
 }
 
 // check looks whether an upstream has crashed, and sends the result. All calls during one check share the
@@ -260,11 +258,12 @@
 	if leaves(u) {
 		return alive
 	}
-	o := d.observe(u)
-	r := d.ask(u)
+	p := d.pool(u)
+	o := p.Observe()
+	r := d.ask(u, p)
 	switch {
-	case r.evidence.isRefusal():
-		return d.findRefused(o)
+	case r.evidence.showsCut(false):
+		return d.findEnded(r.evidence, o)
 	case !r.closes:
 		return r.found
 	}
@@ -273,37 +272,29 @@
 		time.Sleep(redialDelay << i)
 		refused, closes := d.redial(u)
 		if refused {
-			return crashed
+			return d.findEnded(EvidenceRefused, o)
 		}
 		always = always && closes
 	}
-	if always {
+	if always && !o.IsOpen() {
 		return closing
 	}
 	return r.found
 }
 
-// findRefused looks whether an upstream that refuses connections has crashed. One whose other connections stay open has
-// only closed its listener.
-func (d *crashDetector) findRefused(o *transport.Observation) finding {
+// findEnded looks whether an upstream has crashed whose port shows that it no longer listens. One whose other
+// connections stay open may only have closed its listener.
+func (d *crashDetector) findEnded(e Evidence, o *transport.Observation) finding {
 	for i := range maxRedials {
-		if !o.IsOpen() {
+		if e.showsCut(o.IsOpen()) {
 			return crashed
 		}
 		time.Sleep(redialDelay << i)
 	}
-	if o.IsOpen() {
-		return undecided
+	if e.showsCut(o.IsOpen()) {
+		return crashed
 	}
-	return crashed
-}
-
-// observe starts an observation of the connections to an upstream.
-func (d *crashDetector) observe(u *roster.Upstream) *transport.Observation {
-	if p := d.pool(u); p != nil {
-		return p.Observe()
-	}
-	return new(transport.Observation)
+	return undecided
 }
 
 // leaves reports whether the directory or the upstream itself says that it leaves, or has left.
@@ -321,37 +312,92 @@
 	evidence Evidence
 }
 
-// ask probes an upstream on a connection of its own.
-func (d *crashDetector) ask(u *roster.Upstream) probeResult {
+// ask probes an upstream. If it must not be probed now, a new connection is only opened.
+func (d *crashDetector) ask(u *roster.Upstream, p *transport.Pool) probeResult {
+	if d.takeProbe(u) {
+		return d.probeNow(u, p)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	began := time.Now()
+	conn, r := d.connect(ctx, u)
+	if conn == nil {
+		return r
+	}
+	defer func() { _ = conn.Close() }()
+	return probeResult{found: undecided, closes: endsWithin(conn, redialDelay)}
+}
+
+// connect opens a connection to an upstream, or returns what the failure shows.
+func (d *crashDetector) connect(ctx context.Context, u *roster.Upstream) (net.Conn, probeResult) {
 	conn, err := d.dial(ctx, u.Address())
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
-		return probeResult{found: crashed, evidence: refusal(u)}
+		return nil, probeResult{found: crashed, evidence: refusal(u)}
 	case err != nil:
-		return probeResult{found: unreachable, evidence: failedConnection(err, false)}
+		return nil, probeResult{found: unreachable, evidence: failedConnection(err, false)}
+	}
+	return conn, probeResult{}
+}
+
+// probeNow probes an upstream on an idle connection of p, or on a new one if there is none on which it answers, and
+// records the result.
+func (d *crashDetector) probeNow(u *roster.Upstream, p *transport.Pool) probeResult {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	began := time.Now()
+	r := d.askKept(ctx, u, p)
+	if r.evidence == "" {
+		r = d.askNew(ctx, u)
+	}
+	d.recordProbe(u, probed{began, r.evidence})
+	return r
+}
+
+// askNew probes an upstream on a new connection.
+func (d *crashDetector) askNew(ctx context.Context, u *roster.Upstream) probeResult {
+	conn, r := d.connect(ctx, u)
+	if conn == nil {
+		return r
 	}
 	defer func() { _ = conn.Close() }()
-	if d.probe == nil || !d.takeProbe(u) {
-		return probeResult{found: undecided, closes: endsWithin(conn, redialDelay)}
+	own := transport.NewPool(u.Address(), func(context.Context, string) (net.Conn, error) { return conn, nil }, nil)
+	defer own.Close()
+	own.LimitAnswers(d.answers)
+	r, err := d.probeOn(ctx, own, u, EvidenceNewConnection)
+	if r.evidence == "" {
+		r.closes, r.evidence = err != nil && ctx.Err() == nil, failedConnection(err, true)
 	}
-	p := transport.NewPool(u.Address(), func(context.Context, string) (net.Conn, error) { return conn, nil }, nil)
-	defer p.Close()
-	p.LimitAnswers(d.answers)
+	return r
+}
+
+// askKept probes an upstream on an idle connection of p, if there is one. The evidence is empty if no answer came: the
+// upstream may have closed the connection because it was idle.
+func (d *crashDetector) askKept(ctx context.Context, u *roster.Upstream, p *transport.Pool) probeResult {
+	kept, giveBack := p.Borrow()
+	if kept == nil {
+		return probeResult{found: undecided}
+	}
+	defer giveBack()
+	ctx, cancel := context.WithTimeout(ctx, keptProbeTimeout)
+	defer cancel()
+	r, _ := d.probeOn(ctx, kept, u, EvidenceKeptConnection)
+	return r
+}
+
+// probeOn probes an upstream on the only connection of p. by is the evidence that an answer is.
+func (d *crashDetector) probeOn(ctx context.Context, p *transport.Pool, u *roster.Upstream, by Evidence) (probeResult, error) {
 	start, err := d.probe.EngineStart(ctx, p, u)
-	switch known := u.StartTime(); {
+	known := u.StartTime()
+	switch {
 	case errors.Is(err, ErrOtherInstance), err == nil && start != 0 && known != 0 && start != known:
-		return probeResult{found: crashed, evidence: EvidenceOtherStart}
-	case err == nil, errors.Is(err, ErrNoStart):
-		d.recordAlive(u, began)
-		if err == nil && start != 0 && start == known {
-			return probeResult{found: alive, evidence: EvidenceNewConnection}
-		}
-		return probeResult{found: answered, evidence: EvidenceNewConnection}
+		return probeResult{found: crashed, evidence: otherStart(by)}, err
+	case err != nil && !errors.Is(err, ErrNoStart):
+		return probeResult{found: undecided}, err
+	}
+	if err == nil && start != 0 && start == known {
+		return probeResult{found: alive, evidence: by}, nil
 	}
-	return probeResult{found: undecided, closes: err != nil && ctx.Err() == nil, evidence: failedConnection(err, true)}
+	return probeResult{found: answered, evidence: by}, nil
 }
 
 // endsWithin reports whether a connection is closed by the other side within a time.
--- a/serving/crash_detector_test.go
+++ b/serving/crash_detector_test.go
@@ -77,7 +77,10 @@
 	return found == crashed
 }
 
-func noPool(*roster.Upstream) *transport.Pool { return nil }
+// noConnections returns an empty pool.
+func noConnections(u *roster.Upstream) *transport.Pool {
+	return transport.NewPool(u.Address(), transport.Dial, nil)
+}
 
 const born = 1700000000000
 
@@ -138,7 +141,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				e := &fakeEngines{roster: roster.New(), dialErr: c.dialErr, start: c.start, startErr: c.startErr, closes: c.closes}
-				d := newCrashDetector(e.dial, e.roster, e, nil, noPool)
+				d := newCrashDetector(e.dial, e.roster, e, nil, noConnections)
 				is.Equal(e.interrupt(d, e.put("u", born, false)), c.immediate)
 				is.Equal(e.crashes.Load() == 1, c.immediate)
 				is.Equal(e.closings == 1, c.closes)
@@ -160,7 +163,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		e := &fakeEngines{roster: roster.New(), dialErr: syscall.ECONNREFUSED}
-		d := newCrashDetector(e.dial, e.roster, e, nil, noPool)
+		d := newCrashDetector(e.dial, e.roster, e, nil, noConnections)
 		is.True(!e.interrupt(d, e.put("u", born, true)))
 		is.Equal(e.dials+int(e.crashes.Load()), 0)
 	})
@@ -171,7 +174,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		e := &fakeEngines{roster: roster.New()}
-		d := newCrashDetector(e.dial, e.roster, e, nil, noPool)
+		d := newCrashDetector(e.dial, e.roster, e, nil, noConnections)
 		u, started := e.put("u", born, false), time.Now()
 		for range 2 * maxCaseRuns {
 			e.interrupt(d, u)
@@ -202,7 +205,7 @@
 			}
 			return conn, err
 		}
-		d := newCrashDetector(dial, e.roster, e, nil, noPool)
+		d := newCrashDetector(dial, e.roster, e, nil, noConnections)
 		u := e.put("u", born, false)
 		before := d.check(u, func() {}, func() {})
 		synctest.Wait()
@@ -220,7 +223,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		e := &fakeEngines{roster: roster.New(), startErr: errNoAnswer}
-		d := newCrashDetector(e.dial, e.roster, e, nil, noPool)
+		d := newCrashDetector(e.dial, e.roster, e, nil, noConnections)
 		u := e.put("u", born, false)
 		e.interrupt(d, u)
 		time.Sleep(2 * time.Second)
--- a/serving/evidence.go
+++ b/serving/evidence.go
@@ -13,16 +13,21 @@
 // evidence of events and the label of the metric.
 type Evidence string
 
-// The evidence. The first three show that the answer is whole, the others do not.
+// The evidence. The first four show that the answer is whole, the others do not.
 const (
 	// EvidenceDocument is a JSON document that cannot go on.
 	EvidenceDocument Evidence = "document"
-	// EvidenceNewConnection is an answer of the upstream to a probe on a new connection.
-	EvidenceNewConnection Evidence = "new_connection"
+	// EvidenceKeptConnection is an answer of the upstream to a probe on a connection that was open before,
+	// EvidenceNewConnection one on a new connection.
+	EvidenceKeptConnection Evidence = "kept_connection"
+	EvidenceNewConnection  Evidence = "new_connection"
 	// EvidenceTraffic are bytes that the upstream sent later on another connection that was open before.
 	EvidenceTraffic Evidence = "traffic"
-	// EvidenceOtherStart is an answer of another start of the upstream, or of another one at its address.
+	// EvidenceOtherStart is an answer of another start of the upstream, or of another one at its address, on a new
+	// connection while all others have ended. EvidenceReplaced is the same on a connection that was open before: a
+	// forwarder has passed the probe on.
 	EvidenceOtherStart Evidence = "other_start"
+	EvidenceReplaced   Evidence = "replaced"
 	// EvidenceRefused is a port that refuses connections, while the upstream has ended all others. EvidenceLeft is the
 	// same if the directory or the upstream itself said that it leaves.
 	EvidenceRefused Evidence = "refused"
@@ -41,7 +46,26 @@
 
 // showsWhole reports whether the evidence shows that an answer is whole.
 func (e Evidence) showsWhole() bool {
-	return e == EvidenceDocument || e == EvidenceNewConnection || e == EvidenceTraffic
+	switch e {
+	case EvidenceDocument, EvidenceKeptConnection, EvidenceNewConnection, EvidenceTraffic:
+		return true
+	}
+	return false
+}
+
+// showsCut reports whether the evidence shows that the process has ended. open is set if connections are open that were
+// open before its answer ended.
+func (e Evidence) showsCut(open bool) bool {
+	return e == EvidenceReplaced || !open && (e == EvidenceOtherStart || e.isRefusal())
+}
+
+// otherStart returns the evidence of an answer of another start of an upstream to a probe, where one of the same start
+// would be the evidence by.
+func otherStart(by Evidence) Evidence {
+	if by == EvidenceKeptConnection {
+		return EvidenceReplaced
+	}
+	return EvidenceOtherStart
 }
 
 // isRefusal reports whether the port refuses connections.
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -95,7 +95,7 @@
 	// by the account of its host.
 	AccountRuns bool
 	Parts       PromptParts
-	// Starts asks engines that broke off a run for their start; nil if they cannot be asked.
+	// Starts asks upstreams whether they live, and for their start.
 	Starts  StartProbe
 	Loader  Loader
 	Events  *timeline.Recorder
@@ -148,7 +148,7 @@
 		pools:   p,
 		picker:  picker,
 		notices: n,
-		crashes: newCrashDetector(cfg.Dial, cfg.Roster, cfg.Starts, cfg.CallAnswers, p.find),
+		crashes: newCrashDetector(cfg.Dial, cfg.Roster, cfg.Starts, cfg.CallAnswers, p.get),
 		retries: newRetries(cfg),
 	}
 }
--- a/serving/pools.go
+++ b/serving/pools.go
@@ -43,16 +43,11 @@
 	return pool
 }
 
-// find returns the connection pool of an upstream, nil if there is none.
-func (p *pools) find(u *roster.Upstream) *transport.Pool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.byUpstream[u]
-}
-
 // connected reports whether there is an idle connection to an upstream. It creates no pool.
 func (p *pools) connected(u *roster.Upstream) bool {
-	pool := p.find(u)
+	p.mu.Lock()
+	pool := p.byUpstream[u]
+	p.mu.Unlock()
 	return pool != nil && pool.HasIdle()
 }
 
--- a/serving/run.go
+++ b/serving/run.go
@@ -29,6 +29,9 @@
 	// answerGrace is how long after the deadline an upstream's answer is still awaited: it may
 	// answer at the deadline itself, and the answer takes time to arrive.
 	answerGrace = 80 * time.Millisecond
+	// confirmGrace is how long after the deadline an unframed answer that has ended before may still be confirmed.
+	// Final answers are owed 0.5 s after the route's timeout.
+	confirmGrace = 400 * time.Millisecond
 	// safeHedgeObjectives is how many times the route's objective a safe request waits for the
 	// headers of an answer before another upstream is tried.
 	safeHedgeObjectives = 2
@@ -445,7 +448,7 @@
 			t.recordProgress(a)
 			w.activity()
 		},
-		confirm: func() Evidence { return t.h.crashes.confirm(a.ctx, u, a.pool) },
+		confirm: func() Evidence { return t.confirm(a, mayRetry) },
 	}
 	err = t.out.copy(t.c, in)
 	if resp.Framing == transport.Unframed {
@@ -478,16 +481,43 @@
 	return false
 }
 
-// handleBreak handles an answer that could not be sent completely. Once a part of it was sent, only a
-// stream of events can be resumed.
+// confirm returns what shows whether the answer of an attempt, which ended with its connection, is whole. A whole answer
+// is delivered also if this shows only after the deadline, by at most confirmGrace.
+func (t *attempts) confirm(a *attempt, mayRetry bool) Evidence {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(a.ctx))
+	defer cancel()
+	if end := t.c.deadline(); !end.IsZero() {
+		var stop context.CancelFunc
+		ctx, stop = context.WithDeadline(ctx, end.Add(confirmGrace))
+		defer stop()
+	}
+	stop := context.AfterFunc(a.ctx, func() {
+		if !isDeadline(a.ctx.Err()) {
+			cancel()
+		}
+	})
+	defer stop()
+	within := finalConfirmTimeout
+	if mayRetry && t.canResume(a) {
+		within = confirmTimeout
+	}
+	return t.h.crashes.confirm(ctx, a.u, a.pool, within)
+}
+
+// canResume reports whether another attempt could go on with the answer of one that has broken off. Once a part of it
+// was sent, only a stream of events can be resumed.
+func (t *attempts) canResume(a *attempt) bool {
+	return !t.out.headerSent || t.c.Route.Kind == catalogue.Stream && isEventStream(a.resp)
+}
+
+// handleBreak handles an answer that could not be sent completely.
 func (t *attempts) handleBreak(a *attempt, mayRetry bool, err error) (retry bool, _ error) {
 	t.recordFailed(a, err)
 	var disconnected *clientDisconnected
 	if errors.As(err, &disconnected) {
 		return false, err
 	}
-	resumable := !t.out.headerSent || t.c.Route.Kind == catalogue.Stream && isEventStream(a.resp)
-	return t.checkCrash(a, mayRetry && resumable), err
+	return t.checkCrash(a, mayRetry && t.canResume(a)), err
 }
 
 // handleNotRun handles an answer that states that the request did not run. If the call names an
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -20,16 +20,14 @@
 	net.Conn
 	// pool is the pool that opened the connection.
 	pool *Pool
-	// received is the number of bytes that were read from the connection.
-	received atomic.Int64
-	limit    *allowance.Reader
-	head     *headLines
-	reader   *bufio.Reader
+	// received is the number of bytes that were read from the connection, requests that of the requests on it.
+	received, requests atomic.Int64
+	limit              *allowance.Reader
+	head               *headLines
+	reader             *bufio.Reader
 	// idleUntil is the time after which an idle connection must not be reused, because the upstream
 	// may close it; the zero time before the first answer.
 	idleUntil time.Time
-	// used is set once a request has been written.
-	used bool
 	// exclusive is set from an exclusive request until another request has been answered.
 	exclusive bool
 }
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -118,8 +118,7 @@
 			return nil, fmt.Errorf("%w: %w", ErrWithheld, err)
 		}
 	}
-	x := &exchange{pool: p, conn: c, sendEnded: make(chan struct{}), alone: !c.used}
-	c.used = true
+	x := &exchange{pool: p, conn: c, sendEnded: make(chan struct{}), alone: c.requests.Add(1) == 1}
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	go x.send(r)
 	a, err := x.receive(r)
--- a/transport/observation.go
+++ b/transport/observation.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"slices"
 	"time"
 
 	"toucanfall/internal/tcp"
@@ -12,13 +13,14 @@
 const transitTime = 100 * time.Millisecond
 
 // Observation watches the connections of a pool that were open at a time. The system ends all connections of a process
-// that was killed, so that bytes which arrive on one of them later than transitTime show that the process lives on.
-// Other connections than these may be those of another process, which was started in its place. It is not safe for
-// concurrent use.
+// that was killed, so that bytes of an answer that was in progress show, later than transitTime, that the process lives
+// on. Other answers may be those of another process that was started in its place. It is not safe for concurrent use.
 type Observation struct {
 	began time.Time
 	conns []*conn
-	// quiet holds how many bytes had been read from each connection when it was seen open and without unread bytes,
+	// inProgress holds the number of requests on each connection that carried one, the last one included.
+	inProgress map[*conn]int64
+	// quiet holds how many bytes had been read from each of these when it was seen open and without unread bytes,
 	// later than transitTime.
 	quiet map[*conn]int64
 }
@@ -27,9 +29,12 @@
 func (p *Pool) Observe() *Observation {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	o := &Observation{began: time.Now(), quiet: make(map[*conn]int64)}
+	o := &Observation{began: time.Now(), inProgress: make(map[*conn]int64), quiet: make(map[*conn]int64)}
 	for c := range p.conns {
 		o.conns = append(o.conns, c)
+		if !slices.Contains(p.idle, c) {
+			o.inProgress[c] = c.requests.Load()
+		}
 	}
 	return o
 }
@@ -37,32 +42,35 @@
 // IsOpen reports whether the upstream has not ended one of the connections yet, or has ended it after bytes that were
 // not read.
 func (o *Observation) IsOpen() bool {
-	for _, c := range o.conns {
-		if unread, err := tcp.Peek(c.Conn); err == nil && unread != tcp.EndUnread {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(o.conns, func(c *conn) bool {
+		unread, err := tcp.Peek(c.Conn)
+		return err == nil && unread != tcp.EndUnread
+	})
 }
 
-// HasProgress reports whether bytes have arrived on one of the connections that the process of the upstream must have
-// sent after the beginning of the observation. Between two calls bytes must have time to arrive.
+// HasProgress reports whether bytes have arrived that the process of the upstream must have sent after the beginning of
+// the observation. Between two calls bytes must have time to arrive.
 func (o *Observation) HasProgress() bool {
 	if time.Since(o.began) < transitTime {
 		return false
 	}
-	for _, c := range o.conns {
+	for c, request := range o.inProgress {
 		received := c.received.Load()
-		if before, ok := o.quiet[c]; ok {
-			if received > before {
-				return true
-			}
-			continue
-		}
-		// Bytes that wait for a slow reader may be older.
-		if unread, err := tcp.Peek(c.Conn); err == nil && unread == tcp.NothingUnread {
+		before, ok := o.quiet[c]
+		switch {
+		case c.requests.Load() != request:
+			delete(o.inProgress, c) // The bytes may be those of the next answer.
+		case ok && received > before:
+			return true
+		case !ok && isQuiet(c):
 			o.quiet[c] = received
 		}
 	}
 	return false
 }
+
+// isQuiet reports whether a connection is open and has no unread bytes. Bytes that wait for a slow reader may be old.
+func isQuiet(c *conn) bool {
+	unread, err := tcp.Peek(c.Conn)
+	return err == nil && unread == tcp.NothingUnread
+}
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -6,6 +6,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -137,6 +139,36 @@
 	return nil
 }
 
+// errBorrowed is the error of a request that needs a new connection of a pool that opens none.
+var errBorrowed = errors.New("no connection is open")
+
+// Borrow takes the connection that has been idle for longest, which the next requests need least, out of the pool.
+// The returned pool has only this connection, and opens no other; giveBack returns it if it is still open. kept is nil
+// if no connection is idle.
+func (p *Pool) Borrow() (kept *Pool, giveBack func()) {
+	for {
+		p.mu.Lock()
+		if len(p.idle) == 0 {
+			p.mu.Unlock()
+			return nil, nil
+		}
+		c := p.idle[0]
+		p.idle = slices.Delete(p.idle, 0, 1)
+		p.mu.Unlock()
+		if !c.reusable(time.Now()) {
+			_ = c.Close()
+			continue
+		}
+		kept = NewPool(p.address, func(context.Context, string) (net.Conn, error) { return nil, errBorrowed }, nil)
+		kept.answers, kept.idle = p.answers, []*conn{c}
+		return kept, func() {
+			if c := kept.pop(false); c != nil {
+				p.put(c)
+			}
+		}
+	}
+}
+
 // HasIdle reports whether the idle connection that was used last, which the next request gets, is
 // probably still kept open by the upstream. It is false if there is none.
 func (p *Pool) HasIdle() bool {
