Do not count bytes that a cut of the path has held up as a sign of life

If an upstream is killed while the path to it is cut, its system sends what it had written before once the path is back, on each connection at another time. The end of one answer could so be followed by bytes of another that are no newer, and a part of an unframed answer would look whole (MIXED).

--- a/transport/conn.go
+++ b/transport/conn.go
@@ -22,9 +22,12 @@
 	pool *Pool
 	// received is the number of bytes that were read from the connection, requests that of the requests on it.
 	received, requests atomic.Int64
-	limit              *allowance.Reader
-	head               *headLines
-	reader             *bufio.Reader
+	openedAt           time.Time
+	// receivedAfter is how long after openedAt bytes were last read.
+	receivedAfter atomic.Int64
+	limit         *allowance.Reader
+	head          *headLines
+	reader        *bufio.Reader
 	// idleUntil is the time after which an idle connection must not be reused, because the upstream
 	// may close it; the zero time before the first answer.
 	idleUntil time.Time
@@ -47,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	out := &conn{Conn: c, pool: p}
+	out := &conn{Conn: c, pool: p, openedAt: time.Now()}
 	out.head = &headLines{r: out}
 	out.limit = allowance.New(out.head, errHeadTooLong)
 	out.reader = bufio.NewReaderSize(out.limit, readBufferSize)
@@ -58,10 +61,18 @@
 // Read reads from the connection.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.received.Add(int64(n))
+	if n > 0 {
+		c.received.Add(int64(n))
+		c.receivedAfter.Store(int64(time.Since(c.openedAt)))
+	}
 	return n, err
 }
 
+// silence returns for how long nothing has been read from the connection.
+func (c *conn) silence(now time.Time) time.Duration {
+	return now.Sub(c.openedAt.Add(time.Duration(c.receivedAfter.Load())))
+}
+
 // Close closes the connection.
 func (c *conn) Close() error {
 	defer c.pool.forget(c)
--- a/transport/observation_test.go
+++ b/transport/observation_test.go
@@ -43,20 +43,27 @@
 }
 
 // Guards against bytes that a killed upstream had sent before, and that count as a sign of life because they are read
-// later: they were on their way, or waited for a slow reader.
+// later: they were on their way, waited for a slow reader, or were held up by a cut of the path.
 func TestObservationCountsOnlyNewBytes(t *testing.T) {
 	const unread = 100_000
+	write := func(conn net.Conn) { _, _ = io.WriteString(conn, "b") }
+	end := func(conn net.Conn) { _ = conn.Close() }
+	pause := func(net.Conn) { time.Sleep(2 * transitTime) }
 	for name, c := range map[string]struct {
 		part string
+		// silent is set if nothing was received for some time before the observation.
+		silent bool
 		// then is what the upstream does after the beginning of the observation.
-		then           func(conn net.Conn)
+		then           []func(conn net.Conn)
 		open, progress bool
 	}{
-		"goes on":            {"a", func(conn net.Conn) { time.Sleep(2 * transitTime); _, _ = io.WriteString(conn, "b") }, true, true},
-		"is silent":          {"a", func(net.Conn) {}, true, false},
-		"is killed":          {"a", func(conn net.Conn) { _ = conn.Close() }, false, false},
-		"was on its way":     {"a", func(conn net.Conn) { _, _ = io.WriteString(conn, "b"); _ = conn.Close() }, false, false},
-		"waits for a reader": {strings.Repeat("a", unread), func(conn net.Conn) { _ = conn.Close() }, false, false},
+		"goes on":               {part: "a", then: []func(net.Conn){pause, write}, open: true, progress: true},
+		"is silent":             {part: "a", open: true},
+		"is killed":             {part: "a", then: []func(net.Conn){end}},
+		"was on its way":        {part: "a", then: []func(net.Conn){write, end}},
+		"waits for a reader":    {part: strings.Repeat("a", unread), then: []func(net.Conn){end}},
+		"was held up":           {part: "a", silent: true, then: []func(net.Conn){pause, write, end}},
+		"goes on after silence": {part: "a", silent: true, then: []func(net.Conn){write, pause, pause, write}, open: true, progress: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -66,11 +73,18 @@
 			defer l.Close()
 			p := NewPool(l.Addr().String(), Dial, nil)
 			a, conn := openAnswer(t, p, l, c.part)
+			if c.silent {
+				time.Sleep(maxSilence + transitTime)
+			}
 			o := p.Observe()
-			go c.then(conn)
-			progress := false
+			go func() {
+				for _, do := range c.then {
+					do(conn)
+				}
+			}()
 			go readSlowly(a.Body, unread/10)
-			for end := time.Now().Add(5 * transitTime); time.Now().Before(end); time.Sleep(transitTime / 10) {
+			progress := false
+			for end := time.Now().Add(6 * transitTime); time.Now().Before(end); time.Sleep(transitTime / 10) {
 				progress = progress || o.HasProgress()
 			}
 			is.Equal(progress, c.progress)
