Let answers that arrive at the deadline end

Callers of streams got all events but the last one at the route's timeout, and then a closed connection, while their engine ended the answer.

The connection to the upstream was closed 80 ms after the deadline, also in the middle of an answer. A part that is lost on the way is sent again after 200 ms or more, so that an answer that was ended in time could not arrive. An answer whose head has come has 230 ms now, one without a head still 80 ms.

TestAnswerThatArrivesAtDeadlineIsDelivered failed before in its 3 cases.

--- a/serving/run.go
+++ b/serving/run.go
@@ -29,6 +29,9 @@
 	// answerGrace is how long after the deadline an upstream's answer is still awaited: it may
 	// answer at the deadline itself, and the answer takes time to arrive.
 	answerGrace = 80 * time.Millisecond
+	// arrivalGrace is the same for an answer that has begun to arrive: a part that is lost on the way is sent again
+	// after 200 ms or more.
+	arrivalGrace = 230 * time.Millisecond
 	// confirmGrace is how long after the deadline an unframed answer that has ended before may still be confirmed.
 	// Final answers are owed 0.5 s after the route's timeout.
 	confirmGrace = 400 * time.Millisecond
@@ -291,6 +294,9 @@
 // finish relays the answer of an attempt that w watches, and ends the attempt.
 func (t *attempts) finish(a *attempt, w *watchdog) (retry bool, err error) {
 	defer a.cancel()
+	ctx, stop := t.graceContext(a, arrivalGrace)
+	defer stop() // Closes the connection unless Body.Close has made it idle.
+	a.resp.Rebind(ctx)
 	defer a.resp.Body.Close()
 	defer a.credit.Release()
 	a.flight.Received()
@@ -484,24 +490,31 @@
 // confirm returns what shows whether the answer of an attempt, which ended with its connection, is whole. A whole answer
 // is delivered also if this shows only after the deadline, by at most confirmGrace.
 func (t *attempts) confirm(a *attempt, mayRetry bool) Evidence {
-	ctx, cancel := context.WithCancel(context.WithoutCancel(a.ctx))
+	ctx, cancel := t.graceContext(a, confirmGrace)
 	defer cancel()
-	if end := t.c.deadline(); !end.IsZero() {
-		var stop context.CancelFunc
-		ctx, stop = context.WithDeadline(ctx, end.Add(confirmGrace))
-		defer stop()
+	within := finalConfirmTimeout
+	if mayRetry && t.canResume(a) {
+		within = confirmTimeout
 	}
+	return t.h.crashes.confirm(ctx, a.u, a.pool, within)
+}
+
+// graceContext returns a context that ends with that of an attempt, but at the deadline of the call only after grace.
+func (t *attempts) graceContext(a *attempt, grace time.Duration) (context.Context, context.CancelFunc) {
+	end := t.c.deadline()
+	if end.IsZero() {
+		return context.WithCancel(a.ctx)
+	}
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(a.ctx), end.Add(grace))
 	stop := context.AfterFunc(a.ctx, func() {
 		if !isDeadline(a.ctx.Err()) {
 			cancel()
 		}
 	})
-	defer stop()
-	within := finalConfirmTimeout
-	if mayRetry && t.canResume(a) {
-		within = confirmTimeout
+	return ctx, func() {
+		stop()
+		cancel()
 	}
-	return t.h.crashes.confirm(ctx, a.u, a.pool, within)
 }
 
 // canResume reports whether another attempt could go on with the answer of one that has broken off. Once a part of it
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -79,8 +79,14 @@
 	Body    io.ReadCloser
 	// abort closes the connection.
 	abort func()
+	// rebind implements Rebind.
+	rebind func(ctx context.Context)
 }
 
+// Rebind makes the connection close when ctx ends, and no longer when the context of the request does. It has no effect
+// if that has ended before.
+func (a *Answer) Rebind(ctx context.Context) { a.rebind(ctx) }
+
 // Framing is how the end of an answer's body is marked (RFC 9112, section 6.3).
 type Framing string
 
@@ -119,7 +125,7 @@
 		}
 	}
 	x := &exchange{pool: p, conn: c, sendEnded: make(chan struct{}), alone: c.requests.Add(1) == 1}
-	x.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
+	x.bind(ctx)
 	go x.send(r)
 	a, err := x.receive(r)
 	if err != nil {
@@ -244,7 +250,14 @@
 func (x *exchange) answer(resp *http.Response) *Answer {
 	return &Answer{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: framingOf(resp),
-		Body: &body{ReadCloser: resp.Body, x: x, resp: resp}, abort: x.abort,
+		Body: &body{ReadCloser: resp.Body, x: x, resp: resp}, abort: x.abort, rebind: x.bind,
+	}
+}
+
+// bind makes the connection close when ctx ends, and no longer when the previous context does, unless that has ended.
+func (x *exchange) bind(ctx context.Context) {
+	if x.stopCancel == nil || x.stopCancel() {
+		x.stopCancel = context.AfterFunc(ctx, func() { _ = x.conn.Close() })
 	}
 }
 
