--- a/serving/run.go
+++ b/serving/run.go
@@ -30,11 +30,10 @@
 	// answer at the deadline itself, and the answer takes time to arrive.
 	answerGrace = 80 * time.Millisecond
 	// arrivalGrace is the same for an answer that has begun to arrive: a part that is lost on the way is sent again
-	// after 200 ms or more.
-	arrivalGrace = 230 * time.Millisecond
-	// confirmGrace is how long after the deadline an unframed answer that has ended before may still be confirmed.
-	// Final answers are owed 0.5 s after the route's timeout.
-	confirmGrace = 400 * time.Millisecond
+	// after 200 ms or more. Final answers are owed 0.5 s after the route's timeout.
+	arrivalGrace = 400 * time.Millisecond
+	// confirmGrace is how long after the deadline an unframed answer that has ended may still be confirmed.
+	confirmGrace = 450 * time.Millisecond
 	// safeHedgeObjectives is how many times the route's objective a safe request waits for the
 	// headers of an answer before another upstream is tried.
 	safeHedgeObjectives = 2
@@ -58,6 +57,7 @@
 
 // run sends a call to upstreams until one of them has answered it.
 func (h *Handler) run(ctx context.Context, c *Call, out *answer) error {
+	caller := ctx
 	if end := c.deadline(); !end.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, end.Add(answerGrace))
@@ -72,7 +72,7 @@
 	if c.Model != "" {
 		h.cfg.Loader.CountRequest(service, c.Model, c.TokensIn+c.TokensOut)
 	}
-	t := &attempts{h: h, c: c, out: out, service: service}
+	t := &attempts{h: h, c: c, out: out, service: service, caller: caller}
 	defer t.returnRetry()
 	return t.run(ctx)
 }
@@ -84,6 +84,8 @@
 	c       *Call
 	out     *answer
 	service catalogue.ServiceID
+	// caller ends when the client disconnects or the VM stops, whatever the deadline.
+	caller context.Context
 	// sends counts all sends; tried lists the upstreams that got the request.
 	sends int
 	tried []fleet.UpstreamID
@@ -499,13 +501,13 @@
 	return t.h.crashes.confirm(ctx, a.u, a.pool, within)
 }
 
-// graceContext returns a context that ends with that of an attempt, but at the deadline of the call only after grace.
+// graceContext returns a context that ends with that of an attempt, but only grace after the deadline of the call.
 func (t *attempts) graceContext(a *attempt, grace time.Duration) (context.Context, context.CancelFunc) {
 	end := t.c.deadline()
 	if end.IsZero() {
 		return context.WithCancel(a.ctx)
 	}
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(a.ctx), end.Add(grace))
+	ctx, cancel := context.WithDeadline(t.caller, end.Add(grace))
 	stop := context.AfterFunc(a.ctx, func() {
 		if !isDeadline(a.ctx.Err()) {
 			cancel()
