Accept any answer to a probe on a connection that carries nothing else

Since probes may take a connection that was open before, an answer with the id of a request was skipped on new connections too, where it can only be that to the probe. An upstream that puts an id into each answer could not show that it lives.

On a connection that has carried no other request any answer counts again.

The tests of platform, transport and serving pass.

--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -366,6 +366,8 @@
 	Body []byte
 	// IsAnswer reports whether an answer with these headers answers the call.
 	IsAnswer func(h http.Header) bool
+	// AnyIfAlone is set if any answer does on a connection that has carried no other request.
+	AnyIfAlone bool
 	// Exclusive and Check are as in [Request].
 	Exclusive bool
 	Check     func() error
@@ -421,7 +423,7 @@
 		fmt.Fprintf(&head, "Content-Type: application/json\r\nContent-Length: %d\r\n", len(c.Body))
 	}
 	head.WriteString("\r\n")
-	r := &Request{Method: method, Head: head.Bytes(), Body: c.Body, Exclusive: c.Exclusive, IsAnswer: func(_ int, h http.Header, _ bool) bool { return c.IsAnswer(h) }, Check: c.Check}
+	r := &Request{Method: method, Head: head.Bytes(), Body: c.Body, Exclusive: c.Exclusive, IsAnswer: func(_ int, h http.Header, alone bool) bool { return c.IsAnswer(h) || alone && c.AnyIfAlone }, Check: c.Check}
 	a, err := p.Do(ctx, r)
 	if err != nil {
 		return 0, nil, err
